--- /dev/null
+++ b/cmake/jujubecartConfig.cmake
@@ -0,0 +1,5 @@
+include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(OpenSSL)
+find_dependency(nlohmann_json)
+include(${CMAKE_CURRENT_LIST_DIR}/jujubecartTargets.cmake)
--- /dev/null
+++ b/packages/core/include/jujubecart/core/fwd.hpp
@@ -0,0 +1,34 @@
+#ifndef JUJUBECART_CORE_FWD_HPP
+#define JUJUBECART_CORE_FWD_HPP
+
+namespace jujubecart::core {
+
+class Clock;
+class ConfigSnapshot;
+class ConfigSource;
+class ConfigTable;
+class EventSink;
+class Findings;
+class JsonReader;
+class KeyValueStore;
+class MemberSource;
+class OrderClaims;
+class SlotBroker;
+class SystemClock;
+
+struct BackendServer;
+struct CallReport;
+struct Event;
+struct Finding;
+struct Member;
+struct OrderKey;
+struct RequestId;
+struct RouteRule;
+struct ServiceConfig;
+struct SlotGrant;
+struct SlotRequest;
+struct VersionedValue;
+
+} // namespace jujubecart::core
+
+#endif
--- /dev/null
+++ b/packages/core/include/jujubecart/core/hash.hpp
@@ -0,0 +1,41 @@
+#ifndef JUJUBECART_CORE_HASH_HPP
+#define JUJUBECART_CORE_HASH_HPP
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+namespace jujubecart::core {
+
+/// @brief Hashes bytes with xxHash64.
+/// @param Bytes Input.
+/// @param Seed Seed of the hash.
+/// @return 64-bit hash, identical on every VM.
+[[nodiscard]] std::uint64_t hash64(std::string_view Bytes,
+                                   std::uint64_t Seed = 0) noexcept;
+
+/// @brief 128-bit hash of an `Idempotency-Key`, scoped by service.
+struct OrderKey {
+  std::uint64_t High = 0;
+  std::uint64_t Low = 0;
+
+  friend auto operator<=>(const OrderKey &, const OrderKey &) = default;
+};
+
+/// @brief Hashes an idempotency key.
+/// @param Service Name of the service.
+/// @param Key Header value as received.
+/// @return The order key.
+[[nodiscard]] OrderKey orderKey(std::string_view Service,
+                                std::string_view Key) noexcept;
+
+} // namespace jujubecart::core
+
+template <> struct std::hash<jujubecart::core::OrderKey> {
+  std::size_t operator()(const jujubecart::core::OrderKey &Key) const noexcept {
+    return Key.Low;
+  }
+};
+
+#endif
--- /dev/null
+++ b/packages/core/src/config_json.cpp
@@ -0,0 +1,183 @@
+#include <jujubecart/core/config_json.hpp>
+#include <jujubecart/core/json_reader.hpp>
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace jujubecart::core {
+
+namespace internal {
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t MaxSlots = 10000;
+constexpr std::int64_t MaxConnections = 100000;
+constexpr std::int64_t MaxDeadlineMs = 600000;
+constexpr std::int64_t MaxPriority = 9;
+constexpr std::int64_t MaxMeasurePerS = 100000;
+// Claims are kept in memory: 1000 orders/s for an hour are about 86 MB.
+constexpr std::int64_t MaxRetentionS = 3600;
+
+const std::vector<std::string> Kinds{"lookup", "order"};
+const std::vector<std::string> States{"active", "draining"};
+const std::vector<std::string> KeyModes{"durable", "memory"};
+const std::vector<std::string> Profiles{"tail", "cost"};
+
+RouteRule readRule(const nlohmann::json &Value, const std::string &Pointer,
+                   Findings &Report) {
+  JsonReader Reader(Value, Pointer, Report);
+  RouteRule Rule;
+  Rule.Host = Reader.stringOr("host", "");
+  Rule.PathPrefix = Reader.stringOr("path_prefix", "/");
+  if (Rule.PathPrefix.front() != '/')
+    Report.add(Reader.pointer("path_prefix"), "\"" + Rule.PathPrefix + "\"",
+               "path that starts with /");
+  Reader.rejectUnknownKeys();
+  return Rule;
+}
+
+BackendServer readServer(const nlohmann::json &Value,
+                         const std::string &Pointer, Findings &Report) {
+  JsonReader Reader(Value, Pointer, Report);
+  BackendServer Server;
+  Server.Id = Reader.string("id");
+  Server.Address = Reader.string("address");
+  if (!Server.Address.empty() && !isAddress(Server.Address))
+    Report.add(Reader.pointer("address"), "\"" + Server.Address + "\"",
+               "IP:port");
+  Server.Zone = Reader.string("zone");
+  Server.Slots =
+      static_cast<std::uint32_t>(Reader.integer("slots", 1, MaxSlots));
+  Server.Connections = static_cast<std::uint32_t>(
+      Reader.integerOr("connections", 1, MaxConnections, 100));
+  Server.State = static_cast<ServerState>(Reader.choice("state", States, 0));
+  Reader.rejectUnknownKeys();
+  return Server;
+}
+
+template <typename Item, typename ReadItem>
+std::vector<Item> readItems(const nlohmann::json *Values,
+                            const std::string &Pointer, Findings &Report,
+                            const ReadItem &Read) {
+  std::vector<Item> Items;
+  if (Values == nullptr)
+    return Items;
+  for (std::size_t Index = 0; Index < Values->size(); ++Index)
+    Items.push_back(
+        Read((*Values)[Index], Pointer + "/" + std::to_string(Index), Report));
+  return Items;
+}
+
+void checkUniqueServers(const std::vector<BackendServer> &Servers,
+                        const std::string &Pointer, Findings &Report) {
+  std::set<std::string> Ids;
+  for (std::size_t Index = 0; Index < Servers.size(); ++Index)
+    if (!Servers[Index].Id.empty() && !Ids.insert(Servers[Index].Id).second)
+      Report.add(Pointer + "/" + std::to_string(Index) + "/id",
+                 "\"" + Servers[Index].Id + "\" a second time",
+                 "id that is unique within the service");
+}
+
+std::map<std::string, std::string>
+readZones(const nlohmann::json *Value, const std::string &Pointer,
+          const std::vector<BackendServer> &Servers, Findings &Report) {
+  std::map<std::string, std::string> Zones;
+  if (Value != nullptr) {
+    JsonReader Reader(*Value, Pointer, Report);
+    for (const auto &[Zone, Region] : Value->items())
+      Zones[Zone] = Reader.string(Zone);
+  }
+  for (std::size_t Index = 0; Index < Servers.size(); ++Index)
+    if (!Servers[Index].Zone.empty() && Zones.count(Servers[Index].Zone) == 0)
+      Report.add(Pointer, "no entry for \"" + Servers[Index].Zone + "\"",
+                 "region of each availability zone of a backend server");
+  return Zones;
+}
+
+} // namespace internal
+
+bool isAddress(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  std::string Host = Text.substr(0, Colon);
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
+    Host = Host.substr(1, Host.size() - 2);
+  boost::system::error_code Code;
+  boost::asio::ip::make_address(Host, Code);
+  std::int64_t Port = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Last, PortCode] =
+      std::from_chars(Text.data() + Colon + 1, End, Port);
+  return !Code && PortCode == std::errc() && Last == End && Port >= 1 &&
+         Port <= internal::MaxPort;
+}
+
+ServiceConfig readService(const std::string &Name, const nlohmann::json &Value,
+                          const std::string &Pointer, Findings &Report) {
+  JsonReader Reader(Value, Pointer, Report);
+  ServiceConfig Service;
+  Service.Name = Name;
+  Service.Kind =
+      static_cast<ServiceKind>(Reader.choice("kind", internal::Kinds, {}));
+  Service.Rules = internal::readItems<RouteRule>(Reader.array("rules", true),
+                                                 Reader.pointer("rules"),
+                                                 Report, internal::readRule);
+  Service.Servers = internal::readItems<BackendServer>(
+      Reader.array("servers", true), Reader.pointer("servers"), Report,
+      internal::readServer);
+  internal::checkUniqueServers(Service.Servers, Reader.pointer("servers"),
+                               Report);
+  Service.Zones =
+      internal::readZones(Reader.object("zones", true), Reader.pointer("zones"),
+                          Service.Servers, Report);
+  Service.DefaultDeadlineMs = static_cast<std::uint32_t>(Reader.integerOr(
+      "default_deadline_ms", 1, internal::MaxDeadlineMs, 2000));
+  Service.Priority = static_cast<std::uint8_t>(
+      Reader.integerOr("priority", 0, internal::MaxPriority, 5));
+  Service.MeasurePerS = static_cast<std::uint32_t>(
+      Reader.integerOr("measure_per_s", 0, internal::MaxMeasurePerS, 10));
+  Service.OrderKeys = static_cast<OrderKeyMode>(
+      Reader.choice("order_keys", internal::KeyModes, 0));
+  Service.OrderKeyRetentionS = static_cast<std::uint32_t>(Reader.integerOr(
+      "order_key_retention_s", 1, internal::MaxRetentionS, 600));
+  Service.Profile = static_cast<PolicyProfile>(
+      Reader.choice("profile", internal::Profiles, 0));
+  Reader.rejectUnknownKeys();
+  return Service;
+}
+
+nlohmann::json writeService(const ServiceConfig &Service) {
+  nlohmann::json Rules = nlohmann::json::array();
+  for (const RouteRule &Rule : Service.Rules) {
+    nlohmann::json Item{{"path_prefix", Rule.PathPrefix}};
+    if (!Rule.Host.empty())
+      Item["host"] = Rule.Host;
+    Rules.push_back(std::move(Item));
+  }
+  nlohmann::json Servers = nlohmann::json::array();
+  for (const BackendServer &Server : Service.Servers)
+    Servers.push_back(
+        {{"id", Server.Id},
+         {"address", Server.Address},
+         {"zone", Server.Zone},
+         {"slots", Server.Slots},
+         {"connections", Server.Connections},
+         {"state", internal::States[static_cast<std::size_t>(Server.State)]}});
+  return {
+      {"kind", internal::Kinds[static_cast<std::size_t>(Service.Kind)]},
+      {"rules", std::move(Rules)},
+      {"servers", std::move(Servers)},
+      {"zones", Service.Zones},
+      {"default_deadline_ms", Service.DefaultDeadlineMs},
+      {"priority", Service.Priority},
+      {"measure_per_s", Service.MeasurePerS},
+      {"order_keys",
+       internal::KeyModes[static_cast<std::size_t>(Service.OrderKeys)]},
+      {"order_key_retention_s", Service.OrderKeyRetentionS},
+      {"profile",
+       internal::Profiles[static_cast<std::size_t>(Service.Profile)]},
+  };
+}
+
+} // namespace jujubecart::core
