--- a/packages/core/include/jujubecart/core/member.hpp
+++ b/packages/core/include/jujubecart/core/member.hpp
@@ -17,6 +17,8 @@
   std::string Id;
   /// `IP:port` for links between entry VMs.
   std::string Address;
+  /// `IP:port` of the operators' endpoint.
+  std::string Operators;
   std::string Zone;
   std::string Region;
   /// Start time of the process in Unix milliseconds; a higher one wins.
