Add operators package: settings, HTTP endpoints, client

Cause: operators need checked settings and endpoints for tickets, status, timeline, metrics and readiness.

--- /dev/null
+++ b/packages/operators/include/jujubecart/operators/fwd.hpp
@@ -0,0 +1,16 @@
+#ifndef JUJUBECART_OPERATORS_FWD_HPP
+#define JUJUBECART_OPERATORS_FWD_HPP
+
+namespace jujubecart::operators {
+
+class Api;
+class Client;
+class Server;
+
+struct Answer;
+struct Query;
+struct Settings;
+
+} // namespace jujubecart::operators
+
+#endif
--- /dev/null
+++ b/packages/operators/src/settings_reader.cpp
@@ -0,0 +1,220 @@
+#include <jujubecart/operators/settings_reader.hpp>
+
+#include <jujubecart/core/config_json.hpp>
+#include <jujubecart/core/json_reader.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace jujubecart::operators {
+
+namespace internal {
+
+using core::Findings;
+using core::JsonReader;
+using nlohmann::json;
+
+// docs/settings.md gives the unit, default, range and reason of each setting.
+constexpr std::int64_t MaxConnections = 1000000;
+constexpr std::int64_t MinHeaderBytes = 1024;
+constexpr std::int64_t MaxHeaderBytes = 1048576;
+constexpr std::int64_t MaxBodyBytes = 1099511627776;
+constexpr std::int64_t MaxTimeoutMs = 3600000;
+constexpr std::int64_t MaxWorkers = 64;
+constexpr std::int64_t MaxShutdownS = 3600;
+constexpr std::int64_t MaxTimelineEvents = 1000000;
+
+const std::vector<std::string> Policies{
+    "dispatcher", "two-choices", "round-robin", "random", "least-reported"};
+const std::vector<std::string> Levels{"debug", "info", "warning", "error"};
+
+// Absent objects read as empty ones, so that their defaults apply.
+const json &objectOrEmpty(JsonReader &Parent, std::string_view Key,
+                          bool Required) {
+  static const json Empty = json::object();
+  const json *Member = Parent.object(Key, Required);
+  return Member == nullptr ? Empty : *Member;
+}
+
+std::uint32_t unsignedOr(JsonReader &Reader, std::string_view Key,
+                         std::int64_t Low, std::int64_t High,
+                         std::uint32_t Default) {
+  return static_cast<std::uint32_t>(Reader.integerOr(Key, Low, High, Default));
+}
+
+void checkAddress(const std::string &Text, const std::string &Pointer,
+                  Findings &Report) {
+  if (!Text.empty() && !core::isAddress(Text))
+    Report.add(Pointer, "\"" + Text + "\"", "IP:port");
+}
+
+std::string readAddress(JsonReader &Reader, std::string_view Key,
+                        Findings &Report) {
+  std::string Text = Reader.string(Key);
+  checkAddress(Text, Reader.pointer(Key), Report);
+  return Text;
+}
+
+std::vector<std::string> readAddresses(JsonReader &Reader, std::string_view Key,
+                                       Findings &Report) {
+  std::vector<std::string> Items = Reader.strings(Key);
+  for (std::size_t Index = 0; Index < Items.size(); ++Index)
+    checkAddress(Items[Index],
+                 Reader.pointer(Key) + "/" + std::to_string(Index), Report);
+  return Items;
+}
+
+void checkReadable(const std::string &File, const std::string &Pointer,
+                   Findings &Report) {
+  if (!File.empty() && !std::ifstream(File))
+    Report.add(Pointer, "\"" + File + "\"", "readable file");
+}
+
+TlsFiles readTls(JsonReader &Parent, Findings &Report) {
+  TlsFiles Files;
+  const json *Value = Parent.object("tls", false);
+  if (Value == nullptr)
+    return Files;
+  JsonReader Reader(*Value, Parent.pointer("tls"), Report);
+  Files.Certificate = Reader.string("certificate");
+  Files.Key = Reader.string("key");
+  Files.Ca = Reader.string("ca");
+  checkReadable(Files.Certificate, Reader.pointer("certificate"), Report);
+  checkReadable(Files.Key, Reader.pointer("key"), Report);
+  checkReadable(Files.Ca, Reader.pointer("ca"), Report);
+  Reader.rejectUnknownKeys();
+  return Files;
+}
+
+VmSettings readVm(JsonReader &Root, Findings &Report) {
+  JsonReader Reader(objectOrEmpty(Root, "vm", true), "/vm", Report);
+  VmSettings Vm{.Id = Reader.string("id"),
+                .Zone = Reader.string("zone"),
+                .Region = Reader.string("region")};
+  Reader.rejectUnknownKeys();
+  return Vm;
+}
+
+CallerSettings readCallers(JsonReader &Root, Findings &Report) {
+  JsonReader Reader(objectOrEmpty(Root, "callers", true), "/callers", Report);
+  CallerSettings Callers;
+  Callers.Listen = readAddress(Reader, "listen", Report);
+  Callers.MaxConnections = unsignedOr(Reader, "max_connections", 1,
+                                      MaxConnections, Callers.MaxConnections);
+  Callers.HeaderLimitBytes =
+      unsignedOr(Reader, "header_limit_bytes", MinHeaderBytes, MaxHeaderBytes,
+                 Callers.HeaderLimitBytes);
+  Callers.BodyLimitBytes = static_cast<std::uint64_t>(
+      Reader.integerOr("body_limit_bytes", 0, MaxBodyBytes,
+                       static_cast<std::int64_t>(Callers.BodyLimitBytes)));
+  Callers.HeaderTimeoutMs = unsignedOr(Reader, "header_timeout_ms", 1,
+                                       MaxTimeoutMs, Callers.HeaderTimeoutMs);
+  Callers.IdleTimeoutMs = unsignedOr(Reader, "idle_timeout_ms", 1, MaxTimeoutMs,
+                                     Callers.IdleTimeoutMs);
+  Callers.MaxDeadlineMs = unsignedOr(Reader, "max_deadline_ms", 1, MaxTimeoutMs,
+                                     Callers.MaxDeadlineMs);
+  Callers.HedgeAfterMs = unsignedOr(Reader, "hedge_after_ms", 0, MaxTimeoutMs,
+                                    Callers.HedgeAfterMs);
+  Reader.rejectUnknownKeys();
+  return Callers;
+}
+
+OperatorSettings readOperators(JsonReader &Root, Findings &Report) {
+  JsonReader Reader(objectOrEmpty(Root, "operators", true), "/operators",
+                    Report);
+  OperatorSettings Operators;
+  Operators.Listen = readAddress(Reader, "listen", Report);
+  Operators.Tls = readTls(Reader, Report);
+  Reader.rejectUnknownKeys();
+  return Operators;
+}
+
+PeerSettings readPeers(JsonReader &Root, Findings &Report) {
+  JsonReader Reader(objectOrEmpty(Root, "peers", true), "/peers", Report);
+  PeerSettings Peers;
+  Peers.Listen = readAddress(Reader, "listen", Report);
+  Peers.Seeds = readAddresses(Reader, "seeds", Report);
+  Peers.Tls = readTls(Reader, Report);
+  Peers.SuspectAfterMs = unsignedOr(Reader, "suspect_after_ms", 100,
+                                    MaxTimeoutMs, Peers.SuspectAfterMs);
+  Peers.RemoveAfterMs = unsignedOr(Reader, "remove_after_ms", 100, MaxTimeoutMs,
+                                   Peers.RemoveAfterMs);
+  if (Peers.RemoveAfterMs < Peers.SuspectAfterMs)
+    Report.add("/peers/remove_after_ms", std::to_string(Peers.RemoveAfterMs),
+               "at least suspect_after_ms (" +
+                   std::to_string(Peers.SuspectAfterMs) + ")");
+  Reader.rejectUnknownKeys();
+  return Peers;
+}
+
+StoreSettings readStore(JsonReader &Root, Findings &Report) {
+  JsonReader Reader(objectOrEmpty(Root, "store", true), "/store", Report);
+  StoreSettings Store;
+  Store.Endpoints = readAddresses(Reader, "endpoints", Report);
+  if (Store.Endpoints.empty())
+    Report.add("/store/endpoints", "no address", "at least one IP:port");
+  Store.TimeoutMs =
+      unsignedOr(Reader, "timeout_ms", 1, MaxTimeoutMs, Store.TimeoutMs);
+  Reader.rejectUnknownKeys();
+  return Store;
+}
+
+std::string readPlatform(JsonReader &Root, Findings &Report) {
+  const json *Value = Root.object("platform", false);
+  if (Value == nullptr)
+    return {};
+  JsonReader Reader(*Value, "/platform", Report);
+  std::string Endpoint = readAddress(Reader, "endpoint", Report);
+  Reader.rejectUnknownKeys();
+  return Endpoint;
+}
+
+core::LogLevel readLogLevel(JsonReader &Root, Findings &Report) {
+  constexpr std::size_t Info = 1;
+  JsonReader Reader(objectOrEmpty(Root, "log", false), "/log", Report);
+  const std::size_t Index = Reader.choice("level", Levels, Info);
+  Reader.rejectUnknownKeys();
+  return static_cast<core::LogLevel>(Index);
+}
+
+} // namespace internal
+
+Settings readSettings(std::string_view Text, core::Findings &Report) {
+  Settings All;
+  const auto Value = core::parseJson(Text, Report);
+  if (!Value)
+    return All;
+  core::JsonReader Root(*Value, "", Report);
+  if (!Value->is_object())
+    return All;
+  All.Vm = internal::readVm(Root, Report);
+  All.Callers = internal::readCallers(Root, Report);
+  All.Operators = internal::readOperators(Root, Report);
+  All.Peers = internal::readPeers(Root, Report);
+  All.Store = internal::readStore(Root, Report);
+  All.PlatformEndpoint = internal::readPlatform(Root, Report);
+  All.Policy = internal::Policies[Root.choice("policy", internal::Policies, 0)];
+  All.Workers = internal::unsignedOr(Root, "workers", 1, internal::MaxWorkers,
+                                     All.Workers);
+  All.ShutdownDeadlineS =
+      internal::unsignedOr(Root, "shutdown_deadline_s", 0,
+                           internal::MaxShutdownS, All.ShutdownDeadlineS);
+  All.TimelineEvents =
+      internal::unsignedOr(Root, "timeline_events", 0,
+                           internal::MaxTimelineEvents, All.TimelineEvents);
+  All.LogLevel = internal::readLogLevel(Root, Report);
+  Root.rejectUnknownKeys();
+  return All;
+}
+
+Settings readSettingsFile(const std::string &File, core::Findings &Report) {
+  std::ifstream In(File, std::ios::binary);
+  std::ostringstream Text;
+  if (!In || !(Text << In.rdbuf())) {
+    Report.add("", "unreadable or empty file", "readable JSON file");
+    return {};
+  }
+  return readSettings(Text.str(), Report);
+}
+
+} // namespace jujubecart::operators
--- /dev/null
+++ b/tests/operators/settings_test.cpp
@@ -0,0 +1,132 @@
+#include <criterion/criterion.h>
+#include <jujubecart/core/json_reader.hpp>
+#include <jujubecart/operators/settings_reader.hpp>
+
+using namespace jujubecart;
+
+namespace {
+
+const std::string Valid = R"({
+  "vm": {"id": "vm1", "zone": "z1", "region": "alfold"},
+  "callers": {"listen": "127.0.0.1:8080"},
+  "operators": {"listen": "127.0.0.1:8081"},
+  "peers": {"listen": "127.0.0.1:8082", "seeds": ["127.0.0.1:8083"]},
+  "store": {"endpoints": ["127.0.0.1:8084"]}
+})";
+
+/// A change to the valid settings and the pointer that must be reported.
+struct BadCase {
+  const char *Pointer;
+  const char *Value; // nullptr removes the member
+};
+
+const BadCase BadCases[] = {
+    {"/vm", nullptr},
+    {"/vm", "3"},
+    {"/vm", "[]"},
+    {"/vm/id", nullptr},
+    {"/vm/id", "\"\""},
+    {"/vm/id", "7"},
+    {"/vm/id", "\"a\\nb\""},
+    {"/vm/zone", nullptr},
+    {"/vm/region", "null"},
+    {"/vm/extra", "1"},
+    {"/callers", nullptr},
+    {"/callers/listen", nullptr},
+    {"/callers/listen", "\"localhost:80\""},
+    {"/callers/listen", "\"127.0.0.1\""},
+    {"/callers/listen", "\"127.0.0.1:0\""},
+    {"/callers/listen", "\"127.0.0.1:65536\""},
+    {"/callers/listen", "\"127.0.0.1:80x\""},
+    {"/callers/max_connections", "0"},
+    {"/callers/max_connections", "1.5"},
+    {"/callers/max_connections", "\"many\""},
+    {"/callers/header_limit_bytes", "10"},
+    {"/callers/body_limit_bytes", "-1"},
+    {"/callers/header_timeout_ms", "0"},
+    {"/callers/idle_timeout_ms", "99999999999999999999"},
+    {"/callers/max_deadline_ms", "true"},
+    {"/callers/hedge_after_ms", "-5"},
+    {"/callers/colour", "1"},
+    {"/operators", nullptr},
+    {"/operators/listen", "{}"},
+    {"/operators/tls/certificate", "\"/nonexistent/certificate.pem\""},
+    {"/operators/tls/key", "5"},
+    {"/peers/listen", "\"[::1]\""},
+    {"/peers/seeds", "\"127.0.0.1:1\""},
+    {"/peers/seeds/0", "\"nowhere\""},
+    {"/peers/seeds/0", "5"},
+    {"/peers/suspect_after_ms", "1"},
+    {"/peers/remove_after_ms", "200"},
+    {"/store", nullptr},
+    {"/store/endpoints", "[]"},
+    {"/store/endpoints/0", "\"127.0.0.1\""},
+    {"/store/timeout_ms", "0"},
+    {"/platform", "\"127.0.0.1:1\""},
+    {"/platform/endpoint", "\"x\""},
+    {"/policy", "\"magic\""},
+    {"/policy", "3"},
+    {"/workers", "0"},
+    {"/workers", "65"},
+    {"/shutdown_deadline_s", "-1"},
+    {"/timeline_events", "1e3"},
+    {"/log/level", "\"loud\""},
+    {"/log/file", "\"a\""},
+    {"/unknown", "1"},
+};
+
+std::string change(const BadCase &Case) {
+  nlohmann::json Settings = nlohmann::json::parse(Valid);
+  const nlohmann::json::json_pointer Pointer(Case.Pointer);
+  if (Case.Value != nullptr)
+    Settings[Pointer] = nlohmann::json::parse(Case.Value);
+  else
+    Settings[Pointer.parent_pointer()].erase(Pointer.back());
+  return Settings.dump();
+}
+
+bool reports(const core::Findings &Report, const std::string &Pointer) {
+  for (const core::Finding &Item : Report.items())
+    if (Item.Pointer.compare(0, Pointer.size(), Pointer) == 0)
+      return true;
+  return false;
+}
+
+} // namespace
+
+// Guards against a valid file that is rejected.
+Test(Settings, minimal_file_is_accepted) {
+  core::Findings Report("settings.json");
+  const auto All = operators::readSettings(Valid, Report);
+  cr_assert(Report.empty(), "%s", Report.text().c_str());
+  cr_assert_eq(All.Peers.Seeds.size(), 1);
+  cr_assert_eq(All.Policy, "dispatcher");
+}
+
+// Guards against bad settings that pass or that are reported elsewhere.
+Test(Settings, bad_member_is_reported_with_its_pointer) {
+  for (const BadCase &Case : BadCases) {
+    core::Findings Report("settings.json");
+    (void)operators::readSettings(change(Case), Report);
+    cr_expect(reports(Report, Case.Pointer), "%s = %s: %s", Case.Pointer,
+              Case.Value == nullptr ? "removed" : Case.Value,
+              Report.text().c_str());
+  }
+}
+
+// Guards against bytes that are not a JSON object.
+Test(Settings, text_that_is_no_object_is_a_finding) {
+  for (const char *Text :
+       {"", "[]", "{", "{}}", "nul", "\xff", "{\"vm\":1,\"vm\":2}"}) {
+    core::Findings Report("settings.json");
+    (void)operators::readSettings(Text, Report);
+    cr_expect_not(Report.empty(), "%s", Text);
+  }
+}
+
+// Guards against stopping at the first problem.
+Test(Settings, several_bad_members_are_reported_together) {
+  core::Findings Report("settings.json");
+  (void)operators::readSettings(R"({"vm":{},"colour":1})", Report);
+  cr_assert_geq(Report.items().size(), 8);
+}
