Add decision package: groups, ranking, local policies, broker

Cause: the daemon needs a broker to run with, and remote dispatch needs the types of the decision package.

--- /dev/null
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -0,0 +1,26 @@
+#ifndef JUJUBECART_DECISION_FWD_HPP
+#define JUJUBECART_DECISION_FWD_HPP
+
+namespace jujubecart::decision {
+
+class GroupDispatcher;
+class LeastReported;
+class LocalBroker;
+class LocalPolicy;
+class PowerOfTwoChoices;
+class RandomChoice;
+class RetryBudget;
+class RoundRobin;
+class TokenBucket;
+
+struct DispatchGroup;
+struct DispatcherOptions;
+struct Granted;
+struct PendingCall;
+struct ProbeResult;
+struct Rejected;
+struct ServerStatus;
+
+} // namespace jujubecart::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/jujubecart/decision/least_reported.hpp
@@ -0,0 +1,29 @@
+#ifndef JUJUBECART_DECISION_LEAST_REPORTED_HPP
+#define JUJUBECART_DECISION_LEAST_REPORTED_HPP
+
+#include <jujubecart/decision/internal/string_map.hpp>
+#include <jujubecart/decision/local_policy.hpp>
+
+#include <random>
+
+namespace jujubecart::decision {
+
+/// @brief Takes the server with the lowest load that servers last reported.
+class LeastReported final : public LocalPolicy {
+public:
+  explicit LeastReported(std::uint64_t Seed) : Random(Seed) {}
+
+  [[nodiscard]] std::optional<std::size_t>
+  pick(const std::vector<core::BackendServer> &Servers,
+       std::span<const std::string> Excluded, core::TimePoint Now) override;
+  void onEnd(std::string_view ServerId, const core::CallReport &Report,
+             core::TimePoint Now) override;
+
+private:
+  std::mt19937_64 Random;
+  internal::StringMap<std::uint32_t> Reported;
+};
+
+} // namespace jujubecart::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/jujubecart/decision/probe_result.hpp
@@ -0,0 +1,21 @@
+#ifndef JUJUBECART_DECISION_PROBE_RESULT_HPP
+#define JUJUBECART_DECISION_PROBE_RESULT_HPP
+
+#include <cstdint>
+#include <optional>
+
+namespace jujubecart::decision {
+
+/// @brief What a health endpoint said.
+enum class ProbeState : std::uint8_t { Unreachable, Ok, Draining, Cold };
+
+/// @brief Result of one health probe.
+struct ProbeResult {
+  ProbeState State = ProbeState::Unreachable;
+  /// Requests in flight as stated by the backend server.
+  std::optional<std::uint32_t> InFlight;
+};
+
+} // namespace jujubecart::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/jujubecart/decision/rendezvous.hpp
@@ -0,0 +1,24 @@
+#ifndef JUJUBECART_DECISION_RENDEZVOUS_HPP
+#define JUJUBECART_DECISION_RENDEZVOUS_HPP
+
+#include <jujubecart/core/member.hpp>
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubecart::decision {
+
+/// @brief Ranks the live members as dispatchers of a group.
+/// @param Group Name of the dispatch group.
+/// @param Region Region of the group; its members rank first.
+/// @param Members All known members; suspect and leaving ones are left out.
+/// @return Member ids, best first.
+[[nodiscard]] std::vector<std::string>
+rankMembers(std::string_view Group, std::string_view Region,
+            std::span<const core::Member> Members);
+
+} // namespace jujubecart::decision
+
+#endif
--- /dev/null
+++ b/tests/decision/local_policy_test.cpp
@@ -0,0 +1,163 @@
+#include <criterion/criterion.h>
+#include <jujubecart/core.hpp>
+#include <jujubecart/decision.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <set>
+
+using namespace jujubecart;
+using namespace jujubecart::decision;
+
+namespace {
+
+std::vector<core::BackendServer> servers(std::size_t Count) {
+  std::vector<core::BackendServer> All(Count);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    All[Index].Id = "s" + std::to_string(Index);
+    All[Index].Zone = "z" + std::to_string(Index % 4);
+    All[Index].Slots = 2;
+  }
+  return All;
+}
+
+core::ServiceConfig service(std::size_t Count) {
+  core::ServiceConfig Service;
+  Service.Name = "tags";
+  Service.Servers = servers(Count);
+  Service.Zones = {{"z0", "a"}, {"z1", "a"}, {"z2", "b"}, {"z3", "b"}};
+  return Service;
+}
+
+} // namespace
+
+// Guards against a retry or a drained server being chosen again.
+Test(LocalPolicy, excluded_and_draining_servers_are_never_chosen) {
+  auto All = servers(4);
+  All[1].State = core::ServerState::Draining;
+  const std::vector<std::string> Excluded{"s0", "s2"};
+  const std::vector<std::string> Everything{"s0", "s2", "s3"};
+  for (const char *Name :
+       {"power-of-two-choices", "round-robin", "random", "least-reported"}) {
+    const auto Policy = makeLocalPolicy(Name, 7);
+    for (int Round = 0; Round < 100; ++Round)
+      cr_assert_eq(*Policy->pick(All, Excluded, {}), 3);
+    cr_assert_not(Policy->pick(All, Everything, {}).has_value());
+    cr_assert_not(Policy->pick({}, {}, {}).has_value());
+  }
+  cr_assert_null(makeLocalPolicy("fastest", 1));
+}
+
+// Guards against in-flight counts that are not returned.
+Test(PowerOfTwoChoices, busy_server_loses_until_its_calls_end) {
+  const auto All = servers(2);
+  PowerOfTwoChoices Policy(3);
+  Policy.onStart("s0", {});
+  for (int Round = 0; Round < 50; ++Round)
+    cr_assert_eq(*Policy.pick(All, {}, {}), 1);
+  Policy.onEnd("s0", {}, {});
+  std::set<std::size_t> Chosen;
+  for (int Round = 0; Round < 50; ++Round)
+    Chosen.insert(*Policy.pick(All, {}, {}));
+  cr_assert_eq(Chosen.size(), 2);
+}
+
+// Guards against groups that differ between VMs or exceed their bound.
+Test(DispatchGroups, order_of_servers_does_not_matter) {
+  core::ServiceConfig Service = service(130);
+  const auto Groups = dispatchGroups(Service);
+  std::reverse(Service.Servers.begin(), Service.Servers.end());
+  cr_assert(dispatchGroups(Service) == Groups);
+  cr_assert_eq(Groups.size(), 5);
+  cr_assert_eq(Groups[0].Name, "tags/a/0");
+  std::set<std::string> Seen;
+  for (const auto &Group : Groups) {
+    cr_assert_leq(Group.Servers.size(), MaxGroupServers);
+    for (const auto &Server : Group.Servers)
+      cr_assert(Seen.insert(Server.Id).second);
+  }
+  cr_assert_eq(Seen.size(), 130);
+}
+
+// Guards against a dispatcher that is leaving or not reachable, and against
+// moving other members when one leaves.
+Test(RankMembers, leaving_member_is_left_out_and_order_of_others_stays) {
+  std::vector<core::Member> Members;
+  Members.reserve(14);
+  for (int Index = 0; Index < 14; ++Index)
+    Members.push_back({.Id = "vm" + std::to_string(Index),
+                       .Address = {},
+                       .Zone = {},
+                       .Region = Index < 4 ? "a" : "b",
+                       .Incarnation = 1,
+                       .State = core::MemberState::Live});
+  auto Before = rankMembers("tags/a/0", "a", Members);
+  for (int Rank = 0; Rank < 4; ++Rank)
+    cr_assert_lt(std::stoi(Before[Rank].substr(2)), 4);
+  Members[std::stoul(Before[0].substr(2))].State = core::MemberState::Leaving;
+  const auto After = rankMembers("tags/a/0", "a", Members);
+  Before.erase(Before.begin());
+  cr_assert(After == Before);
+}
+
+// Guards against retries that multiply the load on a failing service.
+Test(RetryBudget, retries_stay_at_a_tenth_of_first_attempts) {
+  RetryBudget Budget;
+  cr_assert_not(Budget.tryTake());
+  int Retries = 0;
+  for (int Call = 0; Call < 1000; ++Call) {
+    Budget.recordFirstAttempt();
+    Retries += Budget.tryTake();
+  }
+  cr_assert_eq(Retries, 100);
+  for (int Call = 0; Call < 1000; ++Call)
+    Budget.recordFirstAttempt();
+  for (Retries = 0; Budget.tryTake();)
+    ++Retries;
+  cr_assert_eq(Retries, 10);
+}
+
+// Guards against a bucket that refills when the clock steps back.
+Test(TokenBucket, rate_holds_in_every_window) {
+  core::TimePoint Now{};
+  TokenBucket Bucket(5, 1, Now);
+  int Taken = 0;
+  for (int Ms = 0; Ms < 10000; ++Ms)
+    Taken += Bucket.tryTake(Now + std::chrono::milliseconds(Ms));
+  cr_assert_leq(Taken, 51);
+  cr_assert_geq(Taken, 49);
+  cr_assert_not(Bucket.tryTake(Now));
+}
+
+// Guards against an order that is sent without a claim on its key, and
+// against a grant that is not counted.
+Test(LocalBroker, order_without_claims_is_refused) {
+  core::ConfigTable Table;
+  Table.apply(std::make_shared<core::ConfigSnapshot>(
+      1, core::ConfigSnapshot::ServiceMap{
+             {"tags", std::make_shared<core::ServiceEntry>(core::ServiceEntry{
+                          .Changed = 1, .Service = service(2)})}}));
+  const core::SystemClock Time;
+  LocalBroker Broker(Table, Time, "power-of-two-choices", 1);
+  core::SlotRequest Request;
+  Request.Service = "tags";
+  Request.Deadline = Time.now() + std::chrono::seconds(10);
+  Request.Key = core::orderKey("tags", "k");
+  boost::asio::io_context Context;
+  auto Refused =
+      co_spawn(Context, Broker.acquire(Request), boost::asio::use_future);
+  Request.Key.reset();
+  auto Granted =
+      co_spawn(Context, Broker.acquire(Request), boost::asio::use_future);
+  Context.run();
+  cr_assert(Refused.get().error() == core::Error::Unavailable);
+  const auto First = Granted.get().value();
+  const auto Second = Broker.acquireNow(Request).value();
+  cr_assert_neq(First.Server.Id, Second.Server.Id);
+  Broker.release(First, {});
+  cr_assert_eq(Broker.acquireNow(Request).value().Server.Id, First.Server.Id);
+  Request.Service = "other";
+  cr_assert(Broker.acquireNow(Request).error() == core::Error::NotFound);
+}
