Add store client, ticket acceptance, configuration reader and fake store

Cause: operators and VMs need the platform's key-value service, and tests need a stand-in with faults. Decided: the put body is the raw value; 429 and 503 mean "not executed".

--- a/packages/core/include/jujubecart/core.hpp
+++ b/packages/core/include/jujubecart/core.hpp
@@ -18,6 +18,7 @@
 #include <jujubecart/core/member.hpp>
 #include <jujubecart/core/order_claims.hpp>
 #include <jujubecart/core/request_id.hpp>
+#include <jujubecart/core/sleeper.hpp>
 #include <jujubecart/core/slot_broker.hpp>
 
 #endif
--- a/packages/core/include/jujubecart/core/fwd.hpp
+++ b/packages/core/include/jujubecart/core/fwd.hpp
@@ -13,8 +13,10 @@
 class KeyValueStore;
 class MemberSource;
 class OrderClaims;
+class Sleeper;
 class SlotBroker;
 class SystemClock;
+class SystemSleeper;
 
 struct BackendServer;
 struct CallReport;
--- /dev/null
+++ b/packages/store/include/jujubecart/store.hpp
@@ -0,0 +1,11 @@
+#ifndef JUJUBECART_STORE_HPP
+#define JUJUBECART_STORE_HPP
+
+#include <jujubecart/store/config_head.hpp>
+#include <jujubecart/store/config_reader.hpp>
+#include <jujubecart/store/http_key_value_store.hpp>
+#include <jujubecart/store/ticket.hpp>
+#include <jujubecart/store/ticket_processor.hpp>
+#include <jujubecart/store/ticket_result.hpp>
+
+#endif
--- /dev/null
+++ b/packages/store/src/config_head.cpp
@@ -0,0 +1,84 @@
+#include <jujubecart/store/config_head.hpp>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace jujubecart::store {
+
+namespace internal {
+
+// Unknown keys are ignored, so that versions can run side by side.
+nlohmann::json toJson(const AcceptedTicket &Ticket) {
+  return {{"number", Ticket.Number},
+          {"digest", Ticket.Digest},
+          {"revision", Ticket.Accepted}};
+}
+
+AcceptedTicket acceptedFrom(const nlohmann::json &Value) {
+  return AcceptedTicket{.Number = Value.at("number").get<std::uint64_t>(),
+                        .Digest = Value.at("digest").get<std::string>(),
+                        .Accepted = Value.at("revision").get<core::Revision>()};
+}
+
+ConfigHead headFrom(const nlohmann::json &Value) {
+  ConfigHead Head;
+  Head.Number = Value.at("revision").get<core::Revision>();
+  for (const auto &[Name, Entry] : Value.at("services").items())
+    Head.Services.emplace(
+        Name, HeadEntry{.Changed = Entry.at("changed").get<core::Revision>(),
+                        .Ticket = Entry.at("ticket").get<std::uint64_t>(),
+                        .Key = Entry.value("key", std::string())});
+  for (const auto &Ticket : Value.at("tickets"))
+    Head.Recent.push_back(acceptedFrom(Ticket));
+  return Head;
+}
+
+} // namespace internal
+
+const AcceptedTicket *
+ConfigHead::findRecent(std::uint64_t Ticket) const noexcept {
+  const auto Found =
+      std::find_if(Recent.begin(), Recent.end(), [Ticket](const auto &Item) {
+        return Item.Number == Ticket;
+      });
+  return Found == Recent.end() ? nullptr : &*Found;
+}
+
+std::string writeHead(const ConfigHead &Head) {
+  nlohmann::json Services = nlohmann::json::object();
+  for (const auto &[Name, Entry] : Head.Services) {
+    nlohmann::json Item{{"changed", Entry.Changed}, {"ticket", Entry.Ticket}};
+    if (!Entry.Key.empty())
+      Item["key"] = Entry.Key;
+    Services[Name] = std::move(Item);
+  }
+  nlohmann::json Tickets = nlohmann::json::array();
+  for (const AcceptedTicket &Ticket : Head.Recent)
+    Tickets.push_back(internal::toJson(Ticket));
+  return nlohmann::json{{"revision", Head.Number},
+                        {"services", std::move(Services)},
+                        {"tickets", std::move(Tickets)}}
+      .dump();
+}
+
+core::Result<ConfigHead> readHead(std::string_view Text) {
+  try {
+    return internal::headFrom(nlohmann::json::parse(Text));
+  } catch (const nlohmann::json::exception &) {
+    return make_error_code(core::Error::Malformed);
+  }
+}
+
+std::string writeAccepted(const AcceptedTicket &Ticket) {
+  return internal::toJson(Ticket).dump();
+}
+
+core::Result<AcceptedTicket> readAccepted(std::string_view Text) {
+  try {
+    return internal::acceptedFrom(nlohmann::json::parse(Text));
+  } catch (const nlohmann::json::exception &) {
+    return make_error_code(core::Error::Malformed);
+  }
+}
+
+} // namespace jujubecart::store
--- /dev/null
+++ b/packages/store/src/http_key_value_store.cpp
@@ -0,0 +1,160 @@
+#include "store_connections.hpp"
+
+#include <jujubecart/store/http_key_value_store.hpp>
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <cctype>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace jujubecart::store {
+
+namespace internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using core::Error;
+using core::make_error_code;
+
+// The store's own timeout ends a watch first, so that the connection can be
+// used again.
+constexpr std::chrono::milliseconds WatchMargin{200};
+
+constexpr unsigned TooManyRequests = 429;
+
+asio::ip::tcp::endpoint parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  std::string Host = Text.substr(0, Colon);
+  if (Host.size() > 2 && Host.front() == '[')
+    Host = Host.substr(1, Host.size() - 2);
+  return {asio::ip::make_address(Host),
+          static_cast<std::uint16_t>(std::stoul(Text.substr(Colon + 1)))};
+}
+
+// Keys go into the request target unescaped.
+bool isKey(const std::string &Key) {
+  return !Key.empty() &&
+         std::all_of(Key.begin(), Key.end(), [](unsigned char Character) {
+           return std::isalnum(Character) != 0 || Character == '-' ||
+                  Character == '_' || Character == '.' || Character == '/';
+         });
+}
+
+Request makeRequest(http::verb Method, const std::string &Target) {
+  Request Message{Method, Target, 11};
+  Message.set(http::field::host, "store");
+  Message.keep_alive(true);
+  return Message;
+}
+
+std::optional<core::VersionedValue> parseValue(const std::string &Body) {
+  const auto Parsed = nlohmann::json::parse(Body, nullptr, false);
+  if (!Parsed.is_object() || !Parsed.contains("version") ||
+      !Parsed["version"].is_number_unsigned())
+    return std::nullopt;
+  core::VersionedValue Value;
+  Value.Version = Parsed["version"].get<std::uint64_t>();
+  if (Parsed.contains("value") && Parsed["value"].is_string())
+    Value.Value = Parsed["value"].get<std::string>();
+  return Value;
+}
+
+core::Result<core::VersionedValue> readResult(const Exchange &Outcome) {
+  switch (Outcome.Status) {
+  case 200:
+    if (auto Value = parseValue(Outcome.Body))
+      return std::move(*Value);
+    return make_error_code(Error::Malformed);
+  case 404:
+    return make_error_code(Error::NotFound);
+  case 304:
+    return make_error_code(Error::DeadlineExceeded);
+  default:
+    return make_error_code(Outcome.TimedOut ? Error::DeadlineExceeded
+                                            : Error::Unavailable);
+  }
+}
+
+// 429 and 503 reject a request before it is executed; every other status that
+// the protocol does not define leaves open whether the write took effect.
+core::Result<std::uint64_t> writeResult(const Exchange &Outcome) {
+  switch (Outcome.Status) {
+  case 200:
+    if (const auto Value = parseValue(Outcome.Body))
+      return Value->Version;
+    return make_error_code(Error::OutcomeUnknown);
+  case 409:
+    return make_error_code(Error::Conflict);
+  case 400:
+  case 413:
+    return make_error_code(Error::InvalidArgument);
+  case TooManyRequests:
+  case 503:
+    return make_error_code(Error::Unavailable);
+  default:
+    return make_error_code(Outcome.Sent ? Error::OutcomeUnknown
+                                        : Error::Unavailable);
+  }
+}
+
+std::vector<asio::ip::tcp::endpoint>
+parseEndpoints(const std::vector<std::string> &Texts) {
+  std::vector<asio::ip::tcp::endpoint> Endpoints;
+  Endpoints.reserve(Texts.size());
+  for (const std::string &Text : Texts)
+    Endpoints.push_back(parseEndpoint(Text));
+  return Endpoints;
+}
+
+} // namespace internal
+
+using internal::http::verb;
+
+HttpKeyValueStore::HttpKeyValueStore(boost::asio::any_io_executor Executor,
+                                     const std::vector<std::string> &Endpoints)
+    : Connections(std::make_shared<internal::StoreConnections>(
+          std::move(Executor), internal::parseEndpoints(Endpoints))) {}
+
+HttpKeyValueStore::~HttpKeyValueStore() = default;
+
+core::Awaitable<core::Result<core::VersionedValue>>
+HttpKeyValueStore::get(std::string Key, core::TimePoint Deadline) {
+  if (!internal::isKey(Key))
+    co_return make_error_code(core::Error::InvalidArgument);
+  const auto Pool = Connections;
+  co_return internal::readResult(co_await Pool->sendIdempotent(
+      internal::makeRequest(verb::get, "/kv/" + Key), Deadline));
+}
+
+core::Awaitable<core::Result<std::uint64_t>>
+HttpKeyValueStore::put(std::string Key, std::string Value,
+                       std::uint64_t Expected, core::TimePoint Deadline) {
+  if (!internal::isKey(Key))
+    co_return make_error_code(core::Error::InvalidArgument);
+  const auto Pool = Connections;
+  internal::Request Message = internal::makeRequest(
+      verb::put, "/kv/" + Key + "?version=" + std::to_string(Expected));
+  Message.body() = std::move(Value);
+  Message.prepare_payload();
+  co_return internal::writeResult(
+      co_await Pool->sendOnce(std::move(Message), Deadline));
+}
+
+core::Awaitable<core::Result<core::VersionedValue>>
+HttpKeyValueStore::watch(std::string Key, std::uint64_t After,
+                         core::TimePoint Deadline) {
+  if (!internal::isKey(Key))
+    co_return make_error_code(core::Error::InvalidArgument);
+  const auto Pool = Connections;
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Deadline - std::chrono::steady_clock::now() - internal::WatchMargin);
+  co_return internal::readResult(co_await Pool->sendIdempotent(
+      internal::makeRequest(
+          verb::get,
+          "/kv/" + Key + "?after=" + std::to_string(After) + "&timeout_ms=" +
+              std::to_string(std::max<std::int64_t>(Left.count(), 0))),
+      Deadline));
+}
+
+} // namespace jujubecart::store
--- /dev/null
+++ b/packages/store/src/store_connections.hpp
@@ -0,0 +1,81 @@
+#ifndef JUJUBECART_STORE_SRC_STORE_CONNECTIONS_HPP
+#define JUJUBECART_STORE_SRC_STORE_CONNECTIONS_HPP
+
+#include <jujubecart/core/awaitable.hpp>
+#include <jujubecart/core/clock.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jujubecart::store::internal {
+
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// @brief One kept-alive connection; used by one exchange at a time.
+struct Connection {
+  // The strand serializes the timer of the stream with its operations when
+  // several threads run the executor.
+  explicit Connection(const boost::asio::any_io_executor &Executor)
+      : Stream(boost::asio::make_strand(Executor)) {}
+
+  boost::beast::tcp_stream Stream;
+  boost::beast::flat_buffer Buffer;
+  bool Used = false;
+};
+
+/// @brief What is known after one exchange.
+struct Exchange {
+  /// Whether any byte of the request may have reached the store.
+  bool Sent = false;
+  bool TimedOut = false;
+  /// HTTP status; 0 if no complete response arrived.
+  unsigned Status = 0;
+  std::string Body;
+};
+
+/// @brief Pool of connections to the endpoints of the store.
+class StoreConnections {
+public:
+  StoreConnections(boost::asio::any_io_executor Executor,
+                   std::vector<boost::asio::ip::tcp::endpoint> Endpoints);
+
+  /// @brief Sends a request once.
+  [[nodiscard]] core::Awaitable<Exchange> sendOnce(Request Message,
+                                                   core::TimePoint Deadline);
+
+  /// @brief Sends an idempotent request, on each endpoint if need be.
+  [[nodiscard]] core::Awaitable<Exchange>
+  sendIdempotent(Request Message, core::TimePoint Deadline);
+
+private:
+  const boost::asio::any_io_executor Executor;
+  const std::vector<boost::asio::ip::tcp::endpoint> Endpoints;
+  std::mutex Mutex;
+  std::vector<std::shared_ptr<Connection>> Idle;
+  std::size_t Preferred = 0;
+
+  [[nodiscard]] std::shared_ptr<Connection> takeIdle();
+  [[nodiscard]] std::size_t preferred();
+  void giveBack(std::shared_ptr<Connection> Item);
+  void avoid(std::size_t Endpoint);
+  [[nodiscard]] core::Awaitable<std::shared_ptr<Connection>>
+  connect(core::TimePoint Deadline);
+  [[nodiscard]] core::Awaitable<bool>
+  connectTo(std::shared_ptr<Connection> Item, std::size_t Endpoint,
+            core::TimePoint Deadline);
+  [[nodiscard]] core::Awaitable<Exchange>
+  exchange(std::shared_ptr<Connection> Item, Request Message,
+           core::TimePoint Deadline);
+};
+
+} // namespace jujubecart::store::internal
+
+#endif
