--- a/packages/core/include/jujubecart/core.hpp
+++ b/packages/core/include/jujubecart/core.hpp
@@ -21,6 +21,7 @@
 #include <jujubecart/core/metrics.hpp>
 #include <jujubecart/core/order_claims.hpp>
 #include <jujubecart/core/request_id.hpp>
+#include <jujubecart/core/sleeper.hpp>
 #include <jujubecart/core/slot_broker.hpp>
 
 #endif
--- a/packages/core/include/jujubecart/core/fwd.hpp
+++ b/packages/core/include/jujubecart/core/fwd.hpp
@@ -15,8 +15,10 @@
 class MemberSource;
 class MetricsRegistry;
 class OrderClaims;
+class Sleeper;
 class SlotBroker;
 class SystemClock;
+class SystemSleeper;
 
 struct BackendServer;
 struct CallReport;
