Add data path: callers server, backend transport and connection pool

Cause: calls could not be served yet. Change: core has BackendTransport, HttpReader (Beast parser behind a strict check of the raw head) and HTTP rules; backends has ConnectionPool and Transport; callers has Server with routing, slots, forwarding, deadlines, departed callers, own answers and graceful stop. BOOST_BEAST_USE_STD_STRING_VIEW is dropped from the build: Beast 1.81 uses std::string_view without it and prints a deprecation message for each file.

--- a/cmake/Options.cmake
+++ b/cmake/Options.cmake
@@ -10,7 +10,7 @@
 add_compile_options(-Wall -Wextra -Werror -Wno-missing-field-initializers)
 # GCC 12 reports false positives of these two in optimized coroutine frames.
 add_compile_options(-Wno-maybe-uninitialized -Wno-dangling-pointer)
-add_compile_definitions(BOOST_ASIO_NO_DEPRECATED BOOST_BEAST_USE_STD_STRING_VIEW)
+add_compile_definitions(BOOST_ASIO_NO_DEPRECATED)
 
 if(JUJUBECART_SANITIZE)
   add_compile_options(-fsanitize=${JUJUBECART_SANITIZE} -fno-omit-frame-pointer)
--- /dev/null
+++ b/packages/backends/include/jujubecart/backends/transport.hpp
@@ -0,0 +1,29 @@
+#ifndef JUJUBECART_BACKENDS_TRANSPORT_HPP
+#define JUJUBECART_BACKENDS_TRANSPORT_HPP
+
+#include <jujubecart/backends/connection_pool.hpp>
+#include <jujubecart/core/backend_transport.hpp>
+
+namespace jujubecart::backends {
+
+/// @brief Sends requests to backend servers over pooled connections.
+class Transport final : public core::BackendTransport {
+public:
+  /// @brief Creates a transport.
+  /// @param Pool Must outlive every exchange.
+  /// @param Time Must outlive every exchange.
+  Transport(ConnectionPool &Pool, const core::Clock &Time)
+      : Pool(Pool), Time(Time) {}
+
+  [[nodiscard]] std::unique_ptr<core::BackendExchange>
+  prepare(const core::BackendServer &Server,
+          std::shared_ptr<const core::BackendRequest> Request) override;
+
+private:
+  ConnectionPool &Pool;
+  const core::Clock &Time;
+};
+
+} // namespace jujubecart::backends
+
+#endif
--- /dev/null
+++ b/packages/callers/include/jujubecart/callers.hpp
@@ -0,0 +1,8 @@
+#ifndef JUJUBECART_CALLERS_HPP
+#define JUJUBECART_CALLERS_HPP
+
+#include <jujubecart/callers/server.hpp>
+#include <jujubecart/callers/server_counters.hpp>
+#include <jujubecart/callers/server_options.hpp>
+
+#endif
--- /dev/null
+++ b/packages/callers/src/call_attempts.cpp
@@ -0,0 +1,161 @@
+#include "call.hpp"
+
+#include <algorithm>
+
+namespace jujubecart::callers::internal {
+
+core::SlotRequest Call::slotRequest() const {
+  return {.Service = Service->Name,
+          .Request = What.Id,
+          .Deadline = Deadline,
+          .Priority = Service->Priority,
+          .CallerHash = What.CallerId.empty() ? Link.peerHash()
+                                              : core::hash64(What.CallerId),
+          .Key = Key,
+          .Excluded = Excluded};
+}
+
+core::Awaitable<bool> Call::forward() {
+  const core::WallTime Wall = core::toWall(State.Uses.Time, Deadline);
+  const std::int64_t DeadlineMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Wall.time_since_epoch())
+          .count();
+  Outgoing = std::make_shared<core::BackendRequest>(core::BackendRequest{
+      .Head = forwardedHead(Link.reader().message(), What, DeadlineMs),
+      .Body = What.Body,
+      .IsHead = What.isHead(),
+      .IsOrder = Key.has_value()});
+  Now = Phase::Attempting;
+  Link.setDue(Deadline);
+  if (Body.buffered())
+    Link.watchDeparture();
+  while (true) {
+    const auto Next = std::make_shared<Attempt>(State.Uses.Broker, Body);
+    Active.push_back(Next);
+    co_await runAttempt(Next);
+    std::erase(Active, Next);
+    if (Next->ready() && Stopped == StopReason::None)
+      co_return co_await relay(Next);
+    const core::CallOutcome Outcome = Next->report().Outcome;
+    MaybeRun = MaybeRun || !core::certainlyNotRun(Outcome);
+    Next->release();
+    if (!Next->Granted || !mayRetry())
+      co_return co_await fail(Next);
+    Excluded.push_back(Next->Grant.Server.Id);
+    ++State.Counters.Retries;
+    State.event("call.retried", What.Id, Next->Grant.Server.Id,
+                Next->Failure.message());
+  }
+}
+
+core::Awaitable<void> Call::runAttempt(AttemptPtr Which) {
+  ClaimTried = Key.has_value();
+  auto Grant = co_await State.Uses.Broker.acquire(slotRequest());
+  if (!Grant) {
+    Which->Failure = Grant.error();
+    KeyRepeated = KeyRepeated || Which->Failure == core::Error::OrderRepeated;
+    co_return;
+  }
+  Which->Grant = std::move(*Grant);
+  Which->Granted = true;
+  if (Stopped != StopReason::None || Which->Aborted) {
+    Which->Failure = core::make_error_code(core::Error::Cancelled);
+    co_return;
+  }
+  ++Sent;
+  ++State.Counters.Attempts;
+  State.event("call.sent", What.Id, Which->Grant.Server.Id);
+  Which->Exchange = State.Uses.Backends.prepare(Which->Grant.Server, Outgoing);
+  const bool HasBody = What.Body != core::BackendRequest::Framing::None;
+  Which->Failure =
+      co_await Which->Exchange->open(HasBody ? &Which->Cursor : nullptr);
+  if (!Which->Failure)
+    Which->Failure = co_await preload(Which);
+}
+
+core::Awaitable<std::error_code> Call::preload(AttemptPtr Which) {
+  core::BackendExchange &From = *Which->Exchange;
+  if (From.complete())
+    co_return std::error_code();
+  const std::optional<std::uint64_t> Length = From.contentLength();
+  Which->Capacity = State.Options.BufferedResponse;
+  if (Length && *Length < Which->Capacity)
+    Which->Capacity = *Length;
+  Which->Data = std::make_unique_for_overwrite<char[]>(Which->Capacity);
+  do {
+    const auto Count = co_await From.read(
+        {Which->Data.get() + Which->Size, Which->Capacity - Which->Size});
+    if (!Count)
+      co_return Count.error();
+    Which->Size += *Count;
+    // A chunked response may pause for long, so its beginning is not held back.
+  } while (Length && Which->Size < Which->Capacity && !From.complete());
+  co_return std::error_code();
+}
+
+bool Call::mayRetry() {
+  return Stopped == StopReason::None && What.Depth == 0 &&
+         Sent < State.Options.MaxAttempts && !(Key && MaybeRun) &&
+         Body.replayable() && !Body.failed() &&
+         State.Uses.Time.now() + State.Options.MinRetryTime < Deadline;
+}
+
+void Call::cancelAttempts(StopReason Reason) {
+  if (Stopped != StopReason::None)
+    return;
+  Stopped = Reason;
+  State.Uses.Broker.cancel(What.Id);
+  for (const AttemptPtr &Each : Active)
+    Each->abort(Reason == StopReason::TimedOut ? core::AbortReason::TimedOut
+                                               : core::AbortReason::Cancelled);
+  // An attempt may be waiting for the rest of the caller's body.
+  if (!Body.buffered())
+    Link.cancelRead();
+}
+
+void Call::endOrder() noexcept {
+  if (Key && ClaimTried && !MaybeRun && !KeyRepeated)
+    State.Uses.Broker.releaseClaim(Service->Name, *Key, What.Id);
+}
+
+core::Awaitable<bool> Call::fail(AttemptPtr Last) {
+  endOrder();
+  const bool BodyLost = Body.failed() && Stopped == StopReason::None &&
+                        !Link.reader().limitExceeded() && !Body.malformed();
+  if (BodyLost || Stopped == StopReason::CallerGone ||
+      Stopped == StopReason::CutOff) {
+    State.Counters.reject(RejectReason::CallerGone);
+    State.event("call.rejected", What.Id, Last->Grant.Server.Id,
+                toString(RejectReason::CallerGone));
+    co_return false;
+  }
+  co_return co_await reject(explain(*Last), !MaybeRun && !KeyRepeated);
+}
+
+Fault Call::explain(const Attempt &Last) const {
+  using enum core::Error;
+  if (Link.reader().limitExceeded())
+    return {413, RejectReason::TooLarge, "request body too large"};
+  if (Body.malformed())
+    return {400, RejectReason::Malformed, "malformed request body"};
+  if (Stopped == StopReason::TimedOut && State.Uses.Time.now() < Deadline)
+    return {408, RejectReason::Slow, "request body not received in time"};
+  if (Stopped == StopReason::TimedOut || Last.Failure == DeadlineExceeded)
+    return {504, RejectReason::DeadlineExceeded, "deadline exceeded"};
+  if (Last.Failure == OrderRepeated)
+    return {409, RejectReason::OrderRepeated, "Idempotency-Key already used"};
+  if (!Last.Granted && Last.Failure == Overloaded)
+    return {503, RejectReason::Overloaded, "overloaded"};
+  const core::CallOutcome Outcome = Last.report().Outcome;
+  if (Outcome == core::CallOutcome::Rejected)
+    return {503, RejectReason::Overloaded, "rejected by the backend server"};
+  if (core::certainlyNotRun(Outcome))
+    return {503, RejectReason::Unavailable, "no backend server available"};
+  if (Outcome == core::CallOutcome::TimedOut)
+    return {504, RejectReason::DeadlineExceeded, "deadline exceeded"};
+  return {502, RejectReason::BadResponse,
+          "incomplete or invalid response from the backend server"};
+}
+
+} // namespace jujubecart::callers::internal
--- /dev/null
+++ b/packages/callers/src/request_body.cpp
@@ -0,0 +1,48 @@
+#include "request_body.hpp"
+
+#include <algorithm>
+
+namespace jujubecart::callers::internal {
+
+core::Awaitable<bool> RequestBody::prefetch(std::size_t Size) {
+  auto &Reader = From.reader();
+  constexpr std::size_t Step = 4096;
+  while (!Reader.complete() && Prefix.size() < Size) {
+    const std::size_t Before = Prefix.size();
+    const std::size_t Want = std::min(Step, Size - Before);
+    Prefix.resize(Before + Want);
+    const auto Count =
+        co_await Reader.readBody(From.socket(), {Prefix.data() + Before, Want});
+    if (!Count) {
+      Failed = true;
+      Malformed = Count.error() == core::Error::Malformed;
+      co_return false;
+    }
+    Prefix.resize(Before + *Count);
+  }
+  Whole = Reader.complete();
+  co_return true;
+}
+
+core::Awaitable<core::Result<std::size_t>>
+BodyCursor::read(std::span<char> Buffer) {
+  if (Position < Body.Prefix.size()) {
+    const std::size_t Count =
+        std::min(Buffer.size(), Body.Prefix.size() - Position);
+    std::copy_n(Body.Prefix.data() + Position, Count, Buffer.data());
+    Position += Count;
+    co_return Count;
+  }
+  if (Body.Whole)
+    co_return std::size_t{0};
+  Body.Streamed = true;
+  auto &Reader = Body.From.reader();
+  const auto Count = co_await Reader.readBody(Body.From.socket(), Buffer);
+  if (!Count) {
+    Body.Failed = true;
+    Body.Malformed = Count.error() == core::Error::Malformed;
+  }
+  co_return Count;
+}
+
+} // namespace jujubecart::callers::internal
--- /dev/null
+++ b/packages/callers/src/server_counters.cpp
@@ -0,0 +1,13 @@
+#include <jujubecart/callers/server_counters.hpp>
+
+namespace jujubecart::callers {
+
+std::string_view toString(RejectReason Reason) noexcept {
+  static constexpr std::array<std::string_view, RejectReasons> Names{
+      "malformed", "no_rule",      "not_ready",   "too_large",
+      "slow",      "repeated",     "overloaded",  "unavailable",
+      "deadline",  "bad_response", "caller_gone", "connection_limit"};
+  return Names[static_cast<std::size_t>(Reason)];
+}
+
+} // namespace jujubecart::callers
--- a/packages/core/include/jujubecart/core/fwd.hpp
+++ b/packages/core/include/jujubecart/core/fwd.hpp
@@ -3,6 +3,9 @@
 
 namespace jujubecart::core {
 
+class BackendExchange;
+class BackendTransport;
+class ByteSource;
 class Clock;
 class ConfigSnapshot;
 class ConfigSource;
@@ -16,6 +19,7 @@
 class SlotBroker;
 class SystemClock;
 
+struct BackendRequest;
 struct BackendServer;
 struct CallReport;
 struct Event;
--- /dev/null
+++ b/packages/core/src/http_reader.cpp
@@ -0,0 +1,140 @@
+#include <jujubecart/core/http_reader.hpp>
+
+#include <jujubecart/core/http_rules.hpp>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace jujubecart::core {
+
+namespace internal {
+
+namespace http = boost::beast::http;
+
+constexpr auto UseTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+constexpr std::size_t ReadSize = 4096;
+
+std::string_view text(const boost::beast::flat_buffer &Buffer) noexcept {
+  return {static_cast<const char *>(Buffer.cdata().data()), Buffer.size()};
+}
+
+} // namespace internal
+
+template <bool IsRequest>
+HttpReader<IsRequest>::HttpReader(HttpLimits Limits)
+    : Limits(Limits), Buffer(Limits.Head + internal::ReadSize) {}
+
+template <bool IsRequest>
+Awaitable<bool> HttpReader<IsRequest>::fill(boost::asio::ip::tcp::socket &From,
+                                            std::size_t Size) {
+  const std::size_t Room = Buffer.max_size() - Buffer.size();
+  if (Room == 0)
+    co_return false;
+  const auto [Code, Count] = co_await From.async_read_some(
+      Buffer.prepare(std::min(Size, Room)), internal::UseTuple);
+  Buffer.commit(Count);
+  co_return !Code;
+}
+
+template <bool IsRequest>
+Awaitable<bool>
+HttpReader<IsRequest>::waitForData(boost::asio::ip::tcp::socket &From) {
+  if (Buffer.size() == 0)
+    co_return co_await fill(From, internal::ReadSize);
+  co_return true;
+}
+
+template <bool IsRequest>
+Awaitable<HeadError>
+HttpReader<IsRequest>::readHead(boost::asio::ip::tcp::socket &From,
+                                bool NoBody) {
+  Current.reset();
+  std::size_t Searched = 0;
+  while (true) {
+    // An empty line before the request line is allowed by RFC 9112, 2.2.
+    if (IsRequest && Searched == 0 &&
+        internal::text(Buffer).substr(0, 2) == "\r\n")
+      Buffer.consume(2);
+    const std::string_view Received = internal::text(Buffer);
+    const std::size_t End =
+        Received.find("\r\n\r\n", Searched > 3 ? Searched - 3 : 0);
+    if (End != std::string_view::npos)
+      co_return parseHead(End + 4, NoBody);
+    if (Received.size() >= Limits.Head)
+      co_return HeadError::TooLarge;
+    // A head that ends with bare line feeds would otherwise only time out.
+    if (Received.find("\n\n") != std::string_view::npos) {
+      Fault = "line without CRLF";
+      co_return HeadError::Malformed;
+    }
+    Searched = Received.size();
+    if (!co_await fill(From, internal::ReadSize))
+      co_return Searched == 0 ? HeadError::Closed : HeadError::Io;
+  }
+}
+
+template <bool IsRequest>
+HeadError HttpReader<IsRequest>::parseHead(std::size_t Size, bool NoBody) {
+  if (Size > Limits.Head)
+    return HeadError::TooLarge;
+  if (const char *Problem = headFault(internal::text(Buffer).substr(0, Size))) {
+    Fault = Problem;
+    return HeadError::Malformed;
+  }
+  Current.emplace();
+  Current->header_limit(static_cast<std::uint32_t>(Limits.Head));
+  Current->body_limit(boost::none);
+  LimitExceeded = false;
+  if constexpr (!IsRequest)
+    Current->skip(NoBody);
+  boost::system::error_code Code;
+  const std::size_t Used =
+      Current->put(boost::asio::buffer(Buffer.cdata().data(), Size), Code);
+  if (Code && Code != internal::http::error::need_buffer) {
+    Fault = "malformed message head";
+    return HeadError::Malformed;
+  }
+  Buffer.consume(Used);
+  if (!Current->is_header_done()) {
+    Fault = "malformed message head";
+    return HeadError::Malformed;
+  }
+  const auto Length = Current->content_length();
+  LimitExceeded = Length && *Length > Limits.Body;
+  if (!LimitExceeded)
+    Current->body_limit(Limits.Body);
+  return HeadError::None;
+}
+
+template <bool IsRequest>
+Awaitable<Result<std::size_t>>
+HttpReader<IsRequest>::readBody(boost::asio::ip::tcp::socket &From,
+                                std::span<char> Into) {
+  auto &Body = Current->get().body();
+  Body.data = Into.data();
+  Body.size = Into.size();
+  Body.more = true;
+  // Body.size counts down as the parser fills the buffer.
+  while (!Current->is_done() && Body.size == Into.size()) {
+    boost::system::error_code Code;
+    if (Buffer.size() == 0 && !co_await fill(From, internal::ReadSize * 4))
+      co_return make_error_code(Error::OutcomeUnknown);
+    Buffer.consume(Current->put(Buffer.cdata(), Code));
+    if (Code == internal::http::error::need_more) {
+      if (!co_await fill(From, internal::ReadSize))
+        co_return make_error_code(Error::OutcomeUnknown);
+    } else if (Code == internal::http::error::body_limit) {
+      LimitExceeded = true;
+      co_return make_error_code(Error::Malformed);
+    } else if (Code && Code != internal::http::error::need_buffer) {
+      co_return make_error_code(Error::Malformed);
+    }
+  }
+  co_return Into.size() - Body.size;
+}
+
+template class HttpReader<true>;
+template class HttpReader<false>;
+
+} // namespace jujubecart::core
--- /dev/null
+++ b/packages/core/src/http_rules.cpp
@@ -0,0 +1,153 @@
+#include <jujubecart/core/http_rules.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace jujubecart::core {
+
+namespace internal {
+
+constexpr std::string_view LineEnd = "\r\n";
+
+constexpr char lower(char Letter) noexcept {
+  return Letter >= 'A' && Letter <= 'Z' ? static_cast<char>(Letter - 'A' + 'a')
+                                        : Letter;
+}
+
+constexpr bool isTokenChar(char Letter) noexcept {
+  constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
+  return (Letter >= '0' && Letter <= '9') || (Letter >= 'a' && Letter <= 'z') ||
+         (Letter >= 'A' && Letter <= 'Z') ||
+         Punctuation.find(Letter) != std::string_view::npos;
+}
+
+constexpr bool isControl(char Letter) noexcept {
+  const auto Byte = static_cast<unsigned char>(Letter);
+  return (Byte < 0x20 && Byte != '\t') || Byte == 0x7f;
+}
+
+std::string_view trim(std::string_view Text) noexcept {
+  const std::size_t First = Text.find_first_not_of(" \t");
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
+}
+
+// Fields whose repetition two recipients could resolve differently.
+struct Single {
+  std::string_view Name;
+  bool Seen = false;
+};
+
+struct FieldCheck {
+  std::array<Single, 7> Singles{{{"content-length"},
+                                 {"transfer-encoding"},
+                                 {"host"},
+                                 {"idempotency-key"},
+                                 {"x-deadline"},
+                                 {"x-call-depth"},
+                                 {"x-outcome"}}};
+
+  const char *add(std::string_view Line) noexcept;
+};
+
+const char *FieldCheck::add(std::string_view Line) noexcept {
+  if (Line.front() == ' ' || Line.front() == '\t')
+    return "folded header field";
+  const std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return "header field without a name";
+  const std::string_view Name = Line.substr(0, Colon);
+  if (!std::all_of(Name.begin(), Name.end(), isTokenChar))
+    return "invalid character in a header field name";
+  const std::string_view Value = trim(Line.substr(Colon + 1));
+  for (Single &Field : Singles) {
+    if (!equalsIgnoreCase(Field.Name, Name))
+      continue;
+    if (Field.Seen)
+      return "repeated header field";
+    Field.Seen = true;
+  }
+  if (equalsIgnoreCase(Name, "content-length") && !parseDecimal(Value))
+    return "invalid Content-Length";
+  if (equalsIgnoreCase(Name, "transfer-encoding") &&
+      !equalsIgnoreCase(Value, "chunked"))
+    return "unsupported Transfer-Encoding";
+  return Singles[0].Seen && Singles[1].Seen
+             ? "Content-Length together with Transfer-Encoding"
+             : nullptr;
+}
+
+} // namespace internal
+
+bool equalsIgnoreCase(std::string_view Left, std::string_view Right) noexcept {
+  return std::equal(
+      Left.begin(), Left.end(), Right.begin(), Right.end(),
+      [](char A, char B) { return internal::lower(A) == internal::lower(B); });
+}
+
+const char *headFault(std::string_view Head) noexcept {
+  internal::FieldCheck Fields;
+  bool StartLine = true;
+  while (!Head.empty()) {
+    const std::size_t End = Head.find('\n');
+    if (End == std::string_view::npos || End == 0 || Head[End - 1] != '\r')
+      return "line without CRLF";
+    const std::string_view Line = Head.substr(0, End - 1);
+    Head.remove_prefix(End + 1);
+    if (Line.empty())
+      return Head.empty() && !StartLine ? nullptr : "empty line in the head";
+    if (std::any_of(Line.begin(), Line.end(), internal::isControl))
+      return "control character in the head";
+    if (!StartLine) {
+      if (const char *Fault = Fields.add(Line))
+        return Fault;
+    }
+    StartLine = false;
+  }
+  return "head without an empty line at its end";
+}
+
+bool isHopByHop(std::string_view Name, std::string_view Connection) noexcept {
+  static constexpr std::array<std::string_view, 9> Names{"connection",
+                                                         "keep-alive",
+                                                         "proxy-connection",
+                                                         "te",
+                                                         "trailer",
+                                                         "transfer-encoding",
+                                                         "upgrade",
+                                                         "proxy-authenticate",
+                                                         "proxy-authorization"};
+  if (std::any_of(Names.begin(), Names.end(), [&](std::string_view Known) {
+        return equalsIgnoreCase(Known, Name);
+      }))
+    return true;
+  while (!Connection.empty()) {
+    const std::size_t Comma = Connection.find(',');
+    if (equalsIgnoreCase(internal::trim(Connection.substr(0, Comma)), Name))
+      return true;
+    if (Comma == std::string_view::npos)
+      break;
+    Connection.remove_prefix(Comma + 1);
+  }
+  return false;
+}
+
+std::optional<std::uint64_t> parseDecimal(std::string_view Text) noexcept {
+  if (Text.empty() || Text.front() < '0' || Text.front() > '9')
+    return std::nullopt;
+  std::uint64_t Number = 0;
+  const auto [End, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Code != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Number;
+}
+
+void appendField(std::string &Out, std::string_view Name,
+                 std::string_view Value) {
+  Out.append(Name).append(": ").append(Value).append(internal::LineEnd);
+}
+
+} // namespace jujubecart::core
--- /dev/null
+++ b/tests/callers/harness.cpp
@@ -0,0 +1,248 @@
+#include "harness.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace jujubecart::test {
+
+core::Awaitable<core::Result<core::SlotGrant>>
+FirstServerBroker::acquire(core::SlotRequest Request) {
+  const auto Snapshot = Config.current();
+  const std::lock_guard Lock(Mutex);
+  if (Request.Key) {
+    const auto [Claim, New] = Claims.emplace(*Request.Key, Request.Request);
+    if (!New && Claim->second != Request.Request)
+      co_return core::make_error_code(core::Error::OrderRepeated);
+  }
+  const core::ServiceConfig *Service = Snapshot->find(Request.Service);
+  for (const core::BackendServer &Server : Service->Servers) {
+    if (std::find(Request.Excluded.begin(), Request.Excluded.end(),
+                  Server.Id) != Request.Excluded.end())
+      continue;
+    ++Granted;
+    co_return core::SlotGrant{.Id = static_cast<std::uint64_t>(Granted),
+                              .Group = Request.Service,
+                              .Server = Server};
+  }
+  co_return core::make_error_code(core::Error::Unavailable);
+}
+
+void FirstServerBroker::release(const core::SlotGrant &,
+                                const core::CallReport &Report) noexcept {
+  const std::lock_guard Lock(Mutex);
+  Outcomes.push_back(Report.Outcome);
+}
+
+void FirstServerBroker::releaseClaim(const std::string &, core::OrderKey Key,
+                                     core::RequestId Request) noexcept {
+  const std::lock_guard Lock(Mutex);
+  const auto Claim = Claims.find(Key);
+  if (Claim != Claims.end() && Claim->second == Request)
+    Claims.erase(Claim);
+  ++ClaimsReleased;
+}
+
+std::vector<core::CallOutcome> FirstServerBroker::outcomes() {
+  const std::lock_guard Lock(Mutex);
+  return Outcomes;
+}
+
+void EventRecorder::record(core::Event Item) noexcept {
+  const std::lock_guard Lock(Mutex);
+  ++Kinds[Item.Kind];
+}
+
+int EventRecorder::count(const std::string &Kind) {
+  const std::lock_guard Lock(Mutex);
+  return Kinds[Kind];
+}
+
+ScriptedBackend::ScriptedBackend(Script Behaviour)
+    : Behaviour(std::move(Behaviour)),
+      Acceptor(Io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      Thread([this] { accept(); }) {}
+
+ScriptedBackend::~ScriptedBackend() {
+  Closing = true;
+  boost::system::error_code Ignored;
+  // Wakes the blocking accept.
+  tcp::socket Wake(Io);
+  Wake.connect(Acceptor.local_endpoint(), Ignored);
+  Thread.join();
+  for (const auto &Socket : Sockets)
+    Socket->shutdown(tcp::socket::shutdown_both, Ignored);
+  for (std::thread &Handler : Handlers)
+    Handler.join();
+}
+
+std::string ScriptedBackend::address() const {
+  return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+}
+
+std::vector<std::string> ScriptedBackend::requests() {
+  const std::lock_guard Lock(Mutex);
+  return Seen;
+}
+
+void ScriptedBackend::accept() {
+  while (true) {
+    const auto Socket = std::make_shared<tcp::socket>(Io);
+    boost::system::error_code Code;
+    Acceptor.accept(*Socket, Code);
+    if (Closing || Code)
+      return;
+    const int Index = Accepted++;
+    Sockets.push_back(Socket);
+    Handlers.emplace_back([this, Socket, Index] {
+      Behaviour(*Socket, Index);
+      // Closes towards the peer; the descriptor itself is freed at the end,
+      // because the destructor may use it at the same time.
+      boost::system::error_code Ignored;
+      Socket->shutdown(tcp::socket::shutdown_both, Ignored);
+    });
+  }
+}
+
+std::string ScriptedBackend::readRequest(tcp::socket &From) {
+  std::string Bytes;
+  boost::system::error_code Code;
+  const std::size_t Head =
+      asio::read_until(From, asio::dynamic_buffer(Bytes), "\r\n\r\n", Code);
+  if (Code)
+    return {};
+  const std::size_t Field = Bytes.find("Content-Length: ");
+  if (Field < Head) {
+    const std::size_t Size = std::stoul(Bytes.substr(Field + 16));
+    if (Bytes.size() < Head + Size)
+      asio::read(From, asio::dynamic_buffer(Bytes),
+                 asio::transfer_exactly(Head + Size - Bytes.size()), Code);
+  } else if (Bytes.find("Transfer-Encoding: chunked") < Head &&
+             Bytes.find("0\r\n\r\n", Head) == std::string::npos) {
+    asio::read_until(From, asio::dynamic_buffer(Bytes), "\r\n0\r\n\r\n", Code);
+  }
+  const std::lock_guard Lock(Mutex);
+  Seen.push_back(Bytes);
+  return Bytes;
+}
+
+Harness::Harness(const std::vector<std::string> &Backends, Settings With)
+    : Broker(Config), Pool(Io.get_executor(), With.Pool, Time),
+      Transport(Pool, Time), Work(asio::make_work_guard(Io)) {
+  if (With.Configured) {
+    core::ServiceConfig Service{.Name = "tags",
+                                .Kind = With.Kind,
+                                .Rules = {{.Host = "", .PathPrefix = "/tags"}},
+                                .DefaultDeadlineMs = With.DeadlineMs};
+    for (const std::string &Address : Backends)
+      Service.Servers.push_back(
+          {.Id = "s" + std::to_string(Service.Servers.size()),
+           .Address = Address,
+           .Slots = 2});
+    Config.apply(std::make_shared<core::ConfigSnapshot>(
+        1, core::ConfigSnapshot::ServiceMap{
+               {"tags", std::make_shared<core::ServiceEntry>(
+                            core::ServiceEntry{1, Service})}}));
+  }
+  Server = std::make_unique<callers::Server>(
+      Io.get_executor(), With.Options,
+      callers::ServerDependencies{.Time = Time,
+                                  .Config = Config,
+                                  .Broker = Broker,
+                                  .Backends = Transport,
+                                  .Events = Events});
+  if (Server->listen({asio::ip::address_v4::loopback(), 0}))
+    throw std::runtime_error("cannot listen on the loopback");
+  for (int Count = 0; Count < 2; ++Count)
+    Threads.emplace_back([this] { Io.run(); });
+}
+
+Harness::~Harness() {
+  Io.stop();
+  for (std::thread &Each : Threads)
+    Each.join();
+}
+
+tcp::socket Harness::connect() {
+  tcp::socket Socket(CallerIo);
+  Socket.connect({asio::ip::address_v4::loopback(), Server->port()});
+  // A response that never comes must fail a test, not hang it.
+  const timeval Limit{.tv_sec = 10, .tv_usec = 0};
+  ::setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
+               sizeof Limit);
+  return Socket;
+}
+
+std::string Harness::call(const std::string &Bytes) {
+  tcp::socket Socket = connect();
+  send(Socket, Bytes);
+  return readResponse(Socket);
+}
+
+std::string Harness::readResponse(tcp::socket &From) {
+  std::string Bytes;
+  boost::system::error_code Code;
+  const std::size_t Head =
+      asio::read_until(From, asio::dynamic_buffer(Bytes), "\r\n\r\n", Code);
+  if (Code)
+    return Bytes;
+  const std::size_t Field = Bytes.find("Content-Length: ");
+  if (Field < Head) {
+    const std::size_t Size = std::stoul(Bytes.substr(Field + 16));
+    if (Bytes.size() < Head + Size)
+      asio::read(From, asio::dynamic_buffer(Bytes),
+                 asio::transfer_exactly(Head + Size - Bytes.size()), Code);
+  } else if (Bytes.find("Transfer-Encoding: chunked") < Head &&
+             Bytes.find("0\r\n\r\n", Head) == std::string::npos) {
+    asio::read_until(From, asio::dynamic_buffer(Bytes), "\r\n0\r\n\r\n", Code);
+  }
+  return Bytes;
+}
+
+std::future<callers::StopReport>
+Harness::stop(std::chrono::milliseconds Within) {
+  return asio::co_spawn(Io, Server->stop(Time.now() + Within),
+                        asio::use_future);
+}
+
+ScriptedBackend::Script answering(const std::string &Body) {
+  return [Body](tcp::socket &Socket, int) {
+    std::string Bytes;
+    boost::system::error_code Code;
+    while (true) {
+      const std::size_t Head = asio::read_until(
+          Socket, asio::dynamic_buffer(Bytes), "\r\n\r\n", Code);
+      if (Code)
+        return;
+      Bytes.erase(0, Head);
+      send(Socket, response("200 OK", Body));
+    }
+  };
+}
+
+std::string response(const std::string &Status, const std::string &Body,
+                     const std::string &Fields) {
+  return "HTTP/1.1 " + Status +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n" +
+         Fields + "\r\n" + Body;
+}
+
+void send(tcp::socket &To, const std::string &Bytes) {
+  boost::system::error_code Ignored;
+  asio::write(To, asio::buffer(Bytes), Ignored);
+}
+
+int statusOf(const std::string &Response) {
+  return Response.rfind("HTTP/1.1 ", 0) == 0 ? std::stoi(Response.substr(9))
+                                             : 0;
+}
+
+bool eventually(const std::function<bool()> &Condition) {
+  for (int Count = 0; Count < 300; ++Count) {
+    if (Condition())
+      return true;
+    std::this_thread::sleep_for(10ms);
+  }
+  return false;
+}
+
+} // namespace jujubecart::test
