Add daemon with the whole path from ticket to answer

Cause: the packages had no program around them. The first start showed a fault: jujubecartd crashed while the store was unreachable. Valgrind showed the frame of HeadWatch::run read after its end; cancellation slots and threads were ruled out (same with one worker and without the slot). GCC 12 ends a frame too early when a co_await stands in the else branch of a condition with a co_await.

--- /dev/null
+++ b/apps/jujubecartd/config_startup.hpp
@@ -0,0 +1,37 @@
+#ifndef JUJUBECART_APPS_JUJUBECARTD_CONFIG_STARTUP_HPP
+#define JUJUBECART_APPS_JUJUBECARTD_CONFIG_STARTUP_HPP
+
+#include <jujubecart/core/config_table.hpp>
+#include <jujubecart/core/sleeper.hpp>
+#include <jujubecart/store/config_reader.hpp>
+
+#include <atomic>
+
+namespace jujubecart::daemon {
+
+/// @brief Obtains the first configuration after the start.
+class ConfigStartup {
+public:
+  /// @brief Stores the references, which must outlive this object.
+  ConfigStartup(core::ConfigTable &Table, store::ConfigReader &Reader,
+                const core::Clock &Time, core::Sleeper &Delays) noexcept
+      : Table(Table), Reader(Reader), Time(Time), Delays(Delays) {}
+
+  /// @brief Asks the store until a configuration is known or the store has
+  /// stated that there is none.
+  [[nodiscard]] core::Awaitable<void> run();
+
+  /// @brief Whether the store or a peer has answered.
+  [[nodiscard]] bool finished() const noexcept { return Finished; }
+
+private:
+  core::ConfigTable &Table;
+  store::ConfigReader &Reader;
+  const core::Clock &Time;
+  core::Sleeper &Delays;
+  std::atomic<bool> Finished{false};
+};
+
+} // namespace jujubecart::daemon
+
+#endif
--- /dev/null
+++ b/apps/jujubecartd/daemon.hpp
@@ -0,0 +1,61 @@
+#ifndef JUJUBECART_APPS_JUJUBECARTD_DAEMON_HPP
+#define JUJUBECART_APPS_JUJUBECARTD_DAEMON_HPP
+
+#include "config_startup.hpp"
+#include "daemon_api.hpp"
+
+#include <jujubecart/backends/transport.hpp>
+#include <jujubecart/callers/server.hpp>
+#include <jujubecart/core.hpp>
+#include <jujubecart/decision/local_broker.hpp>
+#include <jujubecart/operators/server.hpp>
+#include <jujubecart/operators/settings.hpp>
+#include <jujubecart/store/config_reader.hpp>
+#include <jujubecart/store/http_key_value_store.hpp>
+#include <jujubecart/store/ticket_processor.hpp>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace jujubecart::daemon {
+
+/// @brief One entry VM: owns all parts and their life cycle.
+class Daemon {
+public:
+  /// @brief Creates the parts; nothing listens yet.
+  explicit Daemon(operators::Settings All);
+
+  /// @brief Serves until SIGTERM or SIGINT, then stops gracefully.
+  /// @return Exit code of the process.
+  [[nodiscard]] int run();
+
+private:
+  void listen();
+  [[nodiscard]] core::Awaitable<void> waitForSignal();
+  [[nodiscard]] core::Awaitable<void> shutDown();
+  [[nodiscard]] core::Awaitable<void> prunePool();
+
+  const operators::Settings All;
+  core::SystemClock Time;
+  core::SystemSleeper Delays;
+  boost::asio::io_context Io;
+  core::ConfigTable Config;
+  core::EventRing Events;
+  core::MetricsRegistry Metrics;
+  store::HttpKeyValueStore Store;
+  store::TicketProcessor Tickets;
+  store::ConfigReader Reader;
+  ConfigStartup Startup;
+  decision::LocalBroker Broker;
+  backends::ConnectionPool Pool;
+  backends::Transport Transport;
+  callers::Server Callers;
+  std::atomic<bool> Stopping{false};
+  DaemonApi Endpoints;
+  std::unique_ptr<operators::Server> Operators;
+};
+
+} // namespace jujubecart::daemon
+
+#endif
--- /dev/null
+++ b/apps/jujubecartd/daemon_metrics.hpp
@@ -0,0 +1,23 @@
+#ifndef JUJUBECART_APPS_JUJUBECARTD_DAEMON_METRICS_HPP
+#define JUJUBECART_APPS_JUJUBECARTD_DAEMON_METRICS_HPP
+
+#include <jujubecart/backends/connection_pool.hpp>
+#include <jujubecart/callers/server.hpp>
+#include <jujubecart/core.hpp>
+
+namespace jujubecart::daemon {
+
+/// @brief What the metrics are read from; must outlive the registry's use.
+struct MetricSources {
+  const callers::Server &Callers;
+  const backends::ConnectionPool &Pool;
+  const core::ConfigSource &Config;
+  const core::EventRing &Events;
+};
+
+/// @brief Registers all metrics of the process; docs/operators.md lists them.
+void registerMetrics(core::MetricsRegistry &Registry, MetricSources Sources);
+
+} // namespace jujubecart::daemon
+
+#endif
--- /dev/null
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -0,0 +1,34 @@
+#include "daemon_options.hpp"
+
+namespace jujubecart::daemon {
+
+callers::ServerOptions
+callerOptions(const operators::CallerSettings &Settings) {
+  callers::ServerOptions Options;
+  Options.MaxConnections = Settings.MaxConnections;
+  Options.MaxHead = Settings.HeaderLimitBytes;
+  Options.MaxBody = Settings.BodyLimitBytes;
+  Options.HeadTimeout = std::chrono::milliseconds(Settings.HeaderTimeoutMs);
+  Options.IdleTimeout = std::chrono::milliseconds(Settings.IdleTimeoutMs);
+  Options.MaxDeadline = std::chrono::milliseconds(Settings.MaxDeadlineMs);
+  Options.HedgeDelay = std::chrono::milliseconds(Settings.HedgeAfterMs);
+  return Options;
+}
+
+std::string localPolicy(const std::string &Policy) {
+  if (Policy == "dispatcher" || Policy == "two-choices")
+    return "power-of-two-choices";
+  return Policy;
+}
+
+boost::asio::ip::tcp::endpoint endpointOf(const std::string &Address) {
+  const std::size_t Colon = Address.rfind(':');
+  std::string Host = Address.substr(0, Colon);
+  if (Host.front() == '[')
+    Host = Host.substr(1, Host.size() - 2);
+  const auto Port =
+      static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)));
+  return {boost::asio::ip::make_address(Host), Port};
+}
+
+} // namespace jujubecart::daemon
--- /dev/null
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -0,0 +1,26 @@
+#ifndef JUJUBECART_APPS_JUJUBECARTD_DAEMON_OPTIONS_HPP
+#define JUJUBECART_APPS_JUJUBECARTD_DAEMON_OPTIONS_HPP
+
+#include <jujubecart/callers/server_options.hpp>
+#include <jujubecart/operators/settings.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace jujubecart::daemon {
+
+/// @brief Options of the server for callers.
+[[nodiscard]] callers::ServerOptions
+callerOptions(const operators::CallerSettings &Settings);
+
+/// @brief Name of the local policy that a policy setting selects; the
+/// dispatcher falls back to power of two choices.
+[[nodiscard]] std::string localPolicy(const std::string &Policy);
+
+/// @brief Parses an address that the settings reader has validated.
+[[nodiscard]] boost::asio::ip::tcp::endpoint
+endpointOf(const std::string &Address);
+
+} // namespace jujubecart::daemon
+
+#endif
--- a/apps/jujubecartd/main.cpp
+++ b/apps/jujubecartd/main.cpp
@@ -1,8 +1,46 @@
-#include <jujubecart/core.hpp>
+#include "daemon.hpp"
 
-int main() {
-  jujubecart::core::LogLine(jujubecart::core::LogLevel::Info,
-                            "jujubecartd.started")
-      .field("pid", 0);
-  return 0;
+#include <jujubecart/operators/settings_reader.hpp>
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+namespace {
+
+constexpr int ExitInvalidInput = 2;
+constexpr int ExitFailure = 1;
+
+int run(const std::string &File) {
+  using namespace jujubecart;
+  core::Findings Report(File);
+  const operators::Settings Settings =
+      operators::readSettingsFile(File, Report);
+  if (!Report.empty()) {
+    std::cerr << Report.text();
+    return ExitInvalidInput;
+  }
+  core::configureLog(Settings.Vm.Id, Settings.LogLevel);
+  try {
+    return daemon::Daemon(Settings).run();
+  } catch (const std::exception &Failure) {
+    core::LogLine(core::LogLevel::Error, "vm.failed")
+        .field("error", Failure.what());
+    return ExitFailure;
+  }
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  CLI::App App{"Load balancer process of one entry VM.", "jujubecartd"};
+  std::string File;
+  App.add_option("--settings", File, "JSON settings file")->required();
+  App.footer("SIGTERM or SIGINT stops gracefully. Exit codes: 0 stopped,\n"
+             "1 failed, 2 invalid settings or arguments.");
+  try {
+    App.parse(Count, Arguments);
+  } catch (const CLI::ParseError &Failure) {
+    return App.exit(Failure) == 0 ? 0 : ExitInvalidInput;
+  }
+  return run(File);
 }
--- a/packages/store/src/head_watch.cpp
+++ b/packages/store/src/head_watch.cpp
@@ -14,10 +14,10 @@
 void HeadWatch::start() {
   // The completion handler owns the object: the coroutine itself must not,
   // because its frame refers to members.
-  boost::asio::co_spawn(
-      Strand, run(),
-      boost::asio::bind_cancellation_slot(
-          Cancel.slot(), [Self = shared_from_this()](const std::exception_ptr &) {}));
+  boost::asio::co_spawn(Strand, run(),
+                        boost::asio::bind_cancellation_slot(
+                            Cancel.slot(), [Self = shared_from_this()](
+                                               const std::exception_ptr &) {}));
 }
 
 void HeadWatch::stop() noexcept {
@@ -29,7 +29,10 @@
 
 core::Awaitable<void> HeadWatch::run() {
   while (!Stopped) {
-    if (co_await step())
+    // GCC 12 destroys the frame too early if a co_await stands in the else
+    // branch of a condition that itself has a co_await.
+    const bool Succeeded = co_await step();
+    if (Succeeded)
       Backoff = Settings.FirstBackoff;
     else if (!Stopped)
       co_await backOff();
