--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -28,7 +28,7 @@
         code, text = self.fleet.ctl("ticket", "submit", self.fleet.ticket(1), "--wait")
         self.assertEqual(code, 0, text)
         self.assertTrue(self.fleet.ready(self.vm))
-        status, headers, body = http(self.vm.callers, "GET", "/tags/1", {"X-Draw": "1"})
+        status, headers, body = http(self.vm.callers, "GET", "/tags/1", {"X-Draw": "0" * 15 + "1"})
         self.assertEqual(status, 200, body)
         self.assertNotIn("X-Outcome", headers)
         self.assertIn("X-Request-Id", headers)
