--- a/packages/decision/include/jujubecart/decision/dispatcher_options.hpp
+++ b/packages/decision/include/jujubecart/decision/dispatcher_options.hpp
@@ -12,7 +12,16 @@
 /// @brief Settings of a GroupDispatcher.
 struct DispatcherOptions {
   /// Outstanding grants per backend server above its slots.
-  std::uint32_t Margin = 1;
+  std::uint32_t Margin = 3;
+  /// A grant above the slots is made only if the expected wait at the server,
+  /// in mean service times, is at most this.
+  double ExtraWait = 5;
+  /// Busy slot time without a response, in mean service times, that makes a
+  /// backend server suspect.
+  double SuspectWork = 5;
+  /// A suspect server gets a call only if that call has waited this many mean
+  /// service times.
+  double SuspectWait = 5;
   /// Service time assumed before the first measurement.
   std::chrono::microseconds InitialServiceTime{10000};
   /// Calls whose expected wait is longer are rejected at once. A quarter of a
--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -4,6 +4,12 @@
 namespace jujubecart::decision {
 
 class GroupDispatcher;
+namespace internal {
+class CallQueue;
+class ProbeSchedule;
+class HealthTracker;
+class ServerTable;
+} // namespace internal
 class LeastReported;
 class LocalBroker;
 class LocalPolicy;
--- /dev/null
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -0,0 +1,443 @@
+#include <jujubecart/decision/group_dispatcher.hpp>
+
+#include <jujubecart/decision/internal/call_queue.hpp>
+#include <jujubecart/decision/internal/probe_schedule.hpp>
+#include <jujubecart/decision/internal/server_table.hpp>
+#include <jujubecart/decision/internal/wait_estimate.hpp>
+
+#include <algorithm>
+
+namespace jujubecart::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Waiting calls looked at for one free server; the first ones may exclude it.
+constexpr std::size_t MostCandidates = 4;
+// With waiting calls, ramping and ejected servers must be noticed in time.
+constexpr auto BusyTick = 5ms;
+constexpr auto IdleTick = 50ms;
+constexpr auto RefreshPeriod = 20ms;
+constexpr auto ExpiryScanPeriod = 100ms;
+// A grant that is not returned this long after the deadline of its call was
+// lost by its holder.
+constexpr auto GrantGrace = 2s;
+constexpr auto LeastRetryAfter = 50ms;
+constexpr auto MostRetryAfter = 5s;
+
+struct Grant {
+  std::string Holder;
+  std::uint32_t Server = 0;
+  core::TimePoint Expires;
+  bool Unqueued = false;
+  bool Trial = false;
+};
+
+} // namespace
+
+class GroupDispatcher::Implementation {
+public:
+  Implementation(DispatchGroup Group, const DispatcherOptions &Options,
+                 core::TimePoint Now)
+      : Group(std::move(Group)), Options(Options),
+        Table(this->Group.Servers, Options), Probes(Options, Now),
+        Random(Options.Seed), NextGrant(Random() >> 1), Last(Now) {}
+
+  void observe(core::TimePoint Now);
+  void enqueue(PendingCall Call, core::TimePoint Now, Decisions &Out);
+  bool place(const internal::QueuedCall &Item, core::TimePoint Now,
+             Decisions &Out);
+  void dispatch(core::TimePoint Now, Decisions &Out);
+  void release(std::uint64_t GrantId, const core::CallReport &Report,
+               core::TimePoint Now);
+  void adopt(std::string Holder, std::string ServerId, std::uint32_t InFlight,
+             core::TimePoint Now);
+  void dropHolder(std::string_view Holder, core::TimePoint Now);
+  void expireGrants(core::TimePoint Now);
+  void reject(CallToken Token, core::Error Reason, core::TimePoint Now,
+              Decisions &Out, std::chrono::microseconds Wait = 0us);
+  [[nodiscard]] std::chrono::microseconds
+  expectedWait(const PendingCall &Call, core::TimePoint Now) const;
+  [[nodiscard]] bool anyServerFor(const PendingCall &Call) const;
+  [[nodiscard]] std::chrono::microseconds service() const {
+    return std::chrono::microseconds(
+        static_cast<std::int64_t>(Table.meanServiceUs()));
+  }
+  [[nodiscard]] internal::ServerRecord *probeTarget(core::TimePoint Now);
+  [[nodiscard]] ServerStatus statusOf(const internal::ServerRecord &Server,
+                                      core::TimePoint Now) const;
+
+  DispatchGroup Group;
+  DispatcherOptions Options;
+  internal::ServerTable Table;
+  internal::CallQueue Queue;
+  internal::WaitEstimate Wait;
+  internal::ProbeSchedule Probes;
+  std::mt19937_64 Random;
+  std::uint64_t NextGrant;
+  std::unordered_map<std::uint64_t, Grant> Grants;
+  std::map<std::pair<std::string, std::string>, std::uint32_t> Adopted;
+  std::vector<const internal::QueuedCall *> Candidates;
+  core::TimePoint Last;
+  core::TimePoint LastRefresh;
+  core::TimePoint LastExpiryScan;
+};
+
+void GroupDispatcher::Implementation::observe(core::TimePoint Now) {
+  Probes.observe(Now);
+  Last = std::max(Last, Now);
+}
+
+void GroupDispatcher::Implementation::reject(CallToken Token,
+                                             core::Error Reason,
+                                             core::TimePoint /*Now*/,
+                                             Decisions &Out,
+                                             std::chrono::microseconds Wait) {
+  // Jitter keeps rejected callers from returning together.
+  const double Jitter = std::uniform_real_distribution(1.0, 2.0)(Random);
+  const std::chrono::microseconds Base = std::clamp<std::chrono::microseconds>(
+      Wait, LeastRetryAfter, MostRetryAfter);
+  Out.emplace_back(Rejected{
+      .Token = Token,
+      .Reason = Reason,
+      .RetryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
+          Base * Jitter)});
+}
+
+std::chrono::microseconds
+GroupDispatcher::Implementation::expectedWait(const PendingCall &Call,
+                                              core::TimePoint Now) const {
+  const double Interval =
+      Table.meanServiceUs() / std::max(1U, Table.activeSlots());
+  return Wait.expected(Queue.ahead(Call.Priority, Call.CallerHash), Interval,
+                       Now);
+}
+
+bool GroupDispatcher::Implementation::anyServerFor(
+    const PendingCall &Call) const {
+  if (Call.Excluded.empty())
+    return Table.activeServers() > 0;
+  std::uint32_t Left = Table.activeServers();
+  for (auto Id = Call.Excluded.begin(); Id != Call.Excluded.end(); ++Id) {
+    const auto Index = Table.find(*Id);
+    // A server that is excluded twice counts once.
+    if (Index && Table.at(*Index).active() &&
+        std::find(Call.Excluded.begin(), Id, *Id) == Id)
+      --Left;
+  }
+  return Left > 0;
+}
+
+void GroupDispatcher::Implementation::enqueue(PendingCall Call,
+                                              core::TimePoint Now,
+                                              Decisions &Out) {
+  if (Queue.contains(Call.Token))
+    return reject(Call.Token, core::Error::InvalidArgument, Now, Out);
+  if (Now >= Call.Deadline)
+    return reject(Call.Token, core::Error::DeadlineExceeded, Now, Out);
+  if (!anyServerFor(Call))
+    return reject(Call.Token, core::Error::Unavailable, Now, Out);
+  internal::QueuedCall Item{std::move(Call), Now};
+  if (Queue.size() == 0 && place(Item, Now, Out))
+    return;
+  const auto Expected = expectedWait(Item.Call, Now);
+  if (Expected > Options.MaxExpectedWait ||
+      Now + Expected + service() > Item.Call.Deadline)
+    return reject(Item.Call.Token, core::Error::Overloaded, Now, Out, Expected);
+  const auto LatestStart = std::min(Item.Call.Deadline - service() / 2,
+                                    Now + 2 * Options.MaxExpectedWait);
+  Queue.push(std::move(Item), LatestStart);
+  if (Queue.size() > Options.MaxQueued) {
+    const CallToken Victim = *Queue.overflowVictim();
+    Queue.remove(Victim);
+    reject(Victim, core::Error::Overloaded, Now, Out, Expected);
+  }
+  dispatch(Now, Out);
+}
+
+bool GroupDispatcher::Implementation::place(const internal::QueuedCall &Item,
+                                            core::TimePoint Now,
+                                            Decisions &Out) {
+  if (!Table.hasRoom(Now))
+    return false;
+  const auto Index = Table.pick(Item, Now);
+  if (!Index)
+    return false;
+  const internal::ServerRecord &Server = Table.at(*Index);
+  const std::uint64_t GrantId = NextGrant++;
+  Grants.emplace(GrantId, Grant{.Holder = Item.Call.Holder,
+                                .Server = *Index,
+                                .Expires = Item.Call.Deadline + GrantGrace,
+                                .Unqueued = Server.inFlight() < Server.slots(),
+                                .Trial = Server.Health.ejected()});
+  Table.start(*Index, GrantId, Now);
+  Out.emplace_back(Granted{
+      .Token = Item.Call.Token, .GrantId = GrantId, .Server = Server.Config});
+  return true;
+}
+
+void GroupDispatcher::Implementation::dispatch(core::TimePoint Now,
+                                               Decisions &Out) {
+  while (const auto Token = Queue.expired(Now)) {
+    const PendingCall Call = *Queue.remove(*Token);
+    const bool Late = Now + service() >= Call.Deadline;
+    reject(*Token,
+           Late ? core::Error::DeadlineExceeded : core::Error::Overloaded, Now,
+           Out, Options.MaxExpectedWait);
+  }
+  bool Placed = true;
+  while (Placed && Queue.size() > 0 && Table.hasRoom(Now)) {
+    Placed = false;
+    Queue.next(MostCandidates, Candidates);
+    for (const internal::QueuedCall *Item : Candidates) {
+      if (!place(*Item, Now, Out))
+        continue;
+      Queue.serve(Item->Call.Token);
+      Wait.served(Queue.size(), Now);
+      Placed = true;
+      break;
+    }
+  }
+  if (Table.activeServers() > 0)
+    return;
+  while (Queue.size() > 0) {
+    const CallToken Token = *Queue.overflowVictim();
+    Queue.remove(Token);
+    reject(Token, core::Error::Unavailable, Now, Out);
+  }
+}
+
+void GroupDispatcher::Implementation::release(std::uint64_t GrantId,
+                                              const core::CallReport &Report,
+                                              core::TimePoint Now) {
+  const auto Found = Grants.find(GrantId);
+  if (Found == Grants.end())
+    return;
+  const Grant Ended = std::move(Found->second);
+  Grants.erase(Found);
+  Table.finish(Ended.Server, GrantId, Report, Ended.Unqueued, Ended.Trial, Now);
+}
+
+void GroupDispatcher::Implementation::adopt(std::string Holder,
+                                            std::string ServerId,
+                                            std::uint32_t InFlight,
+                                            core::TimePoint Now) {
+  const auto Index = Table.find(ServerId);
+  if (!Index)
+    return;
+  std::uint32_t &Count = Adopted[{std::move(Holder), std::move(ServerId)}];
+  const std::uint32_t Total = Table.at(*Index).Adopted - Count + InFlight;
+  Count = InFlight;
+  Table.setAdopted(*Index, Total, Now);
+}
+
+void GroupDispatcher::Implementation::dropHolder(std::string_view Holder,
+                                                 core::TimePoint Now) {
+  for (const CallToken Token : Queue.heldBy(Holder))
+    Queue.remove(Token);
+  for (auto Item = Grants.begin(); Item != Grants.end();) {
+    if (Item->second.Holder != Holder) {
+      ++Item;
+      continue;
+    }
+    Table.forget(Item->second.Server, Item->first, Now);
+    Item = Grants.erase(Item);
+  }
+  for (auto Item = Adopted.begin(); Item != Adopted.end();) {
+    if (Item->first.first != Holder) {
+      ++Item;
+      continue;
+    }
+    const std::uint32_t Index = *Table.find(Item->first.second);
+    Table.setAdopted(Index, Table.at(Index).Adopted - Item->second, Now);
+    Item = Adopted.erase(Item);
+  }
+}
+
+void GroupDispatcher::Implementation::expireGrants(core::TimePoint Now) {
+  for (auto Item = Grants.begin(); Item != Grants.end();) {
+    if (Item->second.Expires > Now) {
+      ++Item;
+      continue;
+    }
+    Table.forget(Item->second.Server, Item->first, Now);
+    Item = Grants.erase(Item);
+  }
+}
+
+internal::ServerRecord *
+GroupDispatcher::Implementation::probeTarget(core::TimePoint Now) {
+  internal::ServerRecord *Target = nullptr;
+  core::TimePoint Oldest = Now - Probes.recent();
+  for (std::uint32_t Index = 0; Index < Table.size(); ++Index) {
+    internal::ServerRecord &Server = Table.at(Index);
+    const auto Known = std::max(Server.Health.lastHeard(), Server.LastProbe);
+    if (!Server.Configured ||
+        Server.Config.State == core::ServerState::Draining || Known > Oldest ||
+        (Target && Known == Oldest))
+      continue;
+    Target = &Server;
+    Oldest = Known;
+  }
+  return Target;
+}
+
+ServerStatus
+GroupDispatcher::Implementation::statusOf(const internal::ServerRecord &Server,
+                                          core::TimePoint Now) const {
+  ServerHealth Health = ServerHealth::Active;
+  if (!Server.active())
+    Health = ServerHealth::Draining;
+  else if (Server.Health.ejected())
+    Health = ServerHealth::Ejected;
+  else if (Table.isSlow(Server, Now))
+    Health = ServerHealth::Suspect;
+  else if (Server.Health.ramping(Options, Now))
+    Health = ServerHealth::Ramping;
+  return {.Id = Server.Config.Id,
+          .Health = Health,
+          .InFlight = Server.inFlight(),
+          .Limit = Table.limit(Server, Now),
+          .ServiceTime = std::chrono::microseconds(
+              static_cast<std::int64_t>(Server.ServiceUs))};
+}
+
+GroupDispatcher::GroupDispatcher(DispatchGroup Group, DispatcherOptions Options,
+                                 core::TimePoint Now)
+    : Self(std::make_unique<Implementation>(std::move(Group), Options, Now)) {}
+GroupDispatcher::GroupDispatcher(GroupDispatcher &&) noexcept = default;
+GroupDispatcher &
+GroupDispatcher::operator=(GroupDispatcher &&) noexcept = default;
+GroupDispatcher::~GroupDispatcher() = default;
+
+void GroupDispatcher::configure(DispatchGroup Group, core::TimePoint Now,
+                                Decisions &Out) {
+  Self->observe(Now);
+  Self->Group = std::move(Group);
+  Self->Table.configure(Self->Group.Servers, Now);
+  Self->dispatch(Now, Out);
+}
+
+void GroupDispatcher::enqueue(PendingCall Call, core::TimePoint Now,
+                              Decisions &Out) {
+  Self->observe(Now);
+  Self->enqueue(std::move(Call), Now, Out);
+}
+
+bool GroupDispatcher::withdraw(CallToken Token, core::TimePoint Now,
+                               Decisions &Out) {
+  Self->observe(Now);
+  const bool Waiting = Self->Queue.remove(Token).has_value();
+  Self->dispatch(Now, Out);
+  return Waiting;
+}
+
+void GroupDispatcher::release(std::uint64_t GrantId,
+                              const core::CallReport &Report,
+                              core::TimePoint Now, Decisions &Out) {
+  Self->observe(Now);
+  Self->release(GrantId, Report, Now);
+  Self->dispatch(Now, Out);
+}
+
+void GroupDispatcher::adopt(std::string Holder, std::string ServerId,
+                            std::uint32_t InFlight, core::TimePoint Now) {
+  Self->observe(Now);
+  Self->adopt(std::move(Holder), std::move(ServerId), InFlight, Now);
+}
+
+void GroupDispatcher::releaseAdopted(std::string Holder, std::string ServerId,
+                                     const core::CallReport &Report,
+                                     core::TimePoint Now, Decisions &Out) {
+  Self->observe(Now);
+  const auto Found = Self->Adopted.find({Holder, ServerId});
+  if (Found != Self->Adopted.end() && Found->second > 0) {
+    const std::uint32_t Index = *Self->Table.find(ServerId);
+    Self->adopt(std::move(Holder), std::move(ServerId), Found->second - 1, Now);
+    Self->Table.result(Index, Report, false, Now);
+  }
+  Self->dispatch(Now, Out);
+}
+
+void GroupDispatcher::dropHolder(std::string_view Holder, core::TimePoint Now,
+                                 Decisions &Out) {
+  Self->observe(Now);
+  Self->dropHolder(Holder, Now);
+  Self->dispatch(Now, Out);
+}
+
+void GroupDispatcher::tick(core::TimePoint Now, Decisions &Out) {
+  Self->observe(Now);
+  if (Now - Self->LastRefresh >= RefreshPeriod) {
+    Self->LastRefresh = Now;
+    Self->Table.refresh(Now);
+  }
+  if (Now - Self->LastExpiryScan >= ExpiryScanPeriod) {
+    Self->LastExpiryScan = Now;
+    Self->expireGrants(Now);
+  }
+  Self->dispatch(Now, Out);
+}
+
+core::TimePoint GroupDispatcher::nextTick() const {
+  const auto Expiry = Self->Queue.firstExpiry();
+  if (!Expiry)
+    return Self->Last + IdleTick;
+  return std::clamp(*Expiry, Self->Last, Self->Last + BusyTick);
+}
+
+std::optional<core::BackendServer>
+GroupDispatcher::nextProbe(core::TimePoint Now) {
+  Self->observe(Now);
+  if (!Self->Probes.open(Now))
+    return std::nullopt;
+  internal::ServerRecord *Target = Self->probeTarget(Now);
+  if (!Target || !Self->Probes.take(Now))
+    return std::nullopt;
+  Target->LastProbe = Now;
+  return Target->Config;
+}
+
+void GroupDispatcher::probeResult(std::string_view ServerId, ProbeResult Result,
+                                  core::TimePoint Now, Decisions &Out) {
+  Self->observe(Now);
+  if (const auto Index = Self->Table.find(ServerId))
+    Self->Table.probe(*Index, Result, Now);
+  Self->dispatch(Now, Out);
+}
+
+std::vector<ServerStatus> GroupDispatcher::status(core::TimePoint Now) const {
+  std::vector<ServerStatus> All;
+  All.reserve(Self->Group.Servers.size());
+  for (const core::BackendServer &Config : Self->Group.Servers)
+    All.push_back(
+        Self->statusOf(Self->Table.at(*Self->Table.find(Config.Id)), Now));
+  return All;
+}
+
+std::size_t GroupDispatcher::queued() const noexcept {
+  return Self->Queue.size();
+}
+
+std::uint64_t GroupDispatcher::comparedServers() const noexcept {
+  return Self->Table.compared();
+}
+
+std::string_view toString(ServerHealth Health) noexcept {
+  switch (Health) {
+  case ServerHealth::Active:
+    return "active";
+  case ServerHealth::Ramping:
+    return "ramping";
+  case ServerHealth::Suspect:
+    return "suspect";
+  case ServerHealth::Ejected:
+    return "ejected";
+  case ServerHealth::Draining:
+    return "draining";
+  }
+  return "unknown";
+}
+
+} // namespace jujubecart::decision
