--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -161,7 +161,10 @@
     Link.cancelRead();
     return;
   case Phase::Attempting:
-    cancelAttempts(StopReason::TimedOut);
+    if (State.Uses.Time.now() < Deadline)
+      abortSilentAttempt();
+    else
+      cancelAttempts(StopReason::TimedOut);
     return;
   case Phase::Writing:
     Link.reset();
--- a/tests/callers/forward_test.cpp
+++ b/tests/callers/forward_test.cpp
@@ -28,7 +28,8 @@
     cr_assert(has(Answer, "\r\n\r\nhello"));
   }
   cr_assert_eq(Backend.connections(), 1);
-  cr_assert_eq(Fleet.Server->counters().Completed, 2);
+  cr_assert(
+      eventually([&] { return Fleet.Server->counters().Completed == 2; }));
 }
 
 // Guards against a forward without a rule or without a configuration.
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -128,6 +128,8 @@
 Harness::Harness(const std::vector<std::string> &Backends, Settings With)
     : Broker(Config), Pool(Io.get_executor(), With.Pool, Time),
       Transport(Pool, Time), Work(asio::make_work_guard(Io)) {
+  for (int Tenth = 0; Tenth < 10 * With.RetryTokens; ++Tenth)
+    Retries.recordFirstAttempt();
   if (With.Configured) {
     core::ServiceConfig Service{.Name = "tags",
                                 .Kind = With.Kind,
@@ -149,7 +151,8 @@
                                   .Config = Config,
                                   .Broker = Broker,
                                   .Backends = Transport,
-                                  .Events = Events});
+                                  .Events = Events,
+                                  .Retries = Retries});
   if (Server->listen({asio::ip::address_v4::loopback(), 0}))
     throw std::runtime_error("cannot listen on the loopback");
   for (int Count = 0; Count < 2; ++Count)
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -104,6 +104,7 @@
     core::ServiceKind Kind = core::ServiceKind::Lookup;
     std::uint32_t DeadlineMs = 2000;
     bool Configured = true;
+    int RetryTokens = 1;
   };
 
   Harness(const std::vector<std::string> &Backends, Settings With);
@@ -129,6 +130,7 @@
   core::ConfigTable Config;
   FirstServerBroker Broker;
   EventRecorder Events;
+  decision::RetryBudget Retries;
   backends::ConnectionPool Pool;
   backends::Transport Transport;
   std::unique_ptr<callers::Server> Server;
