--- a/packages/callers/src/server.cpp
+++ b/packages/callers/src/server.cpp
@@ -38,12 +38,13 @@
   }
   auto Task =
       Open >= State->Options.MaxConnections ? Link->refuse() : Link->run();
-  asio::co_spawn(Strand, std::move(Task), [Link](const std::exception_ptr &Failure) {
-    // Only a lack of memory or a defect throws; it must end one connection,
-    // not the process.
-    if (Failure)
-      core::LogLine(core::LogLevel::Error, "callers.connection_failed");
-  });
+  asio::co_spawn(
+      Strand, std::move(Task), [Link](const std::exception_ptr &Failure) {
+        // Only a lack of memory or a defect throws; it must end one connection,
+        // not the process.
+        if (Failure)
+          core::LogLine(core::LogLevel::Error, "callers.connection_failed");
+      });
 }
 
 // Connections that the kernel has already accepted would be reset otherwise.
