--- a/packages/callers/include/jujubecart/callers/server.hpp
+++ b/packages/callers/include/jujubecart/callers/server.hpp
@@ -7,6 +7,7 @@
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/fwd.hpp>
 #include <jujubecart/core/request_id.hpp>
+#include <jujubecart/decision/retry_budget.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -28,6 +29,8 @@
   core::SlotBroker &Broker;
   core::BackendTransport &Backends;
   core::EventSink &Events;
+  /// Shared by everything on this VM that makes further attempts.
+  decision::RetryBudget &Retries;
 };
 
 /// @brief A request that had not been answered when the server stopped.
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -1,6 +1,7 @@
 #include "call.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubecart::callers::internal {
 
@@ -31,10 +32,7 @@
   if (Body.buffered())
     Link.watchDeparture();
   while (true) {
-    const auto Next = std::make_shared<Attempt>(State.Uses.Broker, Body);
-    Active.push_back(Next);
-    co_await runAttempt(Next);
-    std::erase(Active, Next);
+    const AttemptPtr Next = co_await nextAttempt();
     if (Next->ready() && Stopped == StopReason::None)
       co_return co_await relay(Next);
     const core::CallOutcome Outcome = Next->report().Outcome;
@@ -49,7 +47,18 @@
   }
 }
 
+core::Awaitable<Call::AttemptPtr> Call::nextAttempt() {
+  if (mayHedge())
+    co_return co_await race();
+  auto Next = std::make_shared<Attempt>(State.Uses.Broker, Body);
+  Active.push_back(Next);
+  co_await runAttempt(Next);
+  std::erase(Active, Next);
+  co_return Next;
+}
+
 core::Awaitable<void> Call::runAttempt(AttemptPtr Which) {
+  const core::Clock &Time = State.Uses.Time;
   ClaimTried = Key.has_value();
   auto Grant = co_await State.Uses.Broker.acquire(slotRequest());
   if (!Grant) {
@@ -63,8 +72,13 @@
     Which->Failure = core::make_error_code(core::Error::Cancelled);
     co_return;
   }
-  ++Sent;
+  if (++Sent == 1)
+    State.Uses.Retries.recordFirstAttempt();
   ++State.Counters.Attempts;
+  if (!Key && mayRepeat()) {
+    SilentDue = Time.now() + (Deadline - Time.now()) / 2;
+    Link.setDue(SilentDue);
+  }
   State.event("call.sent", What.Id, Which->Grant.Server.Id);
   Which->Exchange = State.Uses.Backends.prepare(Which->Grant.Server, Outgoing);
   const bool HasBody = What.Body != core::BackendRequest::Framing::None;
@@ -94,13 +108,32 @@
   co_return std::error_code();
 }
 
-bool Call::mayRetry() {
+bool Call::mayRepeat() const {
   return Stopped == StopReason::None && What.Depth == 0 &&
-         Sent < State.Options.MaxAttempts && !(Key && MaybeRun) &&
-         Body.replayable() && !Body.failed() &&
+         Sent < State.Options.MaxAttempts && Body.replayable() &&
+         !Body.failed() &&
          State.Uses.Time.now() + State.Options.MinRetryTime < Deadline;
 }
 
+bool Call::mayRetry() {
+  if (!mayRepeat() || (Key && MaybeRun))
+    return false;
+  return std::exchange(RetryReserved, false) || State.Uses.Retries.tryTake();
+}
+
+// A connection can go silent without an error. A lookup that has no response
+// after half of its time is tried on another server, if the budget allows it.
+void Call::abortSilentAttempt() {
+  const bool Pending = std::exchange(SilentDue, core::TimePoint::max()) !=
+                       core::TimePoint::max();
+  Link.setDue(Deadline);
+  if (!Pending || Active.size() != 1 || !mayRepeat() ||
+      !State.Uses.Retries.tryTake())
+    return;
+  RetryReserved = true;
+  Active.front()->abort(core::AbortReason::TimedOut);
+}
+
 void Call::cancelAttempts(StopReason Reason) {
   if (Stopped != StopReason::None)
     return;
--- a/packages/callers/src/call_relay.cpp
+++ b/packages/callers/src/call_relay.cpp
@@ -50,6 +50,7 @@
 
 core::Awaitable<bool> Call::relay(AttemptPtr Which) {
   Active.assign(1, Which);
+  SilentDue = core::TimePoint::max();
   const core::BackendExchange &From = *Which->Exchange;
   const BodyFraming Framing = framing(*Which);
   const std::string Head =
