--- a/packages/store/include/jujubecart/store.hpp
+++ b/packages/store/include/jujubecart/store.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_STORE_HPP
 #define JUJUBECART_STORE_HPP
 
+#include <jujubecart/store/claim_log.hpp>
 #include <jujubecart/store/config_head.hpp>
 #include <jujubecart/store/config_reader.hpp>
 #include <jujubecart/store/http_key_value_store.hpp>
--- a/packages/store/src/head_watch.cpp
+++ b/packages/store/src/head_watch.cpp
@@ -14,10 +14,10 @@
 void HeadWatch::start() {
   // The completion handler owns the object: the coroutine itself must not,
   // because its frame refers to members.
-  boost::asio::co_spawn(
-      Strand, run(),
-      boost::asio::bind_cancellation_slot(
-          Cancel.slot(), [Self = shared_from_this()](const std::exception_ptr &) {}));
+  boost::asio::co_spawn(Strand, run(),
+                        boost::asio::bind_cancellation_slot(
+                            Cancel.slot(), [Self = shared_from_this()](
+                                               const std::exception_ptr &) {}));
 }
 
 void HeadWatch::stop() noexcept {
