--- a/packages/core/include/jujubecart/core/fwd.hpp
+++ b/packages/core/include/jujubecart/core/fwd.hpp
@@ -3,6 +3,9 @@
 
 namespace jujubecart::core {
 
+class BackendExchange;
+class BackendTransport;
+class ByteSource;
 class Clock;
 class ConfigSnapshot;
 class ConfigSource;
@@ -20,6 +23,7 @@
 class SystemClock;
 class SystemSleeper;
 
+struct BackendRequest;
 struct BackendServer;
 struct CallReport;
 struct Event;
