--- a/packages/peers/include/jujubecart/peers/fwd.hpp
+++ b/packages/peers/include/jujubecart/peers/fwd.hpp
@@ -10,8 +10,10 @@
 class HealthProber;
 class Link;
 class LinkTable;
+class GroupDirectory;
 class MemberTable;
 class PeerCounters;
+class PeerNode;
 class RemoteBroker;
 class TlsContext;
 
--- /dev/null
+++ b/packages/peers/include/jujubecart/peers/group_directory.hpp
@@ -0,0 +1,77 @@
+#ifndef JUJUBECART_PEERS_GROUP_DIRECTORY_HPP
+#define JUJUBECART_PEERS_GROUP_DIRECTORY_HPP
+
+#include <jujubecart/core/config_source.hpp>
+#include <jujubecart/decision/dispatch_group.hpp>
+#include <jujubecart/decision/dispatcher_options.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace jujubecart::peers {
+
+/// @brief One dispatch group and what messages need of it.
+struct GroupEntry {
+  decision::DispatchGroup Group;
+  decision::DispatcherOptions Options;
+  /// Hash of the name, used on the wire.
+  std::uint64_t Hash = 0;
+  /// Sum of the slots.
+  std::uint32_t Capacity = 0;
+  /// Revision that last changed the service.
+  core::Revision Changed = 0;
+  /// Index in Group.Servers by hash of the server id.
+  std::unordered_map<std::uint64_t, std::size_t> ServerIndex;
+
+  /// @brief Finds a server by the hash of its id, or nullptr.
+  [[nodiscard]] const core::BackendServer *
+  server(std::uint64_t Id) const noexcept;
+};
+
+using GroupPtr = std::shared_ptr<const GroupEntry>;
+
+/// @brief Immutable dispatch groups of one revision.
+struct GroupIndex {
+  core::Revision Revision = 0;
+  std::unordered_map<std::uint64_t, GroupPtr> ByHash;
+  std::map<std::string, std::vector<GroupPtr>, std::less<>> ByService;
+
+  /// @brief Finds a group by its hash, or nullptr.
+  [[nodiscard]] GroupPtr find(std::uint64_t Hash) const;
+};
+
+/// @brief Derives the dispatch groups from the configuration in force.
+class GroupDirectory {
+public:
+  using Index = std::shared_ptr<const GroupIndex>;
+
+  /// @brief Follows a configuration source; must outlive it.
+  /// @param Seed Seed of the dispatchers' random numbers.
+  GroupDirectory(core::ConfigSource &Config, std::uint64_t Seed);
+  GroupDirectory(const GroupDirectory &) = delete;
+  GroupDirectory &operator=(const GroupDirectory &) = delete;
+
+  [[nodiscard]] Index current() const;
+
+  /// @brief Calls a listener after each change; must outlive the directory.
+  void subscribe(std::function<void(const Index &)> Notify);
+
+private:
+  void rebuild(const core::ConfigSource::Snapshot &Snapshot);
+
+  const std::uint64_t Seed;
+  mutable std::mutex Mutex;
+  Index Current;
+  std::vector<std::function<void(const Index &)>> Listeners;
+};
+
+} // namespace jujubecart::peers
+
+#endif
--- a/packages/peers/include/jujubecart/peers/link.hpp
+++ b/packages/peers/include/jujubecart/peers/link.hpp
@@ -82,6 +82,13 @@
   /// @brief Notes that the peer owes a frame.
   void expectReply() noexcept;
 
+  /// @brief Notes a call that waits for the peer's answer.
+  void askStarted() noexcept;
+
+  /// @brief Ends it.
+  /// @param Silent Whether the answer is still owed.
+  void askEnded(bool Silent) noexcept;
+
   /// @brief Since when the peer owes a frame; empty if it does not.
   [[nodiscard]] std::optional<core::TimePoint> owedSince() const noexcept;
 
@@ -116,6 +123,7 @@
   std::atomic<core::TimePoint::rep> Sent;
   std::atomic<core::TimePoint::rep> Owed{0};
   std::atomic<int> Work{0};
+  std::atomic<int> Asked{0};
 };
 
 } // namespace jujubecart::peers
--- /dev/null
+++ b/packages/peers/src/group_directory.cpp
@@ -0,0 +1,80 @@
+#include <jujubecart/peers/group_directory.hpp>
+
+#include <jujubecart/core/hash.hpp>
+
+namespace jujubecart::peers {
+
+namespace internal {
+
+GroupPtr makeEntry(decision::DispatchGroup Group,
+                   const decision::DispatcherOptions &Options,
+                   core::Revision Changed) {
+  auto Entry = std::make_shared<GroupEntry>();
+  Entry->Hash = core::hash64(Group.Name);
+  Entry->Options = Options;
+  Entry->Changed = Changed;
+  for (std::size_t At = 0; At < Group.Servers.size(); ++At) {
+    Entry->Capacity += Group.Servers[At].Slots;
+    Entry->ServerIndex.emplace(core::hash64(Group.Servers[At].Id), At);
+  }
+  Entry->Group = std::move(Group);
+  return Entry;
+}
+
+} // namespace internal
+
+const core::BackendServer *GroupEntry::server(std::uint64_t Id) const noexcept {
+  const auto Found = ServerIndex.find(Id);
+  return Found == ServerIndex.end() ? nullptr : &Group.Servers[Found->second];
+}
+
+GroupPtr GroupIndex::find(std::uint64_t Hash) const {
+  const auto Found = ByHash.find(Hash);
+  return Found == ByHash.end() ? nullptr : Found->second;
+}
+
+GroupDirectory::GroupDirectory(core::ConfigSource &Config, std::uint64_t Seed)
+    : Seed(Seed), Current(std::make_shared<GroupIndex>()) {
+  Config.subscribe([this](const auto &Snapshot) { rebuild(Snapshot); });
+  rebuild(Config.current());
+}
+
+GroupDirectory::Index GroupDirectory::current() const {
+  const std::lock_guard Lock(Mutex);
+  return Current;
+}
+
+void GroupDirectory::subscribe(std::function<void(const Index &)> Notify) {
+  const std::lock_guard Lock(Mutex);
+  Listeners.push_back(std::move(Notify));
+}
+
+void GroupDirectory::rebuild(const core::ConfigSource::Snapshot &Snapshot) {
+  auto Fresh = std::make_shared<GroupIndex>();
+  Fresh->Revision = Snapshot->revision();
+  for (const auto &[Name, Entry] : Snapshot->entries()) {
+    if (!Entry->Service)
+      continue;
+    const auto Options = decision::dispatcherOptions(*Entry->Service, Seed);
+    for (decision::DispatchGroup &Group :
+         decision::dispatchGroups(*Entry->Service)) {
+      const GroupPtr Item =
+          internal::makeEntry(std::move(Group), Options, Entry->Changed);
+      Fresh->ByHash.emplace(Item->Hash, Item);
+      Fresh->ByService[Name].push_back(Item);
+    }
+  }
+  std::vector<std::function<void(const Index &)>> Notified;
+  {
+    const std::lock_guard Lock(Mutex);
+    // The constructor's call may overlap with a change.
+    if (Fresh->Revision < Current->Revision)
+      return;
+    Current = Fresh;
+    Notified = Listeners;
+  }
+  for (const auto &Notify : Notified)
+    Notify(Fresh);
+}
+
+} // namespace jujubecart::peers
--- a/packages/peers/src/link.cpp
+++ b/packages/peers/src/link.cpp
@@ -38,6 +38,18 @@
   Owed.compare_exchange_strong(None, Env.Time.now().time_since_epoch().count());
 }
 
+void Link::askStarted() noexcept {
+  ++Work;
+  ++Asked;
+  expectReply();
+}
+
+void Link::askEnded(bool Silent) noexcept {
+  --Work;
+  if (--Asked == 0 && !Silent)
+    Owed = 0;
+}
+
 std::optional<core::TimePoint> Link::owedSince() const noexcept {
   const core::TimePoint::rep Since = Owed;
   if (Since == 0)
@@ -68,7 +80,8 @@
 void Link::onRead(std::size_t Size) {
   Codec.feed(std::span(Input).first(Size));
   Received = Env.Time.now().time_since_epoch().count();
-  Owed = 0;
+  // Calls that still wait make the peer owe another frame.
+  Owed = Asked > 0 ? Received.load() : 0;
   Frame Item;
   FrameState State = Codec.next(Item);
   for (; State == FrameState::Ready && !Closed; State = Codec.next(Item)) {
