Wire peers, order claims and health probes into the daemon

Cause: the daemon decided alone; orders were refused because nothing claimed their keys. Change: jujubecartd owns a PeerNode and a ClaimLog, asks the dispatcher for slots, probes GET /health, rotates two store watchers, joins through seed addresses; members carry the operators' address so that jujubectl reaches every VM.

--- a/apps/jujubecartd/config_startup.cpp
+++ b/apps/jujubecartd/config_startup.cpp
@@ -10,6 +10,9 @@
 namespace internal {
 
 constexpr std::chrono::milliseconds ReadTimeout{1000};
+// Peers answer within milliseconds if any is up; a first start of the whole
+// fleet must not wait long for them.
+constexpr std::chrono::milliseconds PeerTimeout{300};
 constexpr std::chrono::milliseconds FirstDelay{20};
 // Caps the load on a store that recovers while the whole fleet waits for it.
 constexpr std::chrono::milliseconds LongestDelay{1000};
@@ -23,6 +26,7 @@
 } // namespace internal
 
 core::Awaitable<void> ConfigStartup::run() {
+  (void)co_await Sync.askPeers(Time.now() + internal::PeerTimeout);
   std::chrono::milliseconds Delay = internal::FirstDelay;
   while (Table.current()->revision() == 0) {
     co_await Delays.sleepUntil(internal::jittered(Time.now(), Delay));
--- a/apps/jujubecartd/config_startup.hpp
+++ b/apps/jujubecartd/config_startup.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/core/config_table.hpp>
 #include <jujubecart/core/sleeper.hpp>
+#include <jujubecart/peers/config_sync.hpp>
 #include <jujubecart/store/config_reader.hpp>
 
 #include <atomic>
@@ -14,11 +15,12 @@
 public:
   /// @brief Stores the references, which must outlive this object.
   ConfigStartup(core::ConfigTable &Table, store::ConfigReader &Reader,
-                const core::Clock &Time, core::Sleeper &Delays) noexcept
-      : Table(Table), Reader(Reader), Time(Time), Delays(Delays) {}
+                peers::ConfigSync &Sync, const core::Clock &Time,
+                core::Sleeper &Delays) noexcept
+      : Table(Table), Reader(Reader), Sync(Sync), Time(Time), Delays(Delays) {}
 
-  /// @brief Asks the store until a configuration is known or the store has
-  /// stated that there is none.
+  /// @brief Asks the other VMs first, then the store until a configuration is
+  /// known or the store has stated that there is none.
   [[nodiscard]] core::Awaitable<void> run();
 
   /// @brief Whether the store or a peer has answered.
@@ -27,6 +29,7 @@
 private:
   core::ConfigTable &Table;
   store::ConfigReader &Reader;
+  peers::ConfigSync &Sync;
   const core::Clock &Time;
   core::Sleeper &Delays;
   std::atomic<bool> Finished{false};
--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon_metrics.hpp"
 #include "daemon_options.hpp"
+#include "watch_rotation.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,7 +18,8 @@
 
 namespace asio = boost::asio;
 
-constexpr std::chrono::seconds PruneInterval{1};
+constexpr std::chrono::seconds MaintenanceInterval{1};
+constexpr std::chrono::milliseconds SeedInterval{200};
 
 std::uint64_t unixMilliseconds(const core::Clock &Time) {
   return static_cast<std::uint64_t>(
@@ -31,8 +33,8 @@
 } // namespace internal
 
 Daemon::Daemon(operators::Settings Given)
-    : All(std::move(Given)), Io(static_cast<int>(All.Workers)),
-      Events(Time, All.TimelineEvents),
+    : All(std::move(Given)), Incarnation(internal::unixMilliseconds(Time)),
+      Io(static_cast<int>(All.Workers)), Events(Time, All.TimelineEvents),
       Store(Io.get_executor(), All.Store.Endpoints),
       Tickets(Store, Time, Delays, internal::randomNumber),
       Reader(Io.get_executor(), {.Store = Store,
@@ -40,15 +42,31 @@
                                  .Time = Time,
                                  .Delays = Delays,
                                  .Random = internal::randomNumber}),
-      Startup(Config, Reader, Time, Delays),
-      Broker(Config, Time, localPolicy(All.Policy), internal::randomNumber()),
+      Claims(Io.get_executor(),
+             {.Store = Store,
+              .Config = Config,
+              .Time = Time,
+              .Delays = Delays,
+              .Random = internal::randomNumber},
+             {.Writer = All.Vm.Id}),
+      Local(Config, Time, localPolicy(All.Policy), internal::randomNumber(),
+            &Claims),
+      Peers(Io.get_executor(), peerOptions(All, Incarnation),
+            {.Time = Time,
+             .Events = Events,
+             .Config = Config,
+             .Claims = Claims,
+             .Fallback = Local,
+             .Prober = &Prober}),
+      Startup(Config, Reader, Peers.config(), Time, Delays),
       Pool(Io.get_executor(), {}, Time), Transport(Pool, Time),
       Callers(Io.get_executor(), callerOptions(All.Callers),
               {.Time = Time,
                .Config = Config,
-               .Broker = Broker,
+               .Broker = broker(),
                .Backends = Transport,
-               .Events = Events}),
+               .Events = Events,
+               .Retries = Retries}),
       Endpoints(ApiParts{.All = All,
                          .Io = Io,
                          .Time = Time,
@@ -57,11 +75,14 @@
                          .Metrics = Metrics,
                          .Tickets = Tickets,
                          .Callers = Callers,
+                         .Peers = Peers,
                          .Stopping = Stopping,
-                         .Incarnation = internal::unixMilliseconds(Time)}) {
-  registerMetrics(
-      Metrics,
-      {.Callers = Callers, .Pool = Pool, .Config = Config, .Events = Events});
+                         .Incarnation = Incarnation}) {
+  registerMetrics(Metrics, {.Callers = Callers,
+                            .Pool = Pool,
+                            .Peers = Peers,
+                            .Config = Config,
+                            .Events = Events});
   Config.subscribe([this](const core::ConfigSource::Snapshot &Snapshot) {
     core::LogLine(core::LogLevel::Info, "config.applied")
         .field("revision", Snapshot->revision());
@@ -70,11 +91,20 @@
   });
 }
 
+core::SlotBroker &Daemon::broker() noexcept {
+  if (All.Policy == "dispatcher")
+    return Peers.broker();
+  return Local;
+}
+
 void Daemon::listen() {
   const auto Operator = endpointOf(All.Operators.Listen);
   Operators = std::make_unique<operators::Server>(
       Operator.address().to_string(), Operator.port(), All.Operators.Tls,
       Endpoints);
+  if (const std::string Problem = Peers.start(); !Problem.empty())
+    throw std::runtime_error("cannot serve peers on " + All.Peers.Listen +
+                             ": " + Problem);
   if (const std::error_code Code =
           Callers.listen(endpointOf(All.Callers.Listen)))
     throw std::runtime_error("cannot listen on " + All.Callers.Listen + ": " +
@@ -84,9 +114,9 @@
 int Daemon::run() {
   listen();
   internal::asio::co_spawn(Io, waitForSignal(), internal::asio::detached);
-  internal::asio::co_spawn(Io, prunePool(), internal::asio::detached);
+  internal::asio::co_spawn(Io, maintain(), internal::asio::detached);
+  internal::asio::co_spawn(Io, joinSeeds(), internal::asio::detached);
   internal::asio::co_spawn(Io, Startup.run(), internal::asio::detached);
-  Reader.startWatching();
   core::LogLine(core::LogLevel::Info, "vm.started")
       .field("zone", All.Vm.Zone)
       .field("callers", All.Callers.Listen)
@@ -99,6 +129,7 @@
   for (std::thread &Worker : Workers)
     Worker.join();
   Operators.reset();
+  Peers.stop();
   return 0;
 }
 
@@ -113,6 +144,7 @@
 core::Awaitable<void> Daemon::shutDown() {
   Stopping = true;
   Reader.stopWatching();
+  Peers.leave();
   const callers::StopReport Report = co_await Callers.stop(
       Time.now() + std::chrono::seconds(All.ShutdownDeadlineS));
   for (const callers::CutOffRequest &Request : Report.CutOff)
@@ -126,10 +158,25 @@
       .field("completed", Callers.counters().Completed);
 }
 
-core::Awaitable<void> Daemon::prunePool() {
+core::Awaitable<void> Daemon::maintain() {
   while (!Stopping) {
-    co_await Delays.sleepUntil(Time.now() + internal::PruneInterval);
+    const std::vector<core::Member> Members = Peers.members().members();
+    if (watchesStore(Members, All.Vm.Id, Time.wallNow()))
+      Reader.startWatching();
+    else
+      Reader.stopWatching();
+    Pool.setFleetSize(static_cast<std::uint32_t>(Members.size()));
     Pool.prune();
+    co_await Delays.sleepUntil(Time.now() + internal::MaintenanceInterval);
+  }
+}
+
+core::Awaitable<void> Daemon::joinSeeds() {
+  while (!Stopping) {
+    if (Peers.members().members().size() <= 1)
+      for (const std::string &Seed : All.Peers.Seeds)
+        Peers.links().connectSeed(Seed);
+    co_await Delays.sleepUntil(Time.now() + internal::SeedInterval);
   }
 }
 
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -3,13 +3,17 @@
 
 #include "config_startup.hpp"
 #include "daemon_api.hpp"
+#include "http_health_prober.hpp"
 
 #include <jujubecart/backends/transport.hpp>
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core.hpp>
 #include <jujubecart/decision/local_broker.hpp>
+#include <jujubecart/decision/retry_budget.hpp>
 #include <jujubecart/operators/server.hpp>
 #include <jujubecart/operators/settings.hpp>
+#include <jujubecart/peers/peer_node.hpp>
+#include <jujubecart/store/claim_log.hpp>
 #include <jujubecart/store/config_reader.hpp>
 #include <jujubecart/store/http_key_value_store.hpp>
 #include <jujubecart/store/ticket_processor.hpp>
@@ -34,10 +38,13 @@
   void listen();
   [[nodiscard]] core::Awaitable<void> waitForSignal();
   [[nodiscard]] core::Awaitable<void> shutDown();
-  [[nodiscard]] core::Awaitable<void> prunePool();
+  [[nodiscard]] core::SlotBroker &broker() noexcept;
+  [[nodiscard]] core::Awaitable<void> maintain();
+  [[nodiscard]] core::Awaitable<void> joinSeeds();
 
   const operators::Settings All;
   core::SystemClock Time;
+  const std::uint64_t Incarnation;
   core::SystemSleeper Delays;
   boost::asio::io_context Io;
   core::ConfigTable Config;
@@ -46,10 +53,14 @@
   store::HttpKeyValueStore Store;
   store::TicketProcessor Tickets;
   store::ConfigReader Reader;
+  store::ClaimLog Claims;
+  decision::LocalBroker Local;
+  HttpHealthProber Prober;
+  peers::PeerNode Peers;
   ConfigStartup Startup;
-  decision::LocalBroker Broker;
   backends::ConnectionPool Pool;
   backends::Transport Transport;
+  decision::RetryBudget Retries;
   callers::Server Callers;
   std::atomic<bool> Stopping{false};
   DaemonApi Endpoints;
--- a/apps/jujubecartd/daemon_api.cpp
+++ b/apps/jujubecartd/daemon_api.cpp
@@ -51,6 +51,34 @@
   return Body;
 }
 
+json memberList(const core::MemberSource &Table) {
+  json Members = json::array();
+  for (const core::Member &Item : Table.members())
+    Members.push_back({{"id", Item.Id},
+                       {"address", Item.Address},
+                       {"operators", Item.Operators},
+                       {"zone", Item.Zone},
+                       {"region", Item.Region},
+                       {"incarnation", Item.Incarnation},
+                       {"state", core::toString(Item.State)}});
+  return Members;
+}
+
+json groupList(const peers::DispatchService &Dispatch) {
+  json Groups = json::array();
+  for (const auto &[Name, Servers] : Dispatch.status()) {
+    json Items = json::array();
+    for (const decision::ServerStatus &Server : Servers)
+      Items.push_back({{"id", Server.Id},
+                       {"state", decision::toString(Server.Health)},
+                       {"in_flight", Server.InFlight},
+                       {"limit", Server.Limit},
+                       {"service_time_us", Server.ServiceTime.count()}});
+    Groups.push_back({{"group", Name}, {"servers", std::move(Items)}});
+  }
+  return Groups;
+}
+
 // Coroutine parameters are values because the future outlives the caller's
 // frame if the process is stopping.
 core::Awaitable<store::TicketResult> submitTo(store::TicketProcessor &Tickets,
@@ -133,11 +161,8 @@
       {"reason", Reason},
       {"policy", Parts.All.Policy},
       {"in_flight", Parts.Callers.counters().InFlight},
-      {"members",
-       {{{"id", Vm.Id},
-         {"operators", Parts.All.Operators.Listen},
-         {"state", Parts.Stopping ? "leaving" : "live"}}}},
-      {"groups", nlohmann::json::array()},
+      {"members", internal::memberList(Parts.Peers.members())},
+      {"groups", internal::groupList(Parts.Peers.dispatch())},
   };
   return internal::answer(200, Body);
 }
--- a/apps/jujubecartd/daemon_api.hpp
+++ b/apps/jujubecartd/daemon_api.hpp
@@ -5,6 +5,7 @@
 #include <jujubecart/core.hpp>
 #include <jujubecart/operators/api.hpp>
 #include <jujubecart/operators/settings.hpp>
+#include <jujubecart/peers/peer_node.hpp>
 #include <jujubecart/store/ticket_processor.hpp>
 
 #include <atomic>
@@ -22,6 +23,7 @@
   const core::MetricsRegistry &Metrics;
   store::TicketProcessor &Tickets;
   const callers::Server &Callers;
+  peers::PeerNode &Peers;
   const std::atomic<bool> &Stopping;
   const std::uint64_t Incarnation;
 };
--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -64,11 +64,48 @@
   });
 }
 
+void registerPeers(core::MetricsRegistry &Registry, peers::PeerNode &Peers) {
+  peers::PeerCounters &Counters = Peers.links().counters();
+  const auto Count = [&](const char *Name, const auto &Value) {
+    Registry.counter(Name, "",
+                     [&Value] { return static_cast<double>(Value.load()); });
+  };
+  Count("jujubecart_peer_writes_total", Counters.Writes);
+  Count("jujubecart_peer_frames_rejected_total", Counters.FramesRejected);
+  Count("jujubecart_dispatch_fallbacks_total", Counters.Fallbacks);
+  Count("jujubecart_dispatchers_suspected_total",
+        Counters.DispatchersSuspected);
+  Count("jujubecart_dispatch_grants_total", Counters.Grants);
+  Count("jujubecart_probes_total", Counters.Probes);
+  Registry.gauge("jujubecart_peer_links_open", "", [&Counters] {
+    return static_cast<double>(Counters.LinksOpen.load());
+  });
+  Registry.counter("jujubecart_peer_control_bytes_total", "", [&Counters] {
+    return static_cast<double>(Counters.controlBytes());
+  });
+  Registry.gauge("jujubecart_members", "", [&Peers] {
+    return static_cast<double>(Peers.members().members().size());
+  });
+  for (std::size_t Type = 0; Type < peers::MessageTypes; ++Type) {
+    const std::string Label =
+        "type=\"" + std::string(peers::messageName(Type)) + "\"";
+    Registry.counter(
+        "jujubecart_peer_frames_sent_total", Label, [&Counters, Type] {
+          return static_cast<double>(Counters.Out[Type].Frames.load());
+        });
+    Registry.counter(
+        "jujubecart_peer_bytes_sent_total", Label, [&Counters, Type] {
+          return static_cast<double>(Counters.Out[Type].Bytes.load());
+        });
+  }
+}
+
 } // namespace internal
 
 void registerMetrics(core::MetricsRegistry &Registry, MetricSources Sources) {
   internal::registerCallers(Registry, Sources.Callers);
   internal::registerPool(Registry, Sources.Pool);
+  internal::registerPeers(Registry, Sources.Peers);
   Registry.gauge("jujubecart_config_revision", "", [&Config = Sources.Config] {
     return static_cast<double>(Config.current()->revision());
   });
--- a/apps/jujubecartd/daemon_metrics.hpp
+++ b/apps/jujubecartd/daemon_metrics.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/backends/connection_pool.hpp>
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core.hpp>
+#include <jujubecart/peers/peer_node.hpp>
 
 namespace jujubecart::daemon {
 
@@ -11,6 +12,7 @@
 struct MetricSources {
   const callers::Server &Callers;
   const backends::ConnectionPool &Pool;
+  peers::PeerNode &Peers;
   const core::ConfigSource &Config;
   const core::EventRing &Events;
 };
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -1,5 +1,7 @@
 #include "daemon_options.hpp"
 
+#include <jujubecart/core/hash.hpp>
+
 namespace jujubecart::daemon {
 
 callers::ServerOptions
@@ -15,6 +17,25 @@
   return Options;
 }
 
+peers::PeerOptions peerOptions(const operators::Settings &All,
+                               std::uint64_t Incarnation) {
+  peers::PeerOptions Options;
+  Options.Self = {.Id = All.Vm.Id,
+                  .Address = All.Peers.Listen,
+                  .Operators = All.Operators.Listen,
+                  .Zone = All.Vm.Zone,
+                  .Region = All.Vm.Region,
+                  .Incarnation = Incarnation};
+  Options.PlainTcp = !All.Peers.Tls.enabled();
+  Options.CertificateFile = All.Peers.Tls.Certificate;
+  Options.KeyFile = All.Peers.Tls.Key;
+  Options.CaFile = All.Peers.Tls.Ca;
+  Options.SuspectAfter = std::chrono::milliseconds(All.Peers.SuspectAfterMs);
+  Options.RemoveAfter = std::chrono::milliseconds(All.Peers.RemoveAfterMs);
+  Options.Seed = core::hash64(All.Vm.Id, Incarnation);
+  return Options;
+}
+
 std::string localPolicy(const std::string &Policy) {
   if (Policy == "dispatcher" || Policy == "two-choices")
     return "power-of-two-choices";
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/callers/server_options.hpp>
 #include <jujubecart/operators/settings.hpp>
+#include <jujubecart/peers/peer_options.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
@@ -13,6 +14,11 @@
 [[nodiscard]] callers::ServerOptions
 callerOptions(const operators::CallerSettings &Settings);
 
+/// @brief Options of the links to other entry VMs.
+/// @param Incarnation Start time of the process in Unix milliseconds.
+[[nodiscard]] peers::PeerOptions peerOptions(const operators::Settings &All,
+                                             std::uint64_t Incarnation);
+
 /// @brief Name of the local policy that a policy setting selects; the
 /// dispatcher falls back to power of two choices.
 [[nodiscard]] std::string localPolicy(const std::string &Policy);
--- /dev/null
+++ b/apps/jujubecartd/http_health_prober.cpp
@@ -0,0 +1,72 @@
+#include "http_health_prober.hpp"
+
+#include "daemon_options.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+namespace jujubecart::daemon {
+
+namespace internal {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint64_t MaxBody = 65536;
+
+decision::ProbeResult judge(const http::response<http::string_body> &Response) {
+  const nlohmann::json Body =
+      nlohmann::json::parse(Response.body(), nullptr, false);
+  if (Response.result() != http::status::ok || !Body.is_object() ||
+      !Body.contains("state") || !Body["state"].is_string())
+    return {};
+  decision::ProbeResult Result;
+  const auto &State = Body["state"].get_ref<const std::string &>();
+  if (State == "ok")
+    Result.State = decision::ProbeState::Ok;
+  else if (State == "draining")
+    Result.State = decision::ProbeState::Draining;
+  else if (State == "cold")
+    Result.State = decision::ProbeState::Cold;
+  const auto InFlight = Body.find("in_flight");
+  if (InFlight != Body.end() && InFlight->is_number_unsigned())
+    Result.InFlight = InFlight->get<std::uint32_t>();
+  return Result;
+}
+
+} // namespace internal
+
+core::Awaitable<decision::ProbeResult>
+HttpHealthProber::probe(core::BackendServer Server, core::TimePoint Deadline) {
+  using internal::AsTuple;
+  namespace http = internal::http;
+  boost::beast::tcp_stream Stream(co_await boost::asio::this_coro::executor);
+  Stream.expires_at(Deadline);
+  const auto [ConnectCode] =
+      co_await Stream.async_connect(endpointOf(Server.Address), AsTuple);
+  if (ConnectCode)
+    co_return decision::ProbeResult{};
+  http::request<http::empty_body> Request(http::verb::get, "/health", 11);
+  Request.set(http::field::host, Server.Address);
+  Request.set(http::field::connection, "close");
+  const auto [WriteCode, Written] =
+      co_await http::async_write(Stream, Request, AsTuple);
+  if (WriteCode)
+    co_return decision::ProbeResult{};
+  boost::beast::flat_buffer Buffer;
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(internal::MaxBody);
+  const auto [ReadCode, Read] =
+      co_await http::async_read(Stream, Buffer, Parser, AsTuple);
+  if (ReadCode)
+    co_return decision::ProbeResult{};
+  co_return internal::judge(Parser.get());
+}
+
+} // namespace jujubecart::daemon
--- a/packages/peers/include/jujubecart/peers/link_table.hpp
+++ b/packages/peers/include/jujubecart/peers/link_table.hpp
@@ -53,6 +53,9 @@
   /// @brief Opens a link in the background.
   void connectLater(const std::string &Vm, const std::string &Address);
 
+  /// @brief Opens a link to whichever VM answers at an address.
+  void connectSeed(const std::string &Address);
+
   /// @brief Open links, one per peer.
   [[nodiscard]] std::vector<LinkPtr> links() const;
 
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -27,6 +27,7 @@
   std::string Region;
   core::Revision Revision = 0;
   bool Leaving = false;
+  std::string Operators;
 };
 
 /// @brief Asks the dispatcher of a group for a slot.
@@ -88,6 +89,7 @@
   bool Leaving = false;
   /// Units of 100 ms since the member was heard from, rounded up.
   std::uint8_t Age = 0;
+  std::string Operators;
 };
 
 /// @brief Digest of the member table and the entries that differ.
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -27,7 +27,8 @@
                .Zone = text(Source.zone()),
                .Region = text(Source.region()),
                .Revision = Source.revision(),
-               .Leaving = Source.leaving()};
+               .Leaving = Source.leaving(),
+               .Operators = text(Source.operators())};
 }
 
 Read read(const wire::Acquire &Source) {
@@ -105,7 +106,8 @@
                             .Region = text(Entry->region()),
                             .Incarnation = Entry->incarnation(),
                             .Leaving = Entry->leaving(),
-                            .Age = Entry->age()});
+                            .Age = Entry->age(),
+                            .Operators = text(Entry->operators())});
   return Item;
 }
 
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -10,6 +10,11 @@
   return {Type, At.Union()};
 }
 
+// An absent field keeps the frame short and its bytes as in older versions.
+const char *optionalText(const std::string &Text) {
+  return Text.empty() ? nullptr : Text.c_str();
+}
+
 BodyOffset write(Builder & /*Out*/, const std::monostate & /*Item*/) {
   return {wire::Body::NONE, 0};
 }
@@ -17,7 +22,8 @@
 BodyOffset write(Builder &Out, const Hello &Item) {
   return body<wire::Body::Hello>(wire::CreateHelloDirect(
       Out, Item.Sender.c_str(), Item.Incarnation, Item.Address.c_str(),
-      Item.Zone.c_str(), Item.Region.c_str(), Item.Revision, Item.Leaving));
+      Item.Zone.c_str(), Item.Region.c_str(), Item.Revision, Item.Leaving,
+      optionalText(Item.Operators)));
 }
 
 BodyOffset write(Builder &Out, const Acquire &Item) {
@@ -69,7 +75,8 @@
   for (const MemberEntry &Entry : Item.Members)
     Entries.push_back(wire::CreateMemberEntryDirect(
         Out, Entry.Id.c_str(), Entry.Address.c_str(), Entry.Zone.c_str(),
-        Entry.Region.c_str(), Entry.Incarnation, Entry.Leaving, Entry.Age));
+        Entry.Region.c_str(), Entry.Incarnation, Entry.Leaving, Entry.Age,
+        optionalText(Entry.Operators)));
   return body<wire::Body::Gossip>(wire::CreateGossipDirect(
       Out, Item.Revision, Item.Reply, &Item.Digests, &Item.Counts, &Item.Ages,
       Entries.empty() ? nullptr : &Entries));
--- a/packages/peers/src/link_connect.cpp
+++ b/packages/peers/src/link_connect.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/peers/link_table.hpp>
 
 #include "one_shot.hpp"
+#include "seed.hpp"
 #include "stream.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -185,6 +186,10 @@
   co_return co_await Wait->wait();
 }
 
+void LinkTable::connectSeed(const std::string &Address) {
+  connectLater(std::string(internal::SeedPrefix) + Address, Address);
+}
+
 void LinkTable::connectLater(const std::string &Vm,
                              const std::string &Address) {
   {
--- a/packages/peers/src/link_table.cpp
+++ b/packages/peers/src/link_table.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/peers/link_table.hpp>
 
 #include "one_shot.hpp"
+#include "seed.hpp"
 #include "stream.hpp"
 
 #include <algorithm>
@@ -131,7 +132,8 @@
     Source->close("invalid sender");
     return;
   }
-  if (!Expected.empty() && Expected != Item.Sender) {
+  const bool AnySender = Expected.empty() || internal::isSeed(Expected);
+  if (!AnySender && Expected != Item.Sender) {
     Source->close("address belongs to another VM");
     return;
   }
@@ -157,6 +159,8 @@
   for (LinkListener *Listener : Listeners)
     Listener->onOpen(Source);
   settle(Item.Sender, Source);
+  if (internal::isSeed(Expected))
+    settle(Expected, Source);
 }
 
 void LinkTable::onClosed(const LinkPtr &Source, const std::string &Expected) {
--- a/packages/peers/src/member_table.cpp
+++ b/packages/peers/src/member_table.cpp
@@ -17,10 +17,10 @@
 
 // Suspicion is each VM's own judgement and not part of the digest.
 std::uint64_t digestOf(const core::Member &Item) {
-  std::uint64_t Hash = Item.Incarnation * 2 +
-                       (Item.State == core::MemberState::Leaving ? 1 : 0);
+  std::uint64_t Hash =
+      Item.Incarnation * 2 + (Item.State == core::MemberState::Leaving ? 1 : 0);
   for (const std::string *Text :
-       {&Item.Id, &Item.Address, &Item.Zone, &Item.Region})
+       {&Item.Id, &Item.Address, &Item.Operators, &Item.Zone, &Item.Region})
     Hash = core::hash64(*Text, Hash);
   return Hash;
 }
@@ -125,7 +125,8 @@
                .Region = Item.Region,
                .Incarnation = Item.Incarnation,
                .Leaving = Item.Leaving,
-               .Age = 0},
+               .Age = 0,
+               .Operators = Item.Operators},
               Time.now());
 }
 
@@ -145,6 +146,7 @@
   if (Newer) {
     Known.Info = {.Id = Item.Id,
                   .Address = Item.Address,
+                  .Operators = Item.Operators,
                   .Zone = Item.Zone,
                   .Region = Item.Region,
                   .Incarnation = Item.Incarnation,
@@ -173,8 +175,8 @@
 
 // Rounded up, so that an entry never grows younger by being passed on.
 std::uint8_t MemberTable::age(const Entry &Item, core::TimePoint Now) const {
-  const auto Units = (Now - Item.Heard + AgeUnit - core::TimePoint::duration(1)) /
-                     AgeUnit;
+  const auto Units =
+      (Now - Item.Heard + AgeUnit - core::TimePoint::duration(1)) / AgeUnit;
   return static_cast<std::uint8_t>(std::clamp<std::int64_t>(Units, 0, 255));
 }
 
@@ -250,7 +252,8 @@
              .Region = Known->Info.Region,
              .Incarnation = Known->Info.Incarnation,
              .Leaving = Known->Info.State == core::MemberState::Leaving,
-             .Age = age(*Known, Now)});
+             .Age = age(*Known, Now),
+             .Operators = Known->Info.Operators});
       if (Here)
         Differing.push_back(
             {.Id = Self.Id,
@@ -259,7 +262,8 @@
              .Region = Self.Region,
              .Incarnation = Self.Incarnation,
              .Leaving = Self.State == core::MemberState::Leaving,
-             .Age = 0});
+             .Age = 0,
+             .Operators = Self.Operators});
     }
     At += Count;
   }
@@ -313,17 +317,15 @@
   std::vector<core::Member> Result;
   while (Result.size() < Live && !Answering.empty()) {
     Random = Random * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto At = Answering.begin() +
-                    static_cast<std::ptrdiff_t>((Random >> 33U) %
-                                                Answering.size());
+    const auto At = Answering.begin() + static_cast<std::ptrdiff_t>(
+                                            (Random >> 33U) % Answering.size());
     Result.push_back(std::move(*At));
     Answering.erase(At);
   }
   while (Result.size() < Live && Unheard.size() > 1) {
     Random = Random * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto At =
-        Unheard.begin() +
-        static_cast<std::ptrdiff_t>((Random >> 33U) % Unheard.size());
+    const auto At = Unheard.begin() + static_cast<std::ptrdiff_t>(
+                                          (Random >> 33U) % Unheard.size());
     Result.push_back(std::move(*At));
     Unheard.erase(At);
   }
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -257,7 +257,8 @@
     VT_ZONE = 10,
     VT_REGION = 12,
     VT_REVISION = 14,
-    VT_LEAVING = 16
+    VT_LEAVING = 16,
+    VT_OPERATORS = 18
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -280,6 +281,9 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  const flatbuffers::String *operators() const {
+    return GetPointer<const flatbuffers::String *>(VT_OPERATORS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -293,6 +297,8 @@
            verifier.VerifyString(region()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_OPERATORS) &&
+           verifier.VerifyString(operators()) &&
            verifier.EndTable();
   }
 };
@@ -322,6 +328,9 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(Hello::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_operators(flatbuffers::Offset<flatbuffers::String> operators) {
+    fbb_.AddOffset(Hello::VT_OPERATORS, operators);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -341,10 +350,12 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t revision = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    flatbuffers::Offset<flatbuffers::String> operators = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_incarnation(incarnation);
+  builder_.add_operators(operators);
   builder_.add_region(region);
   builder_.add_zone(zone);
   builder_.add_address(address);
@@ -361,11 +372,13 @@
     const char *zone = nullptr,
     const char *region = nullptr,
     uint64_t revision = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    const char *operators = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto operators__ = operators ? _fbb.CreateString(operators) : 0;
   return jujubecart::peers::wire::CreateHello(
       _fbb,
       sender__,
@@ -374,7 +387,8 @@
       zone__,
       region__,
       revision,
-      leaving);
+      leaving,
+      operators__);
 }
 
 struct Acquire FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -942,7 +956,8 @@
     VT_REGION = 10,
     VT_INCARNATION = 12,
     VT_LEAVING = 14,
-    VT_AGE = 16
+    VT_AGE = 16,
+    VT_OPERATORS = 18
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -965,6 +980,9 @@
   uint8_t age() const {
     return GetField<uint8_t>(VT_AGE, 0);
   }
+  const flatbuffers::String *operators() const {
+    return GetPointer<const flatbuffers::String *>(VT_OPERATORS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -978,6 +996,8 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<uint8_t>(verifier, VT_AGE, 1) &&
+           VerifyOffset(verifier, VT_OPERATORS) &&
+           verifier.VerifyString(operators()) &&
            verifier.EndTable();
   }
 };
@@ -1007,6 +1027,9 @@
   void add_age(uint8_t age) {
     fbb_.AddElement<uint8_t>(MemberEntry::VT_AGE, age, 0);
   }
+  void add_operators(flatbuffers::Offset<flatbuffers::String> operators) {
+    fbb_.AddOffset(MemberEntry::VT_OPERATORS, operators);
+  }
   explicit MemberEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1026,9 +1049,11 @@
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t incarnation = 0,
     bool leaving = false,
-    uint8_t age = 0) {
+    uint8_t age = 0,
+    flatbuffers::Offset<flatbuffers::String> operators = 0) {
   MemberEntryBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_operators(operators);
   builder_.add_region(region);
   builder_.add_zone(zone);
   builder_.add_address(address);
@@ -1046,11 +1071,13 @@
     const char *region = nullptr,
     uint64_t incarnation = 0,
     bool leaving = false,
-    uint8_t age = 0) {
+    uint8_t age = 0,
+    const char *operators = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto operators__ = operators ? _fbb.CreateString(operators) : 0;
   return jujubecart::peers::wire::CreateMemberEntry(
       _fbb,
       id__,
@@ -1059,7 +1086,8 @@
       region__,
       incarnation,
       leaving,
-      age);
+      age,
+      operators__);
 }
 
 struct Gossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/peer_node.cpp
+++ b/packages/peers/src/peer_node.cpp
@@ -21,14 +21,14 @@
       Config(Surroundings.Config),
       Members(Options, Surroundings.Time, Surroundings.Events),
       Groups(Config, Options.Seed),
-      Dispatch(Executor, {*Links, Members, Groups, Surroundings.Claims,
-                          Surroundings.Time, Surroundings.Events,
-                          Surroundings.Prober}),
-      Broker(Executor, {*Links, Dispatch, Members, Groups,
-                        Surroundings.Fallback, Surroundings.Claims,
-                        Surroundings.Time, Surroundings.Events}),
-      Sync(Executor, {*Links, Members, Config, Surroundings.Time,
-                      Surroundings.Events}),
+      Dispatch(Executor,
+               {*Links, Members, Groups, Surroundings.Claims, Surroundings.Time,
+                Surroundings.Events, Surroundings.Prober}),
+      Broker(Executor,
+             {*Links, Dispatch, Members, Groups, Surroundings.Fallback,
+              Surroundings.Claims, Surroundings.Time, Surroundings.Events}),
+      Sync(Executor,
+           {*Links, Members, Config, Surroundings.Time, Surroundings.Events}),
       Rounds(Executor, *Links, Members, Config, Sync) {
   // Membership learns of a frame first.
   Links->subscribe(Rounds);
@@ -48,7 +48,8 @@
           .Zone = Self.Zone,
           .Region = Self.Region,
           .Revision = Config.current()->revision(),
-          .Leaving = Self.State == core::MemberState::Leaving};
+          .Leaving = Self.State == core::MemberState::Leaving,
+          .Operators = Self.Operators};
 }
 
 std::string PeerNode::start() {
