--- a/packages/store/src/head_watch.cpp
+++ b/packages/store/src/head_watch.cpp
@@ -29,9 +29,10 @@
 
 core::Awaitable<void> HeadWatch::run() {
   while (!Stopped) {
-    if (co_await step())
+    const bool Succeeded = co_await step();
+    if (Succeeded)
       Backoff = Settings.FirstBackoff;
-    else if (!Stopped)
+    if (!Succeeded && !Stopped)
       co_await backOff();
   }
 }
--- a/packages/store/src/ticket_submission.cpp
+++ b/packages/store/src/ticket_submission.cpp
@@ -148,7 +148,9 @@
   for (const auto &[Name, Service] : Change.Services) {
     if (!Service || Keys.count(Name) != 0)
       continue;
-    if (!co_await writeValue(Name, core::writeService(*Service).dump()))
+    const bool Written =
+        co_await writeValue(Name, core::writeService(*Service).dump());
+    if (!Written)
       co_return false;
   }
   ValuesWritten = true;
@@ -221,7 +223,8 @@
 // write and the new one exclude each other.
 core::Awaitable<TicketResult> TicketSubmission::run() {
   while (!expired()) {
-    if (auto Decided = co_await attempt())
+    Decision Decided = co_await attempt();
+    if (Decided)
       co_return std::move(*Decided);
     co_await pause();
   }
