Test membership and configuration sync over loopback

Covers a fleet that starts at once, stopped, restarted, leaving and paused VMs, two halves that lose and find each other, and configurations that reach every VM without going back.

--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -15,13 +15,12 @@
 
 bool anyLeft(const GroupEntry &Entry,
              const std::vector<std::string> &Excluded) {
-  return std::any_of(
-      Entry.Group.Servers.begin(), Entry.Group.Servers.end(),
-      [&](const core::BackendServer &Server) {
-        return Server.State == core::ServerState::Active &&
-               std::find(Excluded.begin(), Excluded.end(), Server.Id) ==
-                   Excluded.end();
-      });
+  return std::any_of(Entry.Group.Servers.begin(), Entry.Group.Servers.end(),
+                     [&](const core::BackendServer &Server) {
+                       return Server.State == core::ServerState::Active &&
+                              std::find(Excluded.begin(), Excluded.end(),
+                                        Server.Id) == Excluded.end();
+                     });
 }
 
 } // namespace internal
@@ -324,10 +323,9 @@
       Any = true;
       if (Now > Entry.Deadline + Grace)
         Late.emplace_back(Call, Entry);
-      else if (Entry.Io &&
-               Now - std::max({Entry.Io->lastReceived(), Entry.SentAt,
-                               Resumed}) >
-                   Env.Links.options().SilenceLimit)
+      else if (Entry.Io && Now - std::max({Entry.Io->lastReceived(),
+                                           Entry.SentAt, Resumed}) >
+                               Env.Links.options().SilenceLimit)
         Silent.emplace_back(Call, Entry);
     }
   }
--- a/packages/peers/src/config_sync.cpp
+++ b/packages/peers/src/config_sync.cpp
@@ -24,8 +24,7 @@
       Report.add("/" + Change.Name, std::to_string(Change.Changed),
                  "revision within the delta");
     if (!Change.Config.empty()) {
-      const auto Value =
-          nlohmann::json::parse(Change.Config, nullptr, false);
+      const auto Value = nlohmann::json::parse(Change.Config, nullptr, false);
       Entry->Service =
           core::readService(Change.Name, Value, "/" + Change.Name, Report);
     }
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -13,8 +13,8 @@
       Time.wallNow().time_since_epoch());
   if (UnixMs > static_cast<std::uint64_t>((Now + MaxWait).count()))
     return Last;
-  return core::toMonotonic(
-      Time, core::WallTime(std::chrono::milliseconds(UnixMs)));
+  return core::toMonotonic(Time,
+                           core::WallTime(std::chrono::milliseconds(UnixMs)));
 }
 
 } // namespace internal
@@ -49,8 +49,7 @@
   const GroupPtr Entry = Env.Groups.current()->find(Item.Group);
   // The configuration here or there is older: the asker decides.
   if (!Entry) {
-    Source->send(
-        Refuse{.Call = Item.Call, .Reason = core::Error::NotReady});
+    Source->send(Refuse{.Call = Item.Call, .Reason = core::Error::NotReady});
     return;
   }
   const GroupState Target = group(Entry);
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -126,8 +126,8 @@
   const std::vector<core::Member> Members = Env.Members.members();
   const std::string Self = Env.Members.self().Id;
   for (const auto &[Hash, Entry] : Index->ByHash) {
-    const auto Rank = decision::rankMembers(Entry->Group.Name,
-                                            Entry->Group.Region, Members);
+    const auto Rank =
+        decision::rankMembers(Entry->Group.Name, Entry->Group.Region, Members);
     const bool First = !Rank.empty() && Rank.front() == Self;
     const GroupState Target = First ? group(Entry) : findGroup(Hash);
     if (!Target)
@@ -137,8 +137,8 @@
     const core::TimePoint Now = Env.Time.now();
     if (First && !Target->Ranked && Target->Calls.empty() &&
         Now - Target->LastUsed > internal::TermGap)
-      Target->Dispatcher = decision::GroupDispatcher(
-          Entry->Group, Entry->Options, Now);
+      Target->Dispatcher =
+          decision::GroupDispatcher(Entry->Group, Entry->Options, Now);
     Target->Ranked = First;
   }
 }
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -88,19 +88,19 @@
   }
   if (!Waits)
     return;
-  Env.Events.record({.Kind = "dispatch.queued",
-                     .Request = Request,
-                     .Detail = Target->Name});
+  Env.Events.record(
+      {.Kind = "dispatch.queued", .Request = Request, .Detail = Target->Name});
   wake();
   if (Key)
     asio::co_spawn(Executor, claim(Target, Token, *Key, Request, Deadline),
                    asio::detached);
 }
 
-core::Awaitable<void>
-DispatchService::claim(GroupState Target, decision::CallToken Token,
-                       core::OrderKey Key, core::RequestId Request,
-                       core::TimePoint Deadline) {
+core::Awaitable<void> DispatchService::claim(GroupState Target,
+                                             decision::CallToken Token,
+                                             core::OrderKey Key,
+                                             core::RequestId Request,
+                                             core::TimePoint Deadline) {
   const std::pair Id{Key, Request};
   {
     const std::lock_guard Lock(ClaimMutex);
@@ -199,9 +199,8 @@
     return;
   }
   --Item.Asker->Waiting;
-  Grant Message{.Call = Item.Remote,
-                .Server = core::hash64(Given.Server.Id),
-                .Full = {}};
+  Grant Message{
+      .Call = Item.Remote, .Server = core::hash64(Given.Server.Id), .Full = {}};
   if (Item.Revision < Target.Entry->Changed)
     Message.Full = Given.Server;
   Item.Asker->Io->send(Message);
--- a/packages/peers/src/member_table.cpp
+++ b/packages/peers/src/member_table.cpp
@@ -17,8 +17,8 @@
 
 // Suspicion is each VM's own judgement and not part of the digest.
 std::uint64_t digestOf(const core::Member &Item) {
-  std::uint64_t Hash = Item.Incarnation * 2 +
-                       (Item.State == core::MemberState::Leaving ? 1 : 0);
+  std::uint64_t Hash =
+      Item.Incarnation * 2 + (Item.State == core::MemberState::Leaving ? 1 : 0);
   for (const std::string *Text :
        {&Item.Id, &Item.Address, &Item.Zone, &Item.Region})
     Hash = core::hash64(*Text, Hash);
@@ -173,8 +173,8 @@
 
 // Rounded up, so that an entry never grows younger by being passed on.
 std::uint8_t MemberTable::age(const Entry &Item, core::TimePoint Now) const {
-  const auto Units = (Now - Item.Heard + AgeUnit - core::TimePoint::duration(1)) /
-                     AgeUnit;
+  const auto Units =
+      (Now - Item.Heard + AgeUnit - core::TimePoint::duration(1)) / AgeUnit;
   return static_cast<std::uint8_t>(std::clamp<std::int64_t>(Units, 0, 255));
 }
 
@@ -313,17 +313,15 @@
   std::vector<core::Member> Result;
   while (Result.size() < Live && !Answering.empty()) {
     Random = Random * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto At = Answering.begin() +
-                    static_cast<std::ptrdiff_t>((Random >> 33U) %
-                                                Answering.size());
+    const auto At = Answering.begin() + static_cast<std::ptrdiff_t>(
+                                            (Random >> 33U) % Answering.size());
     Result.push_back(std::move(*At));
     Answering.erase(At);
   }
   while (Result.size() < Live && Unheard.size() > 1) {
     Random = Random * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto At =
-        Unheard.begin() +
-        static_cast<std::ptrdiff_t>((Random >> 33U) % Unheard.size());
+    const auto At = Unheard.begin() + static_cast<std::ptrdiff_t>(
+                                          (Random >> 33U) % Unheard.size());
     Result.push_back(std::move(*At));
     Unheard.erase(At);
   }
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -98,33 +98,32 @@
       Claimed.erase(Request.Request.Value);
   }
   const core::RequestId Id = Request.Request;
-  Env.Dispatch.submit(
-      Entry,
-      {.Token = Token,
-       .Request = Id,
-       .Deadline = Request.Deadline,
-       .Priority = Request.Priority,
-       .CallerHash = Request.CallerHash,
-       .Key = Request.Key,
-       .Excluded = std::move(Request.Excluded)},
-      [this, Call, Entry, Token](const DispatchAnswer &Given) {
-        Answer Outcome{.Outcome = Answer::Kind::Refused,
-                       .Reason = Given.Reason,
-                       .Grant = {}};
-        if (Given.Server) {
-          Outcome.Outcome = Answer::Kind::Granted;
-          Outcome.Grant = hold({.Entry = Entry,
-                                .Server = Given.Server->Id,
-                                .Io = nullptr,
-                                .Call = 0,
-                                .Token = Token},
-                               {.Id = 0,
-                                .Group = Entry->Group.Name,
-                                .Dispatcher = view()->Self,
-                                .Server = *Given.Server});
-        }
-        finish(Call, std::move(Outcome));
-      });
+  Env.Dispatch.submit(Entry,
+                      {.Token = Token,
+                       .Request = Id,
+                       .Deadline = Request.Deadline,
+                       .Priority = Request.Priority,
+                       .CallerHash = Request.CallerHash,
+                       .Key = Request.Key,
+                       .Excluded = std::move(Request.Excluded)},
+                      [this, Call, Entry, Token](const DispatchAnswer &Given) {
+                        Answer Outcome{.Outcome = Answer::Kind::Refused,
+                                       .Reason = Given.Reason,
+                                       .Grant = {}};
+                        if (Given.Server) {
+                          Outcome.Outcome = Answer::Kind::Granted;
+                          Outcome.Grant = hold({.Entry = Entry,
+                                                .Server = Given.Server->Id,
+                                                .Io = nullptr,
+                                                .Call = 0,
+                                                .Token = Token},
+                                               {.Id = 0,
+                                                .Group = Entry->Group.Name,
+                                                .Dispatcher = view()->Self,
+                                                .Server = *Given.Server});
+                        }
+                        finish(Call, std::move(Outcome));
+                      });
   wake();
   co_return co_await Reply->wait();
 }
@@ -238,8 +237,8 @@
     Env.Fallback.release(*Item.Local, Report);
   if (Item.Io) {
     Item.Io->addWork(-1);
-    Item.Io->send(Release{
-        .Call = Item.Call, .Report = Report, .Group = 0, .Server = 0});
+    Item.Io->send(
+        Release{.Call = Item.Call, .Report = Report, .Group = 0, .Server = 0});
   } else if (Item.Token != 0) {
     Env.Dispatch.release(Item.Entry->Hash, Item.Token, Report);
   } else if (Item.AdoptedBy) {
--- /dev/null
+++ b/tests/peers/membership_test.cpp
@@ -0,0 +1,234 @@
+#include "fleet.hpp"
+#include <criterion/criterion.h>
+#include <cstdlib>
+
+using namespace jujubecart;
+using namespace jujubecart::peers;
+using namespace jujubecart::peers::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+class Fleet {
+public:
+  explicit Fleet(std::size_t Size, bool OwnLoops = false,
+                 std::chrono::milliseconds GossipEvery = 100ms) {
+    for (std::size_t At = 0; At < Size; ++At) {
+      if (OwnLoops || Loops.empty())
+        Loops.push_back(std::make_unique<Loop>(OwnLoops ? 1 : 4));
+      PeerOptions Options = fleetOptions(At);
+      Options.GossipEvery = GossipEvery;
+      if (GossipEvery > 100ms)
+        Options.SuspectAfter = 3s;
+      Nodes.push_back(std::make_unique<ControlNode>(*Loops.back(), Options));
+    }
+    list();
+    for (const auto &Node : Nodes)
+      Node->start();
+  }
+  ~Fleet() {
+    for (const auto &Node : Nodes)
+      if (Node)
+        Node->stop();
+    for (const auto &Item : Loops)
+      Item->stop();
+  }
+
+  void list() {
+    std::vector<core::Member> Listed;
+    for (const auto &Node : Nodes)
+      if (Node)
+        Listed.push_back(Node->Members.self());
+    for (const auto &Node : Nodes)
+      if (Node)
+        Node->Members.update(Listed);
+  }
+  [[nodiscard]] bool allLive(std::size_t Expected) const {
+    for (const auto &Node : Nodes)
+      if (Node && Node->live() != Expected)
+        return false;
+    return true;
+  }
+  [[nodiscard]] bool allAt(core::Revision Revision) const {
+    for (const auto &Node : Nodes)
+      if (Node && Node->Config.current()->revision() != Revision)
+        return false;
+    return true;
+  }
+  ControlNode &operator[](std::size_t At) { return *Nodes[At]; }
+
+  std::vector<std::unique_ptr<Loop>> Loops;
+  std::vector<std::unique_ptr<ControlNode>> Nodes;
+};
+
+} // namespace
+
+// Guards against VMs that start together and do not find each other.
+Test(Membership, fleet_that_starts_at_once_finds_itself) {
+  Fleet Vms(14);
+  cr_assert(eventually([&] { return Vms.allLive(14); }, 3000ms));
+}
+
+// Guards against a dead VM that stays eligible as dispatcher, and against one
+// that gossip keeps alive.
+Test(Membership, stopped_vm_becomes_suspect_then_removed) {
+  Fleet Vms(6, true);
+  cr_assert(eventually([&] { return Vms.allLive(6); }));
+  Vms[5].stop();
+  Vms.Loops[5]->stop();
+  cr_assert(eventually([&] {
+    for (std::size_t At = 0; At < 5; ++At) {
+      const auto Item = Vms[At].member("vm-5");
+      if (!Item || Item->State != core::MemberState::Suspect)
+        return false;
+    }
+    return true;
+  }));
+  cr_assert(eventually(
+      [&] {
+        for (std::size_t At = 0; At < 5; ++At)
+          if (Vms[At].member("vm-5"))
+            return false;
+        return true;
+      },
+      10000ms));
+}
+
+// Guards against a restarted VM that is taken for its earlier process.
+Test(Membership, restart_with_new_incarnation_replaces_entry) {
+  Fleet Vms(4, true);
+  cr_assert(eventually([&] { return Vms.allLive(4); }));
+  Vms[3].stop();
+  Vms.Loops[3]->stop();
+  PeerOptions Options = fleetOptions(3);
+  Options.Self.Incarnation = 2;
+  Loop Fresh(1);
+  ControlNode Restarted(Fresh, Options);
+  Restarted.Members.update({Vms[0].Members.self()});
+  Restarted.start();
+  cr_assert(eventually([&] {
+    for (std::size_t At = 0; At < 3; ++At) {
+      const auto Item = Vms[At].member("vm-3");
+      if (!Item || Item->Incarnation != 2 ||
+          Item->State != core::MemberState::Live)
+        return false;
+    }
+    return Restarted.live() == 4;
+  }));
+  Restarted.stop();
+  Fresh.stop();
+}
+
+// Guards against a leaving VM that is still chosen as dispatcher.
+Test(Membership, leaving_state_reaches_all) {
+  Fleet Vms(6);
+  cr_assert(eventually([&] { return Vms.allLive(6); }));
+  Vms[2].Members.leave();
+  Vms[2].Rounds.announce();
+  cr_assert(eventually(
+      [&] {
+        for (std::size_t At = 0; At < 6; ++At)
+          if (Vms[At].member("vm-2")->State != core::MemberState::Leaving)
+            return false;
+        return true;
+      },
+      1000ms));
+}
+
+// Guards against a paused VM that after waking judges the others by its old
+// beliefs, and against one that stays suspect.
+Test(Membership, paused_vm_wakes_without_suspecting_others) {
+  Fleet Vms(5, true);
+  cr_assert(eventually([&] { return Vms.allLive(5); }));
+  Vms.Loops[0]->pause(2500ms);
+  std::this_thread::sleep_for(1800ms);
+  for (std::size_t At = 1; At < 5; ++At)
+    cr_assert(Vms[At].member("vm-0")->State == core::MemberState::Suspect);
+  const std::size_t Changes = Vms[0].Events.count("member.changed");
+  cr_assert(eventually([&] { return Vms.allLive(5); }, 3000ms));
+  cr_assert_eq(Vms[0].Events.count("member.changed"), Changes);
+}
+
+// Guards against halves that do not find each other after a partition; the
+// platform's list still has the removed VMs.
+Test(Membership, split_fleet_heals) {
+  Fleet Vms(6, true);
+  cr_assert(eventually([&] { return Vms.allLive(6); }));
+  // While its half is paused, each side sees the other as gone.
+  for (std::size_t At = 0; At < 3; ++At)
+    Vms.Loops[At]->pause(5500ms);
+  cr_assert(
+      eventually([&] { return Vms[4].Members.members().size() == 3; }, 5400ms));
+  cr_assert(Vms[4].Config.apply(snapshot(7)));
+  cr_assert(eventually([&] { return Vms.allLive(6) && Vms.allAt(7); }, 8000ms));
+}
+
+// Guards against a configuration that does not reach every VM, or that goes
+// back, with one writer and many revisions.
+Test(ConfigSync, every_revision_reaches_all_and_none_goes_back) {
+  Fleet Vms(14);
+  cr_assert(eventually([&] { return Vms.allLive(14); }));
+  for (core::Revision Revision = 1; Revision <= 50; ++Revision)
+    cr_assert(Vms[Revision % 2].Config.apply(snapshot(Revision)) ||
+              Vms[Revision % 2].Config.current()->revision() >= Revision);
+  cr_assert(eventually([&] { return Vms.allAt(50); }, 2000ms));
+  for (std::size_t At = 0; At < 14; ++At) {
+    cr_assert_eq(Vms[At].WentBack, 0);
+    cr_assert(*Vms[At].Config.current() == *snapshot(50));
+  }
+}
+
+// Guards against a starting VM that waits for the store although a peer has
+// the configuration.
+Test(ConfigSync, starting_vm_takes_configuration_from_peer) {
+  Fleet Vms(3, true);
+  cr_assert(Vms[0].Config.apply(snapshot(9)));
+  Loop Fresh(1);
+  ControlNode Late(Fresh, fleetOptions(9));
+  Late.Members.update({Vms[0].Members.self(), Vms[1].Members.self()});
+  Late.start();
+  cr_assert(
+      Fresh.run(Late.Sync.askPeers(std::chrono::steady_clock::now() + 3s)));
+  cr_assert_eq(Late.Config.current()->revision(), 9);
+  Late.stop();
+  Fresh.stop();
+}
+
+// Guards against a paused VM that keeps an old configuration or imposes it.
+Test(ConfigSync, paused_vm_catches_up_after_waking) {
+  Fleet Vms(5, true);
+  cr_assert(eventually([&] { return Vms.allLive(5); }));
+  cr_assert(Vms[1].Config.apply(snapshot(1)));
+  cr_assert(eventually([&] { return Vms.allAt(1); }));
+  Vms.Loops[0]->pause(1500ms);
+  cr_assert(Vms[1].Config.apply(snapshot(2)));
+  cr_assert(Vms[1].Config.apply(snapshot(3)));
+  std::this_thread::sleep_for(1500ms);
+  cr_assert(eventually([&] { return Vms.allAt(3); }, 2000ms));
+  for (std::size_t At = 0; At < 5; ++At)
+    cr_assert_eq(Vms[At].WentBack, 0);
+}
+
+// Guards against control traffic that exceeds 9 KB/s per VM; 50 VMs with the
+// default rate.
+Test(Gossip, control_traffic_of_fifty_vms_stays_within_budget) {
+  Fleet Vms(50, false, 500ms);
+  cr_assert(eventually([&] { return Vms.allLive(50); }, 10000ms));
+  std::this_thread::sleep_for(2s);
+  std::uint64_t Before = 0;
+  for (const auto &Node : Vms.Nodes)
+    Before += Node->Links->counters().controlBytes();
+  const std::clock_t Cpu = std::clock();
+  std::this_thread::sleep_for(10s);
+  std::uint64_t After = 0;
+  for (const auto &Node : Vms.Nodes)
+    After += Node->Links->counters().controlBytes();
+  const double PerVm = static_cast<double>(After - Before) / 50 / 10;
+  const double Core =
+      static_cast<double>(std::clock() - Cpu) / CLOCKS_PER_SEC / 50 / 10;
+  std::fprintf(stderr, "control: %.0f bytes/s per VM, %.4f of a core\n", PerVm,
+               Core);
+  cr_assert(Vms.allLive(50));
+  cr_assert_leq(PerVm, 9000);
+  cr_assert_leq(Core, 0.016);
+}
