--- a/packages/store/src/store_connections.hpp
+++ b/packages/store/src/store_connections.hpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -23,8 +22,7 @@
 struct Connection {
   // The strand serializes the timer of the stream with its operations when
   // several threads run the executor.
-  explicit Connection(const boost::asio::any_io_executor &Executor)
-      : Stream(boost::asio::make_strand(Executor)) {}
+  explicit Connection(const boost::asio::any_io_executor &Executor);
 
   boost::beast::tcp_stream Stream;
   boost::beast::flat_buffer Buffer;
