Add segments, process control of the benchmark, source and advertised address

Delays between zones depend on both ends, so the relay needs to tell sources apart, and other VMs must reach a VM through it.

Settings vm.address and peers.advertise are read and checked; nothing uses them yet. Experiments have segments that are summarized on their own. The fakes share one HTTP server.

--- /dev/null
+++ b/dev/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of jujubecartd with fake callers, backend servers, platform and store."""
--- /dev/null
+++ b/dev/bench/processes.py
@@ -0,0 +1,114 @@
+"""Starts and ends processes by their id."""
+
+import json
+import os
+import select
+import signal
+import subprocess
+import time
+
+
+class StartError(RuntimeError):
+    """A process did not start."""
+
+
+class Processes:
+    """Processes of one scenario; all of them end with close()."""
+
+    def __init__(self, build, folder):
+        self.build = build
+        self.folder = folder
+        self.running = {}
+        os.makedirs(folder, exist_ok=True)
+
+    def program(self, name):
+        """Path of a built program."""
+        for path in (f"dev/{name}/{name}", f"dev/fakes/{name}",
+                     f"apps/{name}/{name}"):
+            path = os.path.join(self.build, path)
+            if os.path.exists(path):
+                return path
+        raise StartError(f"program {name} is not built in {self.build}")
+
+    def file(self, name, content):
+        """Writes a JSON file for a process."""
+        path = os.path.join(self.folder, name)
+        with open(path, "w", encoding="utf-8") as output:
+            json.dump(content, output)
+        return path
+
+    def start(self, key, program, *arguments):
+        """Starts a process; standard error goes to a log file."""
+        with open(os.path.join(self.folder, f"{key}.log"), "ab") as log:
+            self.running[key] = subprocess.Popen(
+                [self.program(program), *arguments], stderr=log,
+                stdout=subprocess.PIPE, stdin=subprocess.DEVNULL)
+        return self.running[key]
+
+    def first_line(self, key, timeout=10.0):
+        """First line that a process prints, which tells its addresses."""
+        output = self.running[key].stdout
+        if not select.select([output], [], [], timeout)[0]:
+            raise StartError(f"{key} printed nothing in {timeout} s")
+        line = output.readline().decode()
+        if not line:
+            raise StartError(f"{key} ended: {self.log(key)[-500:]}")
+        return line
+
+    def log(self, key):
+        """What a process wrote to standard error."""
+        path = os.path.join(self.folder, f"{key}.log")
+        with open(path, encoding="utf-8", errors="replace") as log:
+            return log.read()
+
+    def run(self, key, program, *arguments, timeout=120.0):
+        """Runs a program to its end and reads the JSON that it prints."""
+        process = self.start(key, program, *arguments)
+        try:
+            output, _ = process.communicate(timeout=timeout)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.communicate()
+            raise StartError(f"{key} did not end in {timeout} s") from None
+        finally:
+            del self.running[key]
+        if process.returncode != 0:
+            raise StartError(f"{key} failed: {self.log(key)[-500:]}")
+        return json.loads(output)
+
+    def pid(self, key):
+        """Id of a running process."""
+        return self.running[key].pid
+
+    def stop(self, key, timeout=10.0):
+        """Ends one process with SIGTERM, then SIGKILL; returns its status."""
+        process = self.running.pop(key)
+        process.stdout.close()
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        try:
+            return process.wait(timeout)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def close(self):
+        """Ends all processes of this scenario."""
+        for process in self.running.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        end = time.monotonic() + 10.0
+        for key in list(self.running):
+            self.stop(key, max(0.1, end - time.monotonic()))
+
+    def usage(self, key):
+        """CPU seconds and resident bytes of a process from /proc."""
+        pid = self.pid(key)
+        with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
+            fields = stat.read().rsplit(")", 1)[1].split()
+        ticks = int(fields[11]) + int(fields[12])
+        pages = int(fields[21])
+        return (ticks / os.sysconf("SC_CLK_TCK"),
+                pages * os.sysconf("SC_PAGE_SIZE"))
--- a/dev/common/experiment.cpp
+++ b/dev/common/experiment.cpp
@@ -60,6 +60,13 @@
   return Item;
 }
 
+Segment readSegment(const json &Value) {
+  return {Value.at("name"),
+          milliseconds(Value.at("from_ms").get<std::int64_t>()),
+          milliseconds(Value.at("to_ms").get<std::int64_t>()),
+          Value.value("excluded", std::vector<std::string>{})};
+}
+
 double factorAt(const Experiment &Plan, double Seconds) {
   double Factor = 1.0;
   for (const RateStep &Step : Plan.Shape)
@@ -109,6 +116,8 @@
                           Step.at("factor").get<double>()});
   for (const json &Item : Value.value("faults", json::array()))
     Plan.Faults.push_back(readFault(Item));
+  for (const json &Item : Value.value("segments", json::array()))
+    Plan.Segments.push_back(readSegment(Item));
   const std::string Shape = Value.value("distribution", "lognormal");
   const auto Parsed = parseDistribution(Shape);
   if (!Parsed)
--- a/dev/common/experiment.hpp
+++ b/dev/common/experiment.hpp
@@ -49,6 +49,15 @@
   double Factor = 1.0;
 };
 
+/// @brief Part of an experiment that is summarized on its own.
+struct Segment {
+  std::string Name;
+  std::chrono::milliseconds From{0};
+  std::chrono::milliseconds To{0};
+  /// Requests sent to these entry VMs are left out.
+  std::vector<std::string> Excluded;
+};
+
 /// @brief One experiment as read from JSON.
 struct Experiment {
   std::uint64_t Seed = 1;
@@ -59,6 +68,7 @@
   std::vector<ServiceLoad> Services;
   std::vector<RateStep> Shape;
   std::vector<Fault> Faults;
+  std::vector<Segment> Segments;
   ServiceTimes Times;
   std::chrono::microseconds CallerLeg{0};
   std::chrono::microseconds ZoneLeg{0};
--- a/dev/fake_backends/control.cpp
+++ b/dev/fake_backends/control.cpp
@@ -1,22 +1,13 @@
 #include "fake_backends/control.hpp"
 
-#include "common/endpoint.hpp"
 #include "fake_backends/record.hpp"
 #include "fake_backends/server.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 namespace jujubecart::dev {
 
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using asio::use_awaitable;
 using nlohmann::json;
 using std::chrono::milliseconds;
 
@@ -65,13 +56,15 @@
 
 } // namespace
 
-Control::Control(asio::io_context &Context,
-                 const asio::ip::tcp::endpoint &Endpoint,
-                 const ServerMap &Servers, const Record &Runs)
-    : Acceptor(listen(Context, Endpoint)), Servers(Servers), Runs(Runs) {}
+Control::Control(boost::asio::io_context &Context, const ServerMap &Servers,
+                 const Record &Runs)
+    : Servers(Servers), Runs(Runs),
+      Port(Context, 0, [this](HttpRequest Request, auto &) {
+        return respond(std::move(Request));
+      }) {}
 
 std::string Control::address() const {
-  return endpointText(Acceptor.local_endpoint());
+  return "127.0.0.1:" + std::to_string(Port.port());
 }
 
 void Control::apply(const json &Fault) {
@@ -87,7 +80,7 @@
     throw std::invalid_argument("no backend server \"" + Id + "\"");
 }
 
-std::string Control::respond(std::string_view Target, const std::string &Body) {
+std::string Control::result(std::string_view Target, const std::string &Body) {
   if (Target == "/fault") {
     apply(json::parse(Body));
     return "{}";
@@ -103,32 +96,15 @@
   return All.dump();
 }
 
-asio::awaitable<void> Control::accept() {
-  while (true) {
-    auto Socket = co_await Acceptor.async_accept(use_awaitable);
-    asio::co_spawn(Acceptor.get_executor(), serve(std::move(Socket)),
-                   asio::detached);
-  }
-}
-
-asio::awaitable<void> Control::serve(asio::ip::tcp::socket Socket) {
-  boost::beast::flat_buffer Buffer;
-  http::request<http::string_body> Request;
-  http::response<http::string_body> Answer(http::status::ok, 11);
+core::Awaitable<std::optional<HttpReply>>
+Control::respond(HttpRequest Request) {
+  HttpReply Reply;
   try {
-    co_await http::async_read(Socket, Buffer, Request, use_awaitable);
-    try {
-      Answer.body() = respond(Request.target(), Request.body());
-    } catch (const std::exception &Problem) {
-      Answer.result(http::status::bad_request);
-      Answer.body() = Problem.what();
-    }
-    Answer.keep_alive(false);
-    Answer.prepare_payload();
-    co_await http::async_write(Socket, Answer, use_awaitable);
-  } catch (const boost::system::system_error &) {
-    // The client went away; it will see that itself.
+    Reply.Body = result(Request.target(), Request.body());
+  } catch (const std::exception &Problem) {
+    Reply = {400, Problem.what()};
   }
+  co_return Reply;
 }
 
 } // namespace jujubecart::dev
--- a/dev/fake_backends/main.cpp
+++ b/dev/fake_backends/main.cpp
@@ -57,9 +57,7 @@
     if (!Servers.emplace(Options.Id, std::move(Item)).second)
       throw std::invalid_argument("duplicate server \"" + Options.Id + "\"");
   }
-  Control Port(Context, parseEndpoint(Settings.value("control", "127.0.0.1:0")),
-               Servers, Runs);
-  asio::co_spawn(Context, Port.accept(), asio::detached);
+  const Control Port(Context, Servers, Runs);
   asio::co_spawn(Context, sampleLoop(Servers), asio::detached);
   asio::signal_set Signals(Context, SIGTERM, SIGINT);
   Signals.async_wait([&Context](auto, int) { Context.stop(); });
--- a/dev/ideal/main.cpp
+++ b/dev/ideal/main.cpp
@@ -21,7 +21,17 @@
   for (std::size_t Index = 0; Index < All.size(); ++Index)
     if (All[Index].Due >= Plan.Warmup)
       Timed.push_back(Latencies[Index]);
-  return {{"latency", summary(Timed)}, {"distribution", distribution(Timed)}};
+  json Segments = json::object();
+  for (const Segment &Part : Plan.Segments) {
+    std::vector<double> Members;
+    for (std::size_t Index = 0; Index < All.size(); ++Index)
+      if (All[Index].Due >= Part.From && All[Index].Due < Part.To)
+        Members.push_back(Latencies[Index]);
+    Segments[Part.Name] = summary(Members);
+  }
+  return {{"segments", Segments},
+          {"latency", summary(Timed)},
+          {"distribution", distribution(Timed)}};
 }
 
 } // namespace
--- a/dev/load/results.cpp
+++ b/dev/load/results.cpp
@@ -2,6 +2,7 @@
 
 #include "common/percentiles.hpp"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -41,6 +42,28 @@
   }
 };
 
+bool inside(const Experiment &Plan, const Segment &Part, const Arrival &Cause,
+            const Sample &Item) {
+  if (Cause.Due < Part.From || Cause.Due >= Part.To)
+    return false;
+  const std::string &Entry = Plan.Entries[Item.Entry].Id;
+  return std::find(Part.Excluded.begin(), Part.Excluded.end(), Entry) ==
+         Part.Excluded.end();
+}
+
+json segments(const Experiment &Plan, const std::vector<Arrival> &All,
+              const std::vector<Sample> &Samples) {
+  json Result = json::object();
+  for (const Segment &Part : Plan.Segments) {
+    Group Members;
+    for (const Sample &Item : Samples)
+      if (inside(Plan, Part, All[Item.Arrival], Item))
+        Members.add(Item);
+    Result[Part.Name] = Members.describe();
+  }
+  return Result;
+}
+
 json windows(const Experiment &Plan, const std::vector<Arrival> &All,
              const std::vector<Sample> &Samples) {
   std::map<std::int64_t, Group> ByTime;
@@ -78,6 +101,7 @@
   Result["distribution"] = distribution(Whole.Latencies);
   for (const auto &[Name, Service] : Services)
     Result["services"][Name] = Service.describe();
+  Result["segments"] = segments(Plan, All, Samples);
   Result["windows"] = windows(Plan, All, Samples);
   return Result;
 }
--- a/dev/zone_relay/relay.cpp
+++ b/dev/zone_relay/relay.cpp
@@ -9,15 +9,12 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 namespace jujubecart::dev {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using asio::use_awaitable;
 using asio::ip::tcp;
 using nlohmann::json;
@@ -43,8 +40,9 @@
 
 Relay::Relay(asio::io_context &Context, const json &Settings)
     : Context(Context), ZoneDelay(Settings.at("zone_us").get<std::int64_t>()),
-      ControlAcceptor(listen(
-          Context, parseEndpoint(Settings.value("control", "127.0.0.1:0")))) {
+      Port(Context, 0, [this](HttpRequest Request, auto &) {
+        return control(std::move(Request));
+      }) {
   Sources = Settings.value("sources", Sources);
   for (const json &Value : Settings.at("legs")) {
     std::optional<microseconds> Fixed;
@@ -58,7 +56,7 @@
 }
 
 json Relay::addresses() const {
-  json Result{{"control", endpointText(ControlAcceptor.local_endpoint())},
+  json Result{{"control", "127.0.0.1:" + std::to_string(Port.port())},
               {"legs", json::object()}};
   for (const Leg &Item : Legs)
     Result["legs"][Item.Id] = endpointText(Item.Acceptor.local_endpoint());
@@ -68,7 +66,6 @@
 void Relay::start() {
   for (Leg &Item : Legs)
     asio::co_spawn(Context, accept(Item), asio::detached);
-  asio::co_spawn(Context, control(), asio::detached);
 }
 
 // A source of unknown zone is delayed as if it were in another one.
@@ -152,31 +149,14 @@
       ->start();
 }
 
-asio::awaitable<void> Relay::control() {
-  while (true) {
-    tcp::socket Socket = co_await ControlAcceptor.async_accept(use_awaitable);
-    asio::co_spawn(Context, serve(std::move(Socket)), asio::detached);
-  }
-}
-
-asio::awaitable<void> Relay::serve(tcp::socket Socket) {
-  boost::beast::flat_buffer Buffer;
-  http::request<http::string_body> Request;
-  http::response<http::string_body> Answer(http::status::ok, 11);
+core::Awaitable<std::optional<HttpReply>> Relay::control(HttpRequest Request) {
+  HttpReply Reply{200, "{}"};
   try {
-    co_await http::async_read(Socket, Buffer, Request, use_awaitable);
-    try {
-      apply(json::parse(Request.body()));
-    } catch (const std::exception &Problem) {
-      Answer.result(http::status::bad_request);
-      Answer.body() = Problem.what();
-    }
-    Answer.keep_alive(false);
-    Answer.prepare_payload();
-    co_await http::async_write(Socket, Answer, use_awaitable);
-  } catch (const boost::system::system_error &) {
-    // The client went away; it will see that itself.
+    apply(json::parse(Request.body()));
+  } catch (const std::exception &Problem) {
+    Reply = {400, Problem.what()};
   }
+  co_return Reply;
 }
 
 } // namespace jujubecart::dev
--- a/dev/zone_relay/relay.hpp
+++ b/dev/zone_relay/relay.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_DEV_ZONE_RELAY_RELAY_HPP
 #define JUJUBECART_DEV_ZONE_RELAY_RELAY_HPP
 
+#include "fakes/http_server.hpp"
 #include "zone_relay/fwd.hpp"
 #include "zone_relay/link.hpp"
 
@@ -44,9 +45,8 @@
   [[nodiscard]] boost::asio::awaitable<void> accept(Leg &From);
   [[nodiscard]] boost::asio::awaitable<void>
   connect(std::shared_ptr<Link> Connection, const Leg &From);
-  [[nodiscard]] boost::asio::awaitable<void> control();
-  [[nodiscard]] boost::asio::awaitable<void>
-  serve(boost::asio::ip::tcp::socket Socket);
+  [[nodiscard]] core::Awaitable<std::optional<HttpReply>>
+  control(HttpRequest Request);
   [[nodiscard]] std::chrono::microseconds
   delay(const Leg &To, const std::string &Source) const;
   [[nodiscard]] LegState state(const std::string &Id,
@@ -65,7 +65,7 @@
   };
   std::vector<Rule> Rules;
   std::vector<std::weak_ptr<Link>> Links;
-  boost::asio::ip::tcp::acceptor ControlAcceptor;
+  HttpServer Port;
 };
 
 } // namespace jujubecart::dev
--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -15,6 +15,8 @@
   std::string Id;
   std::string Zone;
   std::string Region;
+  /// IP from which outgoing connections are made; empty: any.
+  std::string Address;
 
   friend auto operator<=>(const VmSettings &, const VmSettings &) = default;
 };
@@ -47,6 +49,8 @@
 /// @brief Listener for other entry VMs.
 struct PeerSettings {
   std::string Listen;
+  /// Address that other VMs use; empty: the same as Listen.
+  std::string Advertise;
   /// Addresses tried before the platform's list is known.
   std::vector<std::string> Seeds;
   TlsFiles Tls;
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -3,6 +3,7 @@
 #include <jujubecart/core/config_json.hpp>
 #include <jujubecart/core/json_reader.hpp>
 
+#include <boost/asio/ip/address.hpp>
 #include <fstream>
 #include <sstream>
 
@@ -90,7 +91,14 @@
   JsonReader Reader(objectOrEmpty(Root, "vm", true), "/vm", Report);
   VmSettings Vm{.Id = Reader.string("id"),
                 .Zone = Reader.string("zone"),
-                .Region = Reader.string("region")};
+                .Region = Reader.string("region"),
+                .Address = Reader.stringOr("address", "")};
+  boost::system::error_code Code;
+  if (!Vm.Address.empty())
+    boost::asio::ip::make_address(Vm.Address, Code);
+  if (Code)
+    Report.add(Reader.pointer("address"), "\"" + Vm.Address + "\"",
+               "IP address");
   Reader.rejectUnknownKeys();
   return Vm;
 }
@@ -133,6 +141,9 @@
   JsonReader Reader(objectOrEmpty(Root, "peers", true), "/peers", Report);
   PeerSettings Peers;
   Peers.Listen = readAddress(Reader, "listen", Report);
+  Peers.Advertise = Reader.stringOr("advertise", "");
+  if (!Peers.Advertise.empty())
+    checkAddress(Peers.Advertise, Reader.pointer("advertise"), Report);
   Peers.Seeds = readAddresses(Reader, "seeds", Report);
   Peers.Tls = readTls(Reader, Report);
   Peers.SuspectAfterMs = unsignedOr(Reader, "suspect_after_ms", 100,
