--- a/dev/fakes/store_server.cpp
+++ b/dev/fakes/store_server.cpp
@@ -38,11 +38,6 @@
           {"rejected", Counters.Rejected}};
 }
 
-// Completes when the client closes the connection.
-core::Awaitable<void> closed(asio::ip::tcp::socket &Socket) {
-  co_await Socket.async_wait(asio::ip::tcp::socket::wait_read, AsTuple);
-}
-
 } // namespace
 
 StoreServer::StoreServer(asio::io_context &Context, std::uint16_t Port)
@@ -147,8 +142,10 @@
     if (Faults.Mode == Outage::Close ||
         Timeout.expiry() <= std::chrono::steady_clock::now())
       break;
-    const auto First = co_await (Change.async_wait(AsTuple) ||
-                                 Timeout.async_wait(AsTuple) || closed(Socket));
+    // The socket becomes readable when the client closes it.
+    const auto First =
+        co_await (Change.async_wait(AsTuple) || Timeout.async_wait(AsTuple) ||
+                  Socket.async_wait(asio::ip::tcp::socket::wait_read, AsTuple));
     if (First.index() == 2) {
       Result.reset();
       break;
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -10,6 +10,7 @@
 #include <jujubecart/core/config_source.hpp>
 #include <jujubecart/core/hash.hpp>
 
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,7 +55,15 @@
   [[nodiscard]] core::Awaitable<void> runAttempt(AttemptPtr Which);
   [[nodiscard]] core::Awaitable<std::error_code> preload(AttemptPtr Which);
   [[nodiscard]] core::SlotRequest slotRequest() const;
+  [[nodiscard]] core::Awaitable<AttemptPtr> nextAttempt();
   [[nodiscard]] bool mayRetry();
+  [[nodiscard]] bool mayRepeat() const;
+  void abortSilentAttempt();
+
+  // call_hedge.cpp: two attempts at the same time.
+  [[nodiscard]] bool mayHedge() const;
+  [[nodiscard]] core::Awaitable<AttemptPtr> race();
+  void startAttempt(AttemptPtr Which, boost::asio::steady_timer &Wake);
   [[nodiscard]] core::Awaitable<bool> fail(AttemptPtr Last);
   [[nodiscard]] Fault explain(const Attempt &Last) const;
   void cancelAttempts(StopReason Reason);
@@ -77,10 +86,13 @@
   const core::ServiceConfig *Service = nullptr;
   std::optional<core::OrderKey> Key;
   core::TimePoint Deadline;
+  /// When a lookup without a response is tried elsewhere, or max.
+  core::TimePoint SilentDue = core::TimePoint::max();
   std::shared_ptr<core::BackendRequest> Outgoing;
   std::vector<std::string> Excluded;
   std::vector<AttemptPtr> Active;
   std::uint32_t Sent = 0;
+  bool RetryReserved = false;
   bool ClaimTried = false;
   bool KeyRepeated = false;
   bool MaybeRun = false;
--- /dev/null
+++ b/tests/callers/stop_test.cpp
@@ -0,0 +1,96 @@
+#include "harness.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace jujubecart;
+using namespace jujubecart::test;
+
+namespace {
+
+constexpr const char *Get = "GET /tags HTTP/1.1\r\nHost: a\r\n\r\n";
+
+ScriptedBackend::Script answeringAfter(ScriptedBackend *&Self,
+                                       std::chrono::milliseconds Delay) {
+  return [&Self, Delay](tcp::socket &Socket, int) {
+    while (!Self->readRequest(Socket).empty()) {
+      std::this_thread::sleep_for(Delay);
+      send(Socket, response("200 OK", "done"));
+    }
+  };
+}
+
+} // namespace
+
+// Guards against requests cut off by a graceful shutdown.
+Test(Stop, request_in_flight_is_finished_and_idle_connections_close) {
+  ScriptedBackend *Self = nullptr;
+  ScriptedBackend Backend(answeringAfter(Self, 200ms));
+  Self = &Backend;
+  Harness Fleet({Backend.address()});
+  auto Idle = Fleet.connect();
+  auto Busy = Fleet.connect();
+  send(Busy, Get);
+  cr_assert(eventually([&] { return Backend.requests().size() == 1; }));
+  auto Stopped = Fleet.stop(3s);
+  const std::string Answer = Harness::readResponse(Busy);
+  cr_assert_eq(statusOf(Answer), 200, "%s", Answer.c_str());
+  cr_assert(Answer.find("Connection: close") != std::string::npos);
+  // A request that arrives on an idle connection during the stop is served.
+  send(Idle, Get);
+  const std::string Last = Harness::readResponse(Idle);
+  cr_assert_eq(statusOf(Last), 200, "%s", Last.c_str());
+  // Both callers close, as Connection: close tells them.
+  Busy.close();
+  Idle.close();
+  const callers::StopReport Report = Stopped.get();
+  cr_assert_eq(Report.InFlightAtStop, 1);
+  cr_assert_eq(Report.Finished, 2);
+  cr_assert(Report.CutOff.empty());
+}
+
+// Guards against a stop that never ends, and against unnamed losses.
+Test(Stop, request_beyond_the_deadline_is_named) {
+  ScriptedBackend *Self = nullptr;
+  ScriptedBackend Backend(answeringAfter(Self, 1500ms));
+  Self = &Backend;
+  Harness Fleet({Backend.address()});
+  auto Busy = Fleet.connect();
+  send(Busy, Get);
+  cr_assert(eventually([&] { return Backend.requests().size() == 1; }));
+  const callers::StopReport Report = Fleet.stop(200ms).get();
+  cr_assert_eq(Report.CutOff.size(), 1);
+  cr_assert_eq(Report.CutOff[0].Service, "tags");
+  cr_assert_neq(Report.CutOff[0].Id.Value, 0);
+}
+
+// Guards against connections without bound, and against a silent drop.
+Test(Limits, connection_above_the_limit_is_answered_503) {
+  ScriptedBackend Backend(answering("x"));
+  Harness::Settings With;
+  With.Options.MaxConnections = 1;
+  Harness Fleet({Backend.address()}, With);
+  auto First = Fleet.connect();
+  send(First, Get);
+  cr_assert_eq(statusOf(Harness::readResponse(First)), 200);
+  auto Second = Fleet.connect();
+  const std::string Answer = Harness::readResponse(Second);
+  cr_assert_eq(statusOf(Answer), 503, "%s", Answer.c_str());
+  cr_assert(Answer.find("X-Outcome: not-run") != std::string::npos);
+}
+
+// Guards against slow senders that hold connections or slots.
+Test(Limits, slow_sender_is_answered_408_without_a_slot) {
+  ScriptedBackend Backend(answering("x"));
+  Harness::Settings With;
+  With.Options.HeadTimeout = 50ms;
+  With.Options.BodyTimeout = 50ms;
+  Harness Fleet({Backend.address()}, With);
+  for (const char *Bytes :
+       {"GET /tags HT", "PUT /tags HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k"
+                        "\r\nContent-Length: 9\r\n\r\nabc"}) {
+    const std::string Answer = Fleet.call(Bytes);
+    cr_assert_eq(statusOf(Answer), 408, "%s", Answer.c_str());
+    cr_assert(Answer.find("X-Outcome: not-run") != std::string::npos);
+  }
+  cr_assert_eq(Fleet.Broker.Granted, 0);
+}
