--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -42,7 +42,7 @@
                                  .Random = internal::randomNumber}),
       Startup(Config, Reader, Time, Delays),
       Broker(Config, Time, localPolicy(All.Policy), internal::randomNumber()),
-      Pool(Io.get_executor(), {}, Time), Transport(Pool, Time),
+      Pool(Io.get_executor(), poolOptions(All), Time), Transport(Pool, Time),
       Callers(Io.get_executor(), callerOptions(All.Callers),
               {.Time = Time,
                .Config = Config,
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -15,6 +15,12 @@
   return Options;
 }
 
+backends::PoolOptions poolOptions(const operators::Settings &Settings) {
+  backends::PoolOptions Options;
+  Options.Source = Settings.Vm.Address;
+  return Options;
+}
+
 std::string localPolicy(const std::string &Policy) {
   if (Policy == "dispatcher" || Policy == "two-choices")
     return "power-of-two-choices";
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_APPS_JUJUBECARTD_DAEMON_OPTIONS_HPP
 #define JUJUBECART_APPS_JUJUBECARTD_DAEMON_OPTIONS_HPP
 
+#include <jujubecart/backends/pool_options.hpp>
 #include <jujubecart/callers/server_options.hpp>
 #include <jujubecart/operators/settings.hpp>
 
@@ -13,6 +14,10 @@
 [[nodiscard]] callers::ServerOptions
 callerOptions(const operators::CallerSettings &Settings);
 
+/// @brief Options of the connections to backend servers.
+[[nodiscard]] backends::PoolOptions
+poolOptions(const operators::Settings &Settings);
+
 /// @brief Name of the local policy that a policy setting selects; the
 /// dispatcher falls back to power of two choices.
 [[nodiscard]] std::string localPolicy(const std::string &Policy);
--- a/dev/bench/fleet.py
+++ b/dev/bench/fleet.py
@@ -1,7 +1,6 @@
 """Entry VMs and their surroundings as real processes on loopback."""
 
 import json
-import os
 import socket
 import time
 import urllib.error
@@ -56,6 +55,7 @@
         self.legs = {}
         self.tickets = 0
         self.revision = 0
+        self.configured = True
 
     def __enter__(self):
         try:
@@ -87,6 +87,11 @@
         """Operators' endpoint of a VM."""
         return f"{self.ip(vm)}:{OPERATOR_PORT}"
 
+    def without_configuration(self):
+        """Starts without a ticket when it is entered."""
+        self.configured = False
+        return self
+
     def start(self):
         """Starts fakes, relay and daemons, and puts the services in force."""
         self.start_backends()
@@ -96,6 +101,8 @@
         for vm in self.vms:
             self.start_vm(vm)
         self.wait_answering(self.vms)
+        if not self.configured:
+            return
         self.submit({spec.name: self.service(spec) for spec in self.services})
         self.wait_revision(self.revision)
         self.wait_ready(self.vms)
@@ -119,6 +126,9 @@
         self.processes.start("store", "fake_store", "--port", "0")
         port = int(self.processes.first_line("store"))
         self.store = f"127.0.0.1:{port}"
+        self.platform = None
+        if not self.processes.exists("fake_platform"):
+            return
         self.processes.start("platform", "fake_platform", "--port", "0")
         port = int(self.processes.first_line("platform"))
         self.platform = f"127.0.0.1:{port}"
@@ -154,14 +164,15 @@
                            for other in self.vms[:3] if other != vm]}
         if self.relay:
             peers["advertise"] = self.leg(f"peer/{vm}", "")
-        return {"vm": {"id": vm, "zone": self.zone(vm),
+        platform = {"platform": {"endpoint": self.platform}} \
+            if self.platform else {}
+        return {**platform, "vm": {"id": vm, "zone": self.zone(vm),
                        "region": self.deployment.region,
                        "address": self.ip(vm)},
                 "callers": {"listen": f"{self.ip(vm)}:{CALLER_PORT}"},
                 "operators": {"listen": self.operators(vm)},
                 "peers": peers,
                 "store": {"endpoints": [self.store]},
-                "platform": {"endpoint": self.platform},
                 "policy": self.policy, "workers": self.workers,
                 "log": {"level": "info"}}
 
@@ -291,6 +302,11 @@
         result["ideal"] = self.processes.run("ideal", "ideal", path)
         return result
 
+    def open_connections(self, vm, count):
+        """Opens idle connections of callers to a VM."""
+        return [socket.create_connection((self.ip(vm), CALLER_PORT), 5.0)
+                for _ in range(count)]
+
     def backend_stats(self):
         """Counters of the fake backend servers."""
         return json.loads(request(
--- a/dev/bench/processes.py
+++ b/dev/bench/processes.py
@@ -30,6 +30,13 @@
                 return path
         raise StartError(f"program {name} is not built in {self.build}")
 
+    def exists(self, name):
+        """Whether a program is built."""
+        try:
+            return bool(self.program(name))
+        except StartError:
+            return False
+
     def file(self, name, content):
         """Writes a JSON file for a process."""
         path = os.path.join(self.folder, name)
@@ -37,6 +44,12 @@
             json.dump(content, output)
         return path
 
+    @staticmethod
+    def read(path):
+        """Reads a JSON file."""
+        with open(path, encoding="utf-8") as content:
+            return json.load(content)
+
     def start(self, key, program, *arguments):
         """Starts a process; standard error goes to a log file."""
         with open(os.path.join(self.folder, f"{key}.log"), "ab") as log:
--- a/dev/common/experiment.cpp
+++ b/dev/common/experiment.cpp
@@ -106,6 +106,7 @@
   Experiment Plan;
   Plan.Seed = Value.at("seed");
   Plan.Length = milliseconds(Value.at("length_ms").get<std::int64_t>());
+  Plan.Count = Value.value("count", std::size_t{0});
   Plan.Warmup = milliseconds(Value.value("warmup_ms", 0));
   for (const json &Entry : Value.at("entries"))
     Plan.Entries.push_back(readEntry(Entry));
@@ -141,6 +142,8 @@
             [](const Arrival &Left, const Arrival &Right) {
               return Left.Due < Right.Due;
             });
+  if (Plan.Count > 0 && All.size() > Plan.Count)
+    All.resize(Plan.Count);
   return All;
 }
 
--- a/dev/common/experiment.hpp
+++ b/dev/common/experiment.hpp
@@ -62,6 +62,8 @@
 struct Experiment {
   std::uint64_t Seed = 1;
   std::chrono::milliseconds Length{10000};
+  /// Most requests; 0: as many as fall into the length.
+  std::size_t Count = 0;
   /// Requests due earlier are sent and checked but not timed.
   std::chrono::milliseconds Warmup{0};
   std::vector<EntryVm> Entries;
--- a/dev/fake_backends/control.cpp
+++ b/dev/fake_backends/control.cpp
@@ -36,7 +36,7 @@
   else if (Kind == "drain")
     Target.drain(Fault.value("on", true));
   else if (Kind == "failfast")
-    Target.faults().FailFast = Fault.value("on", true);
+    Target.failFast(Fault.value("on", true));
   else if (Kind == "lie")
     Target.faults().Lie = Fault.value("on", true);
   else if (Kind == "silent")
--- a/dev/fake_backends/server.cpp
+++ b/dev/fake_backends/server.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t SamplesKept = 6;
 
 constexpr std::chrono::milliseconds DrainBound{3000};
+constexpr std::chrono::milliseconds FailFastBound{300};
 
 } // namespace
 
@@ -152,6 +153,11 @@
   DrainSince = steady_clock::now();
 }
 
+void Server::failFast(bool On) {
+  Faults.FailFast = On;
+  FailFastSince = steady_clock::now();
+}
+
 void Server::sample() {
   Samples.push_back({Running.size() + Queue.size(), Faults.Drain, Speed > 1.0});
   if (Samples.size() > SamplesKept)
@@ -160,6 +166,8 @@
 
 void Server::noteArrival() {
   ++Counts.Arrivals;
+  if (Faults.FailFast && steady_clock::now() - FailFastSince > FailFastBound)
+    ++Counts.AfterFailFast300ms;
   if (!Faults.Drain)
     return;
   const auto Since = steady_clock::now() - DrainSince;
@@ -205,6 +213,7 @@
           {"cancelled", Counts.Cancelled},
           {"malformed", Counts.Malformed},
           {"in_flight", Running.size() + Queue.size()},
+          {"failfast_arrivals_after_300ms", Counts.AfterFailFast300ms},
           {"after_drain_3s", Counts.AfterDrain3s},
           {"last_arrival_after_drain_ms", Counts.LastArrivalAfterDrainMs},
           {"probes", Probes}};
--- a/dev/fake_backends/server.hpp
+++ b/dev/fake_backends/server.hpp
@@ -85,6 +85,9 @@
   /// @brief Starts or ends draining.
   void drain(bool On);
 
+  /// @brief Starts or ends to reject everything.
+  void failFast(bool On);
+
   /// @brief Makes all open connections silent.
   void silence() noexcept { Faults.SilentBelow = NextGeneration; }
 
@@ -125,6 +128,7 @@
     std::uint64_t Completed = 0;
     std::uint64_t Cancelled = 0;
     std::uint64_t Malformed = 0;
+    std::uint64_t AfterFailFast300ms = 0;
     std::uint64_t AfterDrain3s = 0;
     std::int64_t LastArrivalAfterDrainMs = -1;
   };
@@ -154,6 +158,7 @@
   Counters Counts;
   std::map<std::int64_t, std::uint64_t> ProbesPerSecond;
   std::chrono::steady_clock::time_point DrainSince;
+  std::chrono::steady_clock::time_point FailFastSince;
   double Speed = 1.0;
   std::uint64_t NextGeneration = 1;
 };
--- a/dev/ideal/main.cpp
+++ b/dev/ideal/main.cpp
@@ -18,9 +18,16 @@
   const std::vector<Arrival> All = arrivals(Plan);
   const std::vector<double> Latencies = replay(Plan, All);
   std::vector<double> Timed;
-  for (std::size_t Index = 0; Index < All.size(); ++Index)
-    if (All[Index].Due >= Plan.Warmup)
-      Timed.push_back(Latencies[Index]);
+  std::vector<std::vector<double>> ByService(Plan.Services.size());
+  for (std::size_t Index = 0; Index < All.size(); ++Index) {
+    if (All[Index].Due < Plan.Warmup)
+      continue;
+    Timed.push_back(Latencies[Index]);
+    ByService[All[Index].Service].push_back(Latencies[Index]);
+  }
+  json Services = json::object();
+  for (std::size_t Index = 0; Index < ByService.size(); ++Index)
+    Services[Plan.Services[Index].Name] = summary(ByService[Index]);
   json Segments = json::object();
   for (const Segment &Part : Plan.Segments) {
     std::vector<double> Members;
@@ -29,7 +36,8 @@
         Members.push_back(Latencies[Index]);
     Segments[Part.Name] = summary(Members);
   }
-  return {{"segments", Segments},
+  return {{"services", Services},
+          {"segments", Segments},
           {"latency", summary(Timed)},
           {"distribution", distribution(Timed)}};
 }
--- a/dev/load/results.cpp
+++ b/dev/load/results.cpp
@@ -56,10 +56,17 @@
   json Result = json::object();
   for (const Segment &Part : Plan.Segments) {
     Group Members;
-    for (const Sample &Item : Samples)
-      if (inside(Plan, Part, All[Item.Arrival], Item))
-        Members.add(Item);
+    std::map<std::string, Group> Services;
+    for (const Sample &Item : Samples) {
+      const Arrival &Cause = All[Item.Arrival];
+      if (!inside(Plan, Part, Cause, Item))
+        continue;
+      Members.add(Item);
+      Services[Plan.Services[Cause.Service].Name].add(Item);
+    }
     Result[Part.Name] = Members.describe();
+    for (const auto &[Name, Service] : Services)
+      Result[Part.Name]["services"][Name] = Service.describe();
   }
   return Result;
 }
--- a/packages/backends/include/jujubecart/backends/pool_options.hpp
+++ b/packages/backends/include/jujubecart/backends/pool_options.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace jujubecart::backends {
 
@@ -27,6 +28,8 @@
   std::uint32_t FleetSize = 1;
   /// Largest head of a response in bytes.
   std::size_t MaxHead = 32768;
+  /// IP from which connections are made; empty: chosen by the system.
+  std::string Source;
 };
 
 } // namespace jujubecart::backends
--- a/packages/backends/src/connection_pool.cpp
+++ b/packages/backends/src/connection_pool.cpp
@@ -30,6 +30,21 @@
   return tcp::endpoint(Ip, static_cast<std::uint16_t>(*Port));
 }
 
+// An empty source leaves the choice to the system.
+boost::system::error_code bindSource(tcp::socket &Socket,
+                                     const tcp::endpoint &To,
+                                     const std::string &Source) {
+  boost::system::error_code Failed;
+  if (Source.empty())
+    return Failed;
+  const auto Ip = boost::asio::ip::make_address(Source, Failed);
+  if (!Failed)
+    Socket.open(To.protocol(), Failed);
+  if (!Failed)
+    Socket.bind({Ip, 0}, Failed);
+  return Failed;
+}
+
 // An idle connection must be open and silent: the end of the stream means that
 // the server closed it, bytes mean a response that nobody asked for.
 bool isQuiet(tcp::socket &Socket) noexcept {
@@ -136,8 +151,10 @@
       if (!Code && Control->Connecting != nullptr)
         Control->Connecting->close(Ignored);
     });
-    std::tie(Failed) =
-        co_await New->Socket.async_connect(*To, internal::UseTuple);
+    Failed = internal::bindSource(New->Socket, *To, Options.Source);
+    if (!Failed)
+      std::tie(Failed) =
+          co_await New->Socket.async_connect(*To, internal::UseTuple);
     Control->Connecting = nullptr;
     Control->Timer.cancel();
   }
--- a/packages/peers/include/jujubecart/peers/peer_options.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_options.hpp
@@ -12,8 +12,12 @@
 
 /// @brief Settings of everything between entry VMs.
 struct PeerOptions {
-  /// This VM; Address is where it listens, Incarnation its start time.
+  /// This VM; Address is where others reach it, Incarnation its start time.
   core::Member Self;
+  /// Address to listen on; empty: the same as Self.Address.
+  std::string Listen;
+  /// IP from which links are opened; empty: chosen by the system.
+  std::string Source;
   /// Links without TLS, for tests.
   bool PlainTcp = false;
   std::string CertificateFile;
--- a/packages/peers/src/link_connect.cpp
+++ b/packages/peers/src/link_connect.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <charconv>
+#include <tuple>
 #include <jujubecart/core/log.hpp>
 
 namespace jujubecart::peers {
@@ -25,6 +26,20 @@
   Io.set_option(tcp::no_delay(true), Ignored);
 }
 
+// An empty source leaves the choice to the system.
+boost::system::error_code bindSource(tcp::socket &Io, const tcp::endpoint &To,
+                                     const std::string &Source) {
+  boost::system::error_code Failed;
+  if (Source.empty())
+    return Failed;
+  const auto Ip = asio::ip::make_address(Source, Failed);
+  if (!Failed)
+    Io.open(To.protocol(), Failed);
+  if (!Failed)
+    Io.bind({Ip, 0}, Failed);
+  return Failed;
+}
+
 // Closes a socket whose connect or handshake takes too long.
 class TimeLimit {
 public:
@@ -69,7 +84,8 @@
 }
 
 core::Result<std::string> LinkTable::listen() {
-  const auto Endpoint = parseEndpoint(Options.Self.Address);
+  const auto Endpoint = parseEndpoint(
+      Options.Listen.empty() ? Options.Self.Address : Options.Listen);
   if (!Endpoint)
     return Endpoint.error();
   boost::system::error_code Failed;
@@ -150,7 +166,10 @@
   }
   tcp::socket Io(co_await asio::this_coro::executor);
   internal::TimeLimit Limit(Io, Self->Options.ConnectTimeout);
-  const auto [Failed] = co_await Io.async_connect(*Endpoint, internal::AsTuple);
+  boost::system::error_code Failed =
+      internal::bindSource(Io, *Endpoint, Self->Options.Source);
+  if (!Failed)
+    std::tie(Failed) = co_await Io.async_connect(*Endpoint, internal::AsTuple);
   if (!Limit.finish() || Failed || Self->Stopped) {
     Self->settle(Vm, nullptr);
     co_return;
