--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -59,7 +59,7 @@
              .Fallback = Local,
              .Prober = &Prober}),
       Startup(Config, Reader, Peers.config(), Time, Delays),
-      Pool(Io.get_executor(), {}, Time), Transport(Pool, Time),
+      Pool(Io.get_executor(), poolOptions(All), Time), Transport(Pool, Time),
       Callers(Io.get_executor(), callerOptions(All.Callers),
               {.Time = Time,
                .Config = Config,
@@ -105,6 +105,8 @@
   if (const std::string Problem = Peers.start(); !Problem.empty())
     throw std::runtime_error("cannot serve peers on " + All.Peers.Listen +
                              ": " + Problem);
+  if (!All.Peers.Advertise.empty())
+    Peers.members().setAddress(All.Peers.Advertise);
   if (const std::error_code Code =
           Callers.listen(endpointOf(All.Callers.Listen)))
     throw std::runtime_error("cannot listen on " + All.Callers.Listen + ": " +
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_APPS_JUJUBECARTD_DAEMON_OPTIONS_HPP
 #define JUJUBECART_APPS_JUJUBECARTD_DAEMON_OPTIONS_HPP
 
+#include <jujubecart/backends/pool_options.hpp>
 #include <jujubecart/callers/server_options.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_options.hpp>
@@ -19,6 +20,10 @@
 [[nodiscard]] peers::PeerOptions peerOptions(const operators::Settings &All,
                                              std::uint64_t Incarnation);
 
+/// @brief Options of the connections to backend servers.
+[[nodiscard]] backends::PoolOptions
+poolOptions(const operators::Settings &Settings);
+
 /// @brief Name of the local policy that a policy setting selects; the
 /// dispatcher falls back to power of two choices.
 [[nodiscard]] std::string localPolicy(const std::string &Policy);
--- a/dev/common/experiment.cpp
+++ b/dev/common/experiment.cpp
@@ -60,6 +60,13 @@
   return Item;
 }
 
+Segment readSegment(const json &Value) {
+  return {Value.at("name"),
+          milliseconds(Value.at("from_ms").get<std::int64_t>()),
+          milliseconds(Value.at("to_ms").get<std::int64_t>()),
+          Value.value("excluded", std::vector<std::string>{})};
+}
+
 double factorAt(const Experiment &Plan, double Seconds) {
   double Factor = 1.0;
   for (const RateStep &Step : Plan.Shape)
@@ -99,6 +106,7 @@
   Experiment Plan;
   Plan.Seed = Value.at("seed");
   Plan.Length = milliseconds(Value.at("length_ms").get<std::int64_t>());
+  Plan.Count = Value.value("count", std::size_t{0});
   Plan.Warmup = milliseconds(Value.value("warmup_ms", 0));
   for (const json &Entry : Value.at("entries"))
     Plan.Entries.push_back(readEntry(Entry));
@@ -109,6 +117,8 @@
                           Step.at("factor").get<double>()});
   for (const json &Item : Value.value("faults", json::array()))
     Plan.Faults.push_back(readFault(Item));
+  for (const json &Item : Value.value("segments", json::array()))
+    Plan.Segments.push_back(readSegment(Item));
   const std::string Shape = Value.value("distribution", "lognormal");
   const auto Parsed = parseDistribution(Shape);
   if (!Parsed)
@@ -132,6 +142,8 @@
             [](const Arrival &Left, const Arrival &Right) {
               return Left.Due < Right.Due;
             });
+  if (Plan.Count > 0 && All.size() > Plan.Count)
+    All.resize(Plan.Count);
   return All;
 }
 
--- a/dev/ideal/main.cpp
+++ b/dev/ideal/main.cpp
@@ -18,10 +18,28 @@
   const std::vector<Arrival> All = arrivals(Plan);
   const std::vector<double> Latencies = replay(Plan, All);
   std::vector<double> Timed;
-  for (std::size_t Index = 0; Index < All.size(); ++Index)
-    if (All[Index].Due >= Plan.Warmup)
-      Timed.push_back(Latencies[Index]);
-  return {{"latency", summary(Timed)}, {"distribution", distribution(Timed)}};
+  std::vector<std::vector<double>> ByService(Plan.Services.size());
+  for (std::size_t Index = 0; Index < All.size(); ++Index) {
+    if (All[Index].Due < Plan.Warmup)
+      continue;
+    Timed.push_back(Latencies[Index]);
+    ByService[All[Index].Service].push_back(Latencies[Index]);
+  }
+  json Services = json::object();
+  for (std::size_t Index = 0; Index < ByService.size(); ++Index)
+    Services[Plan.Services[Index].Name] = summary(ByService[Index]);
+  json Segments = json::object();
+  for (const Segment &Part : Plan.Segments) {
+    std::vector<double> Members;
+    for (std::size_t Index = 0; Index < All.size(); ++Index)
+      if (All[Index].Due >= Part.From && All[Index].Due < Part.To)
+        Members.push_back(Latencies[Index]);
+    Segments[Part.Name] = summary(Members);
+  }
+  return {{"services", Services},
+          {"segments", Segments},
+          {"latency", summary(Timed)},
+          {"distribution", distribution(Timed)}};
 }
 
 } // namespace
--- a/dev/load/results.cpp
+++ b/dev/load/results.cpp
@@ -2,6 +2,7 @@
 
 #include "common/percentiles.hpp"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -41,6 +42,35 @@
   }
 };
 
+bool inside(const Experiment &Plan, const Segment &Part, const Arrival &Cause,
+            const Sample &Item) {
+  if (Cause.Due < Part.From || Cause.Due >= Part.To)
+    return false;
+  const std::string &Entry = Plan.Entries[Item.Entry].Id;
+  return std::find(Part.Excluded.begin(), Part.Excluded.end(), Entry) ==
+         Part.Excluded.end();
+}
+
+json segments(const Experiment &Plan, const std::vector<Arrival> &All,
+              const std::vector<Sample> &Samples) {
+  json Result = json::object();
+  for (const Segment &Part : Plan.Segments) {
+    Group Members;
+    std::map<std::string, Group> Services;
+    for (const Sample &Item : Samples) {
+      const Arrival &Cause = All[Item.Arrival];
+      if (!inside(Plan, Part, Cause, Item))
+        continue;
+      Members.add(Item);
+      Services[Plan.Services[Cause.Service].Name].add(Item);
+    }
+    Result[Part.Name] = Members.describe();
+    for (const auto &[Name, Service] : Services)
+      Result[Part.Name]["services"][Name] = Service.describe();
+  }
+  return Result;
+}
+
 json windows(const Experiment &Plan, const std::vector<Arrival> &All,
              const std::vector<Sample> &Samples) {
   std::map<std::int64_t, Group> ByTime;
@@ -78,6 +108,7 @@
   Result["distribution"] = distribution(Whole.Latencies);
   for (const auto &[Name, Service] : Services)
     Result["services"][Name] = Service.describe();
+  Result["segments"] = segments(Plan, All, Samples);
   Result["windows"] = windows(Plan, All, Samples);
   return Result;
 }
