--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -8,6 +8,7 @@
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core.hpp>
 #include <jujubecart/decision/local_broker.hpp>
+#include <jujubecart/decision/retry_budget.hpp>
 #include <jujubecart/operators/server.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/store/config_reader.hpp>
@@ -48,6 +49,7 @@
   store::ConfigReader Reader;
   ConfigStartup Startup;
   decision::LocalBroker Broker;
+  decision::RetryBudget Retries;
   backends::ConnectionPool Pool;
   backends::Transport Transport;
   callers::Server Callers;
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -63,7 +63,7 @@
   // call_hedge.cpp: two attempts at the same time.
   [[nodiscard]] bool mayHedge() const;
   [[nodiscard]] core::Awaitable<AttemptPtr> race();
-  void startAttempt(AttemptPtr Which, boost::asio::steady_timer &Wake);
+  void startAttempt(const AttemptPtr &Which, boost::asio::steady_timer &Wake);
   [[nodiscard]] core::Awaitable<bool> fail(AttemptPtr Last);
   [[nodiscard]] Fault explain(const Attempt &Last) const;
   void cancelAttempts(StopReason Reason);
--- a/packages/callers/src/call_hedge.cpp
+++ b/packages/callers/src/call_hedge.cpp
@@ -24,7 +24,7 @@
          Sent == 0 && mayRepeat();
 }
 
-void Call::startAttempt(AttemptPtr Which, asio::steady_timer &Wake) {
+void Call::startAttempt(const AttemptPtr &Which, asio::steady_timer &Wake) {
   Active.push_back(Which);
   asio::co_spawn(Wake.get_executor(), runAttempt(Which),
                  [Which, &Wake](const std::exception_ptr &Failure) {
@@ -56,14 +56,12 @@
   const auto IsWinner = [](const AttemptPtr &Each) {
     return Each->Done && Each->ready();
   };
-  const auto waitUntil = [&](auto Condition) {
-    Wake.expires_at(core::TimePoint::max());
-    return Condition();
-  };
-  while (!waitUntil([&] {
+  const auto IsDecided = [&] {
     return std::any_of(Started.begin(), Started.end(), IsWinner) ||
            std::all_of(Started.begin(), Started.end(), IsDone);
-  }))
+  };
+  Wake.expires_at(core::TimePoint::max());
+  while (!IsDecided())
     co_await Wake.async_wait(UseTuple);
   const auto Found = std::find_if(Started.begin(), Started.end(), IsWinner);
   const AttemptPtr Winner = Found == Started.end() ? Started.back() : *Found;
@@ -73,8 +71,7 @@
   // Attempts refer to this call, so none may outlive it.
   if (!std::all_of(Started.begin(), Started.end(), IsDone))
     State.Uses.Broker.cancel(What.Id);
-  while (!waitUntil(
-      [&] { return std::all_of(Started.begin(), Started.end(), IsDone); }))
+  while (!std::all_of(Started.begin(), Started.end(), IsDone))
     co_await Wake.async_wait(UseTuple);
   for (const AttemptPtr &Each : Started)
     if (Each != Winner)
--- a/packages/callers/src/server.cpp
+++ b/packages/callers/src/server.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t RefusalReserve = 256;
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 constexpr std::chrono::milliseconds StopPollInterval{10};
+constexpr std::chrono::seconds TearDownTime{1};
 
 void startLink(const StatePtr &State, tcp::socket &&Caller) {
   ++State->Counters.AcceptedConnections;
@@ -155,7 +156,14 @@
     if (const auto Request = Link->current())
       Report.CutOff.push_back({Request->Id, Request->Service});
   internal::forEachLink(*Held, [](CallerLink &Link) { Link.cutOff(); });
-  Report.Finished = Counters.Answered - AnsweredBefore;
+  // A request that is still being torn down uses the broker and the pool, which
+  // the owner destroys after the stop.
+  const core::TimePoint TornDownBy = Time.now() + internal::TearDownTime;
+  while (Counters.OpenConnections > 0 && Time.now() < TornDownBy) {
+    Timer.expires_after(internal::StopPollInterval);
+    co_await Timer.async_wait(internal::UseTuple);
+  }
+  Report.Finished = Counters.Answered - AnsweredBefore - Report.CutOff.size();
   Report.ConnectionsClosed = OpenBefore - Counters.OpenConnections;
   co_return Report;
 }
--- a/tests/callers/orders_test.cpp
+++ b/tests/callers/orders_test.cpp
@@ -24,13 +24,13 @@
 }
 
 // Answers the first request of each connection, reads the next one and closes.
-ScriptedBackend::Script closesAfterSecond(ScriptedBackend *&Self) {
-  return [&Self](tcp::socket &Socket, int) {
-    const std::string First = Self->readRequest(Socket);
+ScriptedBackend::Script closesAfterSecond(ScriptedBackend **Self) {
+  return [Self](tcp::socket &Socket, int) {
+    const std::string First = (*Self)->readRequest(Socket);
     if (First.rfind("POST ", 0) == 0)
       return;
     send(Socket, response("200 OK", "ok"));
-    Self->readRequest(Socket);
+    (*Self)->readRequest(Socket);
   };
 }
 
@@ -50,10 +50,10 @@
       for (const auto Hedge : {0ms, 1ms})
         for (const std::string &Body : {Plain, Chunked, Long}) {
           ScriptedBackend *Self = nullptr;
-          ScriptedBackend Backend(closesAfterSecond(Self));
+          ScriptedBackend Backend(closesAfterSecond(&Self));
           Self = &Backend;
           ScriptedBackend *OtherSelf = nullptr;
-          ScriptedBackend Other(closesAfterSecond(OtherSelf));
+          ScriptedBackend Other(closesAfterSecond(&OtherSelf));
           OtherSelf = &Other;
           Harness::Settings With{.Kind = Kind, .RetryTokens = 5};
           With.Options.HedgeDelay = Hedge;
--- a/tests/callers/outcome_test.cpp
+++ b/tests/callers/outcome_test.cpp
@@ -14,7 +14,7 @@
 }
 
 // Sends fixed bytes after one request and closes.
-ScriptedBackend::Script sending(std::string Bytes) {
+ScriptedBackend::Script sending(const std::string &Bytes) {
   return [Bytes](tcp::socket &Socket, int) {
     std::string Request;
     boost::system::error_code Code;
@@ -39,8 +39,7 @@
       "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
       "HTTP/1.1 200 OK\r\n\r\nuntil the close",
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
-      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      response("200 OK", "0\r\n\r\n", "Transfer-Encoding: chunked\r\n"),
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
       "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
       "HTTP/1.1 200 OK\r\nX-A: 1\r\n folded\r\nContent-Length: 0\r\n\r\n",
