--- a/dev/fakes/fwd.hpp
+++ b/dev/fakes/fwd.hpp
@@ -4,9 +4,15 @@
 namespace jujubecart::dev {
 
 class HttpServer;
+class SimulatedClient;
+class SimulatedClock;
+class Simulation;
 class StoreModel;
 class StoreServer;
 
+struct SimulatedFaults;
+struct SimulatedStore;
+
 } // namespace jujubecart::dev
 
 #endif
--- a/packages/store/include/jujubecart/store/fwd.hpp
+++ b/packages/store/include/jujubecart/store/fwd.hpp
@@ -3,11 +3,14 @@
 
 namespace jujubecart::store {
 
+class ClaimLog;
 class ConfigReader;
 class HttpKeyValueStore;
 class TicketProcessor;
 
 struct AcceptedTicket;
+struct ClaimLogParts;
+struct ClaimLogSettings;
 struct ConfigHead;
 struct HeadEntry;
 struct Ticket;
