--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -26,6 +26,7 @@
                   .Zone = All.Vm.Zone,
                   .Region = All.Vm.Region,
                   .Incarnation = Incarnation};
+  Options.Source = All.Vm.Address;
   Options.PlainTcp = !All.Peers.Tls.enabled();
   Options.CertificateFile = All.Peers.Tls.Certificate;
   Options.KeyFile = All.Peers.Tls.Key;
