Add health and overload tests; fix two ways back from ejection

Cause: the test of a common fault showed a server that stayed ejected for up to 10 s after all had failed at once, because every failure while all servers are used counted as a failed trial request; an unhealthy server that is not ejected got no call that could clear it. Change: calls while all servers are used are no trial requests; an unhealthy, not ejected server gets one call at a time after the first backoff.

--- a/packages/decision/include/jujubecart/decision/internal/server_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_table.hpp
@@ -78,6 +78,11 @@
   [[nodiscard]] double meanServiceUs() const noexcept { return MeanUs; }
   [[nodiscard]] bool isSlow(const ServerRecord &Server,
                             core::TimePoint Now) const;
+  /// @brief Whether a grant now is a trial request. If all servers are used,
+  /// it is not: every failure would lengthen the backoff.
+  [[nodiscard]] bool givesTrial(const ServerRecord &Server) const noexcept {
+    return Server.Health.ejected() && !Panic;
+  }
   [[nodiscard]] std::uint64_t compared() const noexcept { return Compared; }
 
 private:
--- a/packages/decision/src/group_dispatcher.cpp
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -170,7 +170,7 @@
                                 .Server = *Index,
                                 .Expires = Item.Call.Deadline + GrantGrace,
                                 .Unqueued = Server.inFlight() < Server.slots(),
-                                .Trial = Server.Health.ejected()});
+                                .Trial = Table.givesTrial(Server)});
   Table.start(*Index, GrantId, Now);
   Out.emplace_back(Granted{
       .Token = Item.Call.Token, .GrantId = GrantId, .Server = Server.Config});
--- a/packages/decision/src/server_pick.cpp
+++ b/packages/decision/src/server_pick.cpp
@@ -134,7 +134,10 @@
 
 bool ServerTable::isSlow(const ServerRecord &Server,
                          core::TimePoint Now) const {
-  if (Server.Health.unhealthy() && !Panic)
+  // An unhealthy server that is not ejected, because half of the group is,
+  // gets one call at a time at the pace of trial requests.
+  if (Server.Health.unhealthy() && !Panic &&
+      (Server.inFlight() > 0 || Now - Server.LastRelease < Options.EjectMin))
     return true;
   // An idle suspect server gets one call, which shows whether it is fast.
   if (Server.Calls.empty())
--- a/tests/decision/simulation.cpp
+++ b/tests/decision/simulation.cpp
@@ -111,6 +111,8 @@
     apply();
   }
   void tick() {
+    if (Given.OnTick)
+      Given.OnTick(World.Now, Dispatcher);
     Dispatcher.tick(World.time(), Out);
     apply();
     const std::chrono::duration<double, std::milli> Wait =
@@ -120,22 +122,32 @@
   }
   void apply() {
     for (const decision::Decision &Item : std::exchange(Out, {})) {
-      if (const auto *Grant = std::get_if<decision::Granted>(&Item))
+      if (const auto *Grant = std::get_if<decision::Granted>(&Item)) {
         send(*Grant);
-      else
-        ++Result.Rejected;
+        continue;
+      }
+      const Draw &Call = All[std::get<decision::Rejected>(Item).Token];
+      const double Delay = World.delay(Call.Vm, 0);
+      ++Result.Rejected;
+      Result.Refused.emplace_back(World.Now, World.Now + Delay - Call.Arrival);
     }
   }
   void send(const decision::Granted &Grant) {
     const Draw Item = All[Grant.Token];
     const unsigned Server = indexOf(Grant.Server);
     ++Result.Granted[Grant.Server.Id];
+    Result.Grants.emplace_back(World.Now, Server);
     const double ToVm = World.delay(Item.Vm, 0);
     const double ToServer = World.delay(Item.Vm, Server);
     const double Sent = World.Now + ToVm;
-    const auto Returned = [this, Id = Grant.GrantId, Item, Sent, ToVm] {
-      Result.Latency.push_back(World.Now - Item.Arrival);
-      core::CallReport Report;
+    const auto Returned = [this, Id = Grant.GrantId, Item, Sent,
+                           ToVm](core::CallReport Report) {
+      if (Report.Outcome == core::CallOutcome::Completed) {
+        Result.Latency.push_back(World.Now - Item.Arrival);
+        Result.Done.emplace_back(World.Now, World.Now - Item.Arrival);
+      } else {
+        ++Result.Failed;
+      }
       Report.Elapsed =
           std::chrono::microseconds(std::int64_t((World.Now - Sent) * 1000));
       World.at(World.Now + ToVm, [this, Id, Report] {
@@ -144,9 +156,18 @@
       });
     };
     World.at(Sent + ToServer, [this, Server, Item, ToServer, Returned] {
-      World.serve(Server, Item.Service, [this, ToServer, Returned] {
-        World.at(World.Now + ToServer, Returned);
-      });
+      const auto Fault =
+          Given.Fault ? Given.Fault(Server, World.Now) : std::nullopt;
+      const core::CallReport Report = Fault.value_or(core::CallReport{});
+      const auto Answer = [this, ToServer, Returned, Report] {
+        World.at(World.Now + ToServer,
+                 [Returned, Report] { Returned(Report); });
+      };
+      // A rejection takes half a millisecond and no slot.
+      if (Report.Outcome != core::CallOutcome::Completed)
+        World.at(World.Now + 0.5, Answer);
+      else
+        World.serve(Server, Item.Service, Answer);
     });
   }
 
--- a/tests/decision/simulation.hpp
+++ b/tests/decision/simulation.hpp
@@ -9,7 +9,9 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
+#include <set>
 #include <random>
 #include <utility>
 #include <vector>
@@ -31,6 +33,16 @@
   /// Server 3 runs at a tenth of its speed in these intervals.
   std::vector<std::pair<double, double>> Straggler;
   double DeadlineMs = 2000;
+  /// Load of the calls after this number of calls.
+  unsigned SwitchAfter = ~0U;
+  double LaterLoad = 0.75;
+  /// Report of a call that a server answers at once without running it.
+  std::function<std::optional<jujubecart::core::CallReport>(unsigned Server,
+                                                            double Now)>
+      Fault;
+  /// Called with each tick, for example to change the configuration.
+  std::function<void(double Now, jujubecart::decision::GroupDispatcher &)>
+      OnTick;
 };
 
 /// @brief One call of the workload.
@@ -45,13 +57,16 @@
   const double Sigma2 = std::log(1 + Given.Variation * Given.Variation);
   std::lognormal_distribution<> Service(std::log(Given.Mean) - Sigma2 / 2,
                                         std::sqrt(Sigma2));
-  std::exponential_distribution<> Gap(Given.Load * Given.Servers * Given.Slots /
-                                      Given.Mean);
+  const double Rate = Given.Servers * Given.Slots / Given.Mean;
+  std::exponential_distribution<> Gap(Rate * Given.Load);
   std::vector<Draw> All(Given.Calls);
   double Now = 0;
-  for (Draw &Item : All)
+  for (Draw &Item : All) {
+    if (&Item - All.data() == std::ptrdiff_t(Given.SwitchAfter))
+      Gap = std::exponential_distribution<>(Rate * Given.LaterLoad);
     Item = {Now += Gap(Random), unsigned(Random() % Given.Vms),
             Service(Random)};
+  }
   return All;
 }
 
@@ -73,6 +88,13 @@
 struct Figures {
   std::vector<double> Latency;
   unsigned Rejected = 0;
+  /// Calls that a fault ended.
+  unsigned Failed = 0;
+  /// Time and server of each grant.
+  std::vector<std::pair<double, unsigned>> Grants;
+  /// Time and latency of each completed and each rejected call.
+  std::vector<std::pair<double, double>> Done;
+  std::vector<std::pair<double, double>> Refused;
   std::map<std::string, unsigned> Granted;
 
   [[nodiscard]] double quantile(double Part) {
