--- a/tests/decision/health_test.cpp
+++ b/tests/decision/health_test.cpp
@@ -205,6 +205,7 @@
     Fixture.Now += 1ms;
     // Six calls at once reach every server.
     std::vector<Granted> Round;
+    Round.reserve(6);
     for (int Call = 0; Call < 6; ++Call)
       Round.push_back(*Fixture.call());
     for (const Granted &Grant : Round)
@@ -226,6 +227,7 @@
   Driver Fixture(2);
   // Fill the free slots of both, then end the calls of one.
   std::vector<Granted> Started;
+  Started.reserve(4);
   for (int Call = 0; Call < 4; ++Call)
     Started.push_back(*Fixture.call());
   Fixture.Now += 10ms;
--- a/tests/decision/simulation.hpp
+++ b/tests/decision/simulation.hpp
@@ -11,8 +11,8 @@
 #include <map>
 #include <optional>
 #include <queue>
-#include <set>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
