--- a/packages/store/src/connection.cpp
+++ b/packages/store/src/connection.cpp
@@ -5,7 +5,7 @@
 namespace jujubecart::store::internal {
 
 Connection::Connection(const boost::asio::any_io_executor &Executor)
-    : Stream(boost::asio::ip::tcp::socket(boost::asio::make_strand(Executor))) {
-}
+    : Stream(boost::asio::ip::tcp::socket(
+          boost::asio::strand<boost::asio::any_io_executor>(Executor))) {}
 
 } // namespace jujubecart::store::internal
--- a/packages/store/src/head_watch.hpp
+++ b/packages/store/src/head_watch.hpp
@@ -14,8 +14,8 @@
 public:
   HeadWatch(const boost::asio::any_io_executor &Executor,
             ConfigReaderParts Parts, ConfigReaderSettings Settings)
-      : Strand(boost::asio::make_strand(Executor)), Parts(std::move(Parts)),
-        Settings(Settings), Backoff(Settings.FirstBackoff) {}
+      : Strand(Executor), Parts(std::move(Parts)), Settings(Settings),
+        Backoff(Settings.FirstBackoff) {}
 
   /// @brief Spawns the loop, which keeps this object alive.
   void start();
--- a/packages/store/src/service_claims.cpp
+++ b/packages/store/src/service_claims.cpp
@@ -46,9 +46,8 @@
 ServiceClaims::ServiceClaims(const asio::any_io_executor &Executor,
                              std::string Name, ClaimLogParts Parts,
                              ClaimLogSettings Settings)
-    : Serial(asio::make_strand(Executor)), Name(std::move(Name)),
-      Parts(std::move(Parts)), Settings(std::move(Settings)),
-      Memory(this->Settings.MaxEntries),
+    : Serial(Executor), Name(std::move(Name)), Parts(std::move(Parts)),
+      Settings(std::move(Settings)), Memory(this->Settings.MaxEntries),
       View(this->Name, this->Parts.Store, this->Settings) {}
 
 std::uint64_t ServiceClaims::nowS() const {
--- /dev/null
+++ b/tests/store/claim_simulation_test.cpp
@@ -0,0 +1,187 @@
+#include <fakes/simulated_store.hpp>
+#include <jujubecart/core.hpp>
+#include <jujubecart/store.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <criterion/criterion.h>
+#include <map>
+
+using namespace jujubecart;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t Vms = 3;
+constexpr std::uint64_t Keys = 6;
+constexpr std::uint64_t Requests = 80;
+
+struct ClaimEvent {
+  std::uint64_t Key = 0;
+  std::uint64_t Request = 0;
+  /// Claimed, or given back by a request that will never be sent.
+  bool Claimed = true;
+};
+
+// Key that two requests hold at once, 0 if there is none.
+std::uint64_t keyWithTwoHolders(const std::vector<ClaimEvent> &Events) {
+  std::map<std::uint64_t, std::uint64_t> Holders;
+  for (const ClaimEvent &Item : Events) {
+    const auto Held = Holders.find(Item.Key);
+    if (!Item.Claimed) {
+      if (Held != Holders.end() && Held->second == Item.Request)
+        Holders.erase(Held);
+      continue;
+    }
+    if (Held != Holders.end() && Held->second != Item.Request)
+      return Item.Key;
+    Holders[Item.Key] = Item.Request;
+  }
+  return 0;
+}
+
+class World {
+public:
+  explicit World(std::uint64_t Seed) : Run(Seed), Nodes(Vms) {
+    core::ServiceConfig Service;
+    Service.Name = "orders";
+    Service.OrderKeyRetentionS = 3600;
+    Table.apply(std::make_shared<core::ConfigSnapshot>(
+        1, core::ConfigSnapshot::ServiceMap{
+               {"orders", std::make_shared<core::ServiceEntry>(
+                              core::ServiceEntry{1, Service})}}));
+  }
+
+  void play() {
+    for (std::uint64_t Index = 0; Index < Vms; ++Index)
+      startVm(Index);
+    spawn(arrive());
+    spawn(disturb());
+    Run.runUntil(Run.now() + seconds(90));
+    Quiet = true;
+    Shared.Faults = {};
+    Run.runUntil(Run.now() + seconds(30));
+    spawn(request(Keys + 1, Requests + 1));
+    Run.runUntil(Run.now() + seconds(30));
+  }
+
+  std::vector<ClaimEvent> Events;
+  std::uint64_t Refused = 0;
+
+private:
+  struct Node {
+    explicit Node(World &Owner)
+        : Client(Owner.Shared),
+          Log(Owner.Run.context().get_executor(),
+              {.Store = Client,
+               .Config = Owner.Table,
+               .Time = Owner.Run.clock(),
+               .Delays = Owner.Run,
+               .Random = [&Owner] { return Owner.Run.random(); }},
+              {.Writer = "vm", .SegmentBytes = 512}) {}
+
+    dev::SimulatedClient Client;
+    store::ClaimLog Log;
+  };
+
+  dev::Simulation Run;
+  dev::SimulatedStore Shared{Run};
+  core::ConfigTable Table;
+  bool Quiet = false;
+  std::vector<std::shared_ptr<Node>> Nodes;
+  std::vector<std::shared_ptr<Node>> Past;
+
+  void spawn(core::Awaitable<void> Work) {
+    boost::asio::co_spawn(Run.context(), std::move(Work),
+                          boost::asio::detached);
+  }
+
+  void startVm(std::uint64_t Index) {
+    if (Nodes[Index])
+      Past.push_back(Nodes[Index]);
+    Nodes[Index] = std::make_shared<Node>(*this);
+  }
+
+  core::Awaitable<void> arrive() {
+    for (std::uint64_t Request = 1; Request <= Requests; ++Request) {
+      spawn(request(1 + Run.below(Keys), Request));
+      co_await Run.sleepFor(Run.below(2) * Run.below(1500));
+    }
+  }
+
+  // The entry VM asks up to two dispatchers for the same request; a request
+  // that was not sent gives its claim back through any of them.
+  core::Awaitable<void> request(std::uint64_t Key, std::uint64_t Request) {
+    const auto Hash = core::orderKey("orders", std::to_string(Key));
+    bool Claimed = false;
+    for (int Attempt = 0; Attempt < 2 && !Claimed; ++Attempt) {
+      const auto By = Nodes[Run.below(Vms)];
+      const auto Result = co_await By->Log.claim(
+          "orders", Hash, core::RequestId{Request}, Run.now() + seconds(2));
+      Claimed = Result.has_value();
+      if (!Claimed && Result.error() == core::Error::OrderRepeated) {
+        ++Refused;
+        break;
+      }
+    }
+    if (Claimed)
+      Events.push_back({Key, Request, true});
+    co_await Run.sleepFor(Run.below(500));
+    if (Claimed && Run.chance(30))
+      co_return;
+    Events.push_back({Key, Request, false});
+    Nodes[Run.below(Vms)]->Log.release("orders", Hash,
+                                       core::RequestId{Request});
+  }
+
+  core::Awaitable<void> disturb() {
+    while (!Quiet) {
+      Shared.Faults = {.LostAnswer = Run.below(30),
+                       .DelayedWrite = Run.below(15),
+                       .Pause = Run.below(10),
+                       .Rejection = Run.below(10),
+                       .Outage = Run.chance(15)};
+      const std::uint64_t Index = Run.below(Vms);
+      if (Nodes[Index]->Client.dead())
+        startVm(Index);
+      else if (Run.chance(25))
+        Nodes[Index]->Client.killAfter(Run.below(8));
+      co_await Run.sleepFor(Run.below(3000));
+    }
+    Shared.Faults = {};
+    for (std::uint64_t Index = 0; Index < Vms; ++Index)
+      startVm(Index);
+  }
+};
+
+void playSeeds(std::uint64_t First, std::uint64_t Last) {
+  core::configureLog("test", core::LogLevel::Error);
+  std::uint64_t Refused = 0;
+  for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
+    World Played(Seed);
+    Played.play();
+    cr_assert_eq(keyWithTwoHolders(Played.Events), 0, "seed %lu", Seed);
+    bool Served = false;
+    for (const ClaimEvent &Item : Played.Events)
+      Served = Served || (Item.Claimed && Item.Request == Requests + 1);
+    cr_assert(Served, "seed %lu: no claim after the faults ended", Seed);
+    Refused += Played.Refused;
+  }
+  cr_assert_gt(Refused, 0);
+}
+
+} // namespace
+
+// Guards against a check that cannot fail.
+Test(ClaimSimulation, key_with_two_holders_is_found) {
+  cr_assert_eq(keyWithTwoHolders({{1, 10, true}, {1, 11, true}}), 1);
+  cr_assert_eq(
+      keyWithTwoHolders({{1, 10, true}, {1, 10, false}, {1, 11, true}}), 0);
+  cr_assert_eq(keyWithTwoHolders({{1, 10, true}, {1, 9, false}, {1, 11, true}}),
+               1);
+}
+
+// These guard against an order that two requests may send, under crashes
+// between any two steps, lost and delayed writes, pauses and outages.
+Test(ClaimSimulation, seeds_1_to_100) { playSeeds(1, 100); }
+Test(ClaimSimulation, seeds_101_to_200) { playSeeds(101, 200); }
