--- /dev/null
+++ b/packages/platform/src/vm_list_poll.hpp
@@ -0,0 +1,45 @@
+#ifndef JUJUBECART_PLATFORM_SRC_VM_LIST_POLL_HPP
+#define JUJUBECART_PLATFORM_SRC_VM_LIST_POLL_HPP
+
+#include <jujubecart/platform/vm_list_reader.hpp>
+
+#include <atomic>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace jujubecart::platform::internal {
+
+/// @brief One run of the poll loop, from start to stop.
+class VmListPoll : public std::enable_shared_from_this<VmListPoll> {
+public:
+  VmListPoll(const boost::asio::any_io_executor &Executor,
+             core::Sleeper &Delays, std::function<std::uint64_t()> Random,
+             VmListReaderSettings Settings, VmListReader::Listener Notify)
+      : Strand(Executor), Delays(Delays), Random(std::move(Random)),
+        Settings(std::move(Settings)), Notify(std::move(Notify)),
+        Delay(this->Settings.Interval) {}
+
+  /// @brief Spawns the loop, which keeps this object alive.
+  void start();
+
+  /// @brief Ends the loop and cancels what it waits for.
+  void stop() noexcept;
+
+private:
+  const boost::asio::strand<boost::asio::any_io_executor> Strand;
+  core::Sleeper &Delays;
+  const std::function<std::uint64_t()> Random;
+  const VmListReaderSettings Settings;
+  const VmListReader::Listener Notify;
+  boost::asio::cancellation_signal Cancel;
+  std::atomic<bool> Stopped = false;
+  std::chrono::milliseconds Delay;
+
+  [[nodiscard]] core::Awaitable<void> run();
+  void noteFailure(std::error_code Code);
+  [[nodiscard]] core::TimePoint nextPoll() const;
+};
+
+} // namespace jujubecart::platform::internal
+
+#endif
--- /dev/null
+++ b/packages/platform/src/vm_list_reader.cpp
@@ -0,0 +1,86 @@
+#include "vm_list_poll.hpp"
+
+#include <jujubecart/core/log.hpp>
+
+#include <algorithm>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <exception>
+
+namespace jujubecart::platform {
+
+namespace internal {
+
+void VmListPoll::start() {
+  boost::asio::co_spawn(Strand, run(),
+                        boost::asio::bind_cancellation_slot(
+                            Cancel.slot(), [Self = shared_from_this()](
+                                               const std::exception_ptr &) {}));
+}
+
+void VmListPoll::stop() noexcept {
+  Stopped = true;
+  boost::asio::post(Strand, [Self = shared_from_this()] {
+    Self->Cancel.emit(boost::asio::cancellation_type::all);
+  });
+}
+
+core::Awaitable<void> VmListPoll::run() {
+  while (!Stopped) {
+    const auto List = co_await fetchVmList(
+        Settings.Address, std::chrono::steady_clock::now() + Settings.Timeout);
+    if (Stopped)
+      co_return;
+    if (List.has_value()) {
+      Delay = Settings.Interval;
+      Notify(*List);
+    } else {
+      noteFailure(List.error());
+    }
+    co_await Delays.sleepUntil(nextPoll());
+  }
+}
+
+void VmListPoll::noteFailure(std::error_code Code) {
+  Delay = std::min(Delay * 2, Settings.LongestBackoff);
+  core::LogLine(core::LogLevel::Warning, "platform.poll-failed")
+      .field("error", Code)
+      .field("retry_ms", Delay.count());
+}
+
+core::TimePoint VmListPoll::nextPoll() const {
+  // Half fixed, half random: VMs that started together do not poll together.
+  const auto Half = static_cast<std::uint64_t>(Delay.count() / 2);
+  return std::chrono::steady_clock::now() +
+         std::chrono::milliseconds(Half + Random() % (Half + 1));
+}
+
+} // namespace internal
+
+VmListReader::VmListReader(boost::asio::any_io_executor Executor,
+                           core::Sleeper &Delays,
+                           std::function<std::uint64_t()> Random,
+                           VmListReaderSettings Settings)
+    : Executor(std::move(Executor)), Delays(Delays), Random(std::move(Random)),
+      Settings(std::move(Settings)) {}
+
+VmListReader::~VmListReader() { stop(); }
+
+void VmListReader::start(Listener Notify) {
+  const std::lock_guard Lock(Mutex);
+  if (Active)
+    return;
+  Active = std::make_shared<internal::VmListPoll>(Executor, Delays, Random,
+                                                  Settings, std::move(Notify));
+  Active->start();
+}
+
+void VmListReader::stop() noexcept {
+  const std::lock_guard Lock(Mutex);
+  if (Active)
+    Active->stop();
+  Active.reset();
+}
+
+} // namespace jujubecart::platform
--- a/packages/store/src/connection.cpp
+++ b/packages/store/src/connection.cpp
@@ -1,11 +1,11 @@
 #include "store_connections.hpp"
 
-#include <boost/asio/strand.hpp>
-
 namespace jujubecart::store::internal {
 
-Connection::Connection(const boost::asio::any_io_executor &Executor)
-    : Stream(boost::asio::ip::tcp::socket(
-          boost::asio::strand<boost::asio::any_io_executor>(Executor))) {}
+// In a source file of its own: inlined into the coroutines, the static analyzer
+// reports a use after free inside Asio's executor.
+std::shared_ptr<Connection> StoreConnections::makeConnection() const {
+  return std::make_shared<Connection>(Executor);
+}
 
 } // namespace jujubecart::store::internal
--- a/packages/store/src/service_claims.cpp
+++ b/packages/store/src/service_claims.cpp
@@ -43,13 +43,6 @@
 
 } // namespace
 
-ServiceClaims::ServiceClaims(const asio::any_io_executor &Executor,
-                             std::string Name, ClaimLogParts Parts,
-                             ClaimLogSettings Settings)
-    : Serial(Executor), Name(std::move(Name)), Parts(std::move(Parts)),
-      Settings(std::move(Settings)), Memory(this->Settings.MaxEntries),
-      View(this->Name, this->Parts.Store, this->Settings) {}
-
 std::uint64_t ServiceClaims::nowS() const {
   return unixSeconds(Parts.Time.wallNow());
 }
--- a/packages/store/src/service_claims.hpp
+++ b/packages/store/src/service_claims.hpp
@@ -26,7 +26,10 @@
   };
 
   ServiceClaims(const boost::asio::any_io_executor &Executor, std::string Name,
-                ClaimLogParts Parts, ClaimLogSettings Settings);
+                ClaimLogParts Parts, ClaimLogSettings Settings)
+      : Serial(Executor), Name(std::move(Name)), Parts(std::move(Parts)),
+        Settings(std::move(Settings)), Memory(this->Settings.MaxEntries),
+        View(this->Name, this->Parts.Store, this->Settings) {}
 
   [[nodiscard]] const Strand &executor() const noexcept { return Serial; }
 
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -92,7 +92,7 @@
     const std::size_t Endpoint = (First + Offset) % Endpoints.size();
     if (std::chrono::steady_clock::now() >= Deadline)
       break;
-    auto Item = std::make_shared<Connection>(Executor);
+    auto Item = makeConnection();
     if (co_await asio::co_spawn(Item->Stream.get_executor(),
                                 connectTo(Item, Endpoint, Deadline),
                                 asio::use_awaitable))
--- a/packages/store/src/store_connections.hpp
+++ b/packages/store/src/store_connections.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -22,7 +23,8 @@
 struct Connection {
   // The strand serializes the timer of the stream with its operations when
   // several threads run the executor.
-  explicit Connection(const boost::asio::any_io_executor &Executor);
+  explicit Connection(const boost::asio::any_io_executor &Executor)
+      : Stream(boost::asio::make_strand(Executor)) {}
 
   boost::beast::tcp_stream Stream;
   boost::beast::flat_buffer Buffer;
@@ -60,6 +62,7 @@
   std::vector<std::shared_ptr<Connection>> Idle;
   std::size_t Preferred = 0;
 
+  [[nodiscard]] std::shared_ptr<Connection> makeConnection() const;
   [[nodiscard]] std::shared_ptr<Connection> takeIdle();
   [[nodiscard]] std::size_t preferred();
   void giveBack(std::shared_ptr<Connection> Item);
--- /dev/null
+++ b/tests/platform/vm_list_test.cpp
@@ -0,0 +1,71 @@
+#include <fakes/http_server.hpp>
+#include <jujubecart/core.hpp>
+#include <jujubecart/platform.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace jujubecart;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Fixture {
+  boost::asio::io_context Context{1};
+  int Requests = 0;
+  dev::HttpServer Server{
+      Context, 0,
+      [this](dev::HttpRequest Message, boost::asio::ip::tcp::socket &) {
+        return respond(std::move(Message));
+      }};
+  core::SystemSleeper Delays;
+  platform::VmListReader Reader{
+      Context.get_executor(),
+      Delays,
+      [] { return std::uint64_t{0}; },
+      {.Address = "127.0.0.1:" + std::to_string(Server.port()),
+       .Interval = milliseconds(20)}};
+
+  // The first request fails.
+  core::Awaitable<std::optional<dev::HttpReply>>
+  respond(dev::HttpRequest Message) {
+    if (++Requests == 1 || Message.target() != "/vms")
+      co_return std::nullopt;
+    co_return dev::HttpReply{200, R"({"vms":[]})"};
+  }
+};
+
+} // namespace
+
+// Guards against one invalid item that hides all others, and against a leaving
+// VM that counts as live.
+Test(ParseVmList, invalid_item_is_reported_and_left_out) {
+  core::Findings Report("vms");
+  const auto List = platform::parseVmList(
+      R"({"vms":[
+        {"id":"e1","role":"entry","address":"10.0.0.1:7000","zone":"z",
+         "region":"r","state":"leaving","rack":7},
+        {"id":"b1","role":"backend","address":"10.0.0.2:80","zone":"z",
+         "region":"r","state":"leaving"},
+        {"id":"e2","role":"entry","address":"here","zone":"z","region":"r",
+         "state":"live"}]})",
+      Report);
+  cr_assert_eq(List->Entries.size(), 1);
+  cr_assert(List->Entries[0].State == core::MemberState::Leaving);
+  cr_assert(List->Leaving.at("b1"));
+  cr_assert_eq(Report.items().size(), 1);
+  cr_assert_eq(Report.items()[0].Pointer, "/vms/2/address");
+  cr_assert_not(platform::parseVmList("{}", Report).has_value());
+}
+
+// Guards against a reader that gives up after a failure or cannot be stopped.
+Test(VmListReader, failed_poll_is_repeated_until_stopped) {
+  Fixture Test;
+  int Lists = 0;
+  Test.Reader.start([&](const platform::VmList &) {
+    if (++Lists == 2)
+      Test.Reader.stop();
+  });
+  Test.Context.run_for(milliseconds(1000));
+  cr_assert_eq(Lists, 2);
+  cr_assert_eq(Test.Requests, 3);
+}
--- a/tests/store/claim_simulation_test.cpp
+++ b/tests/store/claim_simulation_test.cpp
@@ -183,5 +183,7 @@
 
 // These guard against an order that two requests may send, under crashes
 // between any two steps, lost and delayed writes, pauses and outages.
-Test(ClaimSimulation, seeds_1_to_100) { playSeeds(1, 100); }
-Test(ClaimSimulation, seeds_101_to_200) { playSeeds(101, 200); }
+Test(ClaimSimulation, seeds_1_to_50) { playSeeds(1, 50); }
+Test(ClaimSimulation, seeds_51_to_100) { playSeeds(51, 100); }
+Test(ClaimSimulation, seeds_101_to_150) { playSeeds(101, 150); }
+Test(ClaimSimulation, seeds_151_to_200) { playSeeds(151, 200); }
--- a/tests/store/ticket_history.cpp
+++ b/tests/store/ticket_history.cpp
@@ -42,14 +42,14 @@
     Violations.push_back("ticket " + std::to_string(Ticket) + ": " + Text);
   }
 
-  const AcceptedTicket *find(std::uint64_t Number) const {
+  [[nodiscard]] const AcceptedTicket *find(std::uint64_t Number) const {
     for (const AcceptedTicket &Item : Order)
       if (Item.Number == Number)
         return &Item;
     return nullptr;
   }
 
-  const HistoryTicket *content(const AcceptedTicket &Item) const {
+  [[nodiscard]] const HistoryTicket *content(const AcceptedTicket &Item) const {
     for (const Submission &Sent : Run.Submissions)
       if (Sent.Ticket.Number == Item.Number &&
           Sent.Ticket.Digest == Item.Digest)
@@ -87,7 +87,7 @@
     }
   }
 
-  bool isAccepted(const HistoryTicket &Ticket) const {
+  [[nodiscard]] bool isAccepted(const HistoryTicket &Ticket) const {
     const AcceptedTicket *Record = find(Ticket.Number);
     return Record != nullptr && Record->Digest == Ticket.Digest;
   }
@@ -158,7 +158,7 @@
       }
   }
 
-  bool isRepeat(const Submission &Item) const {
+  [[nodiscard]] bool isRepeat(const Submission &Item) const {
     return std::any_of(Run.Submissions.begin(), Run.Submissions.end(),
                        [&](const Submission &Other) {
                          return Other.Invoked < Item.Invoked &&
--- a/tests/store/ticket_simulation_test.cpp
+++ b/tests/store/ticket_simulation_test.cpp
@@ -211,10 +211,14 @@
 
 // These guard against lost updates, reverts, torn tickets and untrue responses
 // under lost responses, outages, pauses, delayed writes and restarts.
-Test(TicketSimulation, seeds_1_to_50) { playSeeds(1, 50); }
-Test(TicketSimulation, seeds_51_to_100) { playSeeds(51, 100); }
-Test(TicketSimulation, seeds_101_to_150) { playSeeds(101, 150); }
-Test(TicketSimulation, seeds_151_to_200) { playSeeds(151, 200); }
+Test(TicketSimulation, seeds_1_to_25) { playSeeds(1, 25); }
+Test(TicketSimulation, seeds_26_to_50) { playSeeds(26, 50); }
+Test(TicketSimulation, seeds_51_to_75) { playSeeds(51, 75); }
+Test(TicketSimulation, seeds_76_to_100) { playSeeds(76, 100); }
+Test(TicketSimulation, seeds_101_to_125) { playSeeds(101, 125); }
+Test(TicketSimulation, seeds_126_to_150) { playSeeds(126, 150); }
+Test(TicketSimulation, seeds_151_to_175) { playSeeds(151, 175); }
+Test(TicketSimulation, seeds_176_to_200) { playSeeds(176, 200); }
 
 // Guards against a simulation in which nothing happens, and against one that
 // depends on anything but its seed.
