--- /dev/null
+++ b/apps/jujubecartd/daemon.cpp
@@ -0,0 +1,183 @@
+#include "daemon.hpp"
+
+#include "daemon_metrics.hpp"
+#include "daemon_options.hpp"
+#include "watch_rotation.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace jujubecart::daemon {
+
+namespace internal {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::seconds MaintenanceInterval{1};
+constexpr std::chrono::milliseconds SeedInterval{200};
+
+std::uint64_t unixMilliseconds(const core::Clock &Time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Time.wallNow().time_since_epoch())
+          .count());
+}
+
+std::uint64_t randomNumber() { return core::newRequestId().Value; }
+
+} // namespace internal
+
+Daemon::Daemon(operators::Settings Given)
+    : All(std::move(Given)), Incarnation(internal::unixMilliseconds(Time)),
+      Io(static_cast<int>(All.Workers)), Events(Time, All.TimelineEvents),
+      Store(Io.get_executor(), All.Store.Endpoints),
+      Tickets(Store, Time, Delays, internal::randomNumber),
+      Reader(Io.get_executor(), {.Store = Store,
+                                 .Table = Config,
+                                 .Time = Time,
+                                 .Delays = Delays,
+                                 .Random = internal::randomNumber}),
+      Claims(Io.get_executor(),
+             {.Store = Store,
+              .Config = Config,
+              .Time = Time,
+              .Delays = Delays,
+              .Random = internal::randomNumber},
+             {.Writer = All.Vm.Id}),
+      Local(Config, Time, localPolicy(All.Policy), internal::randomNumber(),
+            &Claims),
+      Peers(Io.get_executor(), peerOptions(All, Incarnation),
+            {.Time = Time,
+             .Events = Events,
+             .Config = Config,
+             .Claims = Claims,
+             .Fallback = Local,
+             .Prober = &Prober}),
+      Startup(Config, Reader, Peers.config(), Time, Delays),
+      Pool(Io.get_executor(), {}, Time), Transport(Pool, Time),
+      Callers(Io.get_executor(), callerOptions(All.Callers),
+              {.Time = Time,
+               .Config = Config,
+               .Broker = broker(),
+               .Backends = Transport,
+               .Events = Events,
+               .Retries = Retries}),
+      Endpoints(ApiParts{.All = All,
+                         .Io = Io,
+                         .Time = Time,
+                         .Config = Config,
+                         .Events = Events,
+                         .Metrics = Metrics,
+                         .Tickets = Tickets,
+                         .Callers = Callers,
+                         .Peers = Peers,
+                         .Stopping = Stopping,
+                         .Incarnation = Incarnation}) {
+  registerMetrics(Metrics, {.Callers = Callers,
+                            .Pool = Pool,
+                            .Peers = Peers,
+                            .Config = Config,
+                            .Events = Events});
+  Config.subscribe([this](const core::ConfigSource::Snapshot &Snapshot) {
+    core::LogLine(core::LogLevel::Info, "config.applied")
+        .field("revision", Snapshot->revision());
+    Events.record({.Kind = "config.applied",
+                   .Detail = std::to_string(Snapshot->revision())});
+  });
+}
+
+core::SlotBroker &Daemon::broker() noexcept {
+  if (All.Policy == "dispatcher")
+    return Peers.broker();
+  return Local;
+}
+
+void Daemon::listen() {
+  const auto Operator = endpointOf(All.Operators.Listen);
+  Operators = std::make_unique<operators::Server>(
+      Operator.address().to_string(), Operator.port(), All.Operators.Tls,
+      Endpoints);
+  if (const std::string Problem = Peers.start(); !Problem.empty())
+    throw std::runtime_error("cannot serve peers on " + All.Peers.Listen +
+                             ": " + Problem);
+  if (const std::error_code Code =
+          Callers.listen(endpointOf(All.Callers.Listen)))
+    throw std::runtime_error("cannot listen on " + All.Callers.Listen + ": " +
+                             Code.message());
+}
+
+int Daemon::run() {
+  listen();
+  internal::asio::co_spawn(Io, waitForSignal(), internal::asio::detached);
+  internal::asio::co_spawn(Io, maintain(), internal::asio::detached);
+  internal::asio::co_spawn(Io, joinSeeds(), internal::asio::detached);
+  internal::asio::co_spawn(Io, Startup.run(), internal::asio::detached);
+  core::LogLine(core::LogLevel::Info, "vm.started")
+      .field("zone", All.Vm.Zone)
+      .field("callers", All.Callers.Listen)
+      .field("operators", All.Operators.Listen)
+      .field("policy", All.Policy);
+  std::vector<std::thread> Workers;
+  Workers.reserve(All.Workers);
+  for (std::uint32_t Index = 0; Index < All.Workers; ++Index)
+    Workers.emplace_back([this] { Io.run(); });
+  for (std::thread &Worker : Workers)
+    Worker.join();
+  Operators.reset();
+  Peers.stop();
+  return 0;
+}
+
+core::Awaitable<void> Daemon::waitForSignal() {
+  internal::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  const int Signal = co_await Signals.async_wait(internal::asio::use_awaitable);
+  core::LogLine(core::LogLevel::Info, "vm.stopping").field("signal", Signal);
+  co_await shutDown();
+  Io.stop();
+}
+
+core::Awaitable<void> Daemon::shutDown() {
+  Stopping = true;
+  Reader.stopWatching();
+  Peers.leave();
+  const callers::StopReport Report = co_await Callers.stop(
+      Time.now() + std::chrono::seconds(All.ShutdownDeadlineS));
+  for (const callers::CutOffRequest &Request : Report.CutOff)
+    core::LogLine(core::LogLevel::Error, "request.cut_off")
+        .field("request", toString(Request.Id))
+        .field("service", Request.Service);
+  core::LogLine(core::LogLevel::Info, "vm.stopped")
+      .field("in_flight_at_stop", Report.InFlightAtStop)
+      .field("finished", Report.Finished)
+      .field("cut_off", Report.CutOff.size())
+      .field("completed", Callers.counters().Completed);
+}
+
+core::Awaitable<void> Daemon::maintain() {
+  while (!Stopping) {
+    const std::vector<core::Member> Members = Peers.members().members();
+    if (watchesStore(Members, All.Vm.Id, Time.wallNow()))
+      Reader.startWatching();
+    else
+      Reader.stopWatching();
+    Pool.setFleetSize(static_cast<std::uint32_t>(Members.size()));
+    Pool.prune();
+    co_await Delays.sleepUntil(Time.now() + internal::MaintenanceInterval);
+  }
+}
+
+core::Awaitable<void> Daemon::joinSeeds() {
+  while (!Stopping) {
+    if (Peers.members().members().size() <= 1)
+      for (const std::string &Seed : All.Peers.Seeds)
+        Peers.links().connectSeed(Seed);
+    co_await Delays.sleepUntil(Time.now() + internal::SeedInterval);
+  }
+}
+
+} // namespace jujubecart::daemon
--- /dev/null
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -0,0 +1,119 @@
+#include "daemon_metrics.hpp"
+
+#include <sys/resource.h>
+
+namespace jujubecart::daemon {
+
+namespace internal {
+
+double cpuSeconds() noexcept {
+  constexpr double MicrosecondsPerSecond = 1e6;
+  rusage Usage{};
+  getrusage(RUSAGE_SELF, &Usage);
+  return static_cast<double>(Usage.ru_utime.tv_sec + Usage.ru_stime.tv_sec) +
+         static_cast<double>(Usage.ru_utime.tv_usec + Usage.ru_stime.tv_usec) /
+             MicrosecondsPerSecond;
+}
+
+void registerCallers(core::MetricsRegistry &Registry,
+                     const callers::Server &Callers) {
+  const auto Count = [&](const char *Name,
+                         std::uint64_t callers::ServerCounters::*Member) {
+    Registry.counter(Name, "", [&Callers, Member] {
+      return static_cast<double>(Callers.counters().*Member);
+    });
+  };
+  Count("jujubecart_requests_received_total",
+        &callers::ServerCounters::Received);
+  Count("jujubecart_requests_completed_total",
+        &callers::ServerCounters::Completed);
+  Count("jujubecart_attempts_total", &callers::ServerCounters::Attempts);
+  Count("jujubecart_retries_total", &callers::ServerCounters::Retries);
+  Count("jujubecart_hedges_total", &callers::ServerCounters::Hedges);
+  Count("jujubecart_responses_cut_total",
+        &callers::ServerCounters::CutResponses);
+  Count("jujubecart_caller_connections_accepted_total",
+        &callers::ServerCounters::AcceptedConnections);
+  Registry.gauge("jujubecart_requests_in_flight", "", [&Callers] {
+    return static_cast<double>(Callers.counters().InFlight);
+  });
+  Registry.gauge("jujubecart_caller_connections_open", "", [&Callers] {
+    return static_cast<double>(Callers.counters().OpenConnections);
+  });
+  for (std::size_t Index = 0; Index < callers::RejectReasons; ++Index) {
+    const auto Reason = static_cast<callers::RejectReason>(Index);
+    Registry.counter(
+        "jujubecart_requests_rejected_total",
+        "reason=\"" + std::string(toString(Reason)) + "\"", [&Callers, Reason] {
+          return static_cast<double>(Callers.counters().rejected(Reason));
+        });
+  }
+}
+
+void registerPool(core::MetricsRegistry &Registry,
+                  const backends::ConnectionPool &Pool) {
+  Registry.gauge("jujubecart_backend_connections_open", "",
+                 [&Pool] { return static_cast<double>(Pool.counters().Open); });
+  Registry.gauge("jujubecart_backend_connections_idle", "",
+                 [&Pool] { return static_cast<double>(Pool.counters().Idle); });
+  Registry.counter("jujubecart_backend_connects_total", "", [&Pool] {
+    return static_cast<double>(Pool.counters().Connects);
+  });
+  Registry.counter("jujubecart_backend_connects_failed_total", "", [&Pool] {
+    return static_cast<double>(Pool.counters().FailedConnects);
+  });
+}
+
+void registerPeers(core::MetricsRegistry &Registry, peers::PeerNode &Peers) {
+  peers::PeerCounters &Counters = Peers.links().counters();
+  const auto Count = [&](const char *Name, const auto &Value) {
+    Registry.counter(Name, "",
+                     [&Value] { return static_cast<double>(Value.load()); });
+  };
+  Count("jujubecart_peer_writes_total", Counters.Writes);
+  Count("jujubecart_peer_frames_rejected_total", Counters.FramesRejected);
+  Count("jujubecart_dispatch_fallbacks_total", Counters.Fallbacks);
+  Count("jujubecart_dispatchers_suspected_total",
+        Counters.DispatchersSuspected);
+  Count("jujubecart_dispatch_grants_total", Counters.Grants);
+  Count("jujubecart_probes_total", Counters.Probes);
+  Registry.gauge("jujubecart_peer_links_open", "", [&Counters] {
+    return static_cast<double>(Counters.LinksOpen.load());
+  });
+  Registry.counter("jujubecart_peer_control_bytes_total", "", [&Counters] {
+    return static_cast<double>(Counters.controlBytes());
+  });
+  Registry.gauge("jujubecart_members", "", [&Peers] {
+    return static_cast<double>(Peers.members().members().size());
+  });
+  for (std::size_t Type = 0; Type < peers::MessageTypes; ++Type) {
+    const std::string Label =
+        "type=\"" + std::string(peers::messageName(Type)) + "\"";
+    Registry.counter(
+        "jujubecart_peer_frames_sent_total", Label, [&Counters, Type] {
+          return static_cast<double>(Counters.Out[Type].Frames.load());
+        });
+    Registry.counter(
+        "jujubecart_peer_bytes_sent_total", Label, [&Counters, Type] {
+          return static_cast<double>(Counters.Out[Type].Bytes.load());
+        });
+  }
+}
+
+} // namespace internal
+
+void registerMetrics(core::MetricsRegistry &Registry, MetricSources Sources) {
+  internal::registerCallers(Registry, Sources.Callers);
+  internal::registerPool(Registry, Sources.Pool);
+  internal::registerPeers(Registry, Sources.Peers);
+  Registry.gauge("jujubecart_config_revision", "", [&Config = Sources.Config] {
+    return static_cast<double>(Config.current()->revision());
+  });
+  Registry.counter("jujubecart_timeline_events_dropped_total", "",
+                   [&Events = Sources.Events] {
+                     return static_cast<double>(Events.dropped());
+                   });
+  Registry.counter("process_cpu_seconds_total", "", internal::cpuSeconds);
+}
+
+} // namespace jujubecart::daemon
--- a/packages/store/src/head_watch.cpp
+++ b/packages/store/src/head_watch.cpp
@@ -29,10 +29,12 @@
 
 core::Awaitable<void> HeadWatch::run() {
   while (!Stopped) {
+    // GCC 12 destroys the frame too early if a co_await stands in the else
+    // branch of a condition that itself has a co_await.
     const bool Succeeded = co_await step();
     if (Succeeded)
       Backoff = Settings.FirstBackoff;
-    if (!Succeeded && !Stopped)
+    else if (!Stopped)
       co_await backOff();
   }
 }
