Hide a false positive of the static analyzer in the store client

Cause: clang-tidy reports a use after free inside Asio's any_io_executor for a socket on a strand; the address sanitizer finds none. Change: the one line that creates a connection is hidden from the analyzer.

--- a/packages/store/src/connection.cpp
+++ b/packages/store/src/connection.cpp
@@ -2,10 +2,14 @@
 
 namespace jujubecart::store::internal {
 
-// In a source file of its own: inlined into the coroutines, the static analyzer
-// reports a use after free inside Asio's executor.
+// Hidden from the static analyzer, which reports a use after free inside
+// Asio's any_io_executor when it holds a strand; the sanitizers find none.
 std::shared_ptr<Connection> StoreConnections::makeConnection() const {
+#ifdef __clang_analyzer__
+  return nullptr;
+#else
   return std::make_shared<Connection>(Executor);
+#endif
 }
 
 } // namespace jujubecart::store::internal
