--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/backends/pool_options.hpp>
 #include <jujubecart/callers/server_options.hpp>
 #include <jujubecart/operators/settings.hpp>
+#include <jujubecart/peers/peer_options.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
@@ -18,6 +19,11 @@
 [[nodiscard]] backends::PoolOptions
 poolOptions(const operators::Settings &Settings);
 
+/// @brief Options of the links to other entry VMs.
+/// @param Incarnation Start time of the process in Unix milliseconds.
+[[nodiscard]] peers::PeerOptions peerOptions(const operators::Settings &All,
+                                             std::uint64_t Incarnation);
+
 /// @brief Name of the local policy that a policy setting selects; the
 /// dispatcher falls back to power of two choices.
 [[nodiscard]] std::string localPolicy(const std::string &Policy);
--- a/packages/peers/src/link_connect.cpp
+++ b/packages/peers/src/link_connect.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/peers/link_table.hpp>
 
 #include "one_shot.hpp"
+#include "seed.hpp"
 #include "stream.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -8,8 +9,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <charconv>
-#include <tuple>
 #include <jujubecart/core/log.hpp>
+#include <tuple>
 
 namespace jujubecart::peers {
 
@@ -204,6 +205,10 @@
   co_return co_await Wait->wait();
 }
 
+void LinkTable::connectSeed(const std::string &Address) {
+  connectLater(std::string(internal::SeedPrefix) + Address, Address);
+}
+
 void LinkTable::connectLater(const std::string &Vm,
                              const std::string &Address) {
   {
