--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -17,15 +17,23 @@
   return Options;
 }
 
+backends::PoolOptions poolOptions(const operators::Settings &Settings) {
+  backends::PoolOptions Options;
+  Options.Source = Settings.Vm.Address;
+  return Options;
+}
+
 peers::PeerOptions peerOptions(const operators::Settings &All,
                                std::uint64_t Incarnation) {
   peers::PeerOptions Options;
   Options.Self = {.Id = All.Vm.Id,
-                  .Address = All.Peers.Listen,
+                  .Address = All.Peers.Advertise.empty() ? All.Peers.Listen
+                                                         : All.Peers.Advertise,
                   .Operators = All.Operators.Listen,
                   .Zone = All.Vm.Zone,
                   .Region = All.Vm.Region,
                   .Incarnation = Incarnation};
+  Options.Listen = All.Peers.Listen;
   Options.Source = All.Vm.Address;
   Options.PlainTcp = !All.Peers.Tls.enabled();
   Options.CertificateFile = All.Peers.Tls.Certificate;
@@ -37,12 +45,6 @@
   return Options;
 }
 
-backends::PoolOptions poolOptions(const operators::Settings &Settings) {
-  backends::PoolOptions Options;
-  Options.Source = Settings.Vm.Address;
-  return Options;
-}
-
 std::string localPolicy(const std::string &Policy) {
   if (Policy == "dispatcher" || Policy == "two-choices")
     return "power-of-two-choices";
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -15,15 +15,15 @@
 [[nodiscard]] callers::ServerOptions
 callerOptions(const operators::CallerSettings &Settings);
 
+/// @brief Options of the connections to backend servers.
+[[nodiscard]] backends::PoolOptions
+poolOptions(const operators::Settings &Settings);
+
 /// @brief Options of the links to other entry VMs.
 /// @param Incarnation Start time of the process in Unix milliseconds.
 [[nodiscard]] peers::PeerOptions peerOptions(const operators::Settings &All,
                                              std::uint64_t Incarnation);
 
-/// @brief Options of the connections to backend servers.
-[[nodiscard]] backends::PoolOptions
-poolOptions(const operators::Settings &Settings);
-
 /// @brief Name of the local policy that a policy setting selects; the
 /// dispatcher falls back to power of two choices.
 [[nodiscard]] std::string localPolicy(const std::string &Policy);
--- a/packages/peers/src/link_connect.cpp
+++ b/packages/peers/src/link_connect.cpp
@@ -9,8 +9,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
 #include <charconv>
-#include <tuple>
 #include <jujubecart/core/log.hpp>
+#include <tuple>
 
 namespace jujubecart::peers {
 
