--- a/packages/peers/include/jujubecart/peers/peer_node.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_node.hpp
@@ -22,8 +22,8 @@
 
   /// @brief Creates the parts; the executor must have stopped running before
   /// the node is destroyed.
-  PeerNode(const boost::asio::any_io_executor &Executor, PeerOptions Options,
-           const Environment &Surroundings);
+  PeerNode(const boost::asio::any_io_executor &Executor,
+           const PeerOptions &Options, const Environment &Surroundings);
   PeerNode(const PeerNode &) = delete;
   PeerNode &operator=(const PeerNode &) = delete;
   ~PeerNode();
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -43,7 +43,7 @@
 
 /// @brief Dispatcher of one group.
 struct DispatchService::Group {
-  Group(GroupPtr Entry, core::TimePoint Now)
+  Group(const GroupPtr &Entry, core::TimePoint Now)
       : Name(Entry->Group.Name), Service(Entry->Group.Service), Entry(Entry),
         Dispatcher(Entry->Group, Entry->Options, Now), LastUsed(Now) {}
 
--- a/packages/peers/src/peer_node.cpp
+++ b/packages/peers/src/peer_node.cpp
@@ -14,7 +14,7 @@
 } // namespace internal
 
 PeerNode::PeerNode(const boost::asio::any_io_executor &Executor,
-                   PeerOptions Options, const Environment &Surroundings)
+                   const PeerOptions &Options, const Environment &Surroundings)
     : Tls(internal::makeTls(Options)),
       Links(std::make_shared<LinkTable>(Executor, Options, Surroundings.Time,
                                         Surroundings.Events, Tls)),
