--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import threading
 import unittest
 
 from fleet import Fleet, http, wait_until
@@ -77,5 +78,103 @@
             self.assertIsNone(vm.process.poll())
 
 
+class SeveralVms(unittest.TestCase):
+    """Three VMs that decide together."""
+
+    def setUp(self):
+        self.fleet = Fleet(vms=3)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__)
+        wait_until(self.members_known, "every VM knows every other one")
+        code, text = self.fleet.ctl("ticket", "submit", self.fleet.ticket(1), "--wait")
+        self.assertEqual(code, 0, text)
+
+    def members_known(self):
+        return all(len(self.status(vm)["members"]) == 3 for vm in self.fleet.vms)
+
+    @staticmethod
+    def status(vm):
+        return json.loads(http(vm.operators, "GET", "/status")[2])
+
+    @staticmethod
+    def lookup(vm, number):
+        return http(vm.callers, "GET", "/tags/1", {"X-Draw": f"{number:016x}"})
+
+    @staticmethod
+    def order(vm, key):
+        return http(vm.callers, "POST", "/orders/1",
+                    {"X-Draw": f"{7:016x}", "Idempotency-Key": key}, b"order")
+
+    def dispatchers(self):
+        return [vm for vm in self.fleet.vms
+                if any(group["servers"] for group in self.status(vm)["groups"])]
+
+    def test_order_key_through_two_vms_is_accepted_once(self):
+        """Guards against an order that runs twice through different VMs."""
+        first = self.order(self.fleet.vms[0], "key-1")
+        self.assertNotIn("X-Outcome", first[1], first)
+        for vm in self.fleet.vms:
+            status, headers, _ = self.order(vm, "key-1")
+            self.assertEqual((status, headers.get("X-Outcome")), (409, "unknown"))
+
+    def test_store_down_rejects_orders_as_not_run_and_serves_lookups(self):
+        """Guards against an order without a claim, and against lookups that
+        depend on the store."""
+        self.fleet.store.kill()
+        status, headers, _ = self.order(self.fleet.vms[0], "key-2")
+        self.assertEqual((status, headers.get("X-Outcome")), (503, "not-run"))
+        self.assertEqual(self.lookup(self.fleet.vms[1], 1)[0], 200)
+
+    def test_configuration_reaches_a_new_vm_while_the_store_is_down(self):
+        """Guards against a restarted VM that needs the store, or that goes
+        back to an older revision."""
+        vm = self.fleet.vms[2]
+        self.fleet.store.kill()
+        vm.process.kill()
+        vm.process.wait()
+        self.fleet.start_vm(vm)
+        wait_until(lambda: self.fleet.ready(vm), "the new VM is ready", 10)
+        self.assertEqual(self.status(vm)["revision"], 1)
+        self.assertEqual(self.lookup(vm, 2)[0], 200)
+
+    def test_killed_or_paused_dispatcher_costs_no_lookup(self):
+        """Guards against lookups that fail because their dispatcher is gone."""
+        for signal_number in (signal.SIGSTOP, signal.SIGKILL):
+            for number in range(20):
+                self.assertEqual(self.lookup(self.fleet.vms[number % 3], number)[0], 200)
+            victim = self.dispatchers()[0]
+            victim.process.send_signal(signal_number)
+            others = [vm for vm in self.fleet.vms if vm is not victim]
+            for number in range(40):
+                status, _, body = self.lookup(others[number % 2], number)
+                self.assertEqual(status, 200, body)
+            if signal_number == signal.SIGSTOP:
+                victim.process.send_signal(signal.SIGCONT)
+
+    def test_sigterm_under_load_cuts_off_no_request(self):
+        """Guards against a stop that closes connections with requests on them."""
+        results = []
+        workers = [threading.Thread(target=send_until_refused, args=(self, results))
+                   for _ in range(8)]
+        for worker in workers:
+            worker.start()
+        wait_until(lambda: len(results) > 50, "requests are flowing")
+        self.fleet.vms[0].process.send_signal(signal.SIGTERM)
+        for worker in workers:
+            worker.join()
+        self.assertEqual(self.fleet.vms[0].process.wait(20), 0)
+        self.assertEqual(set(results), {200})
+        self.assertIn("cut_off=0", self.fleet.log_text("vm0"))
+
+
+def send_until_refused(case, results):
+    """Sends lookups until the VM accepts no connection any more."""
+    for number in range(100000):
+        try:
+            results.append(case.lookup(case.fleet.vms[0], number)[0])
+        except ConnectionRefusedError:
+            return
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/apps/fleet.py
+++ b/tests/apps/fleet.py
@@ -61,7 +61,7 @@
         self.with_store = with_store
         self.overrides = overrides or {}
         self.store_port = free_port()
-        self.control_port = free_port()
+        self.control_port = 0
         self.servers = [{"id": f"b{i}", "address": f"127.0.0.1:{free_port()}",
                          "zone": "z1", "slots": 2} for i in range(servers)]
         self.vms = [Vm(i, "z1") for i in range(vms)]
@@ -118,13 +118,15 @@
         wait_until(lambda: accepts(self.store_port), "the store accepts")
 
     def start_backends(self):
-        settings = {"control": f"127.0.0.1:{self.control_port}", "mean_ms": 2.0,
+        settings = {"mean_ms": 2.0,
                     "servers": [{"id": s["id"], "service": "tags",
                                  "listen": s["address"], "slots": s["slots"]}
                                 for s in self.servers]}
         self.spawn("backends", "dev/fake_backends/fake_backends",
                    self.write("backends.json", settings))
-        wait_until(lambda: accepts(self.control_port), "backend servers accept")
+        wait_until(lambda: self.log_text("backends"), "backend servers accept")
+        control = json.loads(self.log_text("backends").splitlines()[0])["control"]
+        self.control_port = int(control.rsplit(":", 1)[1])
 
     def settings(self, vm):
         return {"vm": {"id": vm.name, "zone": vm.zone, "region": "alfold"},
