Parse addresses and bind sources in one place

Cause: IP:port was parsed in core, peers, backends, store, platform and the daemon, and bindSource stood in peers and backends; the copies differed in IPv6 brackets and in what they threw. Change: core::parseEndpoint and core::bindSource serve all of them; isAddress uses the former. The stricter copies keep their check for port 0. Peers and the platform client now accept the bracketed IPv6 addresses that the settings accept.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -4,6 +4,8 @@
 #include "daemon_options.hpp"
 #include "watch_rotation.hpp"
 
+#include <jujubecart/core/endpoint.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -102,7 +104,7 @@
 }
 
 void Daemon::listen() {
-  const auto Operator = endpointOf(All.Operators.Listen);
+  const auto Operator = core::parseEndpoint(All.Operators.Listen).value();
   Operators = std::make_unique<operators::Server>(
       Operator.address().to_string(), Operator.port(), All.Operators.Tls,
       Endpoints);
@@ -112,7 +114,7 @@
   if (!All.Peers.Advertise.empty())
     Peers.members().setAddress(All.Peers.Advertise);
   if (const std::error_code Code =
-          Callers.listen(endpointOf(All.Callers.Listen)))
+          Callers.listen(core::parseEndpoint(All.Callers.Listen).value()))
     throw std::runtime_error("cannot listen on " + All.Callers.Listen + ": " +
                              Code.message());
 }
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -51,14 +51,4 @@
   return Policy;
 }
 
-boost::asio::ip::tcp::endpoint endpointOf(const std::string &Address) {
-  const std::size_t Colon = Address.rfind(':');
-  std::string Host = Address.substr(0, Colon);
-  if (Host.front() == '[')
-    Host = Host.substr(1, Host.size() - 2);
-  const auto Port =
-      static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)));
-  return {boost::asio::ip::make_address(Host), Port};
-}
-
 } // namespace jujubecart::daemon
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -6,7 +6,6 @@
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_options.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <string>
 
 namespace jujubecart::daemon {
@@ -28,10 +27,6 @@
 /// dispatcher falls back to power of two choices.
 [[nodiscard]] std::string localPolicy(const std::string &Policy);
 
-/// @brief Parses an address that the settings reader has validated.
-[[nodiscard]] boost::asio::ip::tcp::endpoint
-endpointOf(const std::string &Address);
-
 } // namespace jujubecart::daemon
 
 #endif
--- a/apps/jujubecartd/http_health_prober.cpp
+++ b/apps/jujubecartd/http_health_prober.cpp
@@ -1,6 +1,6 @@
 #include "http_health_prober.hpp"
 
-#include "daemon_options.hpp"
+#include <jujubecart/core/endpoint.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -46,10 +46,12 @@
 HttpHealthProber::probe(core::BackendServer Server, core::TimePoint Deadline) {
   using internal::AsTuple;
   namespace http = internal::http;
+  const auto Endpoint = core::parseEndpoint(Server.Address);
+  if (!Endpoint)
+    co_return decision::ProbeResult{};
   boost::beast::tcp_stream Stream(co_await boost::asio::this_coro::executor);
   Stream.expires_at(Deadline);
-  const auto [ConnectCode] =
-      co_await Stream.async_connect(endpointOf(Server.Address), AsTuple);
+  const auto [ConnectCode] = co_await Stream.async_connect(*Endpoint, AsTuple);
   if (ConnectCode)
     co_return decision::ProbeResult{};
   http::request<http::empty_body> Request(http::verb::get, "/health", 11);
--- a/packages/backends/src/connection_pool.cpp
+++ b/packages/backends/src/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/core/http_rules.hpp>
 
 namespace jujubecart::backends {
@@ -15,36 +16,6 @@
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 
-core::Result<tcp::endpoint> parseEndpoint(const std::string &Address) {
-  const std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
-    return core::make_error_code(core::Error::InvalidArgument);
-  std::string_view Host = std::string_view(Address).substr(0, Colon);
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
-    Host = Host.substr(1, Host.size() - 2);
-  boost::system::error_code Code;
-  const auto Ip = asio::ip::make_address(std::string(Host), Code);
-  const auto Port = core::parseDecimal(Address.substr(Colon + 1));
-  if (Code || !Port || *Port == 0 || *Port > 65535)
-    return core::make_error_code(core::Error::InvalidArgument);
-  return tcp::endpoint(Ip, static_cast<std::uint16_t>(*Port));
-}
-
-// An empty source leaves the choice to the system.
-boost::system::error_code bindSource(tcp::socket &Socket,
-                                     const tcp::endpoint &To,
-                                     const std::string &Source) {
-  boost::system::error_code Failed;
-  if (Source.empty())
-    return Failed;
-  const auto Ip = boost::asio::ip::make_address(Source, Failed);
-  if (!Failed)
-    Socket.open(To.protocol(), Failed);
-  if (!Failed)
-    Socket.bind({Ip, 0}, Failed);
-  return Failed;
-}
-
 // An idle connection must be open and silent: the end of the stream means that
 // the server closed it, bytes mean a response that nobody asked for.
 bool isQuiet(tcp::socket &Socket) noexcept {
@@ -141,9 +112,9 @@
   auto New =
       std::make_unique<Connection>(Executor, core::HttpLimits{Options.MaxHead});
   New->Address = Address;
-  const auto To = internal::parseEndpoint(Address);
+  const auto To = core::parseEndpoint(Address);
   boost::system::error_code Failed = boost::asio::error::invalid_argument;
-  if (To) {
+  if (To && To->port() != 0) {
     Control->Connecting = &New->Socket;
     Control->Timer.expires_after(Options.ConnectTimeout);
     Control->Timer.async_wait([Control](const boost::system::error_code &Code) {
@@ -151,7 +122,7 @@
       if (!Code && Control->Connecting != nullptr)
         Control->Connecting->close(Ignored);
     });
-    Failed = internal::bindSource(New->Socket, *To, Options.Source);
+    Failed = core::bindSource(New->Socket, *To, Options.Source);
     if (!Failed)
       std::tie(Failed) =
           co_await New->Socket.async_connect(*To, internal::UseTuple);
--- a/packages/core/src/config_json.cpp
+++ b/packages/core/src/config_json.cpp
@@ -1,15 +1,13 @@
 #include <jujubecart/core/config_json.hpp>
+#include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/core/json_reader.hpp>
 
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace jujubecart::core {
 
 namespace internal {
 
-constexpr std::int64_t MaxPort = 65535;
 constexpr std::int64_t MaxSlots = 10000;
 constexpr std::int64_t MaxConnections = 100000;
 constexpr std::int64_t MaxDeadlineMs = 600000;
@@ -97,20 +95,8 @@
 } // namespace internal
 
 bool isAddress(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos)
-    return false;
-  std::string Host = Text.substr(0, Colon);
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
-    Host = Host.substr(1, Host.size() - 2);
-  boost::system::error_code Code;
-  boost::asio::ip::make_address(Host, Code);
-  std::int64_t Port = 0;
-  const char *End = Text.data() + Text.size();
-  const auto [Last, PortCode] =
-      std::from_chars(Text.data() + Colon + 1, End, Port);
-  return !Code && PortCode == std::errc() && Last == End && Port >= 1 &&
-         Port <= internal::MaxPort;
+  const auto Endpoint = parseEndpoint(Text);
+  return Endpoint && Endpoint->port() != 0;
 }
 
 ServiceConfig readService(const std::string &Name, const nlohmann::json &Value,
--- a/packages/peers/include/jujubecart/peers/link_table.hpp
+++ b/packages/peers/include/jujubecart/peers/link_table.hpp
@@ -121,10 +121,6 @@
   std::atomic<bool> Stopped{false};
 };
 
-/// @brief Parses `IP:port`.
-[[nodiscard]] core::Result<boost::asio::ip::tcp::endpoint>
-parseEndpoint(std::string_view Address) noexcept;
-
 } // namespace jujubecart::peers
 
 #endif
--- a/packages/peers/src/link_connect.cpp
+++ b/packages/peers/src/link_connect.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/peers/link_table.hpp>
 
+#include <jujubecart/core/endpoint.hpp>
+
 #include "one_shot.hpp"
 #include "seed.hpp"
 #include "stream.hpp"
@@ -8,7 +10,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
-#include <charconv>
 #include <jujubecart/core/log.hpp>
 #include <tuple>
 
@@ -27,20 +28,6 @@
   Io.set_option(tcp::no_delay(true), Ignored);
 }
 
-// An empty source leaves the choice to the system.
-boost::system::error_code bindSource(tcp::socket &Io, const tcp::endpoint &To,
-                                     const std::string &Source) {
-  boost::system::error_code Failed;
-  if (Source.empty())
-    return Failed;
-  const auto Ip = asio::ip::make_address(Source, Failed);
-  if (!Failed)
-    Io.open(To.protocol(), Failed);
-  if (!Failed)
-    Io.bind({Ip, 0}, Failed);
-  return Failed;
-}
-
 // Closes a socket whose connect or handshake takes too long.
 class TimeLimit {
 public:
@@ -67,25 +54,8 @@
 
 } // namespace internal
 
-core::Result<tcp::endpoint> parseEndpoint(std::string_view Address) noexcept {
-  const auto Colon = Address.rfind(':');
-  std::uint16_t Port = 0;
-  if (Colon == std::string_view::npos)
-    return core::make_error_code(core::Error::InvalidArgument);
-  const std::string_view Digits = Address.substr(Colon + 1);
-  const auto Parsed =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  boost::system::error_code Failed;
-  const auto Ip =
-      asio::ip::make_address(std::string(Address.substr(0, Colon)), Failed);
-  if (Failed || Parsed.ec != std::errc() ||
-      Parsed.ptr != Digits.data() + Digits.size())
-    return core::make_error_code(core::Error::InvalidArgument);
-  return tcp::endpoint(Ip, Port);
-}
-
 core::Result<std::string> LinkTable::listen() {
-  const auto Endpoint = parseEndpoint(
+  const auto Endpoint = core::parseEndpoint(
       Options.Listen.empty() ? Options.Self.Address : Options.Listen);
   if (!Endpoint)
     return Endpoint.error();
@@ -160,7 +130,7 @@
 
 core::Awaitable<void> LinkTable::dial(std::shared_ptr<LinkTable> Self,
                                       std::string Vm, std::string Address) {
-  const auto Endpoint = parseEndpoint(Address);
+  const auto Endpoint = core::parseEndpoint(Address);
   if (!Endpoint) {
     Self->settle(Vm, nullptr);
     co_return;
@@ -168,7 +138,7 @@
   tcp::socket Io(co_await asio::this_coro::executor);
   internal::TimeLimit Limit(Io, Self->Options.ConnectTimeout);
   boost::system::error_code Failed =
-      internal::bindSource(Io, *Endpoint, Self->Options.Source);
+      core::bindSource(Io, *Endpoint, Self->Options.Source);
   if (!Failed)
     std::tie(Failed) = co_await Io.async_connect(*Endpoint, internal::AsTuple);
   if (!Limit.finish() || Failed || Self->Stopped) {
--- a/packages/platform/src/fetch_vm_list.cpp
+++ b/packages/platform/src/fetch_vm_list.cpp
@@ -1,4 +1,6 @@
 #include <jujubecart/core/log.hpp>
+
+#include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/platform/vm_list_reader.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -39,12 +41,6 @@
                              : Error::Unavailable);
 }
 
-asio::ip::tcp::endpoint toEndpoint(const std::string &Address) {
-  const std::size_t Colon = Address.rfind(':');
-  return {asio::ip::make_address(Address.substr(0, Colon)),
-          static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))};
-}
-
 } // namespace internal
 
 core::Awaitable<core::Result<VmList>> fetchVmList(std::string Address,
@@ -54,8 +50,8 @@
   const auto Executor = co_await asio::this_coro::executor;
   boost::beast::tcp_stream Stream(Executor);
   Stream.expires_at(Deadline);
-  const auto [Connected] =
-      co_await Stream.async_connect(toEndpoint(Address), AsTuple);
+  const auto [Connected] = co_await Stream.async_connect(
+      core::parseEndpoint(Address).value(), AsTuple);
   if (Connected)
     co_return toError(Connected);
   http::request<http::empty_body> Message{http::verb::get, "/vms", 11};
--- a/packages/store/src/http_key_value_store.cpp
+++ b/packages/store/src/http_key_value_store.cpp
@@ -2,6 +2,8 @@
 
 #include <jujubecart/store/http_key_value_store.hpp>
 
+#include <jujubecart/core/endpoint.hpp>
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <cctype>
@@ -23,15 +25,6 @@
 
 constexpr unsigned TooManyRequests = 429;
 
-asio::ip::tcp::endpoint parseEndpoint(const std::string &Text) {
-  const std::size_t Colon = Text.rfind(':');
-  std::string Host = Text.substr(0, Colon);
-  if (Host.size() > 2 && Host.front() == '[')
-    Host = Host.substr(1, Host.size() - 2);
-  return {asio::ip::make_address(Host),
-          static_cast<std::uint16_t>(std::stoul(Text.substr(Colon + 1)))};
-}
-
 // Keys go into the request target unescaped.
 bool isKey(const std::string &Key) {
   return !Key.empty() &&
@@ -103,7 +96,7 @@
   std::vector<asio::ip::tcp::endpoint> Endpoints;
   Endpoints.reserve(Texts.size());
   for (const std::string &Text : Texts)
-    Endpoints.push_back(parseEndpoint(Text));
+    Endpoints.push_back(core::parseEndpoint(Text).value());
   return Endpoints;
 }
 
--- a/tests/peers/link_test.cpp
+++ b/tests/peers/link_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <fstream>
+#include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/peers/link_table.hpp>
 #include <unistd.h>
 
@@ -239,7 +240,7 @@
   Pair Nodes;
   boost::asio::io_context Io;
   boost::asio::ip::tcp::socket Client(Io);
-  Client.connect(parseEndpoint(Nodes.Left.Address).value());
+  Client.connect(core::parseEndpoint(Nodes.Left.Address).value());
   boost::asio::write(Client, boost::asio::buffer("GET / HTTP/1.1\r\n\r\n"));
   std::string Rest(65536, 0);
   boost::system::error_code Closed;
@@ -298,7 +299,7 @@
   boost::asio::io_context Io;
   ssl::context Bare(ssl::context::tls_client);
   ssl::stream<boost::asio::ip::tcp::socket> Client(Io, Bare);
-  Client.next_layer().connect(parseEndpoint(Server.Address).value());
+  Client.next_layer().connect(core::parseEndpoint(Server.Address).value());
   boost::system::error_code Failed;
   Client.handshake(ssl::stream_base::client, Failed);
   // With TLS 1.3 the client learns of the refusal when it reads.
