--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -1,4 +1,5 @@
 #include "broker_state.hpp"
+#include "timer.hpp"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -276,7 +277,7 @@
 
 void RemoteBroker::stop() {
   Stopped = true;
-  asio::post(Timer.get_executor(), [this] { Timer.cancel(); });
+  internal::cancelLater(Timer);
   std::vector<CallId> Left;
   {
     const std::lock_guard Lock(Mutex);
@@ -291,7 +292,7 @@
 
 void RemoteBroker::wake() {
   if (Sleeping.exchange(false))
-    asio::post(Timer.get_executor(), [this] { Timer.cancel(); });
+    internal::cancelLater(Timer);
 }
 
 core::Awaitable<void> RemoteBroker::watch() {
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_state.hpp"
+#include "timer.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -26,13 +27,13 @@
 
 void DispatchService::stop() {
   Stopped = true;
-  asio::post(Timer.get_executor(), [this] { Timer.cancel(); });
+  internal::cancelLater(Timer);
 }
 
 // Ends a long sleep because a call waits now.
 void DispatchService::wake() {
   if (Sleeping.exchange(false))
-    asio::post(Timer.get_executor(), [this] { Timer.cancel(); });
+    internal::cancelLater(Timer);
 }
 
 core::Awaitable<void> DispatchService::loop() {
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_state.hpp"
+#include "timer.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,7 +22,7 @@
 DispatchService::DispatchService(const asio::any_io_executor &Executor,
                                  const Environment &Surroundings)
     : Executor(Executor), Env(Surroundings),
-      Timer(asio::make_strand(Executor)) {
+      Timer(internal::makeSerialTimer(Executor)) {
   Env.Groups.subscribe([this](const auto &Index) { configure(Index); });
 }
 
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/peers/gossip.hpp>
 
+#include "timer.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,7 +16,8 @@
                MemberTable &Members, core::ConfigSource &Config,
                ConfigSync &Sync)
     : Links(Links), Members(Members), Config(Config), Sync(Sync),
-      Timer(asio::make_strand(Executor)), Random(Links.options().Seed) {}
+      Timer(internal::makeSerialTimer(Executor)), Random(Links.options().Seed) {
+}
 
 void Gossip::start() {
   asio::co_spawn(Timer.get_executor(), loop(), asio::detached);
@@ -22,7 +25,7 @@
 
 void Gossip::stop() {
   Stopped = true;
-  asio::post(Timer.get_executor(), [this] { Timer.cancel(); });
+  internal::cancelLater(Timer);
 }
 
 core::Awaitable<void> Gossip::loop() {
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -1,4 +1,5 @@
 #include "broker_state.hpp"
+#include "timer.hpp"
 
 #include <boost/asio/strand.hpp>
 
@@ -16,7 +17,8 @@
 
 RemoteBroker::RemoteBroker(const asio::any_io_executor &Executor,
                            const Environment &Surroundings)
-    : Executor(Executor), Env(Surroundings), Timer(asio::make_strand(Executor)),
+    : Executor(Executor), Env(Surroundings),
+      Timer(internal::makeSerialTimer(Executor)),
       Random(static_cast<std::uint32_t>(Env.Links.options().Seed) + 1) {}
 
 RemoteBroker::~RemoteBroker() = default;
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -142,6 +142,9 @@
         for signal_number in (signal.SIGSTOP, signal.SIGKILL):
             for number in range(20):
                 self.assertEqual(self.lookup(self.fleet.vms[number % 3], number)[0], 200)
+            # The status names a dispatcher up to one ranking round, 100 ms,
+            # after it has begun to grant.
+            wait_until(self.dispatchers, "a VM reports that it dispatches")
             victim = self.dispatchers()[0]
             victim.process.send_signal(signal_number)
             others = [vm for vm in self.fleet.vms if vm is not victim]
