--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -5,9 +5,12 @@
 #include "watch_rotation.hpp"
 
 #include <jujubecart/core/endpoint.hpp>
+#include <jujubecart/operators/settings_reader.hpp>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <stdexcept>
@@ -36,6 +39,7 @@
 Daemon::Daemon(operators::Settings Given)
     : All(std::move(Given)), Incarnation(internal::unixMilliseconds(Time)),
       Io(static_cast<int>(All.Workers)), Signals(Io, SIGTERM, SIGINT),
+      Reload(Io, SIGHUP),
       Events(Time, All.TimelineEvents),
       Store(Io.get_executor(), All.Store.Endpoints),
       Tickets(Store, Time, Delays, internal::randomNumber),
@@ -61,14 +65,16 @@
              .Fallback = Local,
              .Prober = &Prober}),
       Startup(Config, Reader, Peers.config(), Time, Delays),
-      Pool(Io.get_executor(), poolOptions(All), Time), Transport(Pool, Time),
-      Callers(Io.get_executor(), callerOptions(All.Callers),
+      Pool(Io.get_executor(), poolOptions(All), Time),
+      Transport(Pool, Time, profile()),
+      Callers(Io.get_executor(), callerOptions(All),
               {.Time = Time,
                .Config = Config,
                .Broker = broker(),
                .Backends = Transport,
                .Events = Events,
-               .Retries = Retries}),
+               .Retries = Retries,
+               .Profile = profile()}),
       Endpoints(ApiParts{.All = All,
                          .Io = Io,
                          .Time = Time,
@@ -86,9 +92,9 @@
                             .Config = Config,
                             .Events = Events});
   if (!All.PlatformEndpoint.empty())
-    Platform = std::make_unique<platform::VmListReader>(
+    Platform = std::make_unique<inventory::VmListReader>(
         Io.get_executor(), Delays, internal::randomNumber,
-        platform::VmListReaderSettings{.Address = All.PlatformEndpoint});
+        inventory::VmListReaderSettings{.Address = All.PlatformEndpoint});
   Config.subscribe([this](const core::ConfigSource::Snapshot &Snapshot) {
     core::LogLine(core::LogLevel::Info, "config.applied")
         .field("revision", Snapshot->revision());
@@ -97,6 +103,11 @@
   });
 }
 
+const core::HttpProfile &Daemon::profile() const noexcept {
+  return All.Directory.Enabled ? platform::httpProfile()
+                               : core::nativeHttpProfile();
+}
+
 core::SlotBroker &Daemon::broker() noexcept {
   if (All.Policy == "dispatcher")
     return Peers.broker();
@@ -119,14 +130,57 @@
                              Code.message());
 }
 
-int Daemon::run() {
+void Daemon::startConfiguration() {
+  if (!All.Directory.Enabled) {
+    internal::asio::co_spawn(Io, joinSeeds(), internal::asio::detached);
+    internal::asio::co_spawn(Io, Startup.run(), internal::asio::detached);
+    return;
+  }
+  const auto Strand = internal::asio::make_strand(Io);
+  DirectoryStore =
+      std::make_unique<platform::StoreClient>(Strand, All.Store.Endpoints);
+  Feed = std::make_unique<store::DirectoryFeed>(
+      store::DirectoryFeed::Environment{.Store = *DirectoryStore,
+                                        .Codec = Codec,
+                                        .Table = Config,
+                                        .Time = Time,
+                                        .Delays = Delays,
+                                        .Random = internal::randomNumber},
+      Peers.members().self(), All.Directory.Zones,
+      store::DirectoryFeedOptions{});
+  Feed->onMembers([this](const std::vector<core::Member> &Vms) {
+    Peers.members().update(Vms);
+  });
+  internal::asio::co_spawn(Strand, Feed->run(), internal::asio::detached);
+  internal::asio::co_spawn(Strand, Feed->keepRegistered(),
+                           internal::asio::detached);
+}
+
+core::Awaitable<void> Daemon::watchSettings(std::string File) {
+  while (!Stopping) {
+    const auto [Code, Signal] = co_await Reload.async_wait(
+        internal::asio::as_tuple(internal::asio::use_awaitable));
+    if (Code)
+      co_return;
+    core::Findings Report(File);
+    const operators::Settings Fresh =
+        operators::readSettingsFile(File, Report);
+    // Listeners and identity cannot change while calls are in flight.
+    core::LogLine(core::LogLevel::Info, "settings.reloaded")
+        .field("valid", Report.empty() ? "yes" : "no")
+        .field("changed", Fresh == All ? "no" : "after restart")
+        .field("reason", Report.text());
+  }
+}
+
+int Daemon::run(const std::string &File) {
   listen();
+  internal::asio::co_spawn(Io, watchSettings(File), internal::asio::detached);
   internal::asio::co_spawn(Io, waitForSignal(), internal::asio::detached);
   internal::asio::co_spawn(Io, maintain(), internal::asio::detached);
-  internal::asio::co_spawn(Io, joinSeeds(), internal::asio::detached);
-  internal::asio::co_spawn(Io, Startup.run(), internal::asio::detached);
+  startConfiguration();
   if (Platform)
-    Platform->start([this](const platform::VmList &List) {
+    Platform->start([this](const inventory::VmList &List) {
       Peers.members().update(List.Entries);
     });
   core::LogLine(core::LogLevel::Info, "vm.started")
@@ -158,8 +212,13 @@
   if (Platform)
     Platform->stop();
   Peers.leave();
-  const callers::StopReport Report = co_await Callers.stop(
-      Time.now() + std::chrono::seconds(All.ShutdownDeadlineS));
+  if (Feed)
+    Feed->stop();
+  const core::TimePoint Deadline = Time.now() + shutdownTime(All);
+  // The balancer sends new connections until it has seen two refusals.
+  Callers.drain();
+  co_await Delays.sleepUntil(Time.now() + leaveTime(All));
+  const callers::StopReport Report = co_await Callers.stop(Deadline);
   for (const callers::CutOffRequest &Request : Report.CutOff)
     core::LogLine(core::LogLevel::Error, "request.cut_off")
         .field("request", toString(Request.Id))
@@ -174,7 +233,8 @@
 core::Awaitable<void> Daemon::maintain() {
   while (!Stopping) {
     const std::vector<core::Member> Members = Peers.members().members();
-    if (watchesStore(Members, All.Vm.Id, Time.wallNow()))
+    if (!All.Directory.Enabled &&
+        watchesStore(Members, All.Vm.Id, Time.wallNow()))
       Reader.startWatching();
     else
       Reader.stopWatching();
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -13,9 +13,11 @@
 #include <jujubecart/operators/server.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_node.hpp>
-#include <jujubecart/platform/vm_list_reader.hpp>
+#include <jujubecart/inventory/vm_list_reader.hpp>
+#include <jujubecart/platform.hpp>
 #include <jujubecart/store/claim_log.hpp>
 #include <jujubecart/store/config_reader.hpp>
+#include <jujubecart/store/directory_feed.hpp>
 #include <jujubecart/store/http_key_value_store.hpp>
 #include <jujubecart/store/ticket_processor.hpp>
 
@@ -33,8 +35,9 @@
   explicit Daemon(operators::Settings All);
 
   /// @brief Serves until SIGTERM or SIGINT, then stops gracefully.
+  /// @param File Settings file, checked again on SIGHUP.
   /// @return Exit code of the process.
-  [[nodiscard]] int run();
+  [[nodiscard]] int run(const std::string &File);
 
 private:
   void listen();
@@ -43,6 +46,9 @@
   [[nodiscard]] core::SlotBroker &broker() noexcept;
   [[nodiscard]] core::Awaitable<void> maintain();
   [[nodiscard]] core::Awaitable<void> joinSeeds();
+  [[nodiscard]] core::Awaitable<void> watchSettings(std::string File);
+  void startConfiguration();
+  [[nodiscard]] const core::HttpProfile &profile() const noexcept;
 
   const operators::Settings All;
   core::SystemClock Time;
@@ -51,6 +57,7 @@
   boost::asio::io_context Io;
   // Registered before anything listens, so that an early SIGTERM is graceful.
   boost::asio::signal_set Signals;
+  boost::asio::signal_set Reload;
   core::ConfigTable Config;
   core::EventRing Events;
   core::MetricsRegistry Metrics;
@@ -62,8 +69,12 @@
   HttpHealthProber Prober;
   peers::PeerNode Peers;
   ConfigStartup Startup;
-  /// Null if the settings name no platform endpoint.
-  std::unique_ptr<platform::VmListReader> Platform;
+  platform::EntryCodec Codec;
+  /// Null unless the settings name a directory.
+  std::unique_ptr<platform::StoreClient> DirectoryStore;
+  std::unique_ptr<store::DirectoryFeed> Feed;
+  /// Null if the settings name no VM list.
+  std::unique_ptr<inventory::VmListReader> Platform;
   backends::ConnectionPool Pool;
   backends::Transport Transport;
   decision::RetryBudget Retries;
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -4,8 +4,37 @@
 
 namespace jujubecart::daemon {
 
-callers::ServerOptions
-callerOptions(const operators::CallerSettings &Settings) {
+namespace {
+
+// Work of backend servers takes more than 100 ms there, and a VM has a fifth
+// of a core, so silence of a few tens of milliseconds says nothing.
+constexpr std::chrono::milliseconds DirectoryHeartbeat{100};
+constexpr std::chrono::milliseconds DirectorySilence{400};
+constexpr std::chrono::milliseconds DirectoryDial{150};
+// Time for the last responses to reach their callers before SIGKILL.
+constexpr std::uint32_t ShutdownReserveMs = 400;
+constexpr std::size_t HeldResponseBytes = 65536;
+// Shorter than the idle timeout of the backend servers.
+constexpr std::chrono::milliseconds DirectoryIdle{8000};
+
+} // namespace
+
+std::chrono::milliseconds shutdownTime(const operators::Settings &All) {
+  if (!All.Directory.Enabled)
+    return std::chrono::seconds(All.ShutdownDeadlineS);
+  return std::chrono::milliseconds(
+      All.Directory.GraceMs > ShutdownReserveMs
+          ? All.Directory.GraceMs - ShutdownReserveMs
+          : All.Directory.GraceMs);
+}
+
+std::chrono::milliseconds leaveTime(const operators::Settings &All) {
+  return std::chrono::milliseconds(
+      All.Directory.Enabled ? All.Directory.LeaveMs : 0);
+}
+
+callers::ServerOptions callerOptions(const operators::Settings &All) {
+  const operators::CallerSettings &Settings = All.Callers;
   callers::ServerOptions Options;
   Options.MaxConnections = Settings.MaxConnections;
   Options.MaxHead = Settings.HeaderLimitBytes;
@@ -14,12 +43,18 @@
   Options.IdleTimeout = std::chrono::milliseconds(Settings.IdleTimeoutMs);
   Options.MaxDeadline = std::chrono::milliseconds(Settings.MaxDeadlineMs);
   Options.HedgeDelay = std::chrono::milliseconds(Settings.HedgeAfterMs);
+  if (All.Directory.Enabled) {
+    Options.HoldResponses = true;
+    Options.BufferedResponse = HeldResponseBytes;
+  }
   return Options;
 }
 
 backends::PoolOptions poolOptions(const operators::Settings &Settings) {
   backends::PoolOptions Options;
   Options.Source = Settings.Vm.Address;
+  if (Settings.Directory.Enabled)
+    Options.IdleTimeout = DirectoryIdle;
   return Options;
 }
 
@@ -42,6 +77,13 @@
   Options.SuspectAfter = std::chrono::milliseconds(All.Peers.SuspectAfterMs);
   Options.RemoveAfter = std::chrono::milliseconds(All.Peers.RemoveAfterMs);
   Options.Seed = core::hash64(All.Vm.Id, Incarnation);
+  if (All.Directory.Enabled) {
+    Options.AskNextDispatcher = true;
+    Options.SyncConfig = false;
+    Options.HeartbeatEvery = DirectoryHeartbeat;
+    Options.SilenceLimit = DirectorySilence;
+    Options.DialPatience = DirectoryDial;
+  }
   return Options;
 }
 
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -6,13 +6,22 @@
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_options.hpp>
 
+#include <chrono>
 #include <string>
 
 namespace jujubecart::daemon {
 
 /// @brief Options of the server for callers.
 [[nodiscard]] callers::ServerOptions
-callerOptions(const operators::CallerSettings &Settings);
+callerOptions(const operators::Settings &All);
+
+/// @brief Longest time from SIGTERM to the end of the process.
+[[nodiscard]] std::chrono::milliseconds
+shutdownTime(const operators::Settings &All);
+
+/// @brief How long new connections are served after SIGTERM.
+[[nodiscard]] std::chrono::milliseconds
+leaveTime(const operators::Settings &All);
 
 /// @brief Options of the connections to backend servers.
 [[nodiscard]] backends::PoolOptions
--- a/apps/jujubecartd/main.cpp
+++ b/apps/jujubecartd/main.cpp
@@ -24,7 +24,7 @@
     // Never destroyed: frames of suspended coroutines refer to its parts, and
     // the process ends right after run().
     static daemon::Daemon *const Process = new daemon::Daemon(Settings);
-    return Process->run();
+    return Process->run(File);
   } catch (const std::exception &Failure) {
     core::LogLine(core::LogLevel::Error, "vm.failed")
         .field("error", Failure.what());
@@ -37,7 +37,9 @@
 int main(int Count, char **Arguments) {
   CLI::App App{"Load balancer process of one entry VM.", "jujubecartd"};
   std::string File;
-  App.add_option("--settings", File, "JSON settings file")->required();
+  App.add_option("--settings", File, "JSON settings file")
+      ->required()
+      ->envname("JUJUBECART_SETTINGS");
   App.footer("SIGTERM or SIGINT stops gracefully. Exit codes: 0 stopped,\n"
              "1 failed, 2 invalid settings or arguments.");
   try {
--- a/cmake/Options.cmake
+++ b/cmake/Options.cmake
@@ -7,9 +7,14 @@
   set(CMAKE_CXX_COMPILER_LAUNCHER ${Ccache})
 endif()
 
-add_compile_options(-Wall -Wextra -Werror -Wno-missing-field-initializers)
-# GCC 12 reports false positives of these two in optimized coroutine frames.
-add_compile_options(-Wno-maybe-uninitialized -Wno-dangling-pointer)
+option(JUJUBECART_WERROR "Treat warnings as errors" ON)
+add_compile_options(-Wall -Wextra -Wno-missing-field-initializers)
+if(JUJUBECART_WERROR)
+  add_compile_options(-Werror)
+endif()
+# GCC 12 reports false positives of these in optimized coroutine frames.
+add_compile_options(-Wno-maybe-uninitialized -Wno-dangling-pointer
+  -Wno-mismatched-new-delete)
 add_compile_definitions(BOOST_ASIO_NO_DEPRECATED)
 
 if(JUJUBECART_SANITIZE)
--- a/packages/backends/include/jujubecart/backends/transport.hpp
+++ b/packages/backends/include/jujubecart/backends/transport.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/backends/connection_pool.hpp>
 #include <jujubecart/core/backend_transport.hpp>
+#include <jujubecart/core/http_profile.hpp>
 
 namespace jujubecart::backends {
 
@@ -12,8 +13,10 @@
   /// @brief Creates a transport.
   /// @param Pool Must outlive every exchange.
   /// @param Time Must outlive every exchange.
-  Transport(ConnectionPool &Pool, const core::Clock &Time)
-      : Pool(Pool), Time(Time) {}
+  /// @param Profile Meaning of the header fields; must outlive every exchange.
+  Transport(ConnectionPool &Pool, const core::Clock &Time,
+            const core::HttpProfile &Profile = core::nativeHttpProfile())
+      : Pool(Pool), Time(Time), Profile(Profile) {}
 
   [[nodiscard]] std::unique_ptr<core::BackendExchange>
   prepare(const core::BackendServer &Server,
@@ -22,6 +25,7 @@
 private:
   ConnectionPool &Pool;
   const core::Clock &Time;
+  const core::HttpProfile &Profile;
 };
 
 } // namespace jujubecart::backends
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -6,8 +6,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
-#include <jujubecart/core/http_rules.hpp>
-#include <limits>
 
 namespace jujubecart::backends::internal {
 
@@ -121,8 +119,16 @@
     if (Failed != core::HeadError::None)
       co_return fail(core::Error::OutcomeUnknown);
     const unsigned Status = Link->Reader.message().result_int();
-    if (Status / 100 != 1)
-      co_return acceptHead();
+    if (Status / 100 != 1) {
+      const core::ResponseTraits Traits = Profile.readResponse(
+          Link->Reader.message(), Request->CallerRequestId);
+      if (!Traits.Foreign)
+        co_return acceptHead(Traits);
+      // A late second response to an earlier request of this connection.
+      if (!co_await skipResponse())
+        break;
+      continue;
+    }
     // Upgrade is never forwarded, so a switch of protocols is unasked for.
     if (Status == 101)
       break;
@@ -130,22 +136,31 @@
   co_return fail(core::Error::Malformed);
 }
 
-std::error_code Exchange::acceptHead() {
+core::Awaitable<bool> Exchange::skipResponse() {
+  std::array<char, 4096> Dropped{};
+  while (!Link->Reader.complete()) {
+    if (Link->Reader.parser().need_eof() ||
+        !co_await Link->Reader.readBody(Link->Socket, Dropped) || Aborted)
+      co_return false;
+  }
+  co_return true;
+}
+
+std::error_code Exchange::acceptHead(const core::ResponseTraits &Traits) {
+  constexpr unsigned FirstFailure = 500;
   const auto &Parser = Link->Reader.parser();
-  const auto &Message = Link->Reader.message();
-  // The end of a response that lasts until the connection closes cannot be
-  // told from a truncation.
-  if (Parser.need_eof() || Message.result_int() < 200 ||
-      Message.result_int() > 599)
+  const unsigned Status = Link->Reader.message().result_int();
+  if ((Parser.need_eof() && !Profile.acceptsUnframedResponses()) ||
+      Status < 200 || Status > 599 || Traits.Invalid)
     return fail(core::Error::Malformed);
-  if (const auto Load = core::parseDecimal(Message["X-Load"]))
-    if (*Load <= std::numeric_limits<std::uint32_t>::max())
-      Report.Load = static_cast<std::uint32_t>(*Load);
-  Report.Draining = Message["X-Drain"] == "1";
-  Rejected = Message.result_int() == 503 && Message["X-Outcome"] == "not-run";
+  Report.Load = Traits.Load;
+  Report.Draining = Traits.Draining;
+  Report.OtherInstance = Traits.OtherInstance;
+  Report.Failed = Status >= FirstFailure;
+  Rejected = Traits.NotRun;
   if (const auto Size = Parser.content_length())
     Length = *Size;
-  else if (!Parser.chunked())
+  else if (!Parser.chunked() && !Parser.need_eof())
     Length = 0;
   Response = Link->Reader.releaseHead();
   if (Link->Reader.complete())
--- a/packages/backends/src/exchange.hpp
+++ b/packages/backends/src/exchange.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/backends/connection_pool.hpp>
 #include <jujubecart/core/backend_transport.hpp>
+#include <jujubecart/core/http_profile.hpp>
 
 #include <array>
 
@@ -12,9 +13,9 @@
 class Exchange final : public core::BackendExchange {
 public:
   Exchange(ConnectionPool &Pool, const core::Clock &Time,
-           core::BackendServer Server,
+           const core::HttpProfile &Profile, core::BackendServer Server,
            std::shared_ptr<const core::BackendRequest> Request)
-      : Pool(Pool), Time(Time), Server(std::move(Server)),
+      : Pool(Pool), Time(Time), Profile(Profile), Server(std::move(Server)),
         Request(std::move(Request)) {}
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
@@ -40,12 +41,14 @@
   [[nodiscard]] core::Awaitable<bool> write(std::string_view Prefix,
                                             std::span<const char> Data);
   [[nodiscard]] core::Awaitable<std::error_code> receiveHead();
-  [[nodiscard]] std::error_code acceptHead();
+  [[nodiscard]] core::Awaitable<bool> skipResponse();
+  [[nodiscard]] std::error_code acceptHead(const core::ResponseTraits &Traits);
   [[nodiscard]] std::error_code fail(core::Error Code) noexcept;
   void finish() noexcept;
 
   ConnectionPool &Pool;
   const core::Clock &Time;
+  const core::HttpProfile &Profile;
   core::BackendServer Server;
   std::shared_ptr<const core::BackendRequest> Request;
   std::shared_ptr<ConnectControl> Control;
--- a/packages/callers/include/jujubecart/callers/server.hpp
+++ b/packages/callers/include/jujubecart/callers/server.hpp
@@ -6,6 +6,7 @@
 #include <jujubecart/core/awaitable.hpp>
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/fwd.hpp>
+#include <jujubecart/core/http_profile.hpp>
 #include <jujubecart/core/request_id.hpp>
 #include <jujubecart/decision/retry_budget.hpp>
 
@@ -31,6 +32,7 @@
   core::EventSink &Events;
   /// Shared by everything on this VM that makes further attempts.
   decision::RetryBudget &Retries;
+  const core::HttpProfile &Profile = core::nativeHttpProfile();
 };
 
 /// @brief A request that had not been answered when the server stopped.
@@ -66,6 +68,10 @@
   /// @brief Port that the server listens on.
   [[nodiscard]] std::uint16_t port() const noexcept;
 
+  /// @brief Tells callers with every response to close their connection;
+  /// new connections are still served.
+  void drain() noexcept;
+
   /// @brief Stops accepting and waits for the requests in flight.
   /// @param Deadline When the remaining ones are cut off.
   [[nodiscard]] core::Awaitable<StopReport> stop(core::TimePoint Deadline);
--- a/packages/callers/include/jujubecart/callers/server_options.hpp
+++ b/packages/callers/include/jujubecart/callers/server_options.hpp
@@ -31,8 +31,12 @@
   /// Delay before a lookup is hedged; 0 turns hedging off.
   std::chrono::milliseconds HedgeDelay{0};
   std::uint32_t MaxCallDepth = 16;
-  /// Value of `Retry-After`.
-  std::chrono::seconds RetryAfter{1};
+  /// Value of `Retry-After` if the dispatcher gives no advice.
+  std::chrono::milliseconds RetryAfter{1000};
+  /// Whether a response that fits into BufferedResponse is read to its end
+  /// before the caller gets the first byte, so that one that breaks off can be
+  /// replaced by a second attempt.
+  bool HoldResponses = false;
   /// How long idle connections can still send a request after stop.
   std::chrono::milliseconds StopIdleGrace{500};
 };
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -20,13 +20,13 @@
 
 core::Awaitable<bool> Call::run() {
   const core::Clock &Time = State.Uses.Time;
-  Link.setDue(Time.now() + State.Options.HeadTimeout);
+  Link.setDue(Time.now() + State.headTimeout());
   Link.setCurrent(CallerLink::Current{.Id = What.Id, .Service = {}});
   const core::HeadError Error = co_await Link.reader().readHead(Link.socket());
   if (Error != core::HeadError::None)
     co_return co_await rejectHead(Error);
   ++State.Counters.Received;
-  std::optional<Fault> Problem = interpret(Link.reader().parser(), What);
+  std::optional<Fault> Problem = interpret(Link.reader().parser(), State.Uses.Profile, Time, What);
   if (!Problem)
     Problem = admit();
   if (Problem)
@@ -66,38 +66,62 @@
     return Fault{.Status = 503,
                  .Reason = RejectReason::NotReady,
                  .Text = "no configuration available"};
-  Service = Config->route(What.Host, What.Target);
-  if (Service == nullptr)
-    return Fault{.Status = 404,
-                 .Reason = RejectReason::NoRule,
-                 .Text = "no rule matches host and path"};
-  if (What.Depth > State.Options.MaxCallDepth)
-    return Fault{.Text = "X-Call-Depth above the limit"};
+  if (const auto Problem = findService())
+    return Problem;
+  if (What.Traits.Depth > State.Options.MaxCallDepth)
+    return Fault{.Text = "call depth above the limit"};
   if (Link.reader().limitExceeded())
     return Fault{.Status = 413,
                  .Reason = RejectReason::TooLarge,
                  .Text = "request body too large"};
-  if (Service->Kind == core::ServiceKind::Order || !What.hasSafeMethod()) {
-    if (What.IdempotencyKey.empty())
+  if (Route == nullptr &&
+      (Service->Kind == core::ServiceKind::Order || !What.hasSafeMethod())) {
+    if (What.Traits.IdempotencyKey.empty())
       return Fault{.Text = "missing Idempotency-Key"};
-    Key = core::orderKey(Service->Name, What.IdempotencyKey);
+    Key = core::orderKey(Service->Name, What.Traits.IdempotencyKey);
   }
   return setDeadline();
 }
 
-std::optional<Fault> Call::setDeadline() {
-  const core::Clock &Time = State.Uses.Time;
-  auto Left = milliseconds(Service->DefaultDeadlineMs);
-  if (What.DeadlineMs) {
-    const auto WallNow = std::chrono::duration_cast<milliseconds>(
-        Time.wallNow().time_since_epoch());
-    Left = milliseconds(*What.DeadlineMs) - WallNow;
+std::optional<Fault> Call::findService() {
+  const Fault NoRule{.Status = 404,
+                     .Reason = RejectReason::NoRule,
+                     .Text = "no rule matches host and path"};
+  MaxAttempts = State.Options.MaxAttempts;
+  const core::RoutingTable *Routing = Config->routing();
+  if (Routing == nullptr) {
+    Service = Config->route(What.Host, What.Target);
+    return Service == nullptr ? std::optional(NoRule) : std::nullopt;
   }
-  if (Left.count() <= 0)
-    return Fault{.Status = 504,
+  Route = Routing->find(What.Host, What.Target);
+  if (Route == nullptr)
+    return NoRule;
+  MaxAttempts = Route->MaxAttempts;
+  Service = Config->find(
+      Route->service(core::hash64(What.Traits.CallerRequestId, What.Id.Value)));
+  if (Service == nullptr)
+    return Fault{.Status = 503,
+                 .Reason = RejectReason::Unavailable,
+                 .Text = "the service has no backend server"};
+  return std::nullopt;
+}
+
+std::optional<Fault> Call::setDeadline() {
+  const core::TimePoint Arrival = State.Uses.Time.now();
+  Deadline = Arrival + State.Options.MaxDeadline;
+  if (What.Traits.Deadline)
+    Deadline = std::min(Deadline, *What.Traits.Deadline);
+  else
+    Deadline = std::min(Deadline,
+                        Arrival + milliseconds(Service->DefaultDeadlineMs));
+  if (Route != nullptr && Route->TimeoutMs != 0)
+    Deadline = std::min(Deadline, Arrival + milliseconds(Route->TimeoutMs));
+  if (Route != nullptr && Route->ObjectiveMs != 0)
+    Objective = Arrival + milliseconds(Route->ObjectiveMs);
+  if (Deadline <= Arrival)
+    return Fault{.Status = Route == nullptr ? 504U : 503U,
                  .Reason = RejectReason::DeadlineExceeded,
                  .Text = "deadline passed on arrival"};
-  Deadline = Time.now() + std::min(Left, State.Options.MaxDeadline);
   return std::nullopt;
 }
 
@@ -127,7 +151,7 @@
 
 bool Call::keepsConnection() const noexcept {
   return !Close && What.KeepAlive && Link.reader().complete() &&
-         !State.Stopping;
+         !State.Draining && !State.Stopping;
 }
 
 core::Awaitable<bool> Call::reject(Fault Why, bool NotRun) {
@@ -140,15 +164,20 @@
   State.Counters.reject(Why.Reason);
   State.event("call.rejected", What.Id, {}, toString(Why.Reason),
               Key ? Key->High : 0);
-  const std::string Answer =
-      ownAnswer({.Status = Why.Status,
-                 .Id = What.Id,
-                 .NotRun = NotRun,
-                 .Close = !Keep,
-                 .IsHead = What.isHead(),
-                 .Http10 = What.Http10,
-                 .Text = Why.Text,
-                 .RetryAfter = State.Options.RetryAfter});
+  milliseconds RetryAfter = State.Options.RetryAfter;
+  if (Advice && Advice->RetryAt)
+    RetryAfter = std::max(milliseconds(0),
+                          std::chrono::ceil<milliseconds>(
+                              *Advice->RetryAt - State.Uses.Time.now()));
+  const std::string Answer = ownAnswer({.What = {.Id = What.Id,
+                                                 .Status = Why.Status,
+                                                 .NotRun = NotRun,
+                                                 .RetryAfter = RetryAfter},
+                                        .Close = !Keep,
+                                        .IsHead = What.isHead(),
+                                        .Http10 = What.Http10,
+                                        .Text = Why.Text},
+                                       State.Uses.Profile);
   const bool Written = co_await Link.write(asio::buffer(Answer));
   Linger = Written && !Keep;
   co_return Written &&Keep;
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -45,6 +45,7 @@
   // call.cpp: reading and checking the request.
   [[nodiscard]] core::Awaitable<bool> rejectHead(core::HeadError Error);
   [[nodiscard]] std::optional<Fault> admit();
+  [[nodiscard]] std::optional<Fault> findService();
   [[nodiscard]] std::optional<Fault> setDeadline();
   [[nodiscard]] core::Awaitable<bool> readBody();
   [[nodiscard]] core::Awaitable<bool> reject(Fault Why, bool NotRun);
@@ -55,8 +56,12 @@
   [[nodiscard]] core::Awaitable<void> runAttempt(AttemptPtr Which);
   [[nodiscard]] core::Awaitable<std::error_code> preload(AttemptPtr Which);
   [[nodiscard]] core::SlotRequest slotRequest() const;
+  [[nodiscard]] std::shared_ptr<core::BackendRequest>
+  outgoing(const core::BackendServer &Server) const;
+  [[nodiscard]] bool idempotent() const noexcept;
+  [[nodiscard]] bool keepsForLater(const AttemptPtr &Which);
   [[nodiscard]] core::Awaitable<AttemptPtr> nextAttempt();
-  [[nodiscard]] bool mayRetry();
+  [[nodiscard]] bool mayRetry(core::CallOutcome Outcome);
   [[nodiscard]] bool mayRepeat() const;
   void abortSilentAttempt();
 
@@ -84,15 +89,27 @@
   StopReason Stopped = StopReason::None;
   core::ConfigSource::Snapshot Config;
   const core::ServiceConfig *Service = nullptr;
+  /// Nullptr if the rules of the service apply.
+  const core::Route *Route = nullptr;
   std::optional<core::OrderKey> Key;
   core::TimePoint Deadline;
   /// When a lookup without a response is tried elsewhere, or max.
   core::TimePoint SilentDue = core::TimePoint::max();
-  std::shared_ptr<core::BackendRequest> Outgoing;
+  /// Latest end that meets the latency objective.
+  core::TimePoint Objective = core::TimePoint::max();
+  /// Head that all attempts share.
+  std::string ForwardedHead;
+  std::uint32_t MaxAttempts = 1;
+  std::shared_ptr<core::RefusalAdvice> Advice;
+  /// A complete failure of a backend server, passed on if no other attempt
+  /// does better.
+  AttemptPtr Spare;
   std::vector<std::string> Excluded;
   std::vector<AttemptPtr> Active;
   std::uint32_t Sent = 0;
   bool RetryReserved = false;
+  /// Whether the retry budget knows of this request.
+  bool Counted = false;
   bool ClaimTried = false;
   bool KeyRepeated = false;
   bool MaybeRun = false;
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -5,40 +5,72 @@
 
 namespace jujubecart::callers::internal {
 
+namespace {
+
+constexpr unsigned ServerError = 500;
+// Attempts that found no connection; they reached no backend server.
+constexpr std::size_t MaxUnsent = 4;
+
+} // namespace
+
 core::SlotRequest Call::slotRequest() const {
-  return {.Service = Service->Name,
-          .Request = What.Id,
-          .Deadline = Deadline,
-          .Priority = Service->Priority,
-          .CallerHash = What.CallerId.empty() ? Link.peerHash()
-                                              : core::hash64(What.CallerId),
-          .Key = Key,
-          .Excluded = Excluded};
+  core::SlotRequest Out{.Service = Service->Name,
+                        .Request = What.Id,
+                        .Deadline = Deadline,
+                        .Priority = Service->Priority,
+                        .CallerHash = What.Traits.CallerId.empty()
+                                          ? Link.peerHash()
+                                          : core::hash64(What.Traits.CallerId),
+                        .Key = Key,
+                        .Excluded = Excluded,
+                        .Objective = Objective,
+                        .Advice = Advice};
+  if (Route != nullptr) {
+    Out.Priority = Route->Priority;
+    Out.WorkClass = core::hash64(Route->Name);
+  }
+  return Out;
 }
 
-core::Awaitable<bool> Call::forward() {
-  const core::WallTime Wall = core::toWall(State.Uses.Time, Deadline);
-  const std::int64_t DeadlineMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          Wall.time_since_epoch())
-          .count();
-  Outgoing = std::make_shared<core::BackendRequest>(core::BackendRequest{
-      .Head = forwardedHead(Link.reader().message(), What, DeadlineMs),
+std::shared_ptr<core::BackendRequest>
+Call::outgoing(const core::BackendServer &Server) const {
+  auto Out = std::make_shared<core::BackendRequest>(core::BackendRequest{
+      .Head = ForwardedHead,
       .Body = What.Body,
       .IsHead = What.isHead(),
-      .IsOrder = Key.has_value()});
+      .IsOrder = !idempotent(),
+      .CallerRequestId = What.Traits.CallerRequestId});
+  State.Uses.Profile.writeRequest(Out->Head,
+                                  {.Id = What.Id,
+                                   .Traits = What.Traits,
+                                   .Deadline = Deadline,
+                                   .Server = Server},
+                                  State.Uses.Time);
+  Out->Head.append("\r\n");
+  return Out;
+}
+
+bool Call::idempotent() const noexcept {
+  return Route != nullptr ? Route->Idempotent : !Key;
+}
+
+core::Awaitable<bool> Call::forward() {
+  Advice = std::make_shared<core::RefusalAdvice>();
+  ForwardedHead =
+      forwardedHead(Link.reader().message(), What, State.Uses.Profile);
   Now = Phase::Attempting;
   Link.setDue(Deadline);
   if (Body.buffered())
     Link.watchDeparture();
   while (true) {
     const AttemptPtr Next = co_await nextAttempt();
-    if (Next->ready() && Stopped == StopReason::None)
+    const bool Ready = Next->ready() && Stopped == StopReason::None;
+    if (Ready && !keepsForLater(Next))
       co_return co_await relay(Next);
     const core::CallOutcome Outcome = Next->report().Outcome;
     MaybeRun = MaybeRun || !core::certainlyNotRun(Outcome);
     Next->release();
-    if (!Next->Granted || !mayRetry())
+    if (!Next->Granted || (!Ready && !mayRetry(Outcome)))
       co_return co_await fail(Next);
     Excluded.push_back(Next->Grant.Server.Id);
     ++State.Counters.Retries;
@@ -47,6 +79,16 @@
   }
 }
 
+// A backend server that fails a request may be the only one that does so.
+bool Call::keepsForLater(const AttemptPtr &Which) {
+  if (Route == nullptr || !idempotent() || !Which->Exchange->complete() ||
+      Which->Exchange->head().result_int() < ServerError ||
+      !mayRetry(core::CallOutcome::Completed))
+    return false;
+  Spare = Which;
+  return true;
+}
+
 core::Awaitable<Call::AttemptPtr> Call::nextAttempt() {
   if (mayHedge())
     co_return co_await race();
@@ -72,18 +114,22 @@
     Which->Failure = core::make_error_code(core::Error::Cancelled);
     co_return;
   }
-  if (++Sent == 1)
+  ++Sent;
+  if (!std::exchange(Counted, true))
     State.Uses.Retries.recordFirstAttempt();
   ++State.Counters.Attempts;
-  if (!Key && mayRepeat()) {
+  if (idempotent() && mayRepeat()) {
     SilentDue = Time.now() + (Deadline - Time.now()) / 2;
     Link.setDue(SilentDue);
   }
   State.event("call.sent", What.Id, Which->Grant.Server.Id);
-  Which->Exchange = State.Uses.Backends.prepare(Which->Grant.Server, Outgoing);
+  Which->Exchange = State.Uses.Backends.prepare(
+      Which->Grant.Server, outgoing(Which->Grant.Server));
   const bool HasBody = What.Body != core::BackendRequest::Framing::None;
   Which->Failure =
       co_await Which->Exchange->open(HasBody ? &Which->Cursor : nullptr);
+  if (Route != nullptr && !Which->Exchange->sent())
+    --Sent;
   if (!Which->Failure)
     Which->Failure = co_await preload(Which);
 }
@@ -104,20 +150,23 @@
       co_return Count.error();
     Which->Size += *Count;
     // A chunked response may pause for long, so its beginning is not held back.
-  } while (Length && Which->Size < Which->Capacity && !From.complete());
+  } while ((Length || State.Options.HoldResponses) &&
+           Which->Size < Which->Capacity && !From.complete());
   co_return std::error_code();
 }
 
 bool Call::mayRepeat() const {
-  return Stopped == StopReason::None && What.Depth == 0 &&
-         Sent < State.Options.MaxAttempts && Body.replayable() &&
-         !Body.failed() &&
+  return Stopped == StopReason::None && What.Traits.Depth == 0 &&
+         Sent < MaxAttempts && Body.replayable() && !Body.failed() &&
          State.Uses.Time.now() + State.Options.MinRetryTime < Deadline;
 }
 
-bool Call::mayRetry() {
-  if (!mayRepeat() || (Key && MaybeRun))
+bool Call::mayRetry(core::CallOutcome Outcome) {
+  if (!mayRepeat() || (!idempotent() && MaybeRun))
     return false;
+  // Nothing arrived at a backend server, so the budget is not concerned.
+  if (Route != nullptr && Outcome == core::CallOutcome::NotSent)
+    return Excluded.size() < MaxUnsent;
   return std::exchange(RetryReserved, false) || State.Uses.Retries.tryTake();
 }
 
@@ -154,6 +203,8 @@
 
 core::Awaitable<bool> Call::fail(AttemptPtr Last) {
   endOrder();
+  if (Spare && Stopped == StopReason::None)
+    co_return co_await relay(Spare);
   const bool BodyLost = Body.failed() && Stopped == StopReason::None &&
                         !Link.reader().limitExceeded() && !Body.malformed();
   if (BodyLost || Stopped == StopReason::CallerGone ||
@@ -174,13 +225,21 @@
     return {400, RejectReason::Malformed, "malformed request body"};
   if (Stopped == StopReason::TimedOut && State.Uses.Time.now() < Deadline)
     return {408, RejectReason::Slow, "request body not received in time"};
+  // A request of a route that was not run may be sent again by its caller.
+  const bool NotRun = Route != nullptr && !MaybeRun;
   if (Stopped == StopReason::TimedOut || Last.Failure == DeadlineExceeded)
-    return {504, RejectReason::DeadlineExceeded, "deadline exceeded"};
+    return {NotRun ? 503U : 504U, RejectReason::DeadlineExceeded, "deadline exceeded"};
   if (Last.Failure == OrderRepeated)
     return {409, RejectReason::OrderRepeated, "Idempotency-Key already used"};
+  if (!Last.Granted && Route != nullptr && MaybeRun)
+    return {502, RejectReason::BadResponse,
+            "no backend server left for another attempt"};
   if (!Last.Granted && Last.Failure == Overloaded)
     return {503, RejectReason::Overloaded, "overloaded"};
   const core::CallOutcome Outcome = Last.report().Outcome;
+  if (MaybeRun && core::certainlyNotRun(Outcome))
+    return {502, RejectReason::BadResponse,
+            "an earlier attempt may have been run"};
   if (Outcome == core::CallOutcome::Rejected)
     return {503, RejectReason::Overloaded, "rejected by the backend server"};
   if (core::certainlyNotRun(Outcome))
--- a/packages/callers/src/call_hedge.cpp
+++ b/packages/callers/src/call_hedge.cpp
@@ -20,7 +20,7 @@
 bool Call::mayHedge() const {
   const bool Replayable =
       What.Body == core::BackendRequest::Framing::None || Body.buffered();
-  return State.Options.HedgeDelay.count() > 0 && !Key && Replayable &&
+  return State.Options.HedgeDelay.count() > 0 && idempotent() && Replayable &&
          Sent == 0 && mayRepeat();
 }
 
--- a/packages/callers/src/call_relay.cpp
+++ b/packages/callers/src/call_relay.cpp
@@ -54,7 +54,8 @@
   const core::BackendExchange &From = *Which->Exchange;
   const BodyFraming Framing = framing(*Which);
   const std::string Head =
-      passedHead(From.head(), What.Id, Framing, connectionField(Framing));
+      passedHead(From.head(), What.Id, State.Uses.Profile, Framing,
+                 connectionField(Framing));
   const bool Whole = From.complete();
   if (Whole)
     Which->release();
--- a/packages/callers/src/caller_link.cpp
+++ b/packages/callers/src/caller_link.cpp
@@ -28,8 +28,7 @@
 
 CallerLink::CallerLink(std::shared_ptr<ServerState> State, tcp::socket Caller)
     : State(std::move(State)), Socket(std::move(Caller)),
-      Reader({.Head = this->State->Options.MaxHead,
-              .Body = this->State->Options.MaxBody}),
+      Reader(this->State->httpLimits()),
       Timer(Socket.get_executor()), PeerHash(hashPeer(Socket)) {
   ++this->State->Counters.OpenConnections;
 }
@@ -57,7 +56,7 @@
 core::Awaitable<bool> CallerLink::serveOne() {
   Idle = true;
   TimedOut = false;
-  setDue(State->Uses.Time.now() + State->Options.IdleTimeout);
+  setDue(State->Uses.Time.now() + State->idleTimeout());
   const bool HasData = co_await Reader.waitForData(Socket);
   Idle = false;
   if (!HasData)
@@ -86,12 +85,13 @@
   State->event("call.rejected", Id, {},
                toString(RejectReason::ConnectionLimit));
   const std::string Answer =
-      ownAnswer({.Status = 503,
-                 .Id = Id,
-                 .NotRun = true,
+      ownAnswer({.What = {.Id = Id,
+                          .Status = 503,
+                          .NotRun = true,
+                          .RetryAfter = State->Options.RetryAfter},
                  .Close = true,
-                 .Text = "too many connections",
-                 .RetryAfter = State->Options.RetryAfter});
+                 .Text = "too many connections"},
+                State->Uses.Profile);
   if (co_await write(asio::buffer(Answer)))
     co_await linger();
   boost::system::error_code Ignored;
--- a/packages/callers/src/request.cpp
+++ b/packages/callers/src/request.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/beast/http/field.hpp>
 #include <jujubecart/core/http_rules.hpp>
-#include <limits>
 
 namespace jujubecart::callers::internal {
 
@@ -12,10 +11,6 @@
 
 namespace {
 
-// 2^53 ms is far beyond any date and keeps the sum with a duration exact.
-constexpr std::uint64_t MaxUnixMs = std::uint64_t{1} << 53U;
-constexpr std::size_t MaxKeyLength = 256;
-
 Fault malformed(std::string_view Text) {
   return {.Status = 400, .Reason = RejectReason::Malformed, .Text = Text};
 }
@@ -177,31 +172,10 @@
   return std::nullopt;
 }
 
-std::optional<Fault> readOwnFields(const Message &Head, Request &Out) {
-  if (const auto Found = Head.find("X-Deadline"); Found != Head.end()) {
-    const auto Number = core::parseDecimal(Found->value());
-    if (!Number || *Number > MaxUnixMs)
-      return malformed("invalid X-Deadline");
-    Out.DeadlineMs = static_cast<std::int64_t>(*Number);
-  }
-  if (const auto Found = Head.find("X-Call-Depth"); Found != Head.end()) {
-    const auto Number = core::parseDecimal(Found->value());
-    if (!Number || *Number > std::numeric_limits<std::uint16_t>::max())
-      return malformed("invalid X-Call-Depth");
-    Out.Depth = static_cast<std::uint32_t>(*Number);
-  }
-  Out.CallerId = Head["X-Caller-Id"];
-  Out.IdempotencyKey = Head["Idempotency-Key"];
-  if (Out.IdempotencyKey.size() > MaxKeyLength)
-    return malformed("Idempotency-Key longer than 256 characters");
-  return std::nullopt;
-}
-
-// Fields that the load balancer sets itself.
+// Fields that the load balancer sets itself, whatever the profile.
 bool isReplaced(std::string_view Name) {
-  static constexpr std::array<std::string_view, 6> Names{
-      "host",       "expect",       "x-request-id",
-      "x-deadline", "x-call-depth", "content-length"};
+  static constexpr std::array<std::string_view, 3> Names{"host", "expect",
+                                                         "content-length"};
   return std::any_of(Names.begin(), Names.end(), [&](std::string_view Known) {
     return core::equalsIgnoreCase(Known, Name);
   });
@@ -210,7 +184,8 @@
 } // namespace
 
 std::optional<Fault> interpret(const core::HttpReader<true>::Parser &Parser,
-                               Request &Out) {
+                               const core::HttpProfile &Profile,
+                               const core::Clock &Time, Request &Out) {
   const Message &Head = Parser.get();
   Out.Http10 = Head.version() == 10;
   Out.KeepAlive = Parser.keep_alive();
@@ -220,11 +195,15 @@
     return Problem;
   if (const auto Problem = readFraming(Parser, Out))
     return Problem;
-  return readOwnFields(Head, Out);
+  if (const auto Problem = Profile.readRequest(Head, Time, Out.Traits))
+    return malformed(*Problem);
+  if (Out.Traits.Id)
+    Out.Id = *Out.Traits.Id;
+  return std::nullopt;
 }
 
 std::string forwardedHead(const Message &Original, const Request &What,
-                          std::int64_t DeadlineMs) {
+                          const core::HttpProfile &Profile) {
   constexpr std::size_t TypicalHead = 512;
   std::string Out;
   Out.reserve(TypicalHead);
@@ -235,18 +214,16 @@
   const std::string Connection = core::connectionOptions(Original);
   for (const auto &Field : Original) {
     const std::string_view Name = Field.name_string();
-    if (!isReplaced(Name) && !core::isHopByHop(Name, Connection))
+    if (!isReplaced(Name) && !Profile.replacesInRequest(Name) &&
+        !core::isHopByHop(Name, Connection))
       core::appendField(Out, Name, Field.value());
   }
-  core::appendField(Out, "X-Request-Id", core::toString(What.Id));
-  core::appendField(Out, "X-Deadline", std::to_string(DeadlineMs));
-  core::appendField(Out, "X-Call-Depth", std::to_string(What.Depth + 1));
   if (What.Body == core::BackendRequest::Framing::Length)
     core::appendField(Out, "Content-Length",
                       std::to_string(What.ContentLength));
   else if (What.Body == core::BackendRequest::Framing::Chunked)
     core::appendField(Out, "Transfer-Encoding", "chunked");
-  return Out.append("\r\n");
+  return Out;
 }
 
 } // namespace jujubecart::callers::internal
--- a/packages/callers/src/request.hpp
+++ b/packages/callers/src/request.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/callers/server_counters.hpp>
 #include <jujubecart/core/backend_transport.hpp>
+#include <jujubecart/core/http_profile.hpp>
 #include <jujubecart/core/http_reader.hpp>
 #include <jujubecart/core/request_id.hpp>
 
@@ -32,12 +33,9 @@
   std::string Authority;
   /// Lower case, without port.
   std::string Host;
-  std::string IdempotencyKey;
-  std::string CallerId;
+  core::RequestTraits Traits;
   core::BackendRequest::Framing Body = core::BackendRequest::Framing::None;
   std::uint64_t ContentLength = 0;
-  std::optional<std::int64_t> DeadlineMs;
-  std::uint32_t Depth = 0;
   bool KeepAlive = true;
   bool Http10 = false;
   bool ExpectsContinue = false;
@@ -52,18 +50,22 @@
 
 /// @brief Interprets a head.
 /// @param Parser Parser that has read the head.
+/// @param Profile Meaning of the header fields.
 /// @param Out Filled in as far as possible.
 /// @return Why the request cannot be forwarded, if so.
 [[nodiscard]] std::optional<Fault>
-interpret(const core::HttpReader<true>::Parser &Parser, Request &Out);
+interpret(const core::HttpReader<true>::Parser &Parser,
+          const core::HttpProfile &Profile, const core::Clock &Time,
+          Request &Out);
 
-/// @brief Serializes the head for a backend server.
+/// @brief Serializes the part of the head that all attempts share, without
+/// the empty line at its end.
 /// @param Original Head as received.
 /// @param What Its meaning.
-/// @param DeadlineMs Unix time in milliseconds.
+/// @param Profile Names the fields that are not passed on.
 [[nodiscard]] std::string forwardedHead(const Message &Original,
                                         const Request &What,
-                                        std::int64_t DeadlineMs);
+                                        const core::HttpProfile &Profile);
 
 } // namespace jujubecart::callers::internal
 
--- a/packages/callers/src/server.cpp
+++ b/packages/callers/src/server.cpp
@@ -131,6 +131,8 @@
 
 std::uint16_t Server::port() const noexcept { return State->Port; }
 
+void Server::drain() noexcept { State->Draining = true; }
+
 core::Awaitable<StopReport> Server::stop(core::TimePoint Deadline) {
   const StatePtr Held = State;
   internal::LiveCounters &Counters = Held->Counters;
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -2,7 +2,9 @@
 #define JUJUBECART_CALLERS_SRC_SERVER_STATE_HPP
 
 #include <jujubecart/callers/server.hpp>
+#include <jujubecart/core/config_source.hpp>
 #include <jujubecart/core/event_sink.hpp>
+#include <jujubecart/core/http_reader.hpp>
 
 #include <array>
 #include <atomic>
@@ -56,12 +58,34 @@
                         .Detail = std::string(Detail)});
   }
 
+  /// @brief Limits of the operators' configuration, or of the options.
+  [[nodiscard]] core::HttpLimits httpLimits() const {
+    const auto Config = Uses.Config.current();
+    if (const core::RoutingTable *Routing = Config->routing())
+      return {.Head = Routing->limits().HeaderBytes,
+              .Body = Routing->limits().BodyBytes};
+    return {.Head = Options.MaxHead, .Body = Options.MaxBody};
+  }
+  [[nodiscard]] std::chrono::milliseconds headTimeout() const {
+    const auto Config = Uses.Config.current();
+    if (const core::RoutingTable *Routing = Config->routing())
+      return std::chrono::milliseconds(Routing->limits().HeaderTimeoutMs);
+    return Options.HeadTimeout;
+  }
+  [[nodiscard]] std::chrono::milliseconds idleTimeout() const {
+    const auto Config = Uses.Config.current();
+    if (const core::RoutingTable *Routing = Config->routing())
+      return std::chrono::milliseconds(Routing->limits().IdleTimeoutMs);
+    return Options.IdleTimeout;
+  }
+
   boost::asio::any_io_executor Executor;
   ServerOptions Options;
   ServerDependencies Uses;
   boost::asio::any_io_executor Accept;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::atomic<std::uint16_t> Port{0};
+  std::atomic<bool> Draining{false};
   std::atomic<bool> Stopping{false};
   LiveCounters Counters;
   std::mutex Mutex;
--- a/packages/core/include/jujubecart/core/backend_transport.hpp
+++ b/packages/core/include/jujubecart/core/backend_transport.hpp
@@ -38,6 +38,8 @@
   bool IsHead = false;
   /// Must only be sent on a connection verified as live, and only once.
   bool IsOrder = false;
+  /// Id that the response must repeat, if it repeats one.
+  std::string CallerRequestId;
 };
 
 /// @brief Why an exchange is given up.
--- a/packages/core/include/jujubecart/core/config.hpp
+++ b/packages/core/include/jujubecart/core/config.hpp
@@ -25,6 +25,8 @@
   /// Connections allowed for the whole fleet.
   std::uint32_t Connections = 100;
   ServerState State = ServerState::Active;
+  /// Start of the process in Unix milliseconds, 0 if unknown.
+  std::uint64_t Incarnation = 0;
 
   friend auto operator<=>(const BackendServer &,
                           const BackendServer &) = default;
--- a/packages/core/include/jujubecart/core/config_snapshot.hpp
+++ b/packages/core/include/jujubecart/core/config_snapshot.hpp
@@ -2,6 +2,7 @@
 #define JUJUBECART_CORE_CONFIG_SNAPSHOT_HPP
 
 #include <jujubecart/core/config.hpp>
+#include <jujubecart/core/routing_table.hpp>
 
 #include <map>
 #include <memory>
@@ -31,13 +32,20 @@
   /// @brief Creates a snapshot.
   /// @param Number Its revision.
   /// @param Entries All services, tombstones included.
-  ConfigSnapshot(Revision Number, ServiceMap Entries);
+  /// @param Routing Routes that replace the rules of the services, or nullptr.
+  ConfigSnapshot(Revision Number, ServiceMap Entries,
+                 std::shared_ptr<const RoutingTable> Routing = nullptr);
 
   [[nodiscard]] Revision revision() const noexcept { return Number; }
 
   /// @brief All services, tombstones included.
   [[nodiscard]] const ServiceMap &entries() const noexcept { return Entries; }
 
+  /// @brief Routes that replace the rules of the services, or nullptr.
+  [[nodiscard]] const RoutingTable *routing() const noexcept {
+    return Routing.get();
+  }
+
   /// @brief Finds a service that exists at this revision.
   /// @param Name Name of the service.
   /// @return The service or nullptr.
@@ -61,6 +69,7 @@
 private:
   Revision Number = 0;
   ServiceMap Entries;
+  std::shared_ptr<const RoutingTable> Routing;
 };
 
 } // namespace jujubecart::core
--- a/packages/core/include/jujubecart/core/error.hpp
+++ b/packages/core/include/jujubecart/core/error.hpp
@@ -24,6 +24,8 @@
   InvalidArgument,
   Malformed,
   NotReady,
+  /// The store no longer has all changes that were asked for.
+  HistoryLost,
 };
 
 /// @brief Category of @ref Error.
--- a/packages/core/include/jujubecart/core/http_reader.hpp
+++ b/packages/core/include/jujubecart/core/http_reader.hpp
@@ -91,12 +91,15 @@
   [[nodiscard]] Awaitable<bool> fill(boost::asio::ip::tcp::socket &From,
                                      std::size_t Size);
   [[nodiscard]] HeadError parseHead(std::size_t Size, bool NoBody);
+  [[nodiscard]] bool endsHere();
 
   HttpLimits Limits;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Current;
   std::string_view Fault;
   bool LimitExceeded = false;
+  /// Whether the peer closed its side in order.
+  bool EndOfStream = false;
 };
 
 extern template class HttpReader<true>;
--- a/packages/core/include/jujubecart/core/json_reader.hpp
+++ b/packages/core/include/jujubecart/core/json_reader.hpp
@@ -63,6 +63,9 @@
   /// @brief Reads an optional array of non-empty strings.
   [[nodiscard]] std::vector<std::string> strings(std::string_view Key);
 
+  /// @brief Reads an optional member of any type, or null.
+  [[nodiscard]] const nlohmann::json &value(std::string_view Key);
+
   /// @brief Reports every key that was not read; call last.
   void rejectUnknownKeys();
 
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -6,16 +6,24 @@
 #include <jujubecart/core/config.hpp>
 #include <jujubecart/core/error.hpp>
 #include <jujubecart/core/hash.hpp>
+#include <jujubecart/core/load_report.hpp>
 #include <jujubecart/core/request_id.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace jujubecart::core {
 
+/// @brief What a dispatcher advises a caller that it refuses.
+struct RefusalAdvice {
+  /// When the caller should ask again, if known.
+  std::optional<TimePoint> RetryAt;
+};
+
 /// @brief Asks for a slot on one backend server of a service.
 struct SlotRequest {
   std::string Service;
@@ -29,6 +37,12 @@
   std::optional<OrderKey> Key;
   /// Backend servers that earlier attempts of this request used.
   std::vector<std::string> Excluded;
+  /// Latest end that meets the latency objective; max if there is none.
+  TimePoint Objective = TimePoint::max();
+  /// Identifies requests with similar service times; 0 if unknown.
+  std::uint64_t WorkClass = 0;
+  /// If not nullptr, receives advice when the request is refused.
+  std::shared_ptr<RefusalAdvice> Advice;
 };
 
 /// @brief Permission to send one attempt to one backend server.
@@ -48,7 +62,7 @@
   Completed,
   /// No connection, or nothing was written.
   NotSent,
-  /// 503 with `X-Outcome: not-run`.
+  /// The backend server refused it without running it.
   Rejected,
   TimedOut,
   /// The connection closed or the response was invalid after sending began.
@@ -62,10 +76,16 @@
   CallOutcome Outcome = CallOutcome::Completed;
   /// Elapsed time from the first byte sent to the end of the response.
   std::chrono::microseconds Elapsed{0};
-  /// Requests in flight as stated by the backend server.
-  std::optional<std::uint32_t> Load;
+  /// Load as stated by the backend server.
+  std::optional<LoadReport> Load;
   /// The backend server said that it is draining.
   bool Draining = false;
+  /// The response has a status of 500 or above.
+  bool Failed = false;
+  /// Another process answered at the server's address.
+  bool OtherInstance = false;
+
+  friend bool operator==(const CallReport &, const CallReport &) = default;
 };
 
 /// @brief Whether a report proves that the request was not run.
--- a/packages/core/src/config_snapshot.cpp
+++ b/packages/core/src/config_snapshot.cpp
@@ -16,8 +16,10 @@
 
 } // namespace internal
 
-ConfigSnapshot::ConfigSnapshot(Revision Number, ServiceMap Entries)
-    : Number(Number), Entries(std::move(Entries)) {}
+ConfigSnapshot::ConfigSnapshot(Revision Number, ServiceMap Entries,
+                               std::shared_ptr<const RoutingTable> Routing)
+    : Number(Number), Entries(std::move(Entries)), Routing(std::move(Routing)) {
+}
 
 const ServiceConfig *
 ConfigSnapshot::find(std::string_view Name) const noexcept {
@@ -60,7 +62,10 @@
 
 bool operator==(const ConfigSnapshot &Left,
                 const ConfigSnapshot &Right) noexcept {
-  return Left.Number == Right.Number &&
+  const bool SameRouting =
+      Left.Routing == Right.Routing ||
+      (Left.Routing && Right.Routing && *Left.Routing == *Right.Routing);
+  return Left.Number == Right.Number && SameRouting &&
          std::equal(Left.Entries.begin(), Left.Entries.end(),
                     Right.Entries.begin(), Right.Entries.end(),
                     [](const auto &LeftEntry, const auto &RightEntry) {
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -36,6 +36,8 @@
       return "malformed message";
     case Error::NotReady:
       return "not ready";
+    case Error::HistoryLost:
+      return "history no longer available";
     }
     return "unrecognized error";
   }
--- a/packages/core/src/http_reader.cpp
+++ b/packages/core/src/http_reader.cpp
@@ -34,6 +34,7 @@
   const auto [Code, Count] = co_await From.async_read_some(
       Buffer.prepare(std::min(Size, Room)), internal::UseTuple);
   Buffer.commit(Count);
+  EndOfStream = Code == boost::asio::error::eof;
   co_return !Code;
 }
 
@@ -107,6 +108,16 @@
   return HeadError::None;
 }
 
+// A body without framing is complete if the connection ended in order; after a
+// reset it is not.
+template <bool IsRequest> bool HttpReader<IsRequest>::endsHere() {
+  if (!EndOfStream || !Current->need_eof())
+    return false;
+  boost::system::error_code Code;
+  Current->put_eof(Code);
+  return !Code && Current->is_done();
+}
+
 template <bool IsRequest>
 Awaitable<Result<std::size_t>>
 HttpReader<IsRequest>::readBody(boost::asio::ip::tcp::socket &From,
@@ -118,8 +129,11 @@
   // Body.size counts down as the parser fills the buffer.
   while (!Current->is_done() && Body.size == Into.size()) {
     boost::system::error_code Code;
-    if (Buffer.size() == 0 && !co_await fill(From, internal::ReadSize * 4))
+    if (Buffer.size() == 0 && !co_await fill(From, internal::ReadSize * 4)) {
+      if (endsHere())
+        break;
       co_return make_error_code(Error::OutcomeUnknown);
+    }
     Buffer.consume(Current->put(Buffer.cdata(), Code));
     if (Code == internal::http::error::need_more) {
       if (!co_await fill(From, internal::ReadSize))
--- a/packages/core/src/json_reader.cpp
+++ b/packages/core/src/json_reader.cpp
@@ -214,6 +214,12 @@
   return Items;
 }
 
+const nlohmann::json &JsonReader::value(std::string_view Key) {
+  static const nlohmann::json Null;
+  const nlohmann::json *Found = find(Key, false, "value");
+  return Found == nullptr ? Null : *Found;
+}
+
 void JsonReader::rejectUnknownKeys() {
   for (const auto &[Key, Member] : Value.items())
     if (Read.find(Key) == Read.end())
--- a/packages/decision/include/jujubecart/decision/pending_call.hpp
+++ b/packages/decision/include/jujubecart/decision/pending_call.hpp
@@ -26,6 +26,10 @@
   std::vector<std::string> Excluded;
   /// Availability zone of the holder; empty if unknown.
   std::string Zone;
+  /// Latest end that meets the latency objective; max if there is none.
+  core::TimePoint Objective = core::TimePoint::max();
+  /// Identifies calls with similar service times; 0 if unknown.
+  std::uint64_t WorkClass = 0;
 };
 
 } // namespace jujubecart::decision
--- a/packages/decision/src/local_policy.cpp
+++ b/packages/decision/src/local_policy.cpp
@@ -139,9 +139,9 @@
     return;
   const auto Found = Reported.find(ServerId);
   if (Found == Reported.end())
-    Reported.emplace(ServerId, *Report.Load);
+    Reported.emplace(ServerId, Report.Load->InFlight);
   else
-    Found->second = *Report.Load;
+    Found->second = Report.Load->InFlight;
 }
 
 std::unique_ptr<LocalPolicy> makeLocalPolicy(std::string_view Name,
--- a/packages/platform/include/jujubecart/platform/vm_list.hpp
+++ b/packages/inventory/include/jujubecart/inventory/vm_list.hpp
@@ -1,5 +1,5 @@
-#ifndef JUJUBECART_PLATFORM_VM_LIST_HPP
-#define JUJUBECART_PLATFORM_VM_LIST_HPP
+#ifndef JUJUBECART_INVENTORY_VM_LIST_HPP
+#define JUJUBECART_INVENTORY_VM_LIST_HPP
 
 #include <jujubecart/core/findings.hpp>
 #include <jujubecart/core/member.hpp>
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace jujubecart::platform {
+namespace jujubecart::inventory {
 
 /// @brief The platform's list of VMs; it lags behind the truth.
 struct VmList {
@@ -30,6 +30,6 @@
 [[nodiscard]] std::optional<VmList> parseVmList(std::string_view Text,
                                                 core::Findings &Report);
 
-} // namespace jujubecart::platform
+} // namespace jujubecart::inventory
 
 #endif
--- a/packages/platform/include/jujubecart/platform/vm_list_reader.hpp
+++ b/packages/inventory/include/jujubecart/inventory/vm_list_reader.hpp
@@ -1,11 +1,11 @@
-#ifndef JUJUBECART_PLATFORM_VM_LIST_READER_HPP
-#define JUJUBECART_PLATFORM_VM_LIST_READER_HPP
+#ifndef JUJUBECART_INVENTORY_VM_LIST_READER_HPP
+#define JUJUBECART_INVENTORY_VM_LIST_READER_HPP
 
 #include <jujubecart/core/awaitable.hpp>
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/error.hpp>
 #include <jujubecart/core/sleeper.hpp>
-#include <jujubecart/platform/vm_list.hpp>
+#include <jujubecart/inventory/vm_list.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <chrono>
@@ -15,7 +15,7 @@
 #include <mutex>
 #include <string>
 
-namespace jujubecart::platform {
+namespace jujubecart::inventory {
 
 namespace internal {
 class VmListPoll;
@@ -70,6 +70,6 @@
 [[nodiscard]] core::Awaitable<core::Result<VmList>>
 fetchVmList(std::string Address, core::TimePoint Deadline);
 
-} // namespace jujubecart::platform
+} // namespace jujubecart::inventory
 
 #endif
--- a/packages/platform/src/fetch_vm_list.cpp
+++ b/packages/inventory/src/fetch_vm_list.cpp
@@ -1,7 +1,7 @@
 #include <jujubecart/core/log.hpp>
 
 #include <jujubecart/core/endpoint.hpp>
-#include <jujubecart/platform/vm_list_reader.hpp>
+#include <jujubecart/inventory/vm_list_reader.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,7 +11,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-namespace jujubecart::platform {
+namespace jujubecart::inventory {
 
 namespace internal {
 
@@ -73,4 +73,4 @@
   co_return listFrom(Parser.get().body());
 }
 
-} // namespace jujubecart::platform
+} // namespace jujubecart::inventory
--- a/packages/platform/src/vm_list.cpp
+++ b/packages/inventory/src/vm_list.cpp
@@ -1,9 +1,9 @@
-#include <jujubecart/platform/vm_list.hpp>
+#include <jujubecart/inventory/vm_list.hpp>
 
 #include <jujubecart/core/config_json.hpp>
 #include <jujubecart/core/json_reader.hpp>
 
-namespace jujubecart::platform {
+namespace jujubecart::inventory {
 
 namespace internal {
 
@@ -48,4 +48,4 @@
   return List;
 }
 
-} // namespace jujubecart::platform
+} // namespace jujubecart::inventory
--- a/packages/platform/src/vm_list_poll.hpp
+++ b/packages/inventory/src/vm_list_poll.hpp
@@ -1,13 +1,13 @@
-#ifndef JUJUBECART_PLATFORM_SRC_VM_LIST_POLL_HPP
-#define JUJUBECART_PLATFORM_SRC_VM_LIST_POLL_HPP
+#ifndef JUJUBECART_INVENTORY_SRC_VM_LIST_POLL_HPP
+#define JUJUBECART_INVENTORY_SRC_VM_LIST_POLL_HPP
 
-#include <jujubecart/platform/vm_list_reader.hpp>
+#include <jujubecart/inventory/vm_list_reader.hpp>
 
 #include <atomic>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/strand.hpp>
 
-namespace jujubecart::platform::internal {
+namespace jujubecart::inventory::internal {
 
 /// @brief One run of the poll loop, from start to stop.
 class VmListPoll : public std::enable_shared_from_this<VmListPoll> {
@@ -40,6 +40,6 @@
   [[nodiscard]] core::TimePoint nextPoll() const;
 };
 
-} // namespace jujubecart::platform::internal
+} // namespace jujubecart::inventory::internal
 
 #endif
--- a/packages/platform/src/vm_list_reader.cpp
+++ b/packages/inventory/src/vm_list_reader.cpp
@@ -8,7 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <exception>
 
-namespace jujubecart::platform {
+namespace jujubecart::inventory {
 
 namespace internal {
 
@@ -83,4 +83,4 @@
   Active.reset();
 }
 
-} // namespace jujubecart::platform
+} // namespace jujubecart::inventory
--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -5,6 +5,7 @@
 #include <jujubecart/operators/tls_files.hpp>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,24 @@
                           const StoreSettings &) = default;
 };
 
+/// @brief Store entries from which routes, backend servers and VMs are read
+/// instead of tickets.
+struct DirectorySettings {
+  bool Enabled = false;
+  /// Region of each availability zone.
+  std::map<std::string, std::string> Zones;
+  /// Longest time from SIGTERM to the end of the process.
+  std::uint32_t GraceMs = 6000;
+  /// How long new connections are accepted after SIGTERM, until the
+  /// platform's balancer has noticed that this VM is not ready.
+  std::uint32_t LeaveMs = 2300;
+  /// Retries of the whole fleet as a part of the requests of a service.
+  double RetryRatio = 0.1;
+
+  friend auto operator<=>(const DirectorySettings &,
+                          const DirectorySettings &) = default;
+};
+
 /// @brief All settings of one process.
 struct Settings {
   VmSettings Vm;
@@ -76,6 +95,7 @@
   OperatorSettings Operators;
   PeerSettings Peers;
   StoreSettings Store;
+  DirectorySettings Directory;
   /// Endpoint of the platform's VM list; empty if there is none.
   std::string PlatformEndpoint;
   /// `dispatcher` or a baseline policy without dispatcher.
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -170,6 +170,55 @@
   return Store;
 }
 
+// Accepts `1500ms` and `2.5s` beside whole milliseconds, so that a deployment
+// tool can pass on its own values.
+std::uint32_t readDuration(const json &Value, const std::string &Pointer,
+                           std::uint32_t Default, Findings &Report) {
+  constexpr double MillisecondsPerSecond = 1000;
+  if (Value.is_null())
+    return Default;
+  double Number = 0;
+  std::string Unit = "ms";
+  if (Value.is_number()) {
+    Number = Value.get<double>();
+  } else if (Value.is_string()) {
+    std::istringstream In(Value.get<std::string>());
+    Unit.clear();
+    In >> Number >> Unit;
+  }
+  if (Unit == "s")
+    Number *= MillisecondsPerSecond;
+  if ((Unit != "ms" && Unit != "s") || !(Number >= 1) || Number > MaxTimeoutMs) {
+    Report.add(Pointer, Value.dump(), "time such as 1500, \"1500ms\", \"2.5s\"");
+    return Default;
+  }
+  return static_cast<std::uint32_t>(Number);
+}
+
+DirectorySettings readDirectory(JsonReader &Root, Findings &Report) {
+  DirectorySettings Directory;
+  const json *Value = Root.object("directory", false);
+  if (Value == nullptr)
+    return Directory;
+  Directory.Enabled = true;
+  JsonReader Reader(*Value, "/directory", Report);
+  if (const json *Zones = Reader.object("zones", true))
+    for (const auto &[Zone, Region] : Zones->items()) {
+      if (Region.is_string())
+        Directory.Zones.emplace(Zone, Region.get<std::string>());
+      else
+        Report.add("/directory/zones/" + Zone, Region.dump(), "region name");
+    }
+  Directory.GraceMs = readDuration(Reader.value("grace"), "/directory/grace",
+                                   Directory.GraceMs, Report);
+  Directory.LeaveMs = readDuration(Reader.value("leave"), "/directory/leave",
+                                   Directory.LeaveMs, Report);
+  Directory.RetryRatio =
+      Reader.numberOr("retry_ratio", 0, 1, Directory.RetryRatio);
+  Reader.rejectUnknownKeys();
+  return Directory;
+}
+
 std::string readPlatform(JsonReader &Root, Findings &Report) {
   const json *Value = Root.object("platform", false);
   if (Value == nullptr)
@@ -203,6 +252,7 @@
   All.Operators = internal::readOperators(Root, Report);
   All.Peers = internal::readPeers(Root, Report);
   All.Store = internal::readStore(Root, Report);
+  All.Directory = internal::readDirectory(Root, Report);
   All.PlatformEndpoint = internal::readPlatform(Root, Report);
   All.Policy = internal::Policies[Root.choice("policy", internal::Policies, 0)];
   All.Workers = internal::unsignedOr(Root, "workers", 1, internal::MaxWorkers,
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -20,6 +20,8 @@
   /// Set if the call was granted.
   std::optional<core::BackendServer> Server;
   core::Error Reason = core::Error::Unavailable;
+  /// Advice to a call that is refused; 0 if there is none.
+  std::chrono::milliseconds RetryAfter{0};
 };
 
 /// @brief One call that asks this VM's dispatcher.
@@ -31,6 +33,8 @@
   std::uint64_t CallerHash = 0;
   std::optional<core::OrderKey> Key;
   std::vector<std::string> Excluded;
+  core::TimePoint Objective = core::TimePoint::max();
+  std::uint64_t WorkClass = 0;
 };
 
 /// @brief Dispatchers of this VM and their service to the other VMs.
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -34,8 +34,8 @@
 struct Acquire {
   CallId Call = 0;
   std::uint64_t Group = 0;
-  /// Unix time in milliseconds.
-  std::uint64_t DeadlineMs = 0;
+  /// Milliseconds until the deadline; wall clocks of two VMs may differ.
+  std::uint32_t LeftMs = 0;
   core::RequestId Request;
   std::uint64_t CallerHash = 0;
   core::Revision Revision = 0;
@@ -43,6 +43,9 @@
   std::optional<core::OrderKey> Key;
   /// Hashes of server ids.
   std::vector<std::uint64_t> Excluded;
+  /// Milliseconds until the latency objective is missed.
+  std::optional<std::uint32_t> ObjectiveLeftMs;
+  std::uint64_t WorkClass = 0;
 };
 
 /// @brief Keeps the receiver informed that its calls wait.
--- a/packages/peers/include/jujubecart/peers/peer_options.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_options.hpp
@@ -40,6 +40,11 @@
   /// Silence after which a dispatcher counts as suspect.
   std::chrono::milliseconds SilenceLimit{25};
   std::chrono::milliseconds SuspectFor{1000};
+  /// Whether a lookup whose dispatcher is lost asks the next one; otherwise
+  /// this VM decides at once. Pays if a call takes far longer than the network.
+  bool AskNextDispatcher = false;
+  /// Whether configurations are passed on between the VMs.
+  bool SyncConfig = true;
 
   /// Two push-pull rounds per second with two peers each spread an entry to
   /// 200 VMs within SuspectAfter; docs/peers.md has the measurement.
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -67,6 +67,8 @@
   [[nodiscard]] core::Result<core::SlotGrant>
   fallBack(const GroupEntry &Entry, const core::SlotRequest &Request,
            std::string_view Dispatcher, std::string_view Why);
+  [[nodiscard]] std::error_code refused(const core::SlotRequest &Request,
+                                        const Answer &Why) const;
   void endOrder(const core::SlotRequest &Request, std::error_code Why);
 
   [[nodiscard]] GroupPtr choose(const core::SlotRequest &Request);
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -50,7 +50,9 @@
   } else if (const auto *Failed = std::get_if<Refuse>(&Item.Body)) {
     finish(Failed->Call, {.Outcome = Answer::Kind::Refused,
                           .Reason = Failed->Reason,
-                          .Grant = {}});
+                          .Grant = {},
+                          .RetryAfter = std::chrono::milliseconds(
+                              Failed->RetryAfterMs)});
   }
 }
 
--- a/packages/peers/src/broker_state.hpp
+++ b/packages/peers/src/broker_state.hpp
@@ -19,6 +19,8 @@
   Kind Outcome = Kind::Unreachable;
   core::Error Reason = core::Error::Unavailable;
   core::SlotGrant Grant;
+  /// 0 if the dispatcher gave no advice.
+  std::chrono::milliseconds RetryAfter{0};
 };
 
 /// @brief A call that waits for a dispatcher's answer.
--- a/packages/peers/src/config_sync.cpp
+++ b/packages/peers/src/config_sync.cpp
@@ -72,6 +72,8 @@
 
 void ConfigSync::observe(const LinkPtr &Source, core::Revision Remote) {
   constexpr std::chrono::milliseconds AskAgain{500};
+  if (!Env.Links.options().SyncConfig)
+    return;
   const auto Snapshot = Env.Config.current();
   const core::Revision Own = Snapshot->revision();
   bool Push = false;
@@ -116,6 +118,8 @@
 void ConfigSync::push(const core::ConfigSource::Snapshot &Snapshot) {
   Env.Events.record({.Kind = "config.applied",
                      .Detail = std::to_string(Snapshot->revision())});
+  if (!Env.Links.options().SyncConfig)
+    return;
   std::vector<std::pair<LinkPtr, core::Revision>> Targets;
   std::vector<LinkPtr> Open = Env.Links.links();
   {
@@ -139,6 +143,8 @@
 }
 
 void ConfigSync::onFrame(const LinkPtr &Source, const Frame &Item) {
+  if (!Env.Links.options().SyncConfig)
+    return;
   if (const auto *Asked = std::get_if<ConfigRequest>(&Item.Body)) {
     const auto Snapshot = Env.Config.current();
     if (Snapshot->revision() > Asked->Since)
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -4,17 +4,12 @@
 
 namespace internal {
 
-// A foreign wall clock may differ; a call never waits longer than this.
+// A call never waits longer than this, whatever its asker says.
 constexpr std::chrono::minutes MaxWait{5};
 
-core::TimePoint deadline(const core::Clock &Time, std::uint64_t UnixMs) {
-  const core::TimePoint Last = Time.now() + MaxWait;
-  const auto Now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Time.wallNow().time_since_epoch());
-  if (UnixMs > static_cast<std::uint64_t>((Now + MaxWait).count()))
-    return Last;
-  return core::toMonotonic(Time,
-                           core::WallTime(std::chrono::milliseconds(UnixMs)));
+core::TimePoint deadline(core::TimePoint Now, std::uint32_t LeftMs) {
+  return Now + std::min<std::chrono::milliseconds>(
+                   std::chrono::milliseconds(LeftMs), MaxWait);
 }
 
 } // namespace internal
@@ -56,7 +51,11 @@
   Call Added;
   Added.Token = newToken();
   Added.Request = Item.Request;
-  Added.Deadline = internal::deadline(Env.Time, Item.DeadlineMs);
+  const core::TimePoint Now = Env.Time.now();
+  Added.Deadline = internal::deadline(Now, Item.LeftMs);
+  if (Item.ObjectiveLeftMs)
+    Added.Objective = internal::deadline(Now, *Item.ObjectiveLeftMs);
+  Added.WorkClass = Item.WorkClass;
   Added.Priority = Item.Priority;
   Added.Key = Item.Key;
   Added.Asker = client(Source);
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -51,6 +51,8 @@
   Item.Deadline = Call.Deadline;
   Item.Priority = Call.Priority;
   Item.Key = Call.Key;
+  Item.Objective = Call.Objective;
+  Item.WorkClass = Call.WorkClass;
   Item.Then = std::move(Then);
   enqueue(group(Group), std::move(Item), std::move(Call.Excluded),
           Call.CallerHash);
@@ -75,7 +77,9 @@
       .Priority = Item.Priority,
       .CallerHash = CallerHash,
       .Excluded = std::move(Excluded),
-      .Zone = Item.Asker ? Item.Asker->Zone : Env.Members.self().Zone};
+      .Zone = Item.Asker ? Item.Asker->Zone : Env.Members.self().Zone,
+      .Objective = Item.Objective,
+      .WorkClass = Item.WorkClass};
   bool Waits = false;
   {
     const std::lock_guard Lock(Target->Mutex);
@@ -216,7 +220,9 @@
   const Call Item = std::move(Found->second);
   Target.Calls.erase(Found);
   if (!Item.Asker) {
-    Item.Then({.Server = std::nullopt, .Reason = Reason});
+    Item.Then({.Server = std::nullopt,
+               .Reason = Reason,
+               .RetryAfter = RetryAfter});
     return;
   }
   --Item.Asker->Waiting;
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -26,6 +26,8 @@
   decision::CallToken Token = 0;
   core::RequestId Request;
   core::TimePoint Deadline;
+  core::TimePoint Objective = core::TimePoint::max();
+  std::uint64_t WorkClass = 0;
   std::uint8_t Priority = 5;
   std::optional<core::OrderKey> Key;
   /// Nullptr for a call of this VM.
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -34,13 +34,16 @@
 Read read(const wire::Acquire &Source) {
   Acquire Item{.Call = Source.call(),
                .Group = Source.group(),
-               .DeadlineMs = Source.deadline_ms(),
+               .LeftMs = Source.left_ms(),
                .Request = {Source.request()},
                .CallerHash = Source.caller(),
                .Revision = Source.revision(),
                .Priority = Source.priority(),
                .Key = std::nullopt,
-               .Excluded = list(Source.excluded())};
+               .Excluded = list(Source.excluded()),
+               .WorkClass = Source.work_class()};
+  if (Source.objective_left_ms() != UINT32_MAX)
+    Item.ObjectiveLeftMs = Source.objective_left_ms();
   if (Source.order_key() != nullptr)
     Item.Key = key(*Source.order_key());
   return Item;
@@ -57,7 +60,8 @@
                                     .Address = text(Full->address()),
                                     .Zone = text(Full->zone()),
                                     .Slots = Full->slots(),
-                                    .Connections = Full->connections()};
+                                    .Connections = Full->connections(),
+                                    .Incarnation = Full->incarnation()};
   return Item;
 }
 
@@ -79,11 +83,14 @@
       .Report = {.Outcome = static_cast<core::CallOutcome>(Source.outcome()),
                  .Elapsed = std::chrono::microseconds(Source.elapsed_us()),
                  .Load = std::nullopt,
-                 .Draining = Source.draining()},
+                 .Draining = Source.draining(),
+                 .Failed = Source.failed(),
+                 .OtherInstance = Source.other_instance()},
       .Group = Source.group(),
       .Server = Source.server()};
   if (Source.load() != UINT32_MAX)
-    Item.Report.Load = Source.load();
+    Item.Report.Load = core::LoadReport{.InFlight = Source.load(),
+                                        .PacePercent = Source.pace_percent()};
   return Item;
 }
 
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -31,9 +31,10 @@
   if (Item.Key)
     Key.emplace(Item.Key->High, Item.Key->Low);
   return body<wire::Body::Acquire>(wire::CreateAcquireDirect(
-      Out, Item.Call, Item.Group, Item.DeadlineMs, Item.Request.Value,
-      Item.CallerHash, Item.Revision, Item.Priority, Key ? &*Key : nullptr,
-      Item.Excluded.empty() ? nullptr : &Item.Excluded));
+      Out, Item.Call, Item.Group, Item.Request.Value, Item.CallerHash,
+      Item.Revision, Item.Priority, Key ? &*Key : nullptr,
+      Item.Excluded.empty() ? nullptr : &Item.Excluded, Item.LeftMs,
+      Item.ObjectiveLeftMs.value_or(UINT32_MAX), Item.WorkClass));
 }
 
 BodyOffset write(Builder &Out, const Queued &Item) {
@@ -45,7 +46,8 @@
   if (Item.Full)
     Full = wire::CreateServerDirect(
         Out, Item.Full->Id.c_str(), Item.Full->Address.c_str(),
-        Item.Full->Zone.c_str(), Item.Full->Slots, Item.Full->Connections);
+        Item.Full->Zone.c_str(), Item.Full->Slots, Item.Full->Connections,
+        Item.Full->Incarnation);
   return body<wire::Body::Grant>(
       wire::CreateGrant(Out, Item.Call, Item.Server, Full));
 }
@@ -59,10 +61,12 @@
 BodyOffset write(Builder &Out, const Release &Item) {
   const auto Elapsed = static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(Item.Report.Elapsed.count(), 0, UINT32_MAX));
+  const core::LoadReport Load = Item.Report.Load.value_or(
+      core::LoadReport{.InFlight = UINT32_MAX});
   return body<wire::Body::Release>(wire::CreateRelease(
       Out, Item.Call, Elapsed, static_cast<std::uint8_t>(Item.Report.Outcome),
-      Item.Report.Load.value_or(UINT32_MAX), Item.Report.Draining, Item.Group,
-      Item.Server));
+      Load.InFlight, Item.Report.Draining, Item.Group, Item.Server,
+      Load.PacePercent, Item.Report.Failed, Item.Report.OtherInstance));
 }
 
 BodyOffset write(Builder &Out, const Cancel &Item) {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -396,13 +396,15 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CALL = 4,
     VT_GROUP = 6,
-    VT_DEADLINE_MS = 8,
     VT_REQUEST = 10,
     VT_CALLER = 12,
     VT_REVISION = 14,
     VT_PRIORITY = 16,
     VT_ORDER_KEY = 18,
-    VT_EXCLUDED = 20
+    VT_EXCLUDED = 20,
+    VT_LEFT_MS = 22,
+    VT_OBJECTIVE_LEFT_MS = 24,
+    VT_WORK_CLASS = 26
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -410,9 +412,6 @@
   uint64_t group() const {
     return GetField<uint64_t>(VT_GROUP, 0);
   }
-  uint64_t deadline_ms() const {
-    return GetField<uint64_t>(VT_DEADLINE_MS, 0);
-  }
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
   }
@@ -431,11 +430,19 @@
   const flatbuffers::Vector<uint64_t> *excluded() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_EXCLUDED);
   }
+  uint32_t left_ms() const {
+    return GetField<uint32_t>(VT_LEFT_MS, 0);
+  }
+  uint32_t objective_left_ms() const {
+    return GetField<uint32_t>(VT_OBJECTIVE_LEFT_MS, 4294967295);
+  }
+  uint64_t work_class() const {
+    return GetField<uint64_t>(VT_WORK_CLASS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
-           VerifyField<uint64_t>(verifier, VT_DEADLINE_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -443,6 +450,9 @@
            VerifyField<jujubecart::peers::wire::OrderKey>(verifier, VT_ORDER_KEY, 8) &&
            VerifyOffset(verifier, VT_EXCLUDED) &&
            verifier.VerifyVector(excluded()) &&
+           VerifyField<uint32_t>(verifier, VT_LEFT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTIVE_LEFT_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_CLASS, 8) &&
            verifier.EndTable();
   }
 };
@@ -457,9 +467,6 @@
   void add_group(uint64_t group) {
     fbb_.AddElement<uint64_t>(Acquire::VT_GROUP, group, 0);
   }
-  void add_deadline_ms(uint64_t deadline_ms) {
-    fbb_.AddElement<uint64_t>(Acquire::VT_DEADLINE_MS, deadline_ms, 0);
-  }
   void add_request(uint64_t request) {
     fbb_.AddElement<uint64_t>(Acquire::VT_REQUEST, request, 0);
   }
@@ -478,6 +485,15 @@
   void add_excluded(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> excluded) {
     fbb_.AddOffset(Acquire::VT_EXCLUDED, excluded);
   }
+  void add_left_ms(uint32_t left_ms) {
+    fbb_.AddElement<uint32_t>(Acquire::VT_LEFT_MS, left_ms, 0);
+  }
+  void add_objective_left_ms(uint32_t objective_left_ms) {
+    fbb_.AddElement<uint32_t>(Acquire::VT_OBJECTIVE_LEFT_MS, objective_left_ms, 4294967295);
+  }
+  void add_work_class(uint64_t work_class) {
+    fbb_.AddElement<uint64_t>(Acquire::VT_WORK_CLASS, work_class, 0);
+  }
   explicit AcquireBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -493,19 +509,23 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t call = 0,
     uint64_t group = 0,
-    uint64_t deadline_ms = 0,
     uint64_t request = 0,
     uint64_t caller = 0,
     uint64_t revision = 0,
     uint8_t priority = 5,
     const jujubecart::peers::wire::OrderKey *order_key = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> excluded = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> excluded = 0,
+    uint32_t left_ms = 0,
+    uint32_t objective_left_ms = 4294967295,
+    uint64_t work_class = 0) {
   AcquireBuilder builder_(_fbb);
+  builder_.add_work_class(work_class);
   builder_.add_revision(revision);
   builder_.add_caller(caller);
   builder_.add_request(request);
-  builder_.add_deadline_ms(deadline_ms);
   builder_.add_group(group);
+  builder_.add_objective_left_ms(objective_left_ms);
+  builder_.add_left_ms(left_ms);
   builder_.add_excluded(excluded);
   builder_.add_order_key(order_key);
   builder_.add_call(call);
@@ -517,25 +537,29 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t call = 0,
     uint64_t group = 0,
-    uint64_t deadline_ms = 0,
     uint64_t request = 0,
     uint64_t caller = 0,
     uint64_t revision = 0,
     uint8_t priority = 5,
     const jujubecart::peers::wire::OrderKey *order_key = nullptr,
-    const std::vector<uint64_t> *excluded = nullptr) {
+    const std::vector<uint64_t> *excluded = nullptr,
+    uint32_t left_ms = 0,
+    uint32_t objective_left_ms = 4294967295,
+    uint64_t work_class = 0) {
   auto excluded__ = excluded ? _fbb.CreateVector<uint64_t>(*excluded) : 0;
   return jujubecart::peers::wire::CreateAcquire(
       _fbb,
       call,
       group,
-      deadline_ms,
       request,
       caller,
       revision,
       priority,
       order_key,
-      excluded__);
+      excluded__,
+      left_ms,
+      objective_left_ms,
+      work_class);
 }
 
 struct Queued FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -586,7 +610,8 @@
     VT_ADDRESS = 6,
     VT_ZONE = 8,
     VT_SLOTS = 10,
-    VT_CONNECTIONS = 12
+    VT_CONNECTIONS = 12,
+    VT_INCARNATION = 14
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -603,6 +628,9 @@
   uint32_t connections() const {
     return GetField<uint32_t>(VT_CONNECTIONS, 0);
   }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -613,6 +641,7 @@
            verifier.VerifyString(zone()) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint32_t>(verifier, VT_CONNECTIONS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -636,6 +665,9 @@
   void add_connections(uint32_t connections) {
     fbb_.AddElement<uint32_t>(Server::VT_CONNECTIONS, connections, 0);
   }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Server::VT_INCARNATION, incarnation, 0);
+  }
   explicit ServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -653,8 +685,10 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint32_t slots = 0,
-    uint32_t connections = 0) {
+    uint32_t connections = 0,
+    uint64_t incarnation = 0) {
   ServerBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
   builder_.add_connections(connections);
   builder_.add_slots(slots);
   builder_.add_zone(zone);
@@ -669,7 +703,8 @@
     const char *address = nullptr,
     const char *zone = nullptr,
     uint32_t slots = 0,
-    uint32_t connections = 0) {
+    uint32_t connections = 0,
+    uint64_t incarnation = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -679,7 +714,8 @@
       address__,
       zone__,
       slots,
-      connections);
+      connections,
+      incarnation);
 }
 
 struct Grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -814,7 +850,10 @@
     VT_LOAD = 10,
     VT_DRAINING = 12,
     VT_GROUP = 14,
-    VT_SERVER = 16
+    VT_SERVER = 16,
+    VT_PACE_PERCENT = 18,
+    VT_FAILED = 20,
+    VT_OTHER_INSTANCE = 22
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -837,6 +876,15 @@
   uint64_t server() const {
     return GetField<uint64_t>(VT_SERVER, 0);
   }
+  uint32_t pace_percent() const {
+    return GetField<uint32_t>(VT_PACE_PERCENT, 100);
+  }
+  bool failed() const {
+    return GetField<uint8_t>(VT_FAILED, 0) != 0;
+  }
+  bool other_instance() const {
+    return GetField<uint8_t>(VT_OTHER_INSTANCE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
@@ -846,6 +894,9 @@
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
            VerifyField<uint64_t>(verifier, VT_GROUP, 8) &&
            VerifyField<uint64_t>(verifier, VT_SERVER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PACE_PERCENT, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FAILED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_OTHER_INSTANCE, 1) &&
            verifier.EndTable();
   }
 };
@@ -875,6 +926,15 @@
   void add_server(uint64_t server) {
     fbb_.AddElement<uint64_t>(Release::VT_SERVER, server, 0);
   }
+  void add_pace_percent(uint32_t pace_percent) {
+    fbb_.AddElement<uint32_t>(Release::VT_PACE_PERCENT, pace_percent, 100);
+  }
+  void add_failed(bool failed) {
+    fbb_.AddElement<uint8_t>(Release::VT_FAILED, static_cast<uint8_t>(failed), 0);
+  }
+  void add_other_instance(bool other_instance) {
+    fbb_.AddElement<uint8_t>(Release::VT_OTHER_INSTANCE, static_cast<uint8_t>(other_instance), 0);
+  }
   explicit ReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -894,13 +954,19 @@
     uint32_t load = 4294967295,
     bool draining = false,
     uint64_t group = 0,
-    uint64_t server = 0) {
+    uint64_t server = 0,
+    uint32_t pace_percent = 100,
+    bool failed = false,
+    bool other_instance = false) {
   ReleaseBuilder builder_(_fbb);
   builder_.add_server(server);
   builder_.add_group(group);
+  builder_.add_pace_percent(pace_percent);
   builder_.add_load(load);
   builder_.add_elapsed_us(elapsed_us);
   builder_.add_call(call);
+  builder_.add_other_instance(other_instance);
+  builder_.add_failed(failed);
   builder_.add_draining(draining);
   builder_.add_outcome(outcome);
   return builder_.Finish();
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -1,6 +1,7 @@
 #include "broker_state.hpp"
 #include "timer.hpp"
 
+#include <algorithm>
 #include <boost/asio/strand.hpp>
 
 namespace jujubecart::peers {
@@ -13,6 +14,13 @@
 constexpr std::size_t MaxDispatchers = 3;
 constexpr std::size_t MaxClaimed = 8192;
 
+std::uint32_t millisecondsLeft(core::TimePoint Now, core::TimePoint Until) {
+  const auto Left =
+      std::chrono::floor<std::chrono::milliseconds>(Until - Now).count();
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(Left, 0, UINT32_MAX - 1));
+}
+
 } // namespace internal
 
 RemoteBroker::RemoteBroker(const asio::any_io_executor &Executor,
@@ -64,12 +72,12 @@
       co_return std::move(Outcome.Grant);
     if (Outcome.Outcome == Kind::Refused) {
       if (Outcome.Reason != core::Error::NotReady)
-        co_return core::make_error_code(Outcome.Reason);
+        co_return refused(Request, Outcome);
       continue;
     }
     suspect(Vm);
     // An order must not run without its claim, so it asks the next dispatcher.
-    if (!Request.Key)
+    if (!Request.Key && !Env.Links.options().AskNextDispatcher)
       co_return fallBack(*Entry, Request, Vm,
                          Outcome.Outcome == Kind::Silent ? "silent"
                                                          : "unreachable");
@@ -77,7 +85,14 @@
   Answer Outcome = co_await askLocal(Entry, Request);
   if (Outcome.Outcome == Kind::Granted)
     co_return std::move(Outcome.Grant);
-  co_return core::make_error_code(Outcome.Reason);
+  co_return refused(Request, Outcome);
+}
+
+std::error_code RemoteBroker::refused(const core::SlotRequest &Request,
+                                      const Answer &Why) const {
+  if (Request.Advice && Why.RetryAfter.count() > 0)
+    Request.Advice->RetryAt = Env.Time.now() + Why.RetryAfter;
+  return core::make_error_code(Why.Reason);
 }
 
 core::Awaitable<RemoteBroker::Answer>
@@ -107,11 +122,14 @@
                        .Priority = Request.Priority,
                        .CallerHash = Request.CallerHash,
                        .Key = Request.Key,
-                       .Excluded = std::move(Request.Excluded)},
+                       .Excluded = std::move(Request.Excluded),
+                       .Objective = Request.Objective,
+                       .WorkClass = Request.WorkClass},
                       [this, Call, Entry, Token](const DispatchAnswer &Given) {
                         Answer Outcome{.Outcome = Answer::Kind::Refused,
                                        .Reason = Given.Reason,
-                                       .Grant = {}};
+                                       .Grant = {},
+                                       .RetryAfter = Given.RetryAfter};
                         if (Given.Server) {
                           Outcome.Outcome = Answer::Kind::Granted;
                           Outcome.Grant = hold({.Entry = Entry,
@@ -145,19 +163,20 @@
   introduce(Entry, Io);
   const auto Reply = std::make_shared<internal::OneShot<Answer>>();
   const CallId Call = ++Calls;
-  Acquire Message{
-      .Call = Call,
-      .Group = Entry->Hash,
-      .DeadlineMs = static_cast<std::uint64_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              core::toWall(Env.Time, Request.Deadline).time_since_epoch())
-              .count()),
-      .Request = Request.Request,
-      .CallerHash = Request.CallerHash,
-      .Revision = Env.Groups.current()->Revision,
-      .Priority = Request.Priority,
-      .Key = Request.Key,
-      .Excluded = {}};
+  Acquire Message{.Call = Call,
+                  .Group = Entry->Hash,
+                  .LeftMs = internal::millisecondsLeft(Env.Time.now(),
+                                                       Request.Deadline),
+                  .Request = Request.Request,
+                  .CallerHash = Request.CallerHash,
+                  .Revision = Env.Groups.current()->Revision,
+                  .Priority = Request.Priority,
+                  .Key = Request.Key,
+                  .Excluded = {},
+                  .WorkClass = Request.WorkClass};
+  if (Request.Objective != core::TimePoint::max())
+    Message.ObjectiveLeftMs =
+        internal::millisecondsLeft(Env.Time.now(), Request.Objective);
   for (const std::string &Server : Request.Excluded)
     Message.Excluded.push_back(core::hash64(Server));
   {
--- a/packages/store/include/jujubecart/store/fwd.hpp
+++ b/packages/store/include/jujubecart/store/fwd.hpp
@@ -5,13 +5,17 @@
 
 class ClaimLog;
 class ConfigReader;
+class Directory;
+class DirectoryFeed;
 class HttpKeyValueStore;
+class StoreConnections;
 class TicketProcessor;
 
 struct AcceptedTicket;
 struct ClaimLogParts;
 struct ClaimLogSettings;
 struct ConfigHead;
+struct DirectoryFeedOptions;
 struct HeadEntry;
 struct Ticket;
 struct TicketResult;
--- a/packages/store/include/jujubecart/store/http_key_value_store.hpp
+++ b/packages/store/include/jujubecart/store/http_key_value_store.hpp
@@ -10,9 +10,7 @@
 
 namespace jujubecart::store {
 
-namespace internal {
 class StoreConnections;
-}
 
 /// @brief Client of the platform's key-value service over HTTP/1.1.
 class HttpKeyValueStore final : public core::KeyValueStore {
@@ -38,7 +36,7 @@
         core::TimePoint Deadline) override;
 
 private:
-  std::shared_ptr<internal::StoreConnections> Connections;
+  std::shared_ptr<StoreConnections> Connections;
 };
 
 } // namespace jujubecart::store
--- a/packages/store/src/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -1,5 +1,5 @@
-#ifndef JUJUBECART_STORE_SRC_STORE_CONNECTIONS_HPP
-#define JUJUBECART_STORE_SRC_STORE_CONNECTIONS_HPP
+#ifndef JUJUBECART_STORE_STORE_CONNECTIONS_HPP
+#define JUJUBECART_STORE_STORE_CONNECTIONS_HPP
 
 #include <jujubecart/core/awaitable.hpp>
 #include <jujubecart/core/clock.hpp>
@@ -15,15 +15,15 @@
 #include <string>
 #include <vector>
 
-namespace jujubecart::store::internal {
+namespace jujubecart::store {
 
-using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using StoreRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 /// @brief One kept-alive connection; used by one exchange at a time.
-struct Connection {
+struct StoreConnection {
   // The strand serializes the timer of the stream with its operations when
   // several threads run the executor.
-  explicit Connection(const boost::asio::any_io_executor &Executor)
+  explicit StoreConnection(const boost::asio::any_io_executor &Executor)
       : Stream(boost::asio::make_strand(Executor)) {}
 
   boost::beast::tcp_stream Stream;
@@ -32,7 +32,7 @@
 };
 
 /// @brief What is known after one exchange.
-struct Exchange {
+struct StoreExchange {
   /// Whether any byte of the request may have reached the store.
   bool Sent = false;
   bool TimedOut = false;
@@ -48,35 +48,35 @@
                    std::vector<boost::asio::ip::tcp::endpoint> Endpoints);
 
   /// @brief Sends a request once.
-  [[nodiscard]] core::Awaitable<Exchange> sendOnce(Request Message,
+  [[nodiscard]] core::Awaitable<StoreExchange> sendOnce(StoreRequest Message,
                                                    core::TimePoint Deadline);
 
   /// @brief Sends an idempotent request, on each endpoint if need be.
-  [[nodiscard]] core::Awaitable<Exchange>
-  sendIdempotent(Request Message, core::TimePoint Deadline);
+  [[nodiscard]] core::Awaitable<StoreExchange>
+  sendIdempotent(StoreRequest Message, core::TimePoint Deadline);
 
 private:
   const boost::asio::any_io_executor Executor;
   const std::vector<boost::asio::ip::tcp::endpoint> Endpoints;
   std::mutex Mutex;
-  std::vector<std::shared_ptr<Connection>> Idle;
+  std::vector<std::shared_ptr<StoreConnection>> Idle;
   std::size_t Preferred = 0;
 
-  [[nodiscard]] std::shared_ptr<Connection> makeConnection() const;
-  [[nodiscard]] std::shared_ptr<Connection> takeIdle();
+  [[nodiscard]] std::shared_ptr<StoreConnection> makeConnection() const;
+  [[nodiscard]] std::shared_ptr<StoreConnection> takeIdle();
   [[nodiscard]] std::size_t preferred();
-  void giveBack(std::shared_ptr<Connection> Item);
+  void giveBack(std::shared_ptr<StoreConnection> Item);
   void avoid(std::size_t Endpoint);
-  [[nodiscard]] core::Awaitable<std::shared_ptr<Connection>>
+  [[nodiscard]] core::Awaitable<std::shared_ptr<StoreConnection>>
   connect(core::TimePoint Deadline);
   [[nodiscard]] core::Awaitable<bool>
-  connectTo(std::shared_ptr<Connection> Item, std::size_t Endpoint,
+  connectTo(std::shared_ptr<StoreConnection> Item, std::size_t Endpoint,
             core::TimePoint Deadline);
-  [[nodiscard]] core::Awaitable<Exchange>
-  exchange(std::shared_ptr<Connection> Item, Request Message,
+  [[nodiscard]] core::Awaitable<StoreExchange>
+  exchange(std::shared_ptr<StoreConnection> Item, StoreRequest Message,
            core::TimePoint Deadline);
 };
 
-} // namespace jujubecart::store::internal
+} // namespace jujubecart::store
 
 #endif
--- /dev/null
+++ b/packages/store/src/directory.cpp
@@ -0,0 +1,207 @@
+#include <jujubecart/store/directory.hpp>
+
+#include <jujubecart/core/log.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace jujubecart::store {
+
+namespace internal {
+
+void logInvalid(std::string_view Key, const core::Findings &Report) {
+  core::LogLine(core::LogLevel::Warning, "directory.entry_invalid")
+      .field("key", Key)
+      .field("reason", Report.text());
+}
+
+void logServer(const char *State, const core::RegisteredServer &Item,
+               core::Revision Changed) {
+  core::LogLine(core::LogLevel::Info, "server.changed")
+      .field("server", Item.Server.Id)
+      .field("service", Item.Service)
+      .field("address", Item.Server.Address)
+      .field("state", State)
+      .field("revision", Changed);
+}
+
+const char *stateName(core::ServerState State) {
+  return State == core::ServerState::Active ? "active" : "draining";
+}
+
+} // namespace internal
+
+Directory::Directory(const core::DirectoryCodec &Codec, Zones ZoneRegions)
+    : Codec(Codec), ZoneRegions(std::move(ZoneRegions)) {}
+
+void Directory::replace(const core::EntryList &All, core::TimePoint Now) {
+  std::set<std::string, std::less<>> Present;
+  for (const core::StoredEntry &Entry : All.Entries)
+    Present.insert(Entry.Key);
+  std::vector<std::string> Missing;
+  for (const auto &[Key, Entry] : Servers)
+    if (!Present.contains(Key))
+      Missing.push_back(Key);
+  for (const std::string &Key : Missing)
+    drop(Key, Now);
+  std::erase_if(Vms,
+                [&](const auto &Item) { return !Present.contains(Item.first); });
+  for (const core::StoredEntry &Entry : All.Entries)
+    apply(Entry, Now);
+  AsOf = std::max(AsOf, All.AsOf);
+}
+
+void Directory::apply(const core::EntryList &Changes, core::TimePoint Now) {
+  for (const core::StoredEntry &Entry : Changes.Entries)
+    apply(Entry, Now);
+  AsOf = std::max(AsOf, Changes.AsOf);
+}
+
+void Directory::apply(const core::StoredEntry &Entry, core::TimePoint Now) {
+  switch (Codec.kind(Entry.Key)) {
+  case core::EntryKind::Routing:
+    applyRouting(Entry);
+    break;
+  case core::EntryKind::Server:
+    applyServer(Entry, Now);
+    break;
+  case core::EntryKind::Vm:
+    applyVm(Entry);
+    break;
+  case core::EntryKind::Other:
+    break;
+  }
+}
+
+// A deleted or older configuration never replaces the one in force.
+void Directory::applyRouting(const core::StoredEntry &Entry) {
+  if (!Entry.Value)
+    return;
+  core::Findings Report(Entry.Key);
+  auto Read = Codec.routing(*Entry.Value, Report);
+  if (!Report.empty())
+    internal::logInvalid(Entry.Key, Report);
+  if (!Read || (Config.Routing &&
+                Read->Routing->version() <= Config.Routing->version()))
+    return;
+  Config = std::move(*Read);
+}
+
+void Directory::applyServer(const core::StoredEntry &Entry,
+                            core::TimePoint Now) {
+  if (!Entry.Value)
+    return drop(Entry.Key, Now);
+  core::Findings Report(Entry.Key);
+  auto Read = Codec.server(Entry.Key, *Entry.Value, Report);
+  if (!Read) {
+    internal::logInvalid(Entry.Key, Report);
+    return drop(Entry.Key, core::TimePoint::max());
+  }
+  ServerEntry &Known = Servers[Entry.Key];
+  // Changes that a list already contained are replayed by the first watch.
+  if (Entry.Changed < Known.Changed)
+    return;
+  Known.Changed = Entry.Changed;
+  Known.DropAt = core::TimePoint::max();
+  if (Known.Registered == *Read)
+    return;
+  Known.Registered = std::move(*Read);
+  internal::logServer(internal::stateName(Known.Registered.Server.State),
+                      Known.Registered, Entry.Changed);
+}
+
+void Directory::applyVm(const core::StoredEntry &Entry) {
+  if (!Entry.Value) {
+    Vms.erase(Entry.Key);
+    return;
+  }
+  core::Findings Report(Entry.Key);
+  if (auto Read = Codec.vm(Entry.Key, *Entry.Value, Report))
+    Vms.insert_or_assign(Entry.Key, std::move(*Read));
+  else
+    internal::logInvalid(Entry.Key, Report);
+}
+
+void Directory::drop(const std::string &Key, core::TimePoint Now) {
+  const auto Found = Servers.find(Key);
+  if (Found == Servers.end())
+    return;
+  // A server that drains is leaving, so its entry is not expected back.
+  if (Now < TrustFrom &&
+      Found->second.Registered.Server.State == core::ServerState::Active) {
+    Found->second.DropAt = std::min(Found->second.DropAt, TrustFrom);
+    return;
+  }
+  internal::logServer("gone", Found->second.Registered, AsOf);
+  Servers.erase(Found);
+}
+
+bool Directory::expire(core::TimePoint Now) {
+  return std::erase_if(Servers, [&](const auto &Item) {
+           if (Item.second.DropAt > Now)
+             return false;
+           internal::logServer("gone", Item.second.Registered, AsOf);
+           return true;
+         }) > 0;
+}
+
+core::TimePoint Directory::nextExpiry() const noexcept {
+  core::TimePoint Next = core::TimePoint::max();
+  for (const auto &[Key, Entry] : Servers)
+    Next = std::min(Next, Entry.DropAt);
+  return Next;
+}
+
+std::map<std::string, core::ServiceConfig> Directory::services() const {
+  std::map<std::string, core::ServiceConfig> Out;
+  for (const auto &[Name, Settings] : Config.Services) {
+    core::ServiceConfig &Service = Out[Name];
+    Service.Name = Name;
+    Service.Zones = ZoneRegions;
+    // Load comes with the responses, so no probes are sent.
+    Service.MeasurePerS = 0;
+  }
+  for (const auto &[Key, Entry] : Servers) {
+    const auto Found = Out.find(Entry.Registered.Service);
+    if (Found == Out.end())
+      continue;
+    core::BackendServer Server = Entry.Registered.Server;
+    Server.Connections =
+        Config.Services.find(Entry.Registered.Service)->second.Connections;
+    Found->second.Servers.push_back(std::move(Server));
+  }
+  return Out;
+}
+
+std::shared_ptr<const core::ConfigSnapshot>
+Directory::snapshot(const core::ConfigSnapshot &Previous) const {
+  const core::Revision Number = std::max(AsOf, Previous.revision() + 1);
+  core::ConfigSnapshot::ServiceMap Entries;
+  for (auto &[Name, Service] : services()) {
+    const auto Known = Previous.entries().find(Name);
+    if (Known != Previous.entries().end() && Known->second->Service == Service)
+      Entries.emplace(Name, Known->second);
+    else
+      Entries.emplace(Name, std::make_shared<core::ServiceEntry>(
+                                core::ServiceEntry{.Changed = Number,
+                                                   .Service = Service}));
+  }
+  return std::make_shared<core::ConfigSnapshot>(Number, std::move(Entries),
+                                                Config.Routing);
+}
+
+std::vector<core::Member> Directory::vms() const {
+  std::vector<core::Member> Out;
+  Out.reserve(Vms.size());
+  for (const auto &[Key, Vm] : Vms)
+    Out.push_back(Vm);
+  return Out;
+}
+
+bool Directory::registered(const core::Member &Vm) const {
+  const auto Found = Vms.find(Codec.vmKey(Vm.Id));
+  return Found != Vms.end() && Found->second.Address == Vm.Address &&
+         Found->second.Zone == Vm.Zone && Found->second.Region == Vm.Region;
+}
+
+} // namespace jujubecart::store
--- a/packages/store/src/http_key_value_store.cpp
+++ b/packages/store/src/http_key_value_store.cpp
@@ -1,8 +1,7 @@
-#include "store_connections.hpp"
-
 #include <jujubecart/store/http_key_value_store.hpp>
 
 #include <jujubecart/core/endpoint.hpp>
+#include <jujubecart/store/store_connections.hpp>
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -34,8 +33,8 @@
          });
 }
 
-Request makeRequest(http::verb Method, const std::string &Target) {
-  Request Message{Method, Target, 11};
+StoreRequest makeRequest(http::verb Method, const std::string &Target) {
+  StoreRequest Message{Method, Target, 11};
   Message.set(http::field::host, "store");
   Message.keep_alive(true);
   return Message;
@@ -53,7 +52,7 @@
   return Value;
 }
 
-core::Result<core::VersionedValue> readResult(const Exchange &Outcome) {
+core::Result<core::VersionedValue> readResult(const StoreExchange &Outcome) {
   switch (Outcome.Status) {
   case 200:
     if (auto Value = parseValue(Outcome.Body))
@@ -71,7 +70,7 @@
 
 // 429 and 503 reject a request before it is executed; every other status that
 // the protocol does not define leaves open whether the write took effect.
-core::Result<std::uint64_t> writeResult(const Exchange &Outcome) {
+core::Result<std::uint64_t> writeResult(const StoreExchange &Outcome) {
   switch (Outcome.Status) {
   case 200:
     if (const auto Value = parseValue(Outcome.Body))
@@ -106,7 +105,7 @@
 
 HttpKeyValueStore::HttpKeyValueStore(boost::asio::any_io_executor Executor,
                                      const std::vector<std::string> &Endpoints)
-    : Connections(std::make_shared<internal::StoreConnections>(
+    : Connections(std::make_shared<StoreConnections>(
           std::move(Executor), internal::parseEndpoints(Endpoints))) {}
 
 HttpKeyValueStore::~HttpKeyValueStore() = default;
@@ -126,7 +125,7 @@
   if (!internal::isKey(Key))
     co_return make_error_code(core::Error::InvalidArgument);
   const auto Pool = Connections;
-  internal::Request Message = internal::makeRequest(
+  StoreRequest Message = internal::makeRequest(
       verb::put, "/kv/" + Key + "?version=" + std::to_string(Expected));
   Message.body() = std::move(Value);
   Message.prepare_payload();
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -1,4 +1,4 @@
-#include "store_connections.hpp"
+#include <jujubecart/store/store_connections.hpp>
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -8,7 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
-namespace jujubecart::store::internal {
+namespace jujubecart::store {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -28,7 +28,7 @@
 
 // A connection that the store has closed reads as end of file, one with
 // unexpected bytes is out of step; neither may carry a request.
-bool isQuiet(Connection &Item) {
+bool isQuiet(StoreConnection &Item) {
   auto &Socket = Item.Stream.socket();
   boost::system::error_code Code;
   Socket.non_blocking(true, Code);
@@ -44,7 +44,7 @@
     std::vector<asio::ip::tcp::endpoint> Endpoints)
     : Executor(std::move(Executor)), Endpoints(std::move(Endpoints)) {}
 
-std::shared_ptr<Connection> StoreConnections::takeIdle() {
+std::shared_ptr<StoreConnection> StoreConnections::takeIdle() {
   const std::lock_guard Lock(Mutex);
   while (!Idle.empty()) {
     auto Item = std::move(Idle.back());
@@ -60,7 +60,7 @@
   return Preferred;
 }
 
-void StoreConnections::giveBack(std::shared_ptr<Connection> Item) {
+void StoreConnections::giveBack(std::shared_ptr<StoreConnection> Item) {
   const std::lock_guard Lock(Mutex);
   if (Idle.size() < MaxIdle)
     Idle.push_back(std::move(Item));
@@ -73,7 +73,7 @@
 }
 
 core::Awaitable<bool>
-StoreConnections::connectTo(std::shared_ptr<Connection> Item,
+StoreConnections::connectTo(std::shared_ptr<StoreConnection> Item,
                             std::size_t Endpoint, core::TimePoint Deadline) {
   co_await asio::this_coro::throw_if_cancelled(false);
   Item->Stream.expires_at(
@@ -85,7 +85,7 @@
   co_return !Code;
 }
 
-core::Awaitable<std::shared_ptr<Connection>>
+core::Awaitable<std::shared_ptr<StoreConnection>>
 StoreConnections::connect(core::TimePoint Deadline) {
   const std::size_t First = preferred();
   for (std::size_t Offset = 0; Offset < Endpoints.size(); ++Offset) {
@@ -102,11 +102,11 @@
   co_return nullptr;
 }
 
-core::Awaitable<Exchange>
-StoreConnections::exchange(std::shared_ptr<Connection> Item, Request Message,
+core::Awaitable<StoreExchange>
+StoreConnections::exchange(std::shared_ptr<StoreConnection> Item, StoreRequest Message,
                            core::TimePoint Deadline) {
   co_await asio::this_coro::throw_if_cancelled(false);
-  Exchange Outcome;
+  StoreExchange Outcome;
   Item->Stream.expires_at(Deadline);
   const auto [WriteCode, Written] =
       co_await http::async_write(Item->Stream, Message, AsTuple);
@@ -129,13 +129,13 @@
   co_return Outcome;
 }
 
-core::Awaitable<Exchange> StoreConnections::sendOnce(Request Message,
+core::Awaitable<StoreExchange> StoreConnections::sendOnce(StoreRequest Message,
                                                      core::TimePoint Deadline) {
   auto Item = takeIdle();
   if (!Item)
     Item = co_await connect(Deadline);
   if (!Item)
-    co_return Exchange{.Sent = false,
+    co_return StoreExchange{.Sent = false,
                        .TimedOut = std::chrono::steady_clock::now() >= Deadline,
                        .Status = 0,
                        .Body = {}};
@@ -145,9 +145,9 @@
       asio::use_awaitable);
 }
 
-core::Awaitable<Exchange>
-StoreConnections::sendIdempotent(Request Message, core::TimePoint Deadline) {
-  Exchange Outcome;
+core::Awaitable<StoreExchange>
+StoreConnections::sendIdempotent(StoreRequest Message, core::TimePoint Deadline) {
+  StoreExchange Outcome;
   // One more than the endpoints: an idle connection may have gone stale.
   for (std::size_t Attempt = 0; Attempt <= Endpoints.size(); ++Attempt) {
     const std::size_t Endpoint = preferred();
@@ -160,4 +160,4 @@
   co_return Outcome;
 }
 
-} // namespace jujubecart::store::internal
+} // namespace jujubecart::store
--- a/tests/platform/vm_list_test.cpp
+++ b/tests/inventory/vm_list_test.cpp
@@ -1,6 +1,6 @@
 #include <fakes/http_server.hpp>
 #include <jujubecart/core.hpp>
-#include <jujubecart/platform.hpp>
+#include <jujubecart/inventory.hpp>
 
 #include <criterion/criterion.h>
 
@@ -18,7 +18,7 @@
         return respond(std::move(Message));
       }};
   core::SystemSleeper Delays;
-  platform::VmListReader Reader{
+  inventory::VmListReader Reader{
       Context.get_executor(),
       Delays,
       [] { return std::uint64_t{0}; },
@@ -40,7 +40,7 @@
 // VM that counts as live.
 Test(ParseVmList, invalid_item_is_reported_and_left_out) {
   core::Findings Report("vms");
-  const auto List = platform::parseVmList(
+  const auto List = inventory::parseVmList(
       R"({"vms":[
         {"id":"e1","role":"entry","address":"10.0.0.1:7000","zone":"z",
          "region":"r","state":"leaving","rack":7},
@@ -54,14 +54,14 @@
   cr_assert(List->Leaving.at("b1"));
   cr_assert_eq(Report.items().size(), 1);
   cr_assert_eq(Report.items()[0].Pointer, "/vms/2/address");
-  cr_assert_not(platform::parseVmList("{}", Report).has_value());
+  cr_assert_not(inventory::parseVmList("{}", Report).has_value());
 }
 
 // Guards against a reader that gives up after a failure or cannot be stopped.
 Test(VmListReader, failed_poll_is_repeated_until_stopped) {
   Fixture Test;
   int Lists = 0;
-  Test.Reader.start([&](const platform::VmList &) {
+  Test.Reader.start([&](const inventory::VmList &) {
     if (++Lists == 2)
       Test.Reader.stop();
   });
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -27,7 +27,7 @@
 Acquire sampleAcquire() {
   return {.Call = 7,
           .Group = 0x1122334455667788,
-          .DeadlineMs = 1700000000123,
+          .LeftMs = 1700,
           .Request = {42},
           .CallerHash = 99,
           .Revision = 12,
@@ -72,7 +72,7 @@
   const auto &Read = std::get<Acquire>(Item.Body);
   cr_assert_eq(Read.Call, 7);
   cr_assert_eq(Read.Group, 0x1122334455667788);
-  cr_assert_eq(Read.DeadlineMs, 1700000000123);
+  cr_assert_eq(Read.LeftMs, 1700);
   cr_assert_eq(Read.Request.Value, 42);
   cr_assert_eq(Read.CallerHash, 99);
   cr_assert_eq(Read.Revision, 12);
