--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -125,7 +125,8 @@
       if (!Traits.Foreign)
         co_return acceptHead(Traits);
       // A late second response to an earlier request of this connection.
-      if (!co_await skipResponse())
+      const bool Skipped = co_await skipResponse();
+      if (!Skipped)
         break;
       continue;
     }
@@ -139,8 +140,10 @@
 core::Awaitable<bool> Exchange::skipResponse() {
   std::array<char, 4096> Dropped{};
   while (!Link->Reader.complete()) {
-    if (Link->Reader.parser().need_eof() ||
-        !co_await Link->Reader.readBody(Link->Socket, Dropped) || Aborted)
+    if (Link->Reader.parser().need_eof())
+      co_return false;
+    const auto Count = co_await Link->Reader.readBody(Link->Socket, Dropped);
+    if (!Count || Aborted)
       co_return false;
   }
   co_return true;
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -89,6 +89,8 @@
   core::TimePoint LastReached;
   std::optional<core::LeaseId> Lease;
   core::TimePoint RenewAt;
+  /// When the registration is checked next.
+  core::TimePoint CheckAt = core::TimePoint::min();
 };
 
 } // namespace jujubecart::store
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -10,6 +10,8 @@
 
 constexpr unsigned MaxBackoffDoublings = 8;
 constexpr std::chrono::milliseconds RegistrationPoll{1000};
+// A write is seen by the watch within its batch delay and one answer.
+constexpr std::chrono::milliseconds RegistrationSettles{5000};
 
 } // namespace internal
 
@@ -125,7 +127,10 @@
 
 core::Awaitable<void> DirectoryFeed::keepRegistered() {
   while (!Stopped) {
-    if (Loaded && !co_await registerOnce())
+    bool Registered = true;
+    if (Loaded)
+      Registered = co_await registerOnce();
+    if (!Registered)
       co_await backOff();
     co_await Env.Delays.sleepUntil(Env.Time.now() + internal::RegistrationPoll);
   }
@@ -135,6 +140,8 @@
 // the belief that the lease still runs.
 core::Awaitable<bool> DirectoryFeed::registerOnce() {
   const core::TimePoint Deadline = Env.Time.now() + Options.AnswerTimeout;
+  if (Env.Time.now() < CheckAt)
+    co_return true;
   const bool Registered = Known.registered(Self);
   if (Registered && (!Lease || Env.Time.now() < RenewAt))
     co_return true;
@@ -156,6 +163,8 @@
   core::LogLine(core::LogLevel::Info, "vm.registered")
       .field("lease", *Granted)
       .field("result", Written ? "ok" : Written.error().message());
+  if (Written)
+    CheckAt = Env.Time.now() + internal::RegistrationSettles;
   co_return static_cast<bool>(Written);
 }
 
