Add a dispatcher for latency objectives

Cause: the dispatcher made for 10 ms calls filled servers up to slots + 3, served everybody late in bursts and refused by a 250 ms wait; a silent attempt was aborted at half of its time, which broke LOST after SIGTERM. Change: ObjectiveDispatcher keeps servers below saturation, follows slow spells from reported pace, prefers calls that still meet their objective and refuses at once what cannot be served before its deadline. Attempts of routes are no longer aborted while silent.

--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -118,7 +118,7 @@
   if (!std::exchange(Counted, true))
     State.Uses.Retries.recordFirstAttempt();
   ++State.Counters.Attempts;
-  if (idempotent() && mayRepeat()) {
+  if (Route == nullptr && idempotent() && mayRepeat()) {
     SilentDue = Time.now() + (Deadline - Time.now()) / 2;
     Link.setDue(SilentDue);
   }
--- a/packages/core/include/jujubecart/core/config.hpp
+++ b/packages/core/include/jujubecart/core/config.hpp
@@ -46,8 +46,14 @@
 /// @brief Where claims of idempotency keys are kept.
 enum class OrderKeyMode : std::uint8_t { Durable, Memory };
 
-/// @brief Trade-off between tail latency and measurement cost.
-enum class PolicyProfile : std::uint8_t { Tail, Cost };
+/// @brief What the choice of backend servers aims at.
+enum class PolicyProfile : std::uint8_t {
+  Tail,
+  /// As Tail, with less measurement.
+  Cost,
+  /// Latency objectives of calls that take far longer than the network.
+  Objective,
+};
 
 /// @brief Complete state of one service.
 struct ServiceConfig {
--- a/packages/core/src/config_json.cpp
+++ b/packages/core/src/config_json.cpp
@@ -19,7 +19,7 @@
 const std::vector<std::string> Kinds{"lookup", "order"};
 const std::vector<std::string> States{"active", "draining"};
 const std::vector<std::string> KeyModes{"durable", "memory"};
-const std::vector<std::string> Profiles{"tail", "cost"};
+const std::vector<std::string> Profiles{"tail", "cost", "objective"};
 
 RouteRule readRule(const nlohmann::json &Value, const std::string &Pointer,
                    Findings &Report) {
--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace jujubecart::decision {
 
+class Dispatcher;
 class GroupDispatcher;
 namespace internal {
 class CallQueue;
@@ -12,6 +13,7 @@
 } // namespace internal
 class LeastReported;
 class LocalBroker;
+class ObjectiveDispatcher;
 class LocalPolicy;
 class PowerOfTwoChoices;
 class RandomChoice;
--- /dev/null
+++ b/packages/decision/include/jujubecart/decision/objective_dispatcher.hpp
@@ -0,0 +1,50 @@
+#ifndef JUJUBECART_DECISION_OBJECTIVE_DISPATCHER_HPP
+#define JUJUBECART_DECISION_OBJECTIVE_DISPATCHER_HPP
+
+#include <jujubecart/decision/dispatcher.hpp>
+
+namespace jujubecart::decision {
+
+/// @brief Dispatcher for calls that take far longer than the network: it
+/// chooses the server, the moment and the calls that are refused by the
+/// probability that the latency objective is met.
+class ObjectiveDispatcher final : public Dispatcher {
+public:
+  /// @brief Creates a dispatcher whose servers are all active.
+  ObjectiveDispatcher(DispatchGroup Group, DispatcherOptions Options,
+                      core::TimePoint Now);
+  ObjectiveDispatcher(const ObjectiveDispatcher &) = delete;
+  ObjectiveDispatcher &operator=(const ObjectiveDispatcher &) = delete;
+  ~ObjectiveDispatcher() override;
+
+  void configure(DispatchGroup Group, core::TimePoint Now,
+                 Decisions &Out) override;
+  void enqueue(PendingCall Call, core::TimePoint Now, Decisions &Out) override;
+  bool withdraw(CallToken Token, core::TimePoint Now, Decisions &Out) override;
+  void release(std::uint64_t GrantId, const core::CallReport &Report,
+               core::TimePoint Now, Decisions &Out) override;
+  void adopt(std::string Holder, std::string ServerId, std::uint32_t InFlight,
+             core::TimePoint Now) override;
+  void releaseAdopted(std::string Holder, std::string ServerId,
+                      const core::CallReport &Report, core::TimePoint Now,
+                      Decisions &Out) override;
+  void dropHolder(std::string_view Holder, core::TimePoint Now,
+                  Decisions &Out) override;
+  void tick(core::TimePoint Now, Decisions &Out) override;
+  [[nodiscard]] core::TimePoint nextTick() const override;
+  [[nodiscard]] std::optional<core::BackendServer>
+  nextProbe(core::TimePoint Now) override;
+  void probeResult(std::string_view ServerId, ProbeResult Result,
+                   core::TimePoint Now, Decisions &Out) override;
+  [[nodiscard]] std::vector<ServerStatus>
+  status(core::TimePoint Now) const override;
+  [[nodiscard]] std::size_t queued() const noexcept override;
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> Self;
+};
+
+} // namespace jujubecart::decision
+
+#endif
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -91,7 +91,7 @@
     if (Server == nullptr)
       return;
     decision::Decisions Out;
-    Target->Dispatcher.releaseAdopted(From->Holder, Server->Id, Item.Report,
+    Target->Dispatcher->releaseAdopted(From->Holder, Server->Id, Item.Report,
                                       Env.Time.now(), Out);
     apply(*Target, Out);
     return;
@@ -132,7 +132,7 @@
   Target->LastUsed = Env.Time.now();
   for (const InFlight::Count &Count : Item.Servers)
     if (const core::BackendServer *Server = Entry->server(Count.Server))
-      Target->Dispatcher.adopt(From->Holder, Server->Id, Count.Calls,
+      Target->Dispatcher->adopt(From->Holder, Server->Id, Count.Calls,
                                Env.Time.now());
 }
 
@@ -158,7 +158,7 @@
     std::erase_if(Target->Calls,
                   [&](const auto &Item) { return Item.second.Asker == From; });
     decision::Decisions Out;
-    Target->Dispatcher.dropHolder(From->Holder, Env.Time.now(), Out);
+    Target->Dispatcher->dropHolder(From->Holder, Env.Time.now(), Out);
     apply(*Target, Out);
   }
 }
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -71,15 +71,15 @@
   std::vector<std::pair<GroupState, core::BackendServer>> Probes;
   for (const GroupState &Target : Known) {
     const std::lock_guard Lock(Target->Mutex);
-    if (Target->Dispatcher.nextTick() <= Now) {
+    if (Target->Dispatcher->nextTick() <= Now) {
       decision::Decisions Out;
-      Target->Dispatcher.tick(Now, Out);
+      Target->Dispatcher->tick(Now, Out);
       apply(*Target, Out);
     }
-    Due = std::min(Due, Target->Dispatcher.nextTick());
+    Due = std::min(Due, Target->Dispatcher->nextTick());
     if (!Target->Ranked || Env.Prober == nullptr)
       continue;
-    if (auto Server = Target->Dispatcher.nextProbe(Now))
+    if (auto Server = Target->Dispatcher->nextProbe(Now))
       Probes.emplace_back(Target, std::move(*Server));
   }
   for (auto &[Target, Server] : Probes)
@@ -95,7 +95,7 @@
       std::move(Server), Env.Time.now() + internal::ProbeTimeout);
   const std::lock_guard Lock(Target->Mutex);
   decision::Decisions Out;
-  Target->Dispatcher.probeResult(Id, Result, Env.Time.now(), Out);
+  Target->Dispatcher->probeResult(Id, Result, Env.Time.now(), Out);
   apply(*Target, Out);
 }
 
@@ -139,7 +139,7 @@
     if (First && !Target->Ranked && Target->Calls.empty() &&
         Now - Target->LastUsed > internal::TermGap)
       Target->Dispatcher =
-          decision::GroupDispatcher(Entry->Group, Entry->Options, Now);
+          decision::makeDispatcher(Entry->Group, Entry->Options, Now);
     Target->Ranked = First;
   }
 }
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -86,7 +86,7 @@
     Target->LastUsed = Env.Time.now();
     Target->Calls.emplace(Token, std::move(Item));
     decision::Decisions Out;
-    Target->Dispatcher.enqueue(std::move(Pending), Env.Time.now(), Out);
+    Target->Dispatcher->enqueue(std::move(Pending), Env.Time.now(), Out);
     apply(*Target, Out);
     const auto Found = Target->Calls.find(Token);
     Waits = Found != Target->Calls.end() && !Found->second.Answered;
@@ -145,10 +145,10 @@
   }
   decision::Decisions Out;
   if (Item.Held)
-    Target->Dispatcher.release(Item.Held->GrantId, internal::cancelled(),
+    Target->Dispatcher->release(Item.Held->GrantId, internal::cancelled(),
                                Env.Time.now(), Out);
   else
-    Target->Dispatcher.withdraw(Token, Env.Time.now(), Out);
+    Target->Dispatcher->withdraw(Token, Env.Time.now(), Out);
   const bool Own = Outcome.error().category() == core::errorCategory();
   refuse(*Target, Token,
          Own ? static_cast<core::Error>(Outcome.error().value())
@@ -249,12 +249,12 @@
   decision::Decisions Out;
   const core::TimePoint Now = Env.Time.now();
   if (Item.Answered)
-    Target->Dispatcher.release(Item.GrantId, Report, Now, Out);
+    Target->Dispatcher->release(Item.GrantId, Report, Now, Out);
   else if (Item.Held)
-    Target->Dispatcher.release(Item.Held->GrantId, internal::cancelled(), Now,
+    Target->Dispatcher->release(Item.Held->GrantId, internal::cancelled(), Now,
                                Out);
   else
-    Target->Dispatcher.withdraw(Token, Now, Out);
+    Target->Dispatcher->withdraw(Token, Now, Out);
   if (Item.Asker && !Item.Answered)
     --Item.Asker->Waiting;
   apply(*Target, Out);
@@ -275,7 +275,7 @@
   const GroupState Target = group(Group);
   const std::lock_guard Lock(Target->Mutex);
   Target->LastUsed = Env.Time.now();
-  Target->Dispatcher.adopt(Env.Members.self().Id, ServerId, Calls,
+  Target->Dispatcher->adopt(Env.Members.self().Id, ServerId, Calls,
                            Env.Time.now());
 }
 
@@ -287,7 +287,7 @@
     return;
   const std::lock_guard Lock(Target->Mutex);
   decision::Decisions Out;
-  Target->Dispatcher.releaseAdopted(Env.Members.self().Id, ServerId, Report,
+  Target->Dispatcher->releaseAdopted(Env.Members.self().Id, ServerId, Report,
                                     Env.Time.now(), Out);
   apply(*Target, Out);
 }
@@ -310,7 +310,7 @@
     }
     Target->Entry = Entry;
     decision::Decisions Out;
-    Target->Dispatcher.configure(Entry->Group, Env.Time.now(), Out);
+    Target->Dispatcher->configure(Entry->Group, Env.Time.now(), Out);
     apply(*Target, Out);
   }
 }
@@ -328,7 +328,7 @@
     const std::lock_guard Lock(Target->Mutex);
     if (Target->Ranked || !Target->Calls.empty())
       Result.emplace(Target->Entry->Group.Name,
-                     Target->Dispatcher.status(Env.Time.now()));
+                     Target->Dispatcher->status(Env.Time.now()));
   }
   return Result;
 }
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -1,7 +1,7 @@
 #ifndef JUJUBECART_PEERS_SRC_DISPATCH_STATE_HPP
 #define JUJUBECART_PEERS_SRC_DISPATCH_STATE_HPP
 
-#include <jujubecart/decision/group_dispatcher.hpp>
+#include <jujubecart/decision/dispatcher.hpp>
 #include <jujubecart/peers/dispatch_service.hpp>
 
 namespace jujubecart::peers {
@@ -47,13 +47,14 @@
 struct DispatchService::Group {
   Group(const GroupPtr &Entry, core::TimePoint Now)
       : Name(Entry->Group.Name), Service(Entry->Group.Service), Entry(Entry),
-        Dispatcher(Entry->Group, Entry->Options, Now), LastUsed(Now) {}
+        Dispatcher(decision::makeDispatcher(Entry->Group, Entry->Options, Now)),
+        LastUsed(Now) {}
 
   const std::string Name;
   const std::string Service;
   std::mutex Mutex;
   GroupPtr Entry;
-  decision::GroupDispatcher Dispatcher;
+  std::unique_ptr<decision::Dispatcher> Dispatcher;
   std::unordered_map<decision::CallToken, Call> Calls;
   /// Whether this VM ranks first for the group.
   bool Ranked = false;
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -160,6 +160,7 @@
     Service.Zones = ZoneRegions;
     // Load comes with the responses, so no probes are sent.
     Service.MeasurePerS = 0;
+    Service.Profile = core::PolicyProfile::Objective;
   }
   for (const auto &[Key, Entry] : Servers) {
     const auto Found = Out.find(Entry.Registered.Service);
