Queue by arrival; return grants of servers known to be leaving

Change: the asking VM checks a grant against its own directory; calls of one priority wait in order of arrival.

--- a/packages/decision/include/jujubecart/decision/internal/objective_queue.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/objective_queue.hpp
@@ -11,11 +11,13 @@
 
 namespace jujubecart::decision::internal {
 
-/// @brief Waiting calls in order of priority and objective.
+/// @brief Waiting calls in order of priority and arrival: an order by
+/// objective would starve the classes with long ones.
 class ObjectiveQueue {
 public:
   /// @brief Adds a call whose token is not waiting yet.
-  void push(PendingCall Call);
+  /// @param Arrived When it was first enqueued.
+  void push(PendingCall Call, core::TimePoint Arrived);
 
   /// @brief Removes a call.
   std::optional<PendingCall> remove(CallToken Token);
@@ -24,7 +26,10 @@
   [[nodiscard]] std::vector<CallToken> tokens() const;
 
   [[nodiscard]] const PendingCall &at(CallToken Token) const {
-    return Calls.at(Token);
+    return Calls.at(Token).Call;
+  }
+  [[nodiscard]] core::TimePoint arrived(CallToken Token) const {
+    return Calls.at(Token).Arrived;
   }
   [[nodiscard]] bool contains(CallToken Token) const {
     return Calls.contains(Token);
@@ -33,10 +38,16 @@
 
 private:
   using Rank = std::tuple<std::uint8_t, core::TimePoint, CallToken>;
+  struct Entry {
+    PendingCall Call;
+    core::TimePoint Arrived;
 
-  [[nodiscard]] static Rank rank(const PendingCall &Call);
+    [[nodiscard]] Rank rank() const {
+      return {Call.Priority, Arrived, Call.Token};
+    }
+  };
 
-  std::unordered_map<CallToken, PendingCall> Calls;
+  std::unordered_map<CallToken, Entry> Calls;
   std::map<Rank, CallToken> Order;
 };
 
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -76,7 +76,8 @@
   void grant(const PendingCall &Call, std::uint32_t Server, core::TimePoint Now,
              Decisions &Out);
   void demote(core::TimePoint Now, Decisions &Out);
-  void acceptLate(PendingCall Call, core::TimePoint Now, Decisions &Out);
+  void acceptLate(PendingCall Call, core::TimePoint Arrived,
+                  core::TimePoint Now, Decisions &Out);
   void reject(const PendingCall &Call, core::Error Reason,
               core::TimePoint Now, Decisions &Out);
   [[nodiscard]] core::TimePoint latestStart(const PendingCall &Call,
@@ -119,20 +120,21 @@
   if (!Table.anyServerFor(Call))
     return reject(Call, core::Error::Unavailable, Now, Out);
   Call.Objective = std::min(Call.Objective, Call.Deadline);
-  OnTime.push(std::move(Call));
+  OnTime.push(std::move(Call), Now);
   dispatch(Now, Out);
 }
 
 // A call that misses its objective is still served if there is room for it
 // before its deadline; otherwise it is refused at once.
 void ObjectiveDispatcher::Implementation::acceptLate(PendingCall Call,
+                                                     core::TimePoint Arrived,
                                                      core::TimePoint Now,
                                                      Decisions &Out) {
   const auto Wait = Table.expectedWait(OnTime.size() + Late.size() + 1);
   if (Now + Wait > latestStart(Call, Now) ||
       OnTime.size() + Late.size() >= Options.MaxQueued)
     return reject(Call, core::Error::Overloaded, Now, Out);
-  Late.push(std::move(Call));
+  Late.push(std::move(Call), Arrived);
 }
 
 void ObjectiveDispatcher::Implementation::demote(core::TimePoint Now,
@@ -144,7 +146,8 @@
       ++Ahead;
       continue;
     }
-    acceptLate(*OnTime.remove(Token), Now, Out);
+    const core::TimePoint Arrived = OnTime.arrived(Token);
+    acceptLate(*OnTime.remove(Token), Arrived, Now, Out);
   }
   for (const CallToken Token : Late.tokens())
     if (Now > latestStart(Late.at(Token), Now))
--- a/packages/decision/src/objective_queue.cpp
+++ b/packages/decision/src/objective_queue.cpp
@@ -2,22 +2,20 @@
 
 namespace jujubecart::decision::internal {
 
-ObjectiveQueue::Rank ObjectiveQueue::rank(const PendingCall &Call) {
-  return {Call.Priority, Call.Objective, Call.Token};
-}
-
-void ObjectiveQueue::push(PendingCall Call) {
+void ObjectiveQueue::push(PendingCall Call, core::TimePoint Arrived) {
   const CallToken Token = Call.Token;
-  Order.emplace(rank(Call), Token);
-  Calls.emplace(Token, std::move(Call));
+  const auto [Added, New] =
+      Calls.emplace(Token, Entry{std::move(Call), Arrived});
+  if (New)
+    Order.emplace(Added->second.rank(), Token);
 }
 
 std::optional<PendingCall> ObjectiveQueue::remove(CallToken Token) {
   const auto Found = Calls.find(Token);
   if (Found == Calls.end())
     return std::nullopt;
-  PendingCall Out = std::move(Found->second);
-  Order.erase(rank(Out));
+  Order.erase(Found->second.rank());
+  PendingCall Out = std::move(Found->second.Call);
   Calls.erase(Found);
   return Out;
 }
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -65,11 +65,18 @@
     if (Found != Waiting.end() && Found->second.Io == Source)
       Entry = Found->second.Entry;
   }
-  if (Entry && !Server) {
+  if (Entry) {
     const GroupPtr Current = Env.Groups.current()->find(Entry->Hash);
-    if (const core::BackendServer *Known =
-            Current ? Current->server(Item.Server) : nullptr)
+    const core::BackendServer *Known =
+        Current ? Current->server(Item.Server) : nullptr;
+    if (!Server && Known != nullptr)
       Server = *Known;
+    // What this VM knows to be leaving must not get a call from it, even if
+    // the dispatcher has not heard of it yet.
+    if (Known != nullptr && Known->State == core::ServerState::Draining)
+      Server.reset();
+    if (Known == nullptr && Env.Links.options().AskNextDispatcher)
+      Server.reset();
   }
   // The call was given up, or its server is no longer configured here.
   if (!Entry || !Server) {
