Ask idle servers for their pace right before the choice

Change: a dispatcher that has no server with a fresh usual pace probes up to three candidates over pooled connections and decides on their answers, at most 12 ms later. Work is learned from calls whose pace was known.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -57,13 +57,16 @@
              {.Writer = All.Vm.Id}),
       Local(Config, Time, localPolicy(All.Policy), internal::randomNumber(),
             &Claims),
+      LoadProbes(Transport),
       Peers(Io.get_executor(), peerOptions(All, Incarnation),
             {.Time = Time,
              .Events = Events,
              .Config = Config,
              .Claims = Claims,
              .Fallback = Local,
-             .Prober = &Prober}),
+             .Prober = All.Directory.Enabled
+                           ? static_cast<peers::HealthProber *>(&LoadProbes)
+                           : &Prober}),
       Startup(Config, Reader, Peers.config(), Time, Delays),
       Pool(Io.get_executor(), poolOptions(All), Time),
       Transport(Pool, Time, profile()),
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -4,6 +4,7 @@
 #include "config_startup.hpp"
 #include "daemon_api.hpp"
 #include "http_health_prober.hpp"
+#include "load_prober.hpp"
 
 #include <jujubecart/backends/transport.hpp>
 #include <jujubecart/callers/server.hpp>
@@ -67,6 +68,7 @@
   store::ClaimLog Claims;
   decision::LocalBroker Local;
   HttpHealthProber Prober;
+  LoadProber LoadProbes;
   peers::PeerNode Peers;
   ConfigStartup Startup;
   platform::EntryCodec Codec;
--- a/packages/core/include/jujubecart/core/config.hpp
+++ b/packages/core/include/jujubecart/core/config.hpp
@@ -27,6 +27,7 @@
   ServerState State = ServerState::Active;
   /// Start of the process in Unix milliseconds, 0 if unknown.
   std::uint64_t Incarnation = 0;
+  std::string HealthPath = "/health";
 
   friend auto operator<=>(const BackendServer &,
                           const BackendServer &) = default;
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -6,6 +6,7 @@
 #include <jujubecart/decision/internal/string_map.hpp>
 #include <jujubecart/decision/internal/work_model.hpp>
 #include <jujubecart/decision/pending_call.hpp>
+#include <jujubecart/decision/probe_result.hpp>
 
 #include <optional>
 #include <random>
@@ -21,6 +22,8 @@
   double OnTime = 0;
   /// The same less what it costs other calls and the network.
   double Value = 0;
+  /// Whether the pace of the server is known to be the usual one now.
+  bool Fast = false;
 };
 
 /// @brief Backend servers of a group: exact numbers of calls, pace, health.
@@ -41,6 +44,17 @@
                                               bool Saturate,
                                               core::TimePoint Now);
 
+  /// @brief Asks for the pace of the servers that could take a call.
+  /// @param Out Receives the servers to probe.
+  /// @return Whether results are awaited that could improve the choice.
+  [[nodiscard]] bool requestProbes(const PendingCall &Call,
+                                   core::TimePoint Now,
+                                   std::vector<std::uint32_t> &Out);
+
+  /// @brief Ends a probe.
+  void probed(std::uint32_t Index, const ProbeResult &Result,
+              core::TimePoint Now);
+
   /// @brief Probability that a call meets its objective if it waits.
   /// @param Ahead Calls that are served before it.
   [[nodiscard]] double onTimeAfterWait(const PendingCall &Call,
--- a/packages/decision/include/jujubecart/decision/internal/pace_model.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/pace_model.hpp
@@ -12,6 +12,12 @@
 struct PaceSample {
   std::uint32_t Percent = core::LoadReport::UsualPace;
   core::TimePoint At;
+
+  /// @brief Whether it most likely still holds.
+  [[nodiscard]] bool fresh(core::TimePoint Now) const noexcept {
+    constexpr std::chrono::milliseconds Lasts{40};
+    return Now - At <= Lasts;
+  }
 };
 
 /// @brief Models noisy neighbours: a server works at its usual pace or, in
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -18,6 +18,9 @@
   core::TimePoint Objective = core::TimePoint::max();
   /// Expected time at the usual pace.
   double WorkUs = 0;
+  /// Pace of the server at the start, if it was known. It holds until the end
+  /// of the call.
+  std::optional<std::uint32_t> PacePercent;
 };
 
 /// @brief What an ObjectiveDispatcher knows about one backend server.
@@ -37,7 +40,9 @@
   double FailureRate = 0;
   /// Another process answers at its address.
   bool Replaced = false;
+  /// When the last probe was sent, and whether its result is awaited.
   core::TimePoint LastProbe = core::TimePoint::min();
+  bool Probing = false;
 
   [[nodiscard]] std::uint32_t inFlight() const noexcept {
     return static_cast<std::uint32_t>(Calls.size()) + Adopted;
--- a/packages/decision/include/jujubecart/decision/probe_result.hpp
+++ b/packages/decision/include/jujubecart/decision/probe_result.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBECART_DECISION_PROBE_RESULT_HPP
 #define JUJUBECART_DECISION_PROBE_RESULT_HPP
 
+#include <jujubecart/core/load_report.hpp>
+
 #include <cstdint>
 #include <optional>
 
@@ -14,6 +16,8 @@
   ProbeState State = ProbeState::Unreachable;
   /// Requests in flight as stated by the backend server.
   std::optional<std::uint32_t> InFlight;
+  /// Load as stated in the header fields.
+  std::optional<core::LoadReport> Load;
 };
 
 } // namespace jujubecart::decision
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -24,6 +24,9 @@
 constexpr double OverdueFactor = 2.5;
 // Network time between the entry VM and the caller.
 constexpr auto ReturnTime = 6ms;
+// Servers that are probed for one choice, and how long it waits for them.
+constexpr std::size_t ProbesPerChoice = 3;
+constexpr auto ProbeWait = 12ms;
 
 double microseconds(core::TimePoint::duration Time) {
   return std::chrono::duration<double, std::micro>(Time).count();
@@ -162,11 +165,54 @@
     // Among equal servers, one with fewer calls per slot.
     Value -= 0.01 * Server.inFlight() / Server.slots();
     if (!Best || Value > Best->Value)
-      Best = Placement{.Index = Index, .OnTime = OnTime, .Value = Value};
+      Best = Placement{.Index = Index,
+                       .OnTime = OnTime,
+                       .Value = Value,
+                       .Fast = Server.Pace && Server.Pace->fresh(Now) &&
+                               !PaceModel::isSlow(Server.Pace->Percent)};
   }
   return Best;
 }
 
+bool LoadTable::requestProbes(const PendingCall &Call, core::TimePoint Now,
+                              std::vector<std::uint32_t> &Out) {
+  std::vector<std::pair<double, std::uint32_t>> Stale;
+  for (std::uint32_t Index = 0; Index < size(); ++Index) {
+    const ServerLoad &Server = Servers[Index];
+    if (!usable(Server, Now) || excludes(Call, Server) ||
+        Server.inFlight() >= Server.unsaturated())
+      continue;
+    if (Server.Probing && Now - Server.LastProbe < ProbeWait)
+      return true;
+    const bool Known = Server.Pace && Server.Pace->fresh(Now);
+    const bool Asked = Now < Server.LastProbe + 2 * ProbeWait;
+    const bool Far = !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
+    if (!Known && !Asked)
+      Stale.emplace_back(Pace.slowProbability(Server.Pace, Now) +
+                             (Far ? FarCost : 0) +
+                             0.1 * Server.inFlight() / Server.slots(),
+                         Index);
+  }
+  const std::size_t Count = std::min(Stale.size(), ProbesPerChoice);
+  std::partial_sort(Stale.begin(),
+                    Stale.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Stale.end());
+  for (std::size_t At = 0; At < Count; ++At) {
+    ServerLoad &Server = Servers[Stale[At].second];
+    Server.LastProbe = Now;
+    Server.Probing = true;
+    Out.push_back(Stale[At].second);
+  }
+  return Count > 0;
+}
+
+void LoadTable::probed(std::uint32_t Index, const ProbeResult &Result,
+                       core::TimePoint Now) {
+  Servers[Index].Probing = false;
+  if (Result.Load)
+    pace(Index, Result.Load->PacePercent, Now);
+}
+
 double LoadTable::capacityPerS() const {
   constexpr double MicrosecondsPerSecond = 1e6;
   const double Mean = Work.meanUs() > 0 ? Work.meanUs() : 1e5;
@@ -193,7 +239,10 @@
 }
 
 void LoadTable::start(std::uint32_t Index, RunningCall Call) {
-  Servers[Index].Calls.push_back(Call);
+  ServerLoad &Server = Servers[Index];
+  if (Server.Pace && Server.Pace->fresh(Call.Start))
+    Call.PacePercent = Server.Pace->Percent;
+  Server.Calls.push_back(Call);
 }
 
 void LoadTable::forget(std::uint32_t Index, std::uint64_t GrantId) {
@@ -216,15 +265,14 @@
   Server.Calls.erase(Found);
   const bool Ran = Report.Outcome == core::CallOutcome::Completed &&
                    !Report.Failed;
-  const bool WasSlow = Server.Pace && PaceModel::isSlow(Server.Pace->Percent);
-  const bool NowSlow = Report.Load && PaceModel::isSlow(Report.Load->PacePercent);
-  if (Ran && !Saturated && !WasSlow && !NowSlow) {
-    const auto Elapsed = double(Report.Elapsed.count());
-    const double Expected = Call.WorkUs;
-    // Spells that began and ended in between look like slow work.
-    if (Elapsed < OverdueFactor * Expected * Server.Speed) {
-      Work.record(WorkClass, Elapsed / Server.Speed);
-      Server.Speed += (Elapsed / Expected - Server.Speed) * SpeedWeight;
+  if (Ran && !Saturated && Call.PacePercent) {
+    constexpr double PercentPerUnit = 100;
+    const double WorkUs = double(Report.Elapsed.count()) * PercentPerUnit /
+                          std::max(1U, *Call.PacePercent);
+    // A spell that began right before the call looks like slow work.
+    if (WorkUs < OverdueFactor * Call.WorkUs * Server.Speed) {
+      Work.record(WorkClass, WorkUs / Server.Speed);
+      Server.Speed += (WorkUs / Call.WorkUs - Server.Speed) * SpeedWeight;
       Server.Speed = std::clamp(Server.Speed, LeastSpeed, MostSpeed);
     }
   }
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -14,7 +14,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto BusyTick = 10ms;
+constexpr auto BusyTick = 8ms;
 constexpr auto IdleTick = 100ms;
 // A grant that is not returned this long after the deadline of its call was
 // lost by its holder.
@@ -61,6 +61,8 @@
   std::mt19937_64 Random;
   std::uint64_t NextGrant;
   core::TimePoint Last;
+  /// Servers whose pace would improve a choice, in order.
+  std::vector<std::uint32_t> ProbesWanted;
 
 private:
   struct Grant {
@@ -180,6 +182,9 @@
   const double Waiting = Table.onTimeAfterWait(Call, Position, Now);
   for (const bool Saturate : {false, true}) {
     const auto Found = Table.best(Call, Call.Objective, Saturate, Now);
+    if (Found && !Found->Fast &&
+        Table.requestProbes(Call, Now, ProbesWanted))
+      return false;
     if (!Found || Found->OnTime < LeastOnTime ||
         Found->Value < Waiting * WaitDiscount - (Saturate ? 0 : 0.1))
       continue;
@@ -353,12 +358,18 @@
 
 std::optional<core::BackendServer>
 ObjectiveDispatcher::nextProbe(core::TimePoint /*Now*/) {
-  return std::nullopt;
+  if (Self->ProbesWanted.empty())
+    return std::nullopt;
+  const std::uint32_t Index = Self->ProbesWanted.back();
+  Self->ProbesWanted.pop_back();
+  return Self->Table.at(Index).Config;
 }
 
-void ObjectiveDispatcher::probeResult(std::string_view /*ServerId*/,
-                                      ProbeResult /*Result*/,
-                                      core::TimePoint Now, Decisions &Out) {
+void ObjectiveDispatcher::probeResult(std::string_view ServerId,
+                                      ProbeResult Result, core::TimePoint Now,
+                                      Decisions &Out) {
+  if (const auto Index = Self->Table.find(ServerId))
+    Self->Table.probed(*Index, Result, Now);
   Self->dispatch(Now, Out);
 }
 
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -134,6 +134,7 @@
   void updateRanks();
   [[nodiscard]] bool heartbeat(core::TimePoint Now);
   core::Awaitable<void> probe(GroupState Target, core::BackendServer Server);
+  void startProbes(const GroupState &Target);
   void wake();
 
   const boost::asio::any_io_executor Executor;
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -70,33 +70,52 @@
   core::TimePoint Due = core::TimePoint::max();
   std::vector<std::pair<GroupState, core::BackendServer>> Probes;
   for (const GroupState &Target : Known) {
-    const std::lock_guard Lock(Target->Mutex);
-    if (Target->Dispatcher->nextTick() <= Now) {
-      decision::Decisions Out;
-      Target->Dispatcher->tick(Now, Out);
-      apply(*Target, Out);
+    {
+      const std::lock_guard Lock(Target->Mutex);
+      if (Target->Dispatcher->nextTick() <= Now) {
+        decision::Decisions Out;
+        Target->Dispatcher->tick(Now, Out);
+        apply(*Target, Out);
+      }
+      Due = std::min(Due, Target->Dispatcher->nextTick());
+      if (Target->Ranked && !Target->ProbesOnDemand && Env.Prober != nullptr)
+        if (auto Server = Target->Dispatcher->nextProbe(Now))
+          Probes.emplace_back(Target, std::move(*Server));
     }
-    Due = std::min(Due, Target->Dispatcher->nextTick());
-    if (!Target->Ranked || Env.Prober == nullptr)
-      continue;
-    if (auto Server = Target->Dispatcher->nextProbe(Now))
-      Probes.emplace_back(Target, std::move(*Server));
+    startProbes(Target);
   }
   for (auto &[Target, Server] : Probes)
     asio::co_spawn(Executor, probe(Target, std::move(Server)), asio::detached);
   return Due;
 }
 
+// Sends the probes that the last decisions asked for; called without locks.
+void DispatchService::startProbes(const GroupState &Target) {
+  if (Env.Prober == nullptr || !Target->ProbesOnDemand)
+    return;
+  std::vector<core::BackendServer> Servers;
+  {
+    const std::lock_guard Lock(Target->Mutex);
+    while (auto Server = Target->Dispatcher->nextProbe(Env.Time.now()))
+      Servers.push_back(std::move(*Server));
+  }
+  for (core::BackendServer &Server : Servers)
+    asio::co_spawn(Executor, probe(Target, std::move(Server)), asio::detached);
+}
+
 core::Awaitable<void> DispatchService::probe(GroupState Target,
                                              core::BackendServer Server) {
   ++Env.Links.counters().Probes;
   const std::string Id = Server.Id;
   const decision::ProbeResult Result = co_await Env.Prober->probe(
       std::move(Server), Env.Time.now() + internal::ProbeTimeout);
-  const std::lock_guard Lock(Target->Mutex);
-  decision::Decisions Out;
-  Target->Dispatcher->probeResult(Id, Result, Env.Time.now(), Out);
-  apply(*Target, Out);
+  {
+    const std::lock_guard Lock(Target->Mutex);
+    decision::Decisions Out;
+    Target->Dispatcher->probeResult(Id, Result, Env.Time.now(), Out);
+    apply(*Target, Out);
+  }
+  startProbes(Target);
 }
 
 // Sends a frame to every VM whose calls wait and that got none lately.
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -91,6 +91,7 @@
     const auto Found = Target->Calls.find(Token);
     Waits = Found != Target->Calls.end() && !Found->second.Answered;
   }
+  startProbes(Target);
   if (!Waits)
     return;
   Env.Events.record(
@@ -146,7 +147,7 @@
   decision::Decisions Out;
   if (Item.Held)
     Target->Dispatcher->release(Item.Held->GrantId, internal::cancelled(),
-                               Env.Time.now(), Out);
+                                Env.Time.now(), Out);
   else
     Target->Dispatcher->withdraw(Token, Env.Time.now(), Out);
   const bool Own = Outcome.error().category() == core::errorCategory();
@@ -220,9 +221,8 @@
   const Call Item = std::move(Found->second);
   Target.Calls.erase(Found);
   if (!Item.Asker) {
-    Item.Then({.Server = std::nullopt,
-               .Reason = Reason,
-               .RetryAfter = RetryAfter});
+    Item.Then(
+        {.Server = std::nullopt, .Reason = Reason, .RetryAfter = RetryAfter});
     return;
   }
   --Item.Asker->Waiting;
@@ -240,24 +240,27 @@
 // Ends a call in whatever state it is.
 void DispatchService::end(const GroupState &Target, decision::CallToken Token,
                           const core::CallReport &Report) {
-  const std::lock_guard Lock(Target->Mutex);
-  const auto Found = Target->Calls.find(Token);
-  if (Found == Target->Calls.end())
-    return;
-  const Call Item = std::move(Found->second);
-  Target->Calls.erase(Found);
-  decision::Decisions Out;
-  const core::TimePoint Now = Env.Time.now();
-  if (Item.Answered)
-    Target->Dispatcher->release(Item.GrantId, Report, Now, Out);
-  else if (Item.Held)
-    Target->Dispatcher->release(Item.Held->GrantId, internal::cancelled(), Now,
-                               Out);
-  else
-    Target->Dispatcher->withdraw(Token, Now, Out);
-  if (Item.Asker && !Item.Answered)
-    --Item.Asker->Waiting;
-  apply(*Target, Out);
+  {
+    const std::lock_guard Lock(Target->Mutex);
+    const auto Found = Target->Calls.find(Token);
+    if (Found == Target->Calls.end())
+      return;
+    const Call Item = std::move(Found->second);
+    Target->Calls.erase(Found);
+    decision::Decisions Out;
+    const core::TimePoint Now = Env.Time.now();
+    if (Item.Answered)
+      Target->Dispatcher->release(Item.GrantId, Report, Now, Out);
+    else if (Item.Held)
+      Target->Dispatcher->release(Item.Held->GrantId, internal::cancelled(),
+                                  Now, Out);
+    else
+      Target->Dispatcher->withdraw(Token, Now, Out);
+    if (Item.Asker && !Item.Answered)
+      --Item.Asker->Waiting;
+    apply(*Target, Out);
+  }
+  startProbes(Target);
 }
 
 void DispatchService::withdraw(std::uint64_t Group, decision::CallToken Token) {
@@ -276,7 +279,7 @@
   const std::lock_guard Lock(Target->Mutex);
   Target->LastUsed = Env.Time.now();
   Target->Dispatcher->adopt(Env.Members.self().Id, ServerId, Calls,
-                           Env.Time.now());
+                            Env.Time.now());
 }
 
 void DispatchService::releaseAdopted(std::uint64_t Group,
@@ -288,7 +291,7 @@
   const std::lock_guard Lock(Target->Mutex);
   decision::Decisions Out;
   Target->Dispatcher->releaseAdopted(Env.Members.self().Id, ServerId, Report,
-                                    Env.Time.now(), Out);
+                                     Env.Time.now(), Out);
   apply(*Target, Out);
 }
 
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -48,6 +48,8 @@
   Group(const GroupPtr &Entry, core::TimePoint Now)
       : Name(Entry->Group.Name), Service(Entry->Group.Service), Entry(Entry),
         Dispatcher(decision::makeDispatcher(Entry->Group, Entry->Options, Now)),
+        ProbesOnDemand(Entry->Options.Profile ==
+                       core::PolicyProfile::Objective),
         LastUsed(Now) {}
 
   const std::string Name;
@@ -56,6 +58,8 @@
   GroupPtr Entry;
   std::unique_ptr<decision::Dispatcher> Dispatcher;
   std::unordered_map<decision::CallToken, Call> Calls;
+  /// Whether probes are sent when a choice asks for them, not by schedule.
+  const bool ProbesOnDemand;
   /// Whether this VM ranks first for the group.
   bool Ranked = false;
   /// When a call or a report of calls in flight last arrived.
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -167,8 +167,10 @@
     if (Found == Out.end())
       continue;
     core::BackendServer Server = Entry.Registered.Server;
-    Server.Connections =
-        Config.Services.find(Entry.Registered.Service)->second.Connections;
+    const core::ServiceSettings &Settings =
+        Config.Services.find(Entry.Registered.Service)->second;
+    Server.Connections = Settings.Connections;
+    Server.HealthPath = Settings.HealthPath;
     Found->second.Servers.push_back(std::move(Server));
   }
   return Out;
