--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -24,6 +24,8 @@
   double Value = 0;
   /// Whether the pace of the server is known to be the usual one now.
   bool Fast = false;
+  /// Whether it is in another zone than the caller's entry VM.
+  bool Far = false;
 };
 
 /// @brief Backend servers of a group: exact numbers of calls, pace, health.
@@ -45,9 +47,10 @@
                                               core::TimePoint Now);
 
   /// @brief Asks for the pace of the servers that could take a call.
+  /// @param NearOnly Leaves out servers in other zones.
   /// @param Out Receives the servers to probe.
   /// @return Whether results are awaited that could improve the choice.
-  [[nodiscard]] bool requestProbes(const PendingCall &Call,
+  [[nodiscard]] bool requestProbes(const PendingCall &Call, bool NearOnly,
                                    core::TimePoint Now,
                                    std::vector<std::uint32_t> &Out);
 
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -32,6 +32,10 @@
   return std::chrono::duration<double, std::micro>(Time).count();
 }
 
+bool isFar(const PendingCall &Call, const ServerLoad &Server) {
+  return !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
+}
+
 bool excludes(const PendingCall &Call, const ServerLoad &Server) {
   return std::find(Call.Excluded.begin(), Call.Excluded.end(),
                    Server.Config.Id) != Call.Excluded.end();
@@ -155,7 +159,7 @@
       continue;
     const bool Trial = Server.Health.ejected() && Unhealthy != Active;
     const double OnTime = onTime(Server, WorkUs, Last, Now);
-    const bool Far = !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
+    const bool Far = isFar(Call, Server);
     double Value = OnTime * (1 - Server.FailureRate) *
                    (1 - overdue(Server, Now));
     Value -= harm(Server, Now) + (Far ? FarCost : 0);
@@ -169,24 +173,26 @@
                        .OnTime = OnTime,
                        .Value = Value,
                        .Fast = Server.Pace && Server.Pace->fresh(Now) &&
-                               !PaceModel::isSlow(Server.Pace->Percent)};
+                               !PaceModel::isSlow(Server.Pace->Percent),
+                       .Far = Far};
   }
   return Best;
 }
 
-bool LoadTable::requestProbes(const PendingCall &Call, core::TimePoint Now,
+bool LoadTable::requestProbes(const PendingCall &Call, bool NearOnly,
+                              core::TimePoint Now,
                               std::vector<std::uint32_t> &Out) {
   std::vector<std::pair<double, std::uint32_t>> Stale;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
+    const bool Far = isFar(Call, Server);
     if (!usable(Server, Now) || excludes(Call, Server) ||
-        Server.inFlight() >= Server.unsaturated())
+        Server.inFlight() >= Server.unsaturated() || (NearOnly && Far))
       continue;
     if (Server.Probing && Now - Server.LastProbe < ProbeWait)
       return true;
     const bool Known = Server.Pace && Server.Pace->fresh(Now);
     const bool Asked = Now < Server.LastProbe + 2 * ProbeWait;
-    const bool Far = !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
     if (!Known && !Asked)
       Stale.emplace_back(Pace.slowProbability(Server.Pace, Now) +
                              (Far ? FarCost : 0) +
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -182,8 +182,9 @@
   const double Waiting = Table.onTimeAfterWait(Call, Position, Now);
   for (const bool Saturate : {false, true}) {
     const auto Found = Table.best(Call, Call.Objective, Saturate, Now);
-    if (Found && !Found->Fast &&
-        Table.requestProbes(Call, Now, ProbesWanted))
+    const bool Best = Found && Found->Fast && !Found->Far;
+    if (Found && !Best &&
+        Table.requestProbes(Call, Found->Fast, Now, ProbesWanted))
       return false;
     if (!Found || Found->OnTime < LeastOnTime ||
         Found->Value < Waiting * WaitDiscount - (Saturate ? 0 : 0.1))
