Let one VM read the store and pass changes on

Change: the VM of the first rank watches for 700 ms at a time and sends each answer, also an empty one, to the others; those read for themselves after 1.1 s of silence, in order of rank, or when they find a gap.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -7,9 +7,10 @@
 #include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/operators/settings_reader.hpp>
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -39,8 +40,7 @@
 Daemon::Daemon(operators::Settings Given)
     : All(std::move(Given)), Incarnation(internal::unixMilliseconds(Time)),
       Io(static_cast<int>(All.Workers)), Signals(Io, SIGTERM, SIGINT),
-      Reload(Io, SIGHUP),
-      Events(Time, All.TimelineEvents),
+      Reload(Io, SIGHUP), Events(Time, All.TimelineEvents),
       Store(Io.get_executor(), All.Store.Endpoints),
       Tickets(Store, Time, Delays, internal::randomNumber),
       Reader(Io.get_executor(), {.Store = Store,
@@ -143,17 +143,27 @@
   DirectoryStore =
       std::make_unique<platform::StoreClient>(Strand, All.Store.Endpoints);
   Feed = std::make_unique<store::DirectoryFeed>(
-      store::DirectoryFeed::Environment{.Store = *DirectoryStore,
-                                        .Codec = Codec,
-                                        .Table = Config,
-                                        .Time = Time,
-                                        .Delays = Delays,
-                                        .Random = internal::randomNumber},
+      store::DirectoryFeed::Environment{
+          .Store = *DirectoryStore,
+          .Codec = Codec,
+          .Table = Config,
+          .Time = Time,
+          .Delays = Delays,
+          .Random = internal::randomNumber,
+          .ReaderRank = [this] { return Peers.storeRelay().readerRank(); },
+          .Share =
+              [this](const core::EntryChanges &Changes) {
+                Peers.storeRelay().share(Changes);
+              }},
       Peers.members().self(), All.Directory.Zones,
       store::DirectoryFeedOptions{});
   Feed->onMembers([this](const std::vector<core::Member> &Vms) {
     Peers.members().update(Vms);
   });
+  Peers.storeRelay().onChanges([this,
+                                Strand](const core::EntryChanges &Changes) {
+    internal::asio::post(Strand, [this, Changes] { Feed->receive(Changes); });
+  });
   internal::asio::co_spawn(Strand, Feed->run(), internal::asio::detached);
   internal::asio::co_spawn(Strand, Feed->keepRegistered(),
                            internal::asio::detached);
@@ -166,8 +176,7 @@
     if (Code)
       co_return;
     core::Findings Report(File);
-    const operators::Settings Fresh =
-        operators::readSettingsFile(File, Report);
+    const operators::Settings Fresh = operators::readSettingsFile(File, Report);
     // Listeners and identity cannot change while calls are in flight.
     core::LogLine(core::LogLevel::Info, "settings.reloaded")
         .field("valid", Report.empty() ? "yes" : "no")
--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -33,6 +33,14 @@
   friend auto operator<=>(const EntryList &, const EntryList &) = default;
 };
 
+/// @brief All changes after one revision, up to another.
+struct EntryChanges {
+  Revision After = 0;
+  EntryList List;
+
+  friend auto operator<=>(const EntryChanges &, const EntryChanges &) = default;
+};
+
 /// @brief Identifies a lease of a store.
 using LeaseId = std::uint64_t;
 
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -2,6 +2,7 @@
 #define JUJUBECART_PEERS_MESSAGE_HPP
 
 #include <jujubecart/core/config.hpp>
+#include <jujubecart/core/entry_store.hpp>
 #include <jujubecart/core/error.hpp>
 #include <jujubecart/core/hash.hpp>
 #include <jujubecart/core/request_id.hpp>
@@ -146,11 +147,16 @@
   core::RequestId Request;
 };
 
+/// @brief What the store told the sender.
+struct StoreChanges {
+  core::EntryChanges Changes;
+};
+
 /// @brief Any message; the first alternative stands for an unknown type.
 using Message =
     std::variant<std::monostate, Hello, Acquire, Queued, Grant, Refuse, Release,
                  Cancel, GossipMessage, ConfigRequest, ConfigDelta, Bye,
-                 InFlight, ClaimRelease>;
+                 InFlight, ClaimRelease, StoreChanges>;
 
 /// @brief Number of message types, the unknown type included.
 inline constexpr std::size_t MessageTypes = std::variant_size_v<Message>;
--- a/packages/peers/include/jujubecart/peers/peer_node.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_node.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/peers/gossip.hpp>
 #include <jujubecart/peers/remote_broker.hpp>
+#include <jujubecart/peers/store_relay.hpp>
 
 namespace jujubecart::peers {
 
@@ -49,6 +50,7 @@
   [[nodiscard]] DispatchService &dispatch() noexcept { return Dispatch; }
   [[nodiscard]] RemoteBroker &broker() noexcept { return Broker; }
   [[nodiscard]] ConfigSync &config() noexcept { return Sync; }
+  [[nodiscard]] StoreRelay &storeRelay() noexcept { return Relay; }
 
 private:
   [[nodiscard]] Hello hello() const;
@@ -61,6 +63,7 @@
   DispatchService Dispatch;
   RemoteBroker Broker;
   ConfigSync Sync;
+  StoreRelay Relay;
   Gossip Rounds;
   std::string Bound;
 };
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -156,6 +156,27 @@
                       .Request = {Source.request()}};
 }
 
+core::StoredEntry entry(const wire::StoreEntry &Source) {
+  core::StoredEntry Out{.Key = text(Source.key()),
+                        .Changed = Source.changed()};
+  if (Source.deleted())
+    return Out;
+  Out.Value.emplace();
+  if (Source.value() != nullptr)
+    Out.Value->assign(Source.value()->begin(), Source.value()->end());
+  return Out;
+}
+
+Read read(const wire::StoreChanges &Source) {
+  StoreChanges Item;
+  Item.Changes.After = Source.after();
+  Item.Changes.List.AsOf = Source.as_of();
+  if (Source.entries() != nullptr)
+    for (const wire::StoreEntry *Entry : *Source.entries())
+      Item.Changes.List.Entries.push_back(entry(*Entry));
+  return Item;
+}
+
 // The verifier accepts a union without its table.
 template <typename Table> Read readTable(const Table *Source) {
   return Source == nullptr ? std::nullopt : read(*Source);
@@ -191,6 +212,8 @@
     return readTable(Source.body_as_InFlight());
   case wire::Body::ClaimRelease:
     return readTable(Source.body_as_ClaimRelease());
+  case wire::Body::StoreChanges:
+    return readTable(Source.body_as_StoreChanges());
   case wire::Body::NONE:
     break;
   }
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -120,6 +120,24 @@
       Out, Item.Service.c_str(), &Key, Item.Request.Value));
 }
 
+BodyOffset write(Builder &Out, const StoreChanges &Item) {
+  std::vector<Offset<wire::StoreEntry>> Entries;
+  Entries.reserve(Item.Changes.List.Entries.size());
+  for (const core::StoredEntry &Entry : Item.Changes.List.Entries) {
+    const auto Key = Out.CreateString(Entry.Key);
+    Offset<flatbuffers::Vector<std::uint8_t>> Value;
+    if (Entry.Value)
+      Value = Out.CreateVector(
+          reinterpret_cast<const std::uint8_t *>(Entry.Value->data()),
+          Entry.Value->size());
+    Entries.push_back(wire::CreateStoreEntry(Out, Key, Value, !Entry.Value,
+                                             Entry.Changed));
+  }
+  return body<wire::Body::StoreChanges>(wire::CreateStoreChangesDirect(
+      Out, Item.Changes.After, Item.Changes.List.AsOf,
+      Entries.empty() ? nullptr : &Entries));
+}
+
 } // namespace
 
 BodyOffset writeBody(Builder &Out, const Message &Body) {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -69,6 +69,12 @@
 struct ClaimRelease;
 struct ClaimReleaseBuilder;
 
+struct StoreEntry;
+struct StoreEntryBuilder;
+
+struct StoreChanges;
+struct StoreChangesBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -87,11 +93,12 @@
   Bye = 11,
   InFlight = 12,
   ClaimRelease = 13,
+  StoreChanges = 14,
   MIN = NONE,
-  MAX = ClaimRelease
+  MAX = StoreChanges
 };
 
-inline const Body (&EnumValuesBody())[14] {
+inline const Body (&EnumValuesBody())[15] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -106,13 +113,14 @@
     Body::ConfigDelta,
     Body::Bye,
     Body::InFlight,
-    Body::ClaimRelease
+    Body::ClaimRelease,
+    Body::StoreChanges
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[15] = {
+  static const char * const names[16] = {
     "NONE",
     "Hello",
     "Acquire",
@@ -127,13 +135,14 @@
     "Bye",
     "InFlight",
     "ClaimRelease",
+    "StoreChanges",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ClaimRelease)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreChanges)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -194,6 +203,10 @@
   static const Body enum_value = Body::ClaimRelease;
 };
 
+template<> struct BodyTraits<jujubecart::peers::wire::StoreChanges> {
+  static const Body enum_value = Body::StoreChanges;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1657,6 +1670,171 @@
       request);
 }
 
+struct StoreEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreEntryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_DELETED = 8,
+    VT_CHANGED = 10
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  uint64_t changed() const {
+    return GetField<uint64_t>(VT_CHANGED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGED, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreEntryBuilder {
+  typedef StoreEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(StoreEntry::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(StoreEntry::VT_VALUE, value);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(StoreEntry::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  void add_changed(uint64_t changed) {
+    fbb_.AddElement<uint64_t>(StoreEntry::VT_CHANGED, changed, 0);
+  }
+  explicit StoreEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreEntry> CreateStoreEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    bool deleted = false,
+    uint64_t changed = 0) {
+  StoreEntryBuilder builder_(_fbb);
+  builder_.add_changed(changed);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreEntry> CreateStoreEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    bool deleted = false,
+    uint64_t changed = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return jujubecart::peers::wire::CreateStoreEntry(
+      _fbb,
+      key__,
+      value__,
+      deleted,
+      changed);
+}
+
+struct StoreChanges FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreChangesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_AFTER = 4,
+    VT_AS_OF = 6,
+    VT_ENTRIES = 8
+  };
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  uint64_t as_of() const {
+    return GetField<uint64_t>(VT_AS_OF, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AS_OF, 8) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreChangesBuilder {
+  typedef StoreChanges Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_AFTER, after, 0);
+  }
+  void add_as_of(uint64_t as_of) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_AS_OF, as_of, 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>> entries) {
+    fbb_.AddOffset(StoreChanges::VT_ENTRIES, entries);
+  }
+  explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreChanges> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreChanges>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreChanges> CreateStoreChanges(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t after = 0,
+    uint64_t as_of = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>> entries = 0) {
+  StoreChangesBuilder builder_(_fbb);
+  builder_.add_as_of(as_of);
+  builder_.add_after(after);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreChanges> CreateStoreChangesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t after = 0,
+    uint64_t as_of = 0,
+    const std::vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>(*entries) : 0;
+  return jujubecart::peers::wire::CreateStoreChanges(
+      _fbb,
+      after,
+      as_of,
+      entries__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1721,6 +1899,9 @@
   const jujubecart::peers::wire::ClaimRelease *body_as_ClaimRelease() const {
     return body_type() == jujubecart::peers::wire::Body::ClaimRelease ? static_cast<const jujubecart::peers::wire::ClaimRelease *>(body()) : nullptr;
   }
+  const jujubecart::peers::wire::StoreChanges *body_as_StoreChanges() const {
+    return body_type() == jujubecart::peers::wire::Body::StoreChanges ? static_cast<const jujubecart::peers::wire::StoreChanges *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -1785,6 +1966,10 @@
   return body_as_ClaimRelease();
 }
 
+template<> inline const jujubecart::peers::wire::StoreChanges *Envelope::body_as<jujubecart::peers::wire::StoreChanges>() const {
+  return body_as_StoreChanges();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1888,6 +2073,10 @@
       auto ptr = reinterpret_cast<const jujubecart::peers::wire::ClaimRelease *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::StoreChanges: {
+      auto ptr = reinterpret_cast<const jujubecart::peers::wire::StoreChanges *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/packages/peers/src/peer_node.cpp
+++ b/packages/peers/src/peer_node.cpp
@@ -29,10 +29,11 @@
               Surroundings.Claims, Surroundings.Time, Surroundings.Events}),
       Sync(Executor,
            {*Links, Members, Config, Surroundings.Time, Surroundings.Events}),
-      Rounds(Executor, *Links, Members, Config, Sync) {
+      Relay(*Links, Members), Rounds(Executor, *Links, Members, Config, Sync) {
   // Membership learns of a frame first.
   Links->subscribe(Rounds);
   Links->subscribe(Sync);
+  Links->subscribe(Relay);
   Links->subscribe(Dispatch);
   Links->subscribe(Broker);
   Links->setHello([this] { return hello(); });
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -16,22 +16,27 @@
 
 /// @brief Timing of a DirectoryFeed.
 struct DirectoryFeedOptions {
-  /// A watch without a change ends after this. A store that came back after
-  /// an outage may never answer watches from before it, and changes must be
-  /// known a few seconds later.
-  std::chrono::milliseconds WatchTime{4000};
-  /// Wait for an answer in addition to WatchTime.
+  /// A watch without a change ends after this, so that the other VMs hear
+  /// that nothing changed before they ask the store themselves.
+  std::chrono::milliseconds WatchTime{700};
+  /// Wait for the answer to a list or a write.
   std::chrono::milliseconds AnswerTimeout{1000};
   /// Pause after a change, so that changes in quick succession are read by
   /// one call.
-  std::chrono::milliseconds BatchDelay{300};
+  std::chrono::milliseconds BatchDelay{100};
   std::chrono::milliseconds BackoffLow{50};
   std::chrono::milliseconds BackoffHigh{800};
+  /// Silence after which the VM of the second rank asks the store, and how
+  /// much longer each further rank waits. Changes must be known everywhere
+  /// within two seconds.
+  std::chrono::milliseconds SilenceLimit{1100};
+  std::chrono::milliseconds SilenceStep{130};
+  std::size_t MostSilenceSteps = 3;
   /// Entries of live servers that were lost in an outage of the store are
   /// back this long after its return.
   std::chrono::milliseconds ReturnTime{2300};
   /// An outage shorter than this drops no entries.
-  std::chrono::milliseconds OutageTime{1000};
+  std::chrono::milliseconds OutageTime{1800};
   /// Lease of this VM's registration, and when it is renewed.
   std::chrono::milliseconds LeaseTtl{600000};
   std::chrono::milliseconds LeaseRenewal{200000};
@@ -50,6 +55,10 @@
     const core::Clock &Time;
     core::Sleeper &Delays;
     std::function<std::uint64_t()> Random;
+    /// Position of this VM among those that could read the store for all.
+    std::function<std::size_t()> ReaderRank;
+    /// Passes an answer of the store on to the other VMs.
+    std::function<void(const core::EntryChanges &)> Share;
   };
 
   /// @brief Creates a feed that does nothing yet.
@@ -66,6 +75,10 @@
   /// @brief Registers this VM and keeps it registered.
   [[nodiscard]] core::Awaitable<void> keepRegistered();
 
+  /// @brief Takes what another VM has just read from the store; called on
+  /// the strand of run().
+  void receive(const core::EntryChanges &Changes);
+
   void stop() noexcept { Stopped = true; }
 
 private:
@@ -73,6 +86,8 @@
   [[nodiscard]] core::Awaitable<bool> follow();
   [[nodiscard]] core::Awaitable<void> backOff();
   [[nodiscard]] core::Awaitable<bool> registerOnce();
+  [[nodiscard]] bool mustRead() const;
+  void confirm();
   void reached();
   void failed(std::string_view Call, const std::error_code &Why);
   void publish();
@@ -87,6 +102,11 @@
   bool Loaded = false;
   unsigned Failures = 0;
   core::TimePoint LastReached;
+  /// When this VM last heard, from the store or another VM, what the store
+  /// holds.
+  core::TimePoint LastConfirmed;
+  /// Another VM told of changes that follow ones unknown here.
+  bool Gap = false;
   std::optional<core::LeaseId> Lease;
   core::TimePoint RenewAt;
   /// When the registration is checked next.
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -52,8 +52,10 @@
 }
 
 void Directory::apply(const core::EntryList &Changes, core::TimePoint Now) {
+  const core::Revision Known = AsOf;
   for (const core::StoredEntry &Entry : Changes.Entries)
-    apply(Entry, Now);
+    if (Entry.Changed > Known)
+      apply(Entry, Now);
   AsOf = std::max(AsOf, Changes.AsOf);
 }
 
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -10,6 +10,8 @@
 
 constexpr unsigned MaxBackoffDoublings = 8;
 constexpr std::chrono::milliseconds RegistrationPoll{1000};
+// How often a VM that hears from others looks whether it still does.
+constexpr std::chrono::milliseconds ListenPoll{120};
 // A write is seen by the watch within its batch delay and one answer.
 constexpr std::chrono::milliseconds RegistrationSettles{5000};
 
@@ -20,20 +22,60 @@
                              DirectoryFeedOptions Options)
     : Env(Surroundings), Self(std::move(Self)), Options(Options),
       Known(Surroundings.Codec, std::move(ZoneRegions)),
-      LastReached(Surroundings.Time.now()) {}
+      LastReached(Surroundings.Time.now()), LastConfirmed(LastReached) {}
 
 core::Awaitable<void> DirectoryFeed::run() {
   while (!Stopped) {
     bool Done = false;
-    if (Loaded)
-      Done = co_await follow();
-    else
+    if (!Loaded) {
       Done = co_await load();
+    } else if (mustRead()) {
+      Done = co_await follow();
+    } else {
+      co_await Env.Delays.sleepUntil(Env.Time.now() + internal::ListenPoll);
+      if (Known.expire(Env.Time.now()))
+        publish();
+      continue;
+    }
     if (!Done)
       co_await backOff();
   }
 }
 
+// One VM reads all the time and tells the others. The next ones take over if
+// they hear nothing, in order of their rank, so that few of them ask at once.
+bool DirectoryFeed::mustRead() const {
+  const std::size_t Rank = Env.ReaderRank();
+  if (Rank == 0 || Gap)
+    return true;
+  const auto Steps = std::min(Rank - 1, Options.MostSilenceSteps);
+  return Env.Time.now() - LastConfirmed >
+         Options.SilenceLimit +
+             Options.SilenceStep * static_cast<std::int64_t>(Steps);
+}
+
+void DirectoryFeed::confirm() {
+  const core::TimePoint Now = Env.Time.now();
+  if (Now - LastConfirmed >= Options.OutageTime)
+    Known.distrustDeletions(Now + Options.ReturnTime);
+  LastConfirmed = Now;
+}
+
+void DirectoryFeed::receive(const core::EntryChanges &Changes) {
+  if (!Loaded)
+    return;
+  if (Changes.After > Known.asOf()) {
+    Gap = true;
+    return;
+  }
+  confirm();
+  if (Changes.List.AsOf <= Known.asOf())
+    return;
+  Known.apply(Changes.List, Env.Time.now());
+  if (!Changes.List.Entries.empty())
+    publish();
+}
+
 core::Awaitable<bool> DirectoryFeed::load() {
   const auto All =
       co_await Env.Store.list(Env.Time.now() + Options.AnswerTimeout);
@@ -52,7 +94,8 @@
   const core::TimePoint Until =
       std::min(Env.Time.now() + Options.WatchTime,
                std::max(Known.nextExpiry(), Env.Time.now()));
-  const auto Changed = co_await Env.Store.changes(Known.asOf(), Until);
+  const core::Revision After = Known.asOf();
+  const auto Changed = co_await Env.Store.changes(After, Until);
   if (!Changed) {
     if (Changed.error() == core::Error::HistoryLost) {
       core::LogLine(core::LogLevel::Warning, "store.history_lost")
@@ -64,7 +107,9 @@
     co_return false;
   }
   reached();
+  Gap = false;
   Known.apply(*Changed, Env.Time.now());
+  Env.Share({.After = After, .List = *Changed});
   const bool Expired = Known.expire(Env.Time.now());
   if (Changed->Entries.empty() && !Expired)
     co_return true;
@@ -93,9 +138,8 @@
         Now - LastReached);
     core::LogLine(core::LogLevel::Info, "store.regained")
         .field("away_ms", Away.count());
-    if (Away >= Options.OutageTime)
-      Known.distrustDeletions(Now + Options.ReturnTime);
   }
+  confirm();
   Failures = 0;
   LastReached = Now;
 }
