Log each decision to standard output, test the platform path

Cause: a failed request could not be explained afterwards; the new parts had no tests of their own. Change: one key=value line when a request ends or is tried again, and for each grant and refusal of a dispatcher with what decided it; lines go to standard output at a bounded rate, are never waited for and are counted when left out.

--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <jujubecart/core/config_source.hpp>
+#include <jujubecart/core/log.hpp>
 
 namespace jujubecart::callers::internal {
 
@@ -26,7 +27,9 @@
   if (Error != core::HeadError::None)
     co_return co_await rejectHead(Error);
   ++State.Counters.Received;
-  std::optional<Fault> Problem = interpret(Link.reader().parser(), State.Uses.Profile, Time, What);
+  Arrival = Time.now();
+  std::optional<Fault> Problem =
+      interpret(Link.reader().parser(), State.Uses.Profile, Time, What);
   if (!Problem)
     Problem = admit();
   if (Problem)
@@ -107,13 +110,12 @@
 }
 
 std::optional<Fault> Call::setDeadline() {
-  const core::TimePoint Arrival = State.Uses.Time.now();
   Deadline = Arrival + State.Options.MaxDeadline;
   if (What.Traits.Deadline)
     Deadline = std::min(Deadline, *What.Traits.Deadline);
   else
-    Deadline = std::min(Deadline,
-                        Arrival + milliseconds(Service->DefaultDeadlineMs));
+    Deadline =
+        std::min(Deadline, Arrival + milliseconds(Service->DefaultDeadlineMs));
   if (Route != nullptr && Route->TimeoutMs != 0)
     Deadline = std::min(Deadline, Arrival + milliseconds(Route->TimeoutMs));
   if (Route != nullptr && Route->ObjectiveMs != 0)
@@ -154,8 +156,31 @@
          !State.Draining && !State.Stopping;
 }
 
+void Call::logEnd(unsigned Status, std::string_view Outcome,
+                  std::string_view Server) const {
+  if (Route == nullptr)
+    return;
+  const core::TimePoint Now = State.Uses.Time.now();
+  const auto Elapsed =
+      std::chrono::duration_cast<milliseconds>(Now - Arrival).count();
+  const auto Left = std::chrono::duration_cast<milliseconds>(Deadline - Now);
+  core::LogLine(core::LogLevel::Info, "request.ended")
+      .field("request", toString(What.Id))
+      .field("route", Route->Name)
+      .field("service", Service == nullptr ? "" : Service->Name)
+      .field("config", Config->routing()->version())
+      .field("revision", Config->revision())
+      .field("status", Status)
+      .field("outcome", Outcome)
+      .field("server", Server)
+      .field("attempts", Sent)
+      .field("elapsed_ms", Elapsed)
+      .field("left_ms", Left.count());
+}
+
 core::Awaitable<bool> Call::reject(Fault Why, bool NotRun) {
   Now = Phase::Writing;
+  logEnd(Why.Status, Why.Text, Excluded.empty() ? "" : Excluded.back());
   // After these the position in the caller's stream is in doubt.
   if (Why.Reason == RejectReason::Malformed ||
       Why.Reason == RejectReason::TooLarge || Why.Reason == RejectReason::Slow)
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -50,6 +50,8 @@
   [[nodiscard]] core::Awaitable<bool> readBody();
   [[nodiscard]] core::Awaitable<bool> reject(Fault Why, bool NotRun);
   [[nodiscard]] bool keepsConnection() const noexcept;
+  void logEnd(unsigned Status, std::string_view Outcome,
+              std::string_view Server) const;
 
   // call_attempts.cpp: slots, attempts, retries.
   [[nodiscard]] core::Awaitable<bool> forward();
@@ -92,6 +94,7 @@
   /// Nullptr if the rules of the service apply.
   const core::Route *Route = nullptr;
   std::optional<core::OrderKey> Key;
+  core::TimePoint Arrival;
   core::TimePoint Deadline;
   /// When a lookup without a response is tried elsewhere, or max.
   core::TimePoint SilentDue = core::TimePoint::max();
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -1,6 +1,7 @@
 #include "call.hpp"
 
 #include <algorithm>
+#include <jujubecart/core/log.hpp>
 #include <utility>
 
 namespace jujubecart::callers::internal {
@@ -34,12 +35,12 @@
 
 std::shared_ptr<core::BackendRequest>
 Call::outgoing(const core::BackendServer &Server) const {
-  auto Out = std::make_shared<core::BackendRequest>(core::BackendRequest{
-      .Head = ForwardedHead,
-      .Body = What.Body,
-      .IsHead = What.isHead(),
-      .IsOrder = !idempotent(),
-      .CallerRequestId = What.Traits.CallerRequestId});
+  auto Out = std::make_shared<core::BackendRequest>(
+      core::BackendRequest{.Head = ForwardedHead,
+                           .Body = What.Body,
+                           .IsHead = What.isHead(),
+                           .IsOrder = !idempotent(),
+                           .CallerRequestId = What.Traits.CallerRequestId});
   State.Uses.Profile.writeRequest(Out->Head,
                                   {.Id = What.Id,
                                    .Traits = What.Traits,
@@ -74,6 +75,12 @@
       co_return co_await fail(Next);
     Excluded.push_back(Next->Grant.Server.Id);
     ++State.Counters.Retries;
+    if (Route != nullptr)
+      core::LogLine(core::LogLevel::Info, "request.retried")
+          .field("request", toString(What.Id))
+          .field("server", Next->Grant.Server.Id)
+          .field("attempts", Sent)
+          .field("reason", Next->Failure.message());
     State.event("call.retried", What.Id, Next->Grant.Server.Id,
                 Next->Failure.message());
   }
@@ -123,8 +130,8 @@
     Link.setDue(SilentDue);
   }
   State.event("call.sent", What.Id, Which->Grant.Server.Id);
-  Which->Exchange = State.Uses.Backends.prepare(
-      Which->Grant.Server, outgoing(Which->Grant.Server));
+  Which->Exchange = State.Uses.Backends.prepare(Which->Grant.Server,
+                                                outgoing(Which->Grant.Server));
   const bool HasBody = What.Body != core::BackendRequest::Framing::None;
   Which->Failure =
       co_await Which->Exchange->open(HasBody ? &Which->Cursor : nullptr);
@@ -212,6 +219,7 @@
     State.Counters.reject(RejectReason::CallerGone);
     State.event("call.rejected", What.Id, Last->Grant.Server.Id,
                 toString(RejectReason::CallerGone));
+    logEnd(0, "caller gone", Last->Grant.Server.Id);
     co_return false;
   }
   co_return co_await reject(explain(*Last), !MaybeRun && !KeyRepeated);
@@ -228,7 +236,8 @@
   // A request of a route that was not run may be sent again by its caller.
   const bool NotRun = Route != nullptr && !MaybeRun;
   if (Stopped == StopReason::TimedOut || Last.Failure == DeadlineExceeded)
-    return {NotRun ? 503U : 504U, RejectReason::DeadlineExceeded, "deadline exceeded"};
+    return {NotRun ? 503U : 504U, RejectReason::DeadlineExceeded,
+            "deadline exceeded"};
   if (Last.Failure == OrderRepeated)
     return {409, RejectReason::OrderRepeated, "Idempotency-Key already used"};
   if (!Last.Granted && Route != nullptr && MaybeRun)
--- a/packages/callers/src/call_relay.cpp
+++ b/packages/callers/src/call_relay.cpp
@@ -53,9 +53,8 @@
   SilentDue = core::TimePoint::max();
   const core::BackendExchange &From = *Which->Exchange;
   const BodyFraming Framing = framing(*Which);
-  const std::string Head =
-      passedHead(From.head(), What.Id, State.Uses.Profile, Framing,
-                 connectionField(Framing));
+  const std::string Head = passedHead(From.head(), What.Id, State.Uses.Profile,
+                                      Framing, connectionField(Framing));
   const bool Whole = From.complete();
   if (Whole)
     Which->release();
@@ -74,6 +73,7 @@
     co_return false;
   }
   ++State.Counters.Completed;
+  logEnd(From.head().result_int(), "passed on", Which->Grant.Server.Id);
   State.event("call.answered", What.Id, Which->Grant.Server.Id,
               std::to_string(From.head().result_int()), Key ? Key->High : 0);
   const bool Keep = keepsConnection();
@@ -113,6 +113,7 @@
 
 void Call::cutResponse(const Attempt &Which) {
   ++State.Counters.CutResponses;
+  logEnd(0, "response cut off", Which.Grant.Server.Id);
   State.event("call.rejected", What.Id, Which.Grant.Server.Id,
               "response cut off");
   Link.reset();
--- a/packages/callers/src/caller_link.cpp
+++ b/packages/callers/src/caller_link.cpp
@@ -28,8 +28,8 @@
 
 CallerLink::CallerLink(std::shared_ptr<ServerState> State, tcp::socket Caller)
     : State(std::move(State)), Socket(std::move(Caller)),
-      Reader(this->State->httpLimits()),
-      Timer(Socket.get_executor()), PeerHash(hashPeer(Socket)) {
+      Reader(this->State->httpLimits()), Timer(Socket.get_executor()),
+      PeerHash(hashPeer(Socket)) {
   ++this->State->Counters.OpenConnections;
 }
 
--- a/packages/core/include/jujubecart/core.hpp
+++ b/packages/core/include/jujubecart/core.hpp
@@ -15,7 +15,6 @@
 #include <jujubecart/core/event_sink.hpp>
 #include <jujubecart/core/findings.hpp>
 #include <jujubecart/core/hash.hpp>
-#include <jujubecart/core/http_profile.hpp>
 #include <jujubecart/core/hybrid_clock.hpp>
 #include <jujubecart/core/json_reader.hpp>
 #include <jujubecart/core/key_value_store.hpp>
--- a/packages/core/include/jujubecart/core/log.hpp
+++ b/packages/core/include/jujubecart/core/log.hpp
@@ -11,7 +11,8 @@
 /// @brief Severity of a log line.
 enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
 
-/// @brief Configures logging to standard error.
+/// @brief Configures logging to standard output; lines are left out, and
+/// counted, rather than waited for.
 /// @param Vm VM id that each line carries.
 /// @param Lowest Lines below this level are dropped.
 void configureLog(std::string_view Vm, LogLevel Lowest);
--- a/packages/core/src/log.cpp
+++ b/packages/core/src/log.cpp
@@ -1,8 +1,9 @@
 #include <jujubecart/core/log.hpp>
 
+#include "bounded_appender.hpp"
+
 #include <algorithm>
 #include <array>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -39,10 +40,7 @@
 
 void configureLog(std::string_view Vm, LogLevel Lowest) {
   log4cplus::Logger Logger = internal::logger();
-  constexpr bool LogToStderr = true;
-  constexpr bool ImmediateFlush = true;
-  log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(LogToStderr, ImmediateFlush));
+  log4cplus::SharedAppenderPtr Appender(new internal::BoundedAppender());
   const std::string Pattern =
       "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p vm=" + escapeLogValue(Vm) +
       " %m%n";
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -31,6 +31,7 @@
 // Part of the time until the deadline that a late call needs at least, as a
 // multiple of its work.
 constexpr double LateReserve = 2;
+constexpr double PercentPerUnit = 100;
 
 } // namespace
 
@@ -75,13 +76,15 @@
   [[nodiscard]] bool placeOnTime(std::size_t Position, core::TimePoint Now,
                                  Decisions &Out);
   [[nodiscard]] bool placeLate(core::TimePoint Now, Decisions &Out);
-  void grant(const PendingCall &Call, std::uint32_t Server, core::TimePoint Now,
-             Decisions &Out);
+  void grant(const PendingCall &Call, const internal::Placement &Chosen,
+             core::TimePoint Now, Decisions &Out);
+  [[nodiscard]] DecisionFacts factsOf(const internal::ServerLoad &Server,
+                                      core::TimePoint Now) const;
   void demote(core::TimePoint Now, Decisions &Out);
   void acceptLate(PendingCall Call, core::TimePoint Arrived,
                   core::TimePoint Now, Decisions &Out);
-  void reject(const PendingCall &Call, core::Error Reason,
-              core::TimePoint Now, Decisions &Out);
+  void reject(const PendingCall &Call, core::Error Reason, core::TimePoint Now,
+              Decisions &Out);
   [[nodiscard]] core::TimePoint latestStart(const PendingCall &Call,
                                             core::TimePoint Now) const;
 
@@ -101,12 +104,15 @@
   Out.emplace_back(Rejected{
       .Token = Call.Token,
       .Reason = Reason,
-      .RetryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
-          Wait * Jitter)});
+      .RetryAfter =
+          std::chrono::duration_cast<std::chrono::milliseconds>(Wait * Jitter),
+      .Facts =
+          DecisionFacts{.Waiting = OnTime.size(), .WaitingLate = Late.size()}});
 }
 
-core::TimePoint ObjectiveDispatcher::Implementation::latestStart(
-    const PendingCall &Call, core::TimePoint Now) const {
+core::TimePoint
+ObjectiveDispatcher::Implementation::latestStart(const PendingCall &Call,
+                                                 core::TimePoint Now) const {
   const auto Needed = std::chrono::microseconds(static_cast<std::int64_t>(
       LateReserve * Table.work().expectedUs(Call, Now)));
   return Call.Deadline - Needed;
@@ -156,11 +162,28 @@
       reject(*Late.remove(Token), core::Error::Overloaded, Now, Out);
 }
 
-void ObjectiveDispatcher::Implementation::grant(const PendingCall &Call,
-                                                std::uint32_t Server,
-                                                core::TimePoint Now,
-                                                Decisions &Out) {
+DecisionFacts
+ObjectiveDispatcher::Implementation::factsOf(const internal::ServerLoad &Server,
+                                             core::TimePoint Now) const {
+  DecisionFacts Out{.InFlight = Server.inFlight(),
+                    .Waiting = OnTime.size(),
+                    .WaitingLate = Late.size()};
+  if (Server.Pace) {
+    Out.PacePercent = Server.Pace->Percent;
+    Out.PaceAge = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Now - Server.Pace->At);
+  }
+  return Out;
+}
+
+void ObjectiveDispatcher::Implementation::grant(
+    const PendingCall &Call, const internal::Placement &Chosen,
+    core::TimePoint Now, Decisions &Out) {
   const std::uint64_t GrantId = NextGrant++;
+  DecisionFacts Facts = factsOf(Table.at(Chosen.Index), Now);
+  Facts.OnTimePercent =
+      static_cast<std::uint32_t>(Chosen.OnTime * PercentPerUnit);
+  const std::uint32_t Server = Chosen.Index;
   Grants.emplace(GrantId, Grant{.Holder = Call.Holder,
                                 .Server = Server,
                                 .WorkClass = Call.WorkClass,
@@ -171,7 +194,8 @@
                        .WorkUs = Table.work().expectedUs(Call, Now)});
   Out.emplace_back(Granted{.Token = Call.Token,
                            .GrantId = GrantId,
-                           .Server = Table.at(Server).Config});
+                           .Server = Table.at(Server).Config,
+                           .Facts = std::move(Facts)});
 }
 
 bool ObjectiveDispatcher::Implementation::placeOnTime(std::size_t Position,
@@ -189,7 +213,7 @@
     if (!Found || Found->OnTime < LeastOnTime ||
         Found->Value < Waiting * WaitDiscount - (Saturate ? 0 : 0.1))
       continue;
-    grant(*OnTime.remove(Token), Found->Index, Now, Out);
+    grant(*OnTime.remove(Token), *Found, Now, Out);
     return true;
   }
   return false;
@@ -202,7 +226,7 @@
     const auto Found = Table.best(Call, Call.Deadline, false, Now);
     if (!Found)
       continue;
-    grant(*Late.remove(Token), Found->Index, Now, Out);
+    grant(*Late.remove(Token), *Found, Now, Out);
     return true;
   }
   return false;
@@ -286,8 +310,8 @@
           .Health = Health,
           .InFlight = Server.inFlight(),
           .Limit = Server.active() ? Server.slots() : 0,
-          .ServiceTime = std::chrono::microseconds(static_cast<std::int64_t>(
-              Server.Speed * Table.work().meanUs()))};
+          .ServiceTime = std::chrono::microseconds(
+              static_cast<std::int64_t>(Server.Speed * Table.work().meanUs()))};
 }
 
 ObjectiveDispatcher::ObjectiveDispatcher(DispatchGroup Group,
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
+#include <jujubecart/core/log.hpp>
 
 namespace jujubecart::peers {
 
@@ -17,6 +18,24 @@
   return Report;
 }
 
+// One line for each decision of a dispatcher that states what decided it.
+void logDecision(const char *Event, const std::string &Group,
+                 core::RequestId Request, const decision::DecisionFacts &Facts,
+                 std::string_view Outcome) {
+  core::LogLine Line(core::LogLevel::Info, Event);
+  Line.field("request", toString(Request))
+      .field("group", Group)
+      .field("outcome", Outcome)
+      .field("waiting", Facts.Waiting)
+      .field("waiting_late", Facts.WaitingLate);
+  if (Facts.PacePercent)
+    Line.field("pace_percent", *Facts.PacePercent)
+        .field("pace_age_ms", Facts.PaceAge.count());
+  if (Facts.OnTimePercent > 0)
+    Line.field("on_time_percent", Facts.OnTimePercent)
+        .field("in_flight", Facts.InFlight);
+}
+
 } // namespace internal
 
 DispatchService::DispatchService(const asio::any_io_executor &Executor,
@@ -184,6 +203,11 @@
         Found->second.Held = *Given;
     } else {
       const auto &Failed = std::get<decision::Rejected>(Item);
+      const auto Found = Target.Calls.find(Failed.Token);
+      if (Failed.Facts && Found != Target.Calls.end())
+        internal::logDecision("dispatch.refused", Target.Name,
+                              Found->second.Request, *Failed.Facts,
+                              core::make_error_code(Failed.Reason).message());
       refuse(Target, Failed.Token, Failed.Reason, Failed.RetryAfter);
     }
   }
@@ -194,6 +218,9 @@
   Item.GrantId = Given.GrantId;
   Item.Answered = true;
   ++Env.Links.counters().Grants;
+  if (Given.Facts)
+    internal::logDecision("dispatch.granted", Target.Name, Item.Request,
+                          *Given.Facts, Given.Server.Id);
   Env.Events.record(
       {.Kind = "dispatch.granted",
        .Request = Item.Request,
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -141,9 +141,13 @@
            .Address = Address,
            .Slots = 2});
     Config.apply(std::make_shared<core::ConfigSnapshot>(
-        1, core::ConfigSnapshot::ServiceMap{
-               {"tags", std::make_shared<core::ServiceEntry>(
-                            core::ServiceEntry{1, Service})}}));
+        1,
+        core::ConfigSnapshot::ServiceMap{
+            {"tags", std::make_shared<core::ServiceEntry>(
+                         core::ServiceEntry{1, Service})}},
+        With.Routes.empty() ? nullptr
+                            : std::make_shared<core::RoutingTable>(
+                                  1, With.Routes, core::CallerLimits{})));
   }
   Server = std::make_unique<callers::Server>(
       Io.get_executor(), With.Options,
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -105,6 +105,8 @@
     std::uint32_t DeadlineMs = 2000;
     bool Configured = true;
     int RetryTokens = 1;
+    /// Routes that replace the rules of the service `tags`.
+    std::vector<core::Route> Routes;
   };
 
   Harness(const std::vector<std::string> &Backends, const Settings &With);
--- a/tests/peers/dispatch_test.cpp
+++ b/tests/peers/dispatch_test.cpp
@@ -388,3 +388,21 @@
   cr_assert_eq(Fallbacks, 0);
   cr_assert_leq(Highest, static_cast<int>(MostGrants));
 }
+
+// Guards against a request to a server that this VM knows to be leaving, by a
+// dispatcher that is cut off from the store.
+Test(Dispatch, grant_of_a_server_known_to_be_draining_is_not_used) {
+  Cluster Fleet(1);
+  Vm &Asker = Fleet.second();
+  core::ConfigSnapshot::ServiceMap Entries;
+  core::ServiceConfig Service = *Asker.Config.current()->find("tags");
+  Service.Servers.front().State = core::ServerState::Draining;
+  Entries.emplace("tags", std::make_shared<core::ServiceEntry>(
+                              core::ServiceEntry{2, Service}));
+  // The dispatcher stays at the older configuration: nothing is passed on to
+  // it, because its link to the asker is not used for that here.
+  cr_assert(Asker.Config.apply(
+      std::make_shared<core::ConfigSnapshot>(2, std::move(Entries))));
+  const auto Given = Asker.acquire(Cluster::request(500ms));
+  cr_assert_not(Given.has_value());
+}
--- /dev/null
+++ b/tests/platform/store_stand_in.hpp
@@ -0,0 +1,84 @@
+#ifndef JUJUBECART_TESTS_PLATFORM_STORE_STAND_IN_HPP
+#define JUJUBECART_TESTS_PLATFORM_STORE_STAND_IN_HPP
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jujubecart::tests {
+
+/// @brief Answers calls of the platform's store by a function; an answer of
+/// status 0 closes the connection, one of status 1 never comes.
+class StoreStandIn {
+public:
+  struct Answer {
+    unsigned Status = 200;
+    std::string Body;
+  };
+  using Script =
+      std::function<Answer(const std::string &Target, const std::string &Body)>;
+
+  explicit StoreStandIn(Script Behaviour)
+      : Behaviour(std::move(Behaviour)), Acceptor(Io, {Loopback, 0}),
+        Thread([this] { serve(); }) {}
+  ~StoreStandIn() {
+    Stopped = true;
+    boost::asio::ip::tcp::socket Wake(Io);
+    boost::system::error_code Ignored;
+    Wake.connect(Acceptor.local_endpoint(), Ignored);
+    Thread.join();
+  }
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+  std::atomic<int> Calls{0};
+
+private:
+  void serve() {
+    namespace http = boost::beast::http;
+    std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> Silent;
+    while (!Stopped) {
+      auto Peer = std::make_unique<boost::asio::ip::tcp::socket>(Io);
+      Acceptor.accept(*Peer);
+      boost::beast::flat_buffer Buffer;
+      boost::system::error_code Code;
+      while (!Stopped && !Code) {
+        http::request<http::string_body> Request;
+        http::read(*Peer, Buffer, Request, Code);
+        if (Code)
+          break;
+        ++Calls;
+        const Answer Given =
+            Behaviour(std::string(Request.target()), Request.body());
+        if (Given.Status == 1) {
+          Silent.push_back(std::move(Peer));
+          break;
+        }
+        if (Given.Status == 0)
+          break;
+        http::response<http::string_body> Response;
+        Response.result(Given.Status);
+        Response.body() = Given.Body;
+        Response.prepare_payload();
+        http::write(*Peer, Response, Code);
+      }
+    }
+  }
+
+  static inline const auto Loopback = boost::asio::ip::address_v4::loopback();
+  Script Behaviour;
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::atomic<bool> Stopped{false};
+  std::thread Thread;
+};
+
+} // namespace jujubecart::tests
+
+#endif
--- /dev/null
+++ b/tests/platform/wire_names_test.py
@@ -0,0 +1,36 @@
+"""Fails if a name of the platform's wire stands in a source outside of
+platform/, so that the wire is decoded in one place only."""
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(sys.argv[1])
+# Ordinary words that the product uses for the same thing.
+COMMON = {"address", "host", "info", "key", "kind", "lease", "limits", "priority",
+          "region", "revision", "routes", "service", "services", "slots", "state",
+          "status", "timeout", "value", "version", "weight", "zone", "ready",
+          "draining", "items", "events", "split", "Retry-After"}
+
+
+def wire_names():
+    text = (ROOT / "platform/src/wire_names.hpp").read_text()
+    names = set(re.findall(r'= "([^"]+)"', text))
+    return {name for name in names if name not in COMMON and len(name) > 4}
+
+
+def main():
+    names = wire_names()
+    if len(names) < 20:
+        sys.exit("wire_names.hpp was not understood")
+    found = []
+    for folder in ("packages", "apps", "example"):
+        for path in sorted((ROOT / folder).rglob("*.[ch]pp")):
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                for name in names:
+                    if f'"{name}"' in line:
+                        found.append(f"{path}:{number}: {name}")
+    print("\n".join(found))
+    sys.exit(1 if found else 0)
+
+
+main()
--- /dev/null
+++ b/tests/store/plain_codec.hpp
@@ -0,0 +1,62 @@
+#ifndef JUJUBECART_TESTS_STORE_PLAIN_CODEC_HPP
+#define JUJUBECART_TESTS_STORE_PLAIN_CODEC_HPP
+
+#include <jujubecart/core/directory_codec.hpp>
+
+namespace jujubecart::tests {
+
+/// @brief Entries in plain words: `config` holds a version, `s/ID` the state
+/// of a server of the service `tags`, `v/ID` the address of a VM.
+class PlainCodec final : public core::DirectoryCodec {
+public:
+  [[nodiscard]] core::EntryKind kind(std::string_view Key) const override {
+    if (Key == "config")
+      return core::EntryKind::Routing;
+    if (Key.starts_with("s/"))
+      return core::EntryKind::Server;
+    return Key.starts_with("v/") ? core::EntryKind::Vm : core::EntryKind::Other;
+  }
+  [[nodiscard]] std::optional<core::RoutingConfig>
+  routing(std::string_view Value, core::Findings &Report) const override {
+    if (Value == "broken") {
+      Report.add("", "broken", "version");
+      return std::nullopt;
+    }
+    core::RoutingConfig Out;
+    Out.Routing = std::make_shared<core::RoutingTable>(
+        std::stoull(std::string(Value)), std::vector<core::Route>{},
+        core::CallerLimits{});
+    Out.Services.emplace("tags", core::ServiceSettings{});
+    return Out;
+  }
+  [[nodiscard]] std::optional<core::RegisteredServer>
+  server(std::string_view Key, std::string_view Value,
+         core::Findings &Report) const override {
+    if (Value == "broken") {
+      Report.add("", "broken", "state");
+      return std::nullopt;
+    }
+    core::RegisteredServer Out{.Service = "tags"};
+    Out.Server.Id = Key.substr(2);
+    Out.Server.Zone = "z1";
+    Out.Server.State = Value == "draining" ? core::ServerState::Draining
+                                           : core::ServerState::Active;
+    return Out;
+  }
+  [[nodiscard]] std::optional<core::Member>
+  vm(std::string_view Key, std::string_view Value,
+     core::Findings & /*Report*/) const override {
+    return core::Member{.Id = std::string(Key.substr(2)),
+                        .Address = std::string(Value)};
+  }
+  [[nodiscard]] std::string vmKey(std::string_view Id) const override {
+    return std::string("v/").append(Id);
+  }
+  [[nodiscard]] std::string encode(const core::Member &Vm) const override {
+    return Vm.Address;
+  }
+};
+
+} // namespace jujubecart::tests
+
+#endif
