--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -81,8 +81,6 @@
   /// How long new connections are accepted after SIGTERM, until the
   /// platform's balancer has noticed that this VM is not ready.
   std::uint32_t LeaveMs = 2300;
-  /// Retries of the whole fleet as a part of the requests of a service.
-  double RetryRatio = 0.1;
 
   friend auto operator<=>(const DirectorySettings &,
                           const DirectorySettings &) = default;
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -213,8 +213,6 @@
                                    Directory.GraceMs, Report);
   Directory.LeaveMs = readDuration(Reader.value("leave"), "/directory/leave",
                                    Directory.LeaveMs, Report);
-  Directory.RetryRatio =
-      Reader.numberOr("retry_ratio", 0, 1, Directory.RetryRatio);
   Reader.rejectUnknownKeys();
   return Directory;
 }
--- a/packages/peers/include/jujubecart/peers/member_table.hpp
+++ b/packages/peers/include/jujubecart/peers/member_table.hpp
@@ -72,6 +72,7 @@
   [[nodiscard]] bool merge(const MemberEntry &Item, core::TimePoint Now);
   void refresh(Entry &Item, core::TimePoint Heard);
   void changed(const Entry &Item, std::string_view Why);
+  [[nodiscard]] GossipMessage lockedDigest() const;
   [[nodiscard]] std::vector<std::vector<const Entry *>> buckets() const;
   [[nodiscard]] std::uint8_t age(const Entry &Item, core::TimePoint Now) const;
   [[nodiscard]] bool paused(core::TimePoint Now) const noexcept;
--- a/packages/peers/src/member_table.cpp
+++ b/packages/peers/src/member_table.cpp
@@ -182,6 +182,10 @@
 
 GossipMessage MemberTable::digest() const {
   const std::lock_guard Lock(Mutex);
+  return lockedDigest();
+}
+
+GossipMessage MemberTable::lockedDigest() const {
   const core::TimePoint Now = Time.now();
   GossipMessage Result;
   // This VM stands in its bucket like the others.
@@ -211,16 +215,15 @@
 
 std::vector<MemberEntry> MemberTable::merge(const GossipMessage &Item) {
   const core::TimePoint Now = Time.now();
-  {
-    const std::lock_guard Lock(Mutex);
-    // The message may have waited unread, so its ages are too low.
-    if (paused(Now))
-      return {};
-    for (const MemberEntry &Received : Item.Members)
-      (void)merge(Received, Now);
-  }
-  const GossipMessage Own = digest();
+  // Held to the end: the ages of a message are read by the positions of the
+  // digest, which another frame must not change in between.
   const std::lock_guard Lock(Mutex);
+  // The message may have waited unread, so its ages are too low.
+  if (paused(Now))
+    return {};
+  for (const MemberEntry &Received : Item.Members)
+    (void)merge(Received, Now);
+  const GossipMessage Own = lockedDigest();
   std::vector<MemberEntry> Differing;
   if (Item.Digests.size() != Buckets || Item.Counts.size() != Buckets)
     return Differing;
--- a/tests/operators/settings_test.cpp
+++ b/tests/operators/settings_test.cpp
@@ -130,3 +130,28 @@
   (void)operators::readSettings(R"({"vm":{},"colour":1})", Report);
   cr_assert_geq(Report.items().size(), 8);
 }
+
+// Guards against times of a deployment tool that are read in another unit.
+Test(Settings, directory_times_are_read_with_and_without_unit) {
+  const std::string Whole = R"({
+    "vm": {"id": "a", "zone": "z", "region": "r"},
+    "callers": {"listen": "127.0.0.1:1"},
+    "operators": {"listen": "127.0.0.1:2"},
+    "peers": {"listen": "127.0.0.1:3"},
+    "store": {"endpoints": ["127.0.0.1:4"]},
+    "directory": {"zones": {"z": "r"}, "grace": "6s", "leave": 1500}})";
+  core::Findings Report("test");
+  const operators::Settings Read = operators::readSettings(Whole, Report);
+  cr_assert(Report.empty(), "%s", Report.text().c_str());
+  cr_assert(Read.Directory.Enabled);
+  cr_assert_eq(Read.Directory.GraceMs, 6000);
+  cr_assert_eq(Read.Directory.LeaveMs, 1500);
+  cr_assert_eq(Read.Directory.Zones.at("z"), "r");
+  for (const char *Wrong : {"\"6 hours\"", "\"s\"", "-1", "true", "0"}) {
+    std::string Text = Whole;
+    Text.replace(Text.find("\"6s\""), 4, Wrong);
+    core::Findings Problems("test");
+    static_cast<void>(operators::readSettings(Text, Problems));
+    cr_assert_not(Problems.empty(), "%s", Wrong);
+  }
+}
