--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -11,10 +11,10 @@
 #include <jujubecart/core.hpp>
 #include <jujubecart/decision/local_broker.hpp>
 #include <jujubecart/decision/retry_budget.hpp>
+#include <jujubecart/inventory/vm_list_reader.hpp>
 #include <jujubecart/operators/server.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_node.hpp>
-#include <jujubecart/inventory/vm_list_reader.hpp>
 #include <jujubecart/platform.hpp>
 #include <jujubecart/store/claim_log.hpp>
 #include <jujubecart/store/config_reader.hpp>
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -22,15 +22,15 @@
 std::chrono::milliseconds shutdownTime(const operators::Settings &All) {
   if (!All.Directory.Enabled)
     return std::chrono::seconds(All.ShutdownDeadlineS);
-  return std::chrono::milliseconds(
-      All.Directory.GraceMs > ShutdownReserveMs
-          ? All.Directory.GraceMs - ShutdownReserveMs
-          : All.Directory.GraceMs);
+  return std::chrono::milliseconds(All.Directory.GraceMs > ShutdownReserveMs
+                                       ? All.Directory.GraceMs -
+                                             ShutdownReserveMs
+                                       : All.Directory.GraceMs);
 }
 
 std::chrono::milliseconds leaveTime(const operators::Settings &All) {
-  return std::chrono::milliseconds(
-      All.Directory.Enabled ? All.Directory.LeaveMs : 0);
+  return std::chrono::milliseconds(All.Directory.Enabled ? All.Directory.LeaveMs
+                                                         : 0);
 }
 
 callers::ServerOptions callerOptions(const operators::Settings &All) {
--- a/apps/jujubecartd/load_prober.cpp
+++ b/apps/jujubecartd/load_prober.cpp
@@ -26,11 +26,11 @@
       Backends.prepare(Server, internal::healthRequest(Server));
   boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor,
                                   Deadline);
-  Timer.async_wait([Weak = std::weak_ptr(Exchange)](
-                       const boost::system::error_code &Code) {
-    if (const auto Held = Weak.lock(); Held && !Code)
-      Held->abort(core::AbortReason::TimedOut);
-  });
+  Timer.async_wait(
+      [Weak = std::weak_ptr(Exchange)](const boost::system::error_code &Code) {
+        if (const auto Held = Weak.lock(); Held && !Code)
+          Held->abort(core::AbortReason::TimedOut);
+      });
   const std::error_code Failed = co_await Exchange->open(nullptr);
   decision::ProbeResult Result;
   if (Failed)
--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -74,9 +74,10 @@
 
   /// @brief Writes a key that is deleted when the lease ends.
   /// @return NotFound if the lease has ended, OutcomeUnknown or Unavailable.
-  [[nodiscard]] virtual Awaitable<Result<void>>
-  put(std::string Key, std::string Value, LeaseId Lease,
-      TimePoint Deadline) = 0;
+  [[nodiscard]] virtual Awaitable<Result<void>> put(std::string Key,
+                                                    std::string Value,
+                                                    LeaseId Lease,
+                                                    TimePoint Deadline) = 0;
 };
 
 } // namespace jujubecart::core
--- a/packages/core/src/routing_table.cpp
+++ b/packages/core/src/routing_table.cpp
@@ -8,11 +8,11 @@
 namespace jujubecart::core {
 
 const std::string &Route::service(std::uint64_t Draw) const noexcept {
-  const std::uint64_t Total = std::accumulate(
-      Services.begin(), Services.end(), std::uint64_t{0},
-      [](std::uint64_t Sum, const WeightedService &Part) {
-        return Sum + Part.Weight;
-      });
+  const std::uint64_t Total =
+      std::accumulate(Services.begin(), Services.end(), std::uint64_t{0},
+                      [](std::uint64_t Sum, const WeightedService &Part) {
+                        return Sum + Part.Weight;
+                      });
   std::uint64_t At = Total == 0 ? 0 : Draw % Total;
   for (const WeightedService &Part : Services) {
     if (At < Part.Weight)
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -135,13 +135,11 @@
 double LoadTable::overdue(const ServerLoad &Server, core::TimePoint Now) const {
   if (Server.Calls.empty())
     return 0;
-  const auto Count =
-      std::count_if(Server.Calls.begin(), Server.Calls.end(),
-                    [&](const RunningCall &Call) {
-                      return microseconds(Now - Call.Start) >
-                             OverdueFactor * Pace.slowFactor() * Call.WorkUs *
-                                 Server.Speed;
-                    });
+  const auto Count = std::count_if(
+      Server.Calls.begin(), Server.Calls.end(), [&](const RunningCall &Call) {
+        return microseconds(Now - Call.Start) >
+               OverdueFactor * Pace.slowFactor() * Call.WorkUs * Server.Speed;
+      });
   return double(Count) / double(Server.Calls.size());
 }
 
@@ -160,8 +158,8 @@
     const bool Trial = Server.Health.ejected() && Unhealthy != Active;
     const double OnTime = onTime(Server, WorkUs, Last, Now);
     const bool Far = isFar(Call, Server);
-    double Value = OnTime * (1 - Server.FailureRate) *
-                   (1 - overdue(Server, Now));
+    double Value =
+        OnTime * (1 - Server.FailureRate) * (1 - overdue(Server, Now));
     Value -= harm(Server, Now) + (Far ? FarCost : 0);
     // A server in doubt must be tried some time; retries do not pay for it.
     if (Trial)
@@ -269,8 +267,8 @@
   const bool Saturated = Server.inFlight() > Server.unsaturated();
   const RunningCall Call = *Found;
   Server.Calls.erase(Found);
-  const bool Ran = Report.Outcome == core::CallOutcome::Completed &&
-                   !Report.Failed;
+  const bool Ran =
+      Report.Outcome == core::CallOutcome::Completed && !Report.Failed;
   if (Ran && !Saturated && Call.PacePercent) {
     constexpr double PercentPerUnit = 100;
     const double WorkUs = double(Report.Elapsed.count()) * PercentPerUnit /
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -188,8 +188,10 @@
   }
   if (Unit == "s")
     Number *= MillisecondsPerSecond;
-  if ((Unit != "ms" && Unit != "s") || !(Number >= 1) || Number > MaxTimeoutMs) {
-    Report.add(Pointer, Value.dump(), "time such as 1500, \"1500ms\", \"2.5s\"");
+  if ((Unit != "ms" && Unit != "s") || !(Number >= 1) ||
+      Number > MaxTimeoutMs) {
+    Report.add(Pointer, Value.dump(),
+               "time such as 1500, \"1500ms\", \"2.5s\"");
     return Default;
   }
   return static_cast<std::uint32_t>(Number);
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -48,11 +48,11 @@
   if (const auto *Given = std::get_if<Grant>(&Item.Body)) {
     onGrant(Source, *Given);
   } else if (const auto *Failed = std::get_if<Refuse>(&Item.Body)) {
-    finish(Failed->Call, {.Outcome = Answer::Kind::Refused,
-                          .Reason = Failed->Reason,
-                          .Grant = {},
-                          .RetryAfter = std::chrono::milliseconds(
-                              Failed->RetryAfterMs)});
+    finish(Failed->Call,
+           {.Outcome = Answer::Kind::Refused,
+            .Reason = Failed->Reason,
+            .Grant = {},
+            .RetryAfter = std::chrono::milliseconds(Failed->RetryAfterMs)});
   }
 }
 
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -92,7 +92,7 @@
       return;
     decision::Decisions Out;
     Target->Dispatcher->releaseAdopted(From->Holder, Server->Id, Item.Report,
-                                      Env.Time.now(), Out);
+                                       Env.Time.now(), Out);
     apply(*Target, Out);
     return;
   }
@@ -133,7 +133,7 @@
   for (const InFlight::Count &Count : Item.Servers)
     if (const core::BackendServer *Server = Entry->server(Count.Server))
       Target->Dispatcher->adopt(From->Holder, Server->Id, Count.Calls,
-                               Env.Time.now());
+                                Env.Time.now());
 }
 
 void DispatchService::onClose(const LinkPtr &Source) {
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -157,8 +157,7 @@
 }
 
 core::StoredEntry entry(const wire::StoreEntry &Source) {
-  core::StoredEntry Out{.Key = text(Source.key()),
-                        .Changed = Source.changed()};
+  core::StoredEntry Out{.Key = text(Source.key()), .Changed = Source.changed()};
   if (Source.deleted())
     return Out;
   Out.Value.emplace();
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -61,8 +61,8 @@
 BodyOffset write(Builder &Out, const Release &Item) {
   const auto Elapsed = static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(Item.Report.Elapsed.count(), 0, UINT32_MAX));
-  const core::LoadReport Load = Item.Report.Load.value_or(
-      core::LoadReport{.InFlight = UINT32_MAX});
+  const core::LoadReport Load =
+      Item.Report.Load.value_or(core::LoadReport{.InFlight = UINT32_MAX});
   return body<wire::Body::Release>(wire::CreateRelease(
       Out, Item.Call, Elapsed, static_cast<std::uint8_t>(Item.Report.Outcome),
       Load.InFlight, Item.Report.Draining, Item.Group, Item.Server,
@@ -130,8 +130,8 @@
       Value = Out.CreateVector(
           reinterpret_cast<const std::uint8_t *>(Entry.Value->data()),
           Entry.Value->size());
-    Entries.push_back(wire::CreateStoreEntry(Out, Key, Value, !Entry.Value,
-                                             Entry.Changed));
+    Entries.push_back(
+        wire::CreateStoreEntry(Out, Key, Value, !Entry.Value, Entry.Changed));
   }
   return body<wire::Body::StoreChanges>(wire::CreateStoreChangesDirect(
       Out, Item.Changes.After, Item.Changes.List.AsOf,
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -163,17 +163,17 @@
   introduce(Entry, Io);
   const auto Reply = std::make_shared<internal::OneShot<Answer>>();
   const CallId Call = ++Calls;
-  Acquire Message{.Call = Call,
-                  .Group = Entry->Hash,
-                  .LeftMs = internal::millisecondsLeft(Env.Time.now(),
-                                                       Request.Deadline),
-                  .Request = Request.Request,
-                  .CallerHash = Request.CallerHash,
-                  .Revision = Env.Groups.current()->Revision,
-                  .Priority = Request.Priority,
-                  .Key = Request.Key,
-                  .Excluded = {},
-                  .WorkClass = Request.WorkClass};
+  Acquire Message{
+      .Call = Call,
+      .Group = Entry->Hash,
+      .LeftMs = internal::millisecondsLeft(Env.Time.now(), Request.Deadline),
+      .Request = Request.Request,
+      .CallerHash = Request.CallerHash,
+      .Revision = Env.Groups.current()->Revision,
+      .Priority = Request.Priority,
+      .Key = Request.Key,
+      .Excluded = {},
+      .WorkClass = Request.WorkClass};
   if (Request.Objective != core::TimePoint::max())
     Message.ObjectiveLeftMs =
         internal::millisecondsLeft(Env.Time.now(), Request.Objective);
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -70,8 +70,7 @@
 std::size_t StoreRelay::readerRank() const {
   const std::vector<std::string> Ranked =
       decision::rankMembers("store/reader", "", Members.members());
-  const auto Found =
-      std::find(Ranked.begin(), Ranked.end(), Members.self().Id);
+  const auto Found = std::find(Ranked.begin(), Ranked.end(), Members.self().Id);
   return static_cast<std::size_t>(Found - Ranked.begin());
 }
 
--- a/packages/store/include/jujubecart/store/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -17,7 +17,8 @@
 
 namespace jujubecart::store {
 
-using StoreRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using StoreRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
 
 /// @brief One kept-alive connection; used by one exchange at a time.
 struct StoreConnection {
@@ -48,8 +49,8 @@
                    std::vector<boost::asio::ip::tcp::endpoint> Endpoints);
 
   /// @brief Sends a request once.
-  [[nodiscard]] core::Awaitable<StoreExchange> sendOnce(StoreRequest Message,
-                                                   core::TimePoint Deadline);
+  [[nodiscard]] core::Awaitable<StoreExchange>
+  sendOnce(StoreRequest Message, core::TimePoint Deadline);
 
   /// @brief Sends an idempotent request, on each endpoint if need be.
   [[nodiscard]] core::Awaitable<StoreExchange>
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -44,8 +44,8 @@
       Missing.push_back(Key);
   for (const std::string &Key : Missing)
     drop(Key, Now);
-  std::erase_if(Vms,
-                [&](const auto &Item) { return !Present.contains(Item.first); });
+  std::erase_if(
+      Vms, [&](const auto &Item) { return !Present.contains(Item.first); });
   for (const core::StoredEntry &Entry : All.Entries)
     apply(Entry, Now);
   AsOf = std::max(AsOf, All.AsOf);
@@ -83,8 +83,8 @@
   auto Read = Codec.routing(*Entry.Value, Report);
   if (!Report.empty())
     internal::logInvalid(Entry.Key, Report);
-  if (!Read || (Config.Routing &&
-                Read->Routing->version() <= Config.Routing->version()))
+  if (!Read ||
+      (Config.Routing && Read->Routing->version() <= Config.Routing->version()))
     return;
   Config = std::move(*Read);
 }
@@ -187,9 +187,9 @@
     if (Known != Previous.entries().end() && Known->second->Service == Service)
       Entries.emplace(Name, Known->second);
     else
-      Entries.emplace(Name, std::make_shared<core::ServiceEntry>(
-                                core::ServiceEntry{.Changed = Number,
-                                                   .Service = Service}));
+      Entries.emplace(
+          Name, std::make_shared<core::ServiceEntry>(
+                    core::ServiceEntry{.Changed = Number, .Service = Service}));
   }
   return std::make_shared<core::ConfigSnapshot>(Number, std::move(Entries),
                                                 Config.Routing);
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -197,7 +197,8 @@
       Lease.reset();
     co_return static_cast<bool>(Renewed);
   }
-  const auto Granted = co_await Env.Store.grantLease(Options.LeaseTtl, Deadline);
+  const auto Granted =
+      co_await Env.Store.grantLease(Options.LeaseTtl, Deadline);
   if (!Granted)
     co_return false;
   Lease = *Granted;
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -103,8 +103,8 @@
 }
 
 core::Awaitable<StoreExchange>
-StoreConnections::exchange(std::shared_ptr<StoreConnection> Item, StoreRequest Message,
-                           core::TimePoint Deadline) {
+StoreConnections::exchange(std::shared_ptr<StoreConnection> Item,
+                           StoreRequest Message, core::TimePoint Deadline) {
   co_await asio::this_coro::throw_if_cancelled(false);
   StoreExchange Outcome;
   Item->Stream.expires_at(Deadline);
@@ -129,16 +129,17 @@
   co_return Outcome;
 }
 
-core::Awaitable<StoreExchange> StoreConnections::sendOnce(StoreRequest Message,
-                                                     core::TimePoint Deadline) {
+core::Awaitable<StoreExchange>
+StoreConnections::sendOnce(StoreRequest Message, core::TimePoint Deadline) {
   auto Item = takeIdle();
   if (!Item)
     Item = co_await connect(Deadline);
   if (!Item)
     co_return StoreExchange{.Sent = false,
-                       .TimedOut = std::chrono::steady_clock::now() >= Deadline,
-                       .Status = 0,
-                       .Body = {}};
+                            .TimedOut =
+                                std::chrono::steady_clock::now() >= Deadline,
+                            .Status = 0,
+                            .Body = {}};
   auto Executing = Item->Stream.get_executor();
   co_return co_await asio::co_spawn(
       Executing, exchange(std::move(Item), std::move(Message), Deadline),
@@ -146,7 +147,8 @@
 }
 
 core::Awaitable<StoreExchange>
-StoreConnections::sendIdempotent(StoreRequest Message, core::TimePoint Deadline) {
+StoreConnections::sendIdempotent(StoreRequest Message,
+                                 core::TimePoint Deadline) {
   StoreExchange Outcome;
   // One more than the endpoints: an idle connection may have gone stale.
   for (std::size_t Attempt = 0; Attempt <= Endpoints.size(); ++Attempt) {
