--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -7,7 +7,6 @@
 #include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/operators/settings_reader.hpp>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -171,10 +170,8 @@
 
 core::Awaitable<void> Daemon::watchSettings(std::string File) {
   while (!Stopping) {
-    const auto [Code, Signal] = co_await Reload.async_wait(
-        internal::asio::as_tuple(internal::asio::use_awaitable));
-    if (Code)
-      co_return;
+    static_cast<void>(
+        co_await Reload.async_wait(internal::asio::use_awaitable));
     core::Findings Report(File);
     const operators::Settings Fresh = operators::readSettingsFile(File, Report);
     // Listeners and identity cannot change while calls are in flight.
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -195,7 +195,7 @@
   Out.emplace_back(Granted{.Token = Call.Token,
                            .GrantId = GrantId,
                            .Server = Table.at(Server).Config,
-                           .Facts = std::move(Facts)});
+                           .Facts = Facts});
 }
 
 bool ObjectiveDispatcher::Implementation::placeOnTime(std::size_t Position,
