--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -168,23 +168,29 @@
                            internal::asio::detached);
 }
 
-core::Awaitable<void> Daemon::watchSettings(std::string File) {
-  while (!Stopping) {
-    static_cast<void>(
-        co_await Reload.async_wait(internal::asio::use_awaitable));
-    core::Findings Report(File);
-    const operators::Settings Fresh = operators::readSettingsFile(File, Report);
-    // Listeners and identity cannot change while calls are in flight.
-    core::LogLine(core::LogLevel::Info, "settings.reloaded")
-        .field("valid", Report.empty() ? "yes" : "no")
-        .field("changed", Fresh == All ? "no" : "after restart")
-        .field("reason", Report.text());
-  }
+void Daemon::watchSettings(const std::string &File) {
+  Reload.async_wait(
+      [this, File](const boost::system::error_code &Code, int /*Signal*/) {
+        if (Code)
+          return;
+        checkSettings(File);
+        watchSettings(File);
+      });
+}
+
+// Listeners and identity cannot change while calls are in flight.
+void Daemon::checkSettings(const std::string &File) const {
+  core::Findings Report(File);
+  const operators::Settings Fresh = operators::readSettingsFile(File, Report);
+  core::LogLine(core::LogLevel::Info, "settings.reloaded")
+      .field("valid", Report.empty() ? "yes" : "no")
+      .field("changed", Fresh == All ? "no" : "after restart")
+      .field("reason", Report.text());
 }
 
 int Daemon::run(const std::string &File) {
   listen();
-  internal::asio::co_spawn(Io, watchSettings(File), internal::asio::detached);
+  watchSettings(File);
   internal::asio::co_spawn(Io, waitForSignal(), internal::asio::detached);
   internal::asio::co_spawn(Io, maintain(), internal::asio::detached);
   startConfiguration();
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -47,7 +47,8 @@
   [[nodiscard]] core::SlotBroker &broker() noexcept;
   [[nodiscard]] core::Awaitable<void> maintain();
   [[nodiscard]] core::Awaitable<void> joinSeeds();
-  [[nodiscard]] core::Awaitable<void> watchSettings(std::string File);
+  void watchSettings(const std::string &File);
+  void checkSettings(const std::string &File) const;
   void startConfiguration();
   [[nodiscard]] const core::HttpProfile &profile() const noexcept;
 
