--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -191,7 +191,7 @@
 int Daemon::run(const std::string &File) {
   listen();
   watchSettings(File);
-  internal::asio::co_spawn(Io, waitForSignal(), internal::asio::detached);
+  waitForSignal();
   internal::asio::co_spawn(Io, maintain(), internal::asio::detached);
   startConfiguration();
   if (Platform)
@@ -214,11 +214,14 @@
   return 0;
 }
 
-core::Awaitable<void> Daemon::waitForSignal() {
-  const int Signal = co_await Signals.async_wait(internal::asio::use_awaitable);
-  core::LogLine(core::LogLevel::Info, "vm.stopping").field("signal", Signal);
-  co_await shutDown();
-  Io.stop();
+void Daemon::waitForSignal() {
+  Signals.async_wait([this](const boost::system::error_code &Code, int Signal) {
+    if (Code)
+      return;
+    core::LogLine(core::LogLevel::Info, "vm.stopping").field("signal", Signal);
+    internal::asio::co_spawn(Io, shutDown(),
+                             [this](const std::exception_ptr &) { Io.stop(); });
+  });
 }
 
 core::Awaitable<void> Daemon::shutDown() {
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -42,7 +42,7 @@
 
 private:
   void listen();
-  [[nodiscard]] core::Awaitable<void> waitForSignal();
+  void waitForSignal();
   [[nodiscard]] core::Awaitable<void> shutDown();
   [[nodiscard]] core::SlotBroker &broker() noexcept;
   [[nodiscard]] core::Awaitable<void> maintain();
