Return each adopted call on its own

Cause: the first return of an adopted call freed all adopted calls of that VM on the server, so a new dispatcher could overload it. Change: one call is returned at a time; the test failed before.

--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -49,6 +49,8 @@
                core::TimePoint Now);
   void adopt(const std::string &Holder, const std::string &ServerId,
              std::uint32_t InFlight);
+  [[nodiscard]] std::uint32_t adopted(const std::string &Holder,
+                                      const std::string &ServerId) const;
   void dropHolder(std::string_view Holder);
   void expireGrants(core::TimePoint Now);
   [[nodiscard]] ServerStatus statusOf(const internal::ServerLoad &Server,
@@ -268,6 +270,12 @@
   Count = InFlight;
 }
 
+std::uint32_t ObjectiveDispatcher::Implementation::adopted(
+    const std::string &Holder, const std::string &ServerId) const {
+  const auto Found = Adopted.find({Holder, ServerId});
+  return Found == Adopted.end() ? 0 : Found->second;
+}
+
 void ObjectiveDispatcher::Implementation::dropHolder(std::string_view Holder) {
   for (internal::ObjectiveQueue *Queue : {&OnTime, &Late})
     for (const CallToken Token : Queue->tokens())
@@ -357,9 +365,10 @@
                                          std::string ServerId,
                                          const core::CallReport &Report,
                                          core::TimePoint Now, Decisions &Out) {
-  if (const auto Index = Self->Table.find(ServerId)) {
-    if (Self->Table.at(*Index).Adopted > 0)
-      Self->adopt(Holder, ServerId, 0);
+  const auto Index = Self->Table.find(ServerId);
+  const std::uint32_t Count = Self->adopted(Holder, ServerId);
+  if (Index && Count > 0) {
+    Self->adopt(Holder, ServerId, Count - 1);
     Self->Table.result(*Index, Report, Now);
   }
   Self->dispatch(Now, Out);
--- a/tests/decision/objective_dispatcher_test.cpp
+++ b/tests/decision/objective_dispatcher_test.cpp
@@ -349,6 +349,19 @@
   cr_assert_eq(With.Dispatcher->status(With.Now).front().InFlight, 0);
 }
 
+// Guards against a slot that counts as free while an adopted call holds it.
+Test(ObjectiveDispatcher, each_adopted_call_is_returned_on_its_own) {
+  Fixture With(1);
+  With.Dispatcher->adopt("other", "0", 2, With.Now);
+  cr_assert_eq(With.Dispatcher->status(With.Now).front().InFlight, 2);
+  decision::Decisions Out;
+  With.Dispatcher->releaseAdopted("other", "0", {}, With.Now, Out);
+  cr_assert_eq(With.Dispatcher->status(With.Now).front().InFlight, 1);
+  With.Dispatcher->releaseAdopted("other", "0", {}, With.Now, Out);
+  With.Dispatcher->releaseAdopted("other", "0", {}, With.Now, Out);
+  cr_assert_eq(With.Dispatcher->status(With.Now).front().InFlight, 0);
+}
+
 // Guards against draining servers that get new calls.
 Test(ObjectiveDispatcher, draining_server_gets_no_calls) {
   Fixture With(2);
