--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -11,7 +11,7 @@
 // Entries kept for peers that missed an answer.
 constexpr std::size_t MaxRecent = 64;
 // Bytes of values in one message; peers read larger changes themselves.
-constexpr std::size_t MaxSharedBytes = 512 * 1024;
+constexpr std::size_t MaxSharedBytes = std::size_t{512} * 1024;
 
 std::size_t valueBytes(const core::EntryChanges &Changes) {
   std::size_t Bytes = 0;
