--- a/packages/decision/include/jujubecart/decision/internal/work_model.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/work_model.hpp
@@ -17,9 +17,6 @@
   [[nodiscard]] double expectedUs(const PendingCall &Call,
                                   core::TimePoint Now) const;
 
-  /// @brief Expected time of a class, or the mean of all classes.
-  [[nodiscard]] double expectedUs(std::uint64_t WorkClass) const;
-
   /// @brief Mean over all calls.
   [[nodiscard]] double meanUs() const noexcept { return MeanUs; }
 
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -27,6 +27,7 @@
 // Servers that are probed for one choice, and how long it waits for them.
 constexpr std::size_t ProbesPerChoice = 3;
 constexpr auto ProbeWait = 12ms;
+constexpr double MicrosecondsPerSecond = 1e6;
 
 double microseconds(core::TimePoint::duration Time) {
   return std::chrono::duration<double, std::micro>(Time).count();
@@ -218,7 +219,6 @@
 }
 
 double LoadTable::capacityPerS() const {
-  constexpr double MicrosecondsPerSecond = 1e6;
   const double Mean = Work.meanUs() > 0 ? Work.meanUs() : 1e5;
   double Slots = 0;
   for (const ServerLoad &Server : Servers)
@@ -229,7 +229,6 @@
 }
 
 std::chrono::microseconds LoadTable::expectedWait(std::size_t Calls) const {
-  constexpr double MicrosecondsPerSecond = 1e6;
   return std::chrono::microseconds(static_cast<std::int64_t>(
       double(Calls) * MicrosecondsPerSecond / capacityPerS()));
 }
--- a/packages/decision/src/work_model.cpp
+++ b/packages/decision/src/work_model.cpp
@@ -31,13 +31,6 @@
   return Samples > 0 ? MeanUs : InitialUs;
 }
 
-double WorkModel::expectedUs(std::uint64_t WorkClass) const {
-  const auto Found = Classes.find(WorkClass);
-  if (Found != Classes.end())
-    return Found->second.Us;
-  return Samples > 0 ? MeanUs : InitialUs;
-}
-
 void WorkModel::record(std::uint64_t WorkClass, double NormalUs) {
   Estimate &Known = Classes[WorkClass];
   Known.Samples = std::min(Known.Samples + 1, MemorySamples);
