Learn how much a server slows down near capacity

Cause: the dispatcher assumed that every server works 1.7 times as long once more than 80% of its slots are busy. Change: one SaturationModel per server, fed by calls that started on a saturated server and whose pace was known; a server that keeps its speed gets all of its slots.

--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -108,6 +108,9 @@
                             core::TimePoint Now) const;
   [[nodiscard]] double overdue(const ServerLoad &Server,
                                core::TimePoint Now) const;
+  /// @brief Learns the time of work from a call whose pace was known.
+  void learn(ServerLoad &Server, const RunningCall &Call,
+             std::chrono::microseconds Elapsed, std::uint64_t WorkClass);
   void judge(ServerLoad &Server, bool Failed, core::TimePoint Now);
   void recount();
 
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/config.hpp>
 #include <jujubecart/decision/internal/health_tracker.hpp>
 #include <jujubecart/decision/internal/pace_model.hpp>
+#include <jujubecart/decision/internal/saturation_model.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -21,6 +22,8 @@
   /// Pace of the server at the start, if it was known. It holds until the end
   /// of the call.
   std::optional<std::uint32_t> PacePercent;
+  /// Whether the server was saturated at the start.
+  bool Saturated = false;
 };
 
 /// @brief What an ObjectiveDispatcher knows about one backend server.
@@ -36,6 +39,7 @@
   std::optional<PaceSample> Pace;
   /// Time of work on this server as a part of the usual time.
   double Speed = 1;
+  SaturationModel Saturation;
   /// Smoothed share of calls that failed.
   double FailureRate = 0;
   /// Another process answers at its address.
@@ -56,6 +60,11 @@
     constexpr std::uint32_t Percent = 80;
     return std::max(1U, slots() * Percent / 100);
   }
+  /// @brief Calls that it gets while others can wait: all slots once it has
+  /// shown that it does not slow down.
+  [[nodiscard]] std::uint32_t preferredLimit() const noexcept {
+    return Saturation.negligible() ? slots() : unsaturated();
+  }
   [[nodiscard]] bool active() const noexcept {
     return Configured && Config.State == core::ServerState::Active &&
            !Health.draining() && !Replaced;
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -9,8 +9,6 @@
 
 using namespace std::chrono_literals;
 
-// Factor by which work takes longer on a server whose slots are all busy.
-constexpr double SaturatedFactor = 1.7;
 // Bytes between zones cost the operators money: about this part of what a
 // call in time is worth.
 constexpr double FarCost = 0.04;
@@ -67,6 +65,7 @@
       Server.Health = HealthTracker();
       Server.Pace.reset();
       Server.Speed = 1;
+      Server.Saturation = SaturationModel();
       Server.FailureRate = 0;
       Server.Replaced = false;
     }
@@ -97,7 +96,7 @@
 }
 
 std::uint32_t LoadTable::limit(const ServerLoad &Server, bool Saturate) const {
-  return Saturate ? Server.slots() : Server.unsaturated();
+  return Saturate ? Server.slots() : Server.preferredLimit();
 }
 
 double LoadTable::onTime(const ServerLoad &Server, double WorkUs,
@@ -105,7 +104,8 @@
   const double Available = microseconds(Until - Now);
   const double Slow = Pace.slowProbability(Server.Pace, Now);
   const bool Full = Server.inFlight() + 1 > Server.unsaturated();
-  const double Expected = WorkUs * Server.Speed * (Full ? SaturatedFactor : 1);
+  const double Expected =
+      WorkUs * Server.Speed * (Full ? Server.Saturation.factor() : 1);
   const double Usual = WorkModel::endsWithin(Expected, Available);
   const double Spell =
       WorkModel::endsWithin(Expected * Pace.slowFactor(), Available);
@@ -126,7 +126,7 @@
                                  Whole * LeastRemaining);
     const double Available = microseconds(Call.Objective - ReturnTime - Now);
     Lost += WorkModel::endsWithin(Left, Available) -
-            WorkModel::endsWithin(Left * SaturatedFactor, Available);
+            WorkModel::endsWithin(Left * Server.Saturation.factor(), Available);
   }
   return Lost;
 }
@@ -186,7 +186,7 @@
     const ServerLoad &Server = Servers[Index];
     const bool Far = isFar(Call, Server);
     if (!usable(Server, Now) || excludes(Call, Server) ||
-        Server.inFlight() >= Server.unsaturated() || (NearOnly && Far))
+        Server.inFlight() >= Server.preferredLimit() || (NearOnly && Far))
       continue;
     if (Server.Probing && Now - Server.LastProbe < ProbeWait)
       return true;
@@ -223,7 +223,7 @@
   double Slots = 0;
   for (const ServerLoad &Server : Servers)
     if (Server.active() && !Server.Health.ejected())
-      Slots += Server.unsaturated() / Server.Speed;
+      Slots += Server.preferredLimit() / Server.Speed;
   return std::max(Slots, 0.5) * MicrosecondsPerSecond /
          (Mean * Pace.meanFactor());
 }
@@ -245,6 +245,7 @@
   ServerLoad &Server = Servers[Index];
   if (Server.Pace && Server.Pace->fresh(Call.Start))
     Call.PacePercent = Server.Pace->Percent;
+  Call.Saturated = Server.inFlight() + 1 > Server.unsaturated();
   Server.Calls.push_back(Call);
 }
 
@@ -263,25 +264,32 @@
       [&](const RunningCall &Call) { return Call.GrantId == GrantId; });
   if (Found == Server.Calls.end())
     return;
-  const bool Saturated = Server.inFlight() > Server.unsaturated();
   const RunningCall Call = *Found;
   Server.Calls.erase(Found);
   const bool Ran =
       Report.Outcome == core::CallOutcome::Completed && !Report.Failed;
-  if (Ran && !Saturated && Call.PacePercent) {
-    constexpr double PercentPerUnit = 100;
-    const double WorkUs = double(Report.Elapsed.count()) * PercentPerUnit /
-                          std::max(1U, *Call.PacePercent);
-    // A spell that began right before the call looks like slow work.
-    if (WorkUs < OverdueFactor * Call.WorkUs * Server.Speed) {
-      Work.record(WorkClass, WorkUs / Server.Speed);
-      Server.Speed += (WorkUs / Call.WorkUs - Server.Speed) * SpeedWeight;
-      Server.Speed = std::clamp(Server.Speed, LeastSpeed, MostSpeed);
-    }
-  }
+  if (Ran && Call.PacePercent)
+    learn(Server, Call, Report.Elapsed, WorkClass);
   result(Index, Report, Now);
 }
 
+void LoadTable::learn(ServerLoad &Server, const RunningCall &Call,
+                      std::chrono::microseconds Elapsed,
+                      std::uint64_t WorkClass) {
+  constexpr double PercentPerUnit = 100;
+  const double WorkUs = double(Elapsed.count()) * PercentPerUnit /
+                        std::max(1U, *Call.PacePercent);
+  const double ExpectedUs = Call.WorkUs * Server.Speed;
+  if (Call.Saturated)
+    return Server.Saturation.record(WorkUs / ExpectedUs);
+  // A spell that began right before the call looks like slow work.
+  if (WorkUs >= OverdueFactor * ExpectedUs)
+    return;
+  Work.record(WorkClass, WorkUs / Server.Speed);
+  Server.Speed += (WorkUs / Call.WorkUs - Server.Speed) * SpeedWeight;
+  Server.Speed = std::clamp(Server.Speed, LeastSpeed, MostSpeed);
+}
+
 void LoadTable::result(std::uint32_t Index, const core::CallReport &Report,
                        core::TimePoint Now) {
   ServerLoad &Server = Servers[Index];
--- a/tests/decision/objective_dispatcher_test.cpp
+++ b/tests/decision/objective_dispatcher_test.cpp
@@ -280,6 +280,22 @@
   cr_assert_geq(Got.served(), 0.95, "%.3f", Got.served());
 }
 
+// Load pattern: servers that do not slow down near capacity, at a rate that
+// needs all of their slots. Guards against slots that stay empty for good: a
+// fixed limit reached 0.82.
+Test(ObjectiveDispatcher, servers_without_a_knee_are_used_up_to_all_slots) {
+  const Outcome Got = Play({.PerSecond = 75, .Knee = 1}).run();
+  cr_assert_geq(Got.inTime(), 0.88, "%.3f", Got.inTime());
+}
+
+// Load pattern: servers that slow down steeply near capacity, above the rate
+// that they bear. Guards against an assumed slow-down that is too mild: a fixed
+// one reached 0.74.
+Test(ObjectiveDispatcher, servers_with_a_steep_knee_are_kept_below_it) {
+  const Outcome Got = Play({.Slots = 3, .PerSecond = 97.5, .Knee = 2.5}).run();
+  cr_assert_geq(Got.inTime(), 0.82, "%.3f", Got.inTime());
+}
+
 // Load pattern: two of eight servers accept calls and never answer.
 // Guards against dead servers that keep taking calls.
 Test(ObjectiveDispatcher, silent_servers_cost_few_calls) {
