Break the cycle between dispatch groups and their clients

Cause: a group holds the client of each call and a client the groups it has calls in, both by shared pointers. When the executor ended with calls outstanding, both stayed, and with the client its link, the link table and its members (LeakSanitizer: four tests of peers, 31 to 33 KB each, all of it indirect leaks, that is a cycle).

--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -45,7 +45,15 @@
   Env.Groups.subscribe([this](const auto &Index) { configure(Index); });
 }
 
-DispatchService::~DispatchService() = default;
+// Groups refer to the clients of their calls and clients to their groups.
+DispatchService::~DispatchService() {
+  for (const auto &[Hash, Target] : Groups)
+    Target->Calls.clear();
+  for (const auto &[Number, Asker] : Clients) {
+    Asker->Calls.clear();
+    Asker->Groups.clear();
+  }
+}
 
 DispatchService::GroupState DispatchService::group(const GroupPtr &Entry) {
   const std::lock_guard Lock(Mutex);
