Check the settings file when it changes without a signal

Cause: the file was checked on SIGHUP only, so a broken one that was put in place without a signal showed at the next start. Change: SettingsFile compares the content every 2 s; the result is logged as settings.reloaded like after SIGHUP. The new end-to-end test failed before, since no line appeared.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -24,6 +24,7 @@
 
 constexpr std::chrono::seconds MaintenanceInterval{1};
 constexpr std::chrono::milliseconds SeedInterval{200};
+constexpr std::chrono::seconds SettingsInterval{2};
 
 std::uint64_t unixMilliseconds(const core::Clock &Time) {
   return static_cast<std::uint64_t>(
@@ -36,8 +37,9 @@
 
 } // namespace internal
 
-Daemon::Daemon(operators::Settings Given)
-    : All(std::move(Given)), Incarnation(internal::unixMilliseconds(Time)),
+Daemon::Daemon(operators::Settings Given, operators::SettingsFile Source)
+    : All(std::move(Given)), File(std::move(Source)),
+      Incarnation(internal::unixMilliseconds(Time)),
       Io(static_cast<int>(All.Workers)), Signals(Io, SIGTERM, SIGINT),
       Reload(Io, SIGHUP), Events(Time, All.TimelineEvents),
       Store(Io.get_executor(), All.Store.Endpoints),
@@ -168,30 +170,41 @@
                            internal::asio::detached);
 }
 
-void Daemon::watchSettings(const std::string &File) {
+void Daemon::waitForReload() {
   Reload.async_wait(
-      [this, File](const boost::system::error_code &Code, int /*Signal*/) {
+      [this](const boost::system::error_code &Code, int /*Signal*/) {
         if (Code)
           return;
-        checkSettings(File);
-        watchSettings(File);
+        checkSettings();
+        waitForReload();
       });
 }
 
+// The file may also be replaced without a signal.
+core::Awaitable<void> Daemon::watchSettings() {
+  while (!Stopping) {
+    co_await Delays.sleepUntil(Time.now() + internal::SettingsInterval);
+    if (File.changed())
+      checkSettings();
+  }
+}
+
 // Listeners and identity cannot change while calls are in flight.
-void Daemon::checkSettings(const std::string &File) const {
-  core::Findings Report(File);
-  const operators::Settings Fresh = operators::readSettingsFile(File, Report);
+void Daemon::checkSettings() const {
+  core::Findings Report(File.path());
+  const operators::Settings Fresh =
+      operators::readSettingsFile(File.path(), Report);
   core::LogLine(core::LogLevel::Info, "settings.reloaded")
       .field("valid", Report.empty() ? "yes" : "no")
       .field("changed", Fresh == All ? "no" : "after restart")
       .field("reason", Report.text());
 }
 
-int Daemon::run(const std::string &File) {
+int Daemon::run() {
   listen();
-  watchSettings(File);
+  waitForReload();
   waitForSignal();
+  internal::asio::co_spawn(Io, watchSettings(), internal::asio::detached);
   internal::asio::co_spawn(Io, maintain(), internal::asio::detached);
   startConfiguration();
   if (Platform)
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -14,6 +14,7 @@
 #include <jujubecart/inventory/vm_list_reader.hpp>
 #include <jujubecart/operators/server.hpp>
 #include <jujubecart/operators/settings.hpp>
+#include <jujubecart/operators/settings_file.hpp>
 #include <jujubecart/peers/peer_node.hpp>
 #include <jujubecart/platform.hpp>
 #include <jujubecart/store/claim_log.hpp>
@@ -33,12 +34,13 @@
 class Daemon {
 public:
   /// @brief Creates the parts; nothing listens yet.
-  explicit Daemon(operators::Settings All);
+  /// @param All Settings that were read from the file.
+  /// @param File Checked again on SIGHUP and when its content changes.
+  Daemon(operators::Settings All, operators::SettingsFile File);
 
   /// @brief Serves until SIGTERM or SIGINT, then stops gracefully.
-  /// @param File Settings file, checked again on SIGHUP.
   /// @return Exit code of the process.
-  [[nodiscard]] int run(const std::string &File);
+  [[nodiscard]] int run();
 
 private:
   void listen();
@@ -47,12 +49,14 @@
   [[nodiscard]] core::SlotBroker &broker() noexcept;
   [[nodiscard]] core::Awaitable<void> maintain();
   [[nodiscard]] core::Awaitable<void> joinSeeds();
-  void watchSettings(const std::string &File);
-  void checkSettings(const std::string &File) const;
+  void waitForReload();
+  [[nodiscard]] core::Awaitable<void> watchSettings();
+  void checkSettings() const;
   void startConfiguration();
   [[nodiscard]] const core::HttpProfile &profile() const noexcept;
 
   const operators::Settings All;
+  operators::SettingsFile File;
   core::SystemClock Time;
   const std::uint64_t Incarnation;
   core::SystemSleeper Delays;
--- a/apps/jujubecartd/main.cpp
+++ b/apps/jujubecartd/main.cpp
@@ -23,8 +23,9 @@
   try {
     // Never destroyed: frames of suspended coroutines refer to its parts, and
     // the process ends right after run().
-    static daemon::Daemon *const Process = new daemon::Daemon(Settings);
-    return Process->run(File);
+    static daemon::Daemon *const Process =
+        new daemon::Daemon(Settings, operators::SettingsFile(File));
+    return Process->run();
   } catch (const std::exception &Failure) {
     core::LogLine(core::LogLevel::Error, "vm.failed")
         .field("error", Failure.what());
--- a/packages/operators/include/jujubecart/operators/fwd.hpp
+++ b/packages/operators/include/jujubecart/operators/fwd.hpp
@@ -6,6 +6,7 @@
 class Api;
 class Client;
 class Server;
+class SettingsFile;
 
 struct Answer;
 struct Query;
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -1,6 +1,7 @@
 """End-to-end tests of the shipped programs against the fakes."""
 
 import json
+import re
 import signal
 import threading
 import unittest
@@ -53,6 +54,22 @@
         code, text = self.fleet.ctl("--json", "service", "list")
         self.assertEqual(json.loads(text)["revision"], 1)
 
+    def test_changed_settings_are_checked_with_and_without_a_signal(self):
+        """Guards against a broken settings file that shows at a restart only."""
+        settings = self.fleet.settings(self.vm)
+        self.fleet.write("vm0.json", {**settings, "log_level": "loud"})
+        self.wait_for_log("event=settings.reloaded .*valid=no")
+        self.fleet.write("vm0.json", {**settings, "policy": "random"})
+        self.wait_for_log('changed="?after restart"?')
+        self.fleet.write("vm0.json", settings)
+        self.vm.process.send_signal(signal.SIGHUP)
+        self.wait_for_log("event=settings.reloaded .*changed=no")
+        self.assertIsNone(self.vm.process.poll())
+
+    def wait_for_log(self, pattern):
+        wait_until(lambda: re.search(pattern, self.fleet.log_text("vm0")),
+                   f"the log has {pattern}")
+
     def test_sigterm_while_idle_exits_with_zero(self):
         """Guards against a stop that hangs or reports a failure."""
         self.vm.process.send_signal(signal.SIGTERM)
