Keep servers in their dispatch group when others come and go

Cause: groups were filled round robin over the sorted ids, so one server that joined moved about half of a service to another group: the dispatchers lost their counts of calls in flight and what they had learned of those servers. Change: bounded rendezvous hashing; a full group passes a server on to the next one in its order.

--- a/packages/decision/src/dispatch_group.cpp
+++ b/packages/decision/src/dispatch_group.cpp
@@ -1,7 +1,11 @@
 #include <jujubecart/decision/dispatch_group.hpp>
 #include <jujubecart/decision/dispatcher_options.hpp>
 
+#include <jujubecart/core/hash.hpp>
+
 #include <algorithm>
+#include <cassert>
+#include <iterator>
 #include <map>
 
 namespace jujubecart::decision {
@@ -14,6 +18,40 @@
   return Found == Service.Zones.end() ? Zone : Found->second;
 }
 
+// Groups of one region without their servers.
+std::vector<DispatchGroup> emptyGroups(const std::string &Service,
+                                       const std::string &Region,
+                                       std::size_t Servers) {
+  std::vector<DispatchGroup> Groups;
+  for (std::size_t Start = 0; Start < Servers; Start += MaxGroupServers)
+    Groups.push_back(
+        {.Name = Service + '/' + Region + '/' + std::to_string(Groups.size()),
+         .Service = Service,
+         .Region = Region,
+         .Servers = {}});
+  return Groups;
+}
+
+// Rendezvous hashing leaves a server in its group when others come and go;
+// a full group passes it on to the next one in its order.
+DispatchGroup &groupOf(const core::BackendServer &Server,
+                       std::vector<DispatchGroup> &Groups) {
+  DispatchGroup *Best = nullptr;
+  std::uint64_t BestHash = 0;
+  for (DispatchGroup &Group : Groups) {
+    if (Group.Servers.size() >= MaxGroupServers)
+      continue;
+    const std::uint64_t Hash =
+        core::hash64(Server.Id, core::hash64(Group.Name));
+    if (Best != nullptr && Hash <= BestHash)
+      continue;
+    Best = &Group;
+    BestHash = Hash;
+  }
+  assert(Best != nullptr && "the groups have room for all servers");
+  return *Best;
+}
+
 } // namespace
 
 std::vector<DispatchGroup> dispatchGroups(const core::ServiceConfig &Service) {
@@ -24,21 +62,11 @@
   std::vector<DispatchGroup> Groups;
   for (auto &[Region, Servers] : Regions) {
     std::sort(Servers.begin(), Servers.end());
-    const std::size_t First = Groups.size();
-    for (std::size_t Start = 0; Start < Servers.size();
-         Start += MaxGroupServers)
-      Groups.push_back({.Name = Service.Name + '/' + Region + '/' +
-                                std::to_string(Groups.size() - First),
-                        .Service = Service.Name,
-                        .Region = Region,
-                        .Servers = {}});
-    // Round robin keeps the groups of a region equally large.
-    std::size_t Next = First;
-    for (const core::BackendServer &Server : Servers) {
-      Groups[Next].Servers.push_back(Server);
-      if (++Next == Groups.size())
-        Next = First;
-    }
+    std::vector<DispatchGroup> Regional =
+        emptyGroups(Service.Name, Region, Servers.size());
+    for (core::BackendServer &Server : Servers)
+      groupOf(Server, Regional).Servers.push_back(std::move(Server));
+    std::move(Regional.begin(), Regional.end(), std::back_inserter(Groups));
   }
   return Groups;
 }
--- a/tests/decision/local_policy_test.cpp
+++ b/tests/decision/local_policy_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <map>
 #include <set>
 
 using namespace jujubecart;
@@ -81,6 +82,37 @@
   cr_assert_eq(Seen.size(), 130);
 }
 
+std::map<std::string, std::string> groupsByServer(unsigned Count) {
+  std::map<std::string, std::string> Out;
+  for (const auto &Group : dispatchGroups(service(Count)))
+    for (const auto &Server : Group.Servers)
+      Out.emplace(Server.Id, Group.Name);
+  return Out;
+}
+
+// Guards against calls in flight and learned speeds that are lost all over a
+// service whenever one of its servers joins or leaves.
+Test(DispatchGroups, joining_server_moves_few_others) {
+  for (unsigned Count = 40; Count < 180; Count += 7) {
+    const auto Before = groupsByServer(Count);
+    const auto After = groupsByServer(Count + 1);
+    const auto Moved =
+        std::count_if(Before.begin(), Before.end(), [&](const auto &Item) {
+          return After.at(Item.first) != Item.second;
+        });
+    if (dispatchGroups(service(Count)).size() ==
+        dispatchGroups(service(Count + 1)).size())
+      cr_assert_leq(Moved, 8, "%u servers: %td moved", Count, Moved);
+  }
+}
+
+// Guards against one group that gets most of a service.
+Test(DispatchGroups, groups_are_of_similar_size) {
+  for (unsigned Count = 40; Count < 180; Count += 7)
+    for (const auto &Group : dispatchGroups(service(Count)))
+      cr_assert_geq(Group.Servers.size(), MaxGroupServers / 4, "%u", Count);
+}
+
 // Guards against a dispatcher that is leaving or not reachable, and against
 // moving other members when one leaves.
 Test(RankMembers, leaving_member_is_left_out_and_order_of_others_stays) {
