Place dispatchers by the processor share of a VM

The reader of the store is chosen by the same ranking, whose result is now kept by member version instead of being sorted anew every 120 ms.

--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -2,6 +2,9 @@
 
 #include <jujubecart/core/hash.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace jujubecart::daemon {
 
 namespace {
@@ -17,6 +20,12 @@
 // Shorter than the idle timeout of the backend servers.
 constexpr std::chrono::milliseconds DirectoryIdle{8000};
 
+std::uint32_t processorMilli(const operators::VmSettings &Vm) {
+  constexpr double MilliPerCore = 1000;
+  return static_cast<std::uint32_t>(
+      std::max(1L, std::lround(Vm.ProcessorShare * Vm.Cores * MilliPerCore)));
+}
+
 } // namespace
 
 std::chrono::milliseconds shutdownTime(const operators::Settings &All) {
@@ -67,6 +76,7 @@
                   .Operators = All.Operators.Listen,
                   .Zone = All.Vm.Zone,
                   .Region = All.Vm.Region,
+                  .ProcessorMilli = processorMilli(All.Vm),
                   .Incarnation = Incarnation};
   Options.Listen = All.Peers.Listen;
   Options.Source = All.Vm.Address;
--- a/packages/core/include/jujubecart/core/member.hpp
+++ b/packages/core/include/jujubecart/core/member.hpp
@@ -21,6 +21,8 @@
   std::string Operators;
   std::string Zone;
   std::string Region;
+  /// Share of a processor core in thousandths.
+  std::uint32_t ProcessorMilli = 1000;
   /// Start time of the process in Unix milliseconds; a higher one wins.
   std::uint64_t Incarnation = 0;
   MemberState State = MemberState::Live;
--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -18,6 +18,9 @@
   std::string Region;
   /// IP from which outgoing connections are made; empty: any.
   std::string Address;
+  /// Part of each core that this process may use.
+  double ProcessorShare = 1;
+  double Cores = 1;
 
   friend auto operator<=>(const VmSettings &, const VmSettings &) = default;
 };
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -27,6 +27,9 @@
 
 const std::vector<std::string> Policies{
     "dispatcher", "two-choices", "round-robin", "random", "least-reported"};
+constexpr double MinProcessorShare = 0.001;
+constexpr double MinCores = 0.1;
+constexpr double MaxCores = 1024;
 const std::vector<std::string> Levels{"debug", "info", "warning", "error"};
 
 // Absent objects read as empty ones, so that their defaults apply.
@@ -93,6 +96,9 @@
                 .Zone = Reader.string("zone"),
                 .Region = Reader.string("region"),
                 .Address = Reader.stringOr("address", "")};
+  Vm.ProcessorShare = Reader.numberOr("processor_share", MinProcessorShare, 1,
+                                      Vm.ProcessorShare);
+  Vm.Cores = Reader.numberOr("cores", MinCores, MaxCores, Vm.Cores);
   boost::system::error_code Code;
   if (!Vm.Address.empty())
     boost::asio::ip::make_address(Vm.Address, Code);
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -29,6 +29,7 @@
   core::Revision Revision = 0;
   bool Leaving = false;
   std::string Operators;
+  std::uint32_t ProcessorMilli = 1000;
 };
 
 /// @brief Asks the dispatcher of a group for a slot.
@@ -94,6 +95,7 @@
   /// Units of 100 ms since the member was heard from, rounded up.
   std::uint8_t Age = 0;
   std::string Operators;
+  std::uint32_t ProcessorMilli = 1000;
 };
 
 /// @brief Digest of the member table and the entries that differ.
--- a/packages/peers/include/jujubecart/peers/store_relay.hpp
+++ b/packages/peers/include/jujubecart/peers/store_relay.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace jujubecart::peers {
@@ -31,7 +32,7 @@
 
   /// @brief Position of this VM among those that could read the store for
   /// all; 0 reads all the time.
-  [[nodiscard]] std::size_t readerRank() const;
+  [[nodiscard]] std::size_t readerRank();
 
   void onFrame(const LinkPtr &Source, const Frame &Item) override;
   void onClose(const LinkPtr &Source) override;
@@ -45,6 +46,9 @@
   std::unordered_map<std::uint64_t, core::Revision> Told;
   /// Recent changes for peers that missed an answer.
   core::EntryChanges Recent;
+  /// Rank of this VM among the members of a version.
+  std::optional<std::uint64_t> RankedVersion;
+  std::size_t Rank = 0;
 };
 
 } // namespace jujubecart::peers
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -28,7 +28,8 @@
                .Region = text(Source.region()),
                .Revision = Source.revision(),
                .Leaving = Source.leaving(),
-               .Operators = text(Source.operators())};
+               .Operators = text(Source.operators()),
+               .ProcessorMilli = Source.processor_milli()};
 }
 
 Read read(const wire::Acquire &Source) {
@@ -114,7 +115,8 @@
                             .Incarnation = Entry->incarnation(),
                             .Leaving = Entry->leaving(),
                             .Age = Entry->age(),
-                            .Operators = text(Entry->operators())});
+                            .Operators = text(Entry->operators()),
+                            .ProcessorMilli = Entry->processor_milli()});
   return Item;
 }
 
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -23,7 +23,7 @@
   return body<wire::Body::Hello>(wire::CreateHelloDirect(
       Out, Item.Sender.c_str(), Item.Incarnation, Item.Address.c_str(),
       Item.Zone.c_str(), Item.Region.c_str(), Item.Revision, Item.Leaving,
-      optionalText(Item.Operators)));
+      optionalText(Item.Operators), Item.ProcessorMilli));
 }
 
 BodyOffset write(Builder &Out, const Acquire &Item) {
@@ -80,7 +80,7 @@
     Entries.push_back(wire::CreateMemberEntryDirect(
         Out, Entry.Id.c_str(), Entry.Address.c_str(), Entry.Zone.c_str(),
         Entry.Region.c_str(), Entry.Incarnation, Entry.Leaving, Entry.Age,
-        optionalText(Entry.Operators)));
+        optionalText(Entry.Operators), Entry.ProcessorMilli));
   return body<wire::Body::Gossip>(wire::CreateGossipDirect(
       Out, Item.Revision, Item.Reply, &Item.Digests, &Item.Counts, &Item.Ages,
       Entries.empty() ? nullptr : &Entries));
--- a/packages/peers/src/member_table.cpp
+++ b/packages/peers/src/member_table.cpp
@@ -126,7 +126,8 @@
                .Incarnation = Item.Incarnation,
                .Leaving = Item.Leaving,
                .Age = 0,
-               .Operators = Item.Operators},
+               .Operators = Item.Operators,
+               .ProcessorMilli = Item.ProcessorMilli},
               Time.now());
 }
 
@@ -149,6 +150,7 @@
                   .Operators = Item.Operators,
                   .Zone = Item.Zone,
                   .Region = Item.Region,
+                  .ProcessorMilli = Item.ProcessorMilli,
                   .Incarnation = Item.Incarnation,
                   .State = core::MemberState::Live};
     Known.Known = true;
@@ -256,7 +258,8 @@
              .Incarnation = Known->Info.Incarnation,
              .Leaving = Known->Info.State == core::MemberState::Leaving,
              .Age = age(*Known, Now),
-             .Operators = Known->Info.Operators});
+             .Operators = Known->Info.Operators,
+             .ProcessorMilli = Known->Info.ProcessorMilli});
       if (Here)
         Differing.push_back(
             {.Id = Self.Id,
@@ -266,7 +269,8 @@
              .Incarnation = Self.Incarnation,
              .Leaving = Self.State == core::MemberState::Leaving,
              .Age = 0,
-             .Operators = Self.Operators});
+             .Operators = Self.Operators,
+             .ProcessorMilli = Self.ProcessorMilli});
     }
     At += Count;
   }
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -271,7 +271,8 @@
     VT_REGION = 12,
     VT_REVISION = 14,
     VT_LEAVING = 16,
-    VT_OPERATORS = 18
+    VT_OPERATORS = 18,
+    VT_PROCESSOR_MILLI = 20
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -297,6 +298,9 @@
   const flatbuffers::String *operators() const {
     return GetPointer<const flatbuffers::String *>(VT_OPERATORS);
   }
+  uint32_t processor_milli() const {
+    return GetField<uint32_t>(VT_PROCESSOR_MILLI, 1000);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -312,6 +316,7 @@
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyOffset(verifier, VT_OPERATORS) &&
            verifier.VerifyString(operators()) &&
+           VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLI, 4) &&
            verifier.EndTable();
   }
 };
@@ -344,6 +349,9 @@
   void add_operators(flatbuffers::Offset<flatbuffers::String> operators) {
     fbb_.AddOffset(Hello::VT_OPERATORS, operators);
   }
+  void add_processor_milli(uint32_t processor_milli) {
+    fbb_.AddElement<uint32_t>(Hello::VT_PROCESSOR_MILLI, processor_milli, 1000);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -364,10 +372,12 @@
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t revision = 0,
     bool leaving = false,
-    flatbuffers::Offset<flatbuffers::String> operators = 0) {
+    flatbuffers::Offset<flatbuffers::String> operators = 0,
+    uint32_t processor_milli = 1000) {
   HelloBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_incarnation(incarnation);
+  builder_.add_processor_milli(processor_milli);
   builder_.add_operators(operators);
   builder_.add_region(region);
   builder_.add_zone(zone);
@@ -386,7 +396,8 @@
     const char *region = nullptr,
     uint64_t revision = 0,
     bool leaving = false,
-    const char *operators = nullptr) {
+    const char *operators = nullptr,
+    uint32_t processor_milli = 1000) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -401,7 +412,8 @@
       region__,
       revision,
       leaving,
-      operators__);
+      operators__,
+      processor_milli);
 }
 
 struct Acquire FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1036,7 +1048,8 @@
     VT_INCARNATION = 12,
     VT_LEAVING = 14,
     VT_AGE = 16,
-    VT_OPERATORS = 18
+    VT_OPERATORS = 18,
+    VT_PROCESSOR_MILLI = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1062,6 +1075,9 @@
   const flatbuffers::String *operators() const {
     return GetPointer<const flatbuffers::String *>(VT_OPERATORS);
   }
+  uint32_t processor_milli() const {
+    return GetField<uint32_t>(VT_PROCESSOR_MILLI, 1000);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1077,6 +1093,7 @@
            VerifyField<uint8_t>(verifier, VT_AGE, 1) &&
            VerifyOffset(verifier, VT_OPERATORS) &&
            verifier.VerifyString(operators()) &&
+           VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLI, 4) &&
            verifier.EndTable();
   }
 };
@@ -1109,6 +1126,9 @@
   void add_operators(flatbuffers::Offset<flatbuffers::String> operators) {
     fbb_.AddOffset(MemberEntry::VT_OPERATORS, operators);
   }
+  void add_processor_milli(uint32_t processor_milli) {
+    fbb_.AddElement<uint32_t>(MemberEntry::VT_PROCESSOR_MILLI, processor_milli, 1000);
+  }
   explicit MemberEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1129,9 +1149,11 @@
     uint64_t incarnation = 0,
     bool leaving = false,
     uint8_t age = 0,
-    flatbuffers::Offset<flatbuffers::String> operators = 0) {
+    flatbuffers::Offset<flatbuffers::String> operators = 0,
+    uint32_t processor_milli = 1000) {
   MemberEntryBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_processor_milli(processor_milli);
   builder_.add_operators(operators);
   builder_.add_region(region);
   builder_.add_zone(zone);
@@ -1151,7 +1173,8 @@
     uint64_t incarnation = 0,
     bool leaving = false,
     uint8_t age = 0,
-    const char *operators = nullptr) {
+    const char *operators = nullptr,
+    uint32_t processor_milli = 1000) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -1166,7 +1189,8 @@
       incarnation,
       leaving,
       age,
-      operators__);
+      operators__,
+      processor_milli);
 }
 
 struct Gossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/peer_node.cpp
+++ b/packages/peers/src/peer_node.cpp
@@ -50,7 +50,8 @@
           .Region = Self.Region,
           .Revision = Config.current()->revision(),
           .Leaving = Self.State == core::MemberState::Leaving,
-          .Operators = Self.Operators};
+          .Operators = Self.Operators,
+          .ProcessorMilli = Self.ProcessorMilli};
 }
 
 std::string PeerNode::start() {
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -67,11 +67,17 @@
   }
 }
 
-std::size_t StoreRelay::readerRank() const {
+std::size_t StoreRelay::readerRank() {
+  const std::uint64_t Version = Members.version();
+  const std::lock_guard Lock(Mutex);
+  if (RankedVersion == Version)
+    return Rank;
   const std::vector<std::string> Ranked =
       decision::rankMembers("store/reader", "", Members.members());
   const auto Found = std::find(Ranked.begin(), Ranked.end(), Members.self().Id);
-  return static_cast<std::size_t>(Found - Ranked.begin());
+  Rank = static_cast<std::size_t>(Found - Ranked.begin());
+  RankedVersion = Version;
+  return Rank;
 }
 
 void StoreRelay::onFrame(const LinkPtr & /*Source*/, const Frame &Item) {
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -206,7 +206,8 @@
 bool Directory::registered(const core::Member &Vm) const {
   const auto Found = Vms.find(Codec.vmKey(Vm.Id));
   return Found != Vms.end() && Found->second.Address == Vm.Address &&
-         Found->second.Zone == Vm.Zone && Found->second.Region == Vm.Region;
+         Found->second.Zone == Vm.Zone && Found->second.Region == Vm.Region &&
+         Found->second.ProcessorMilli == Vm.ProcessorMilli;
 }
 
 } // namespace jujubecart::store
--- a/tests/decision/local_policy_test.cpp
+++ b/tests/decision/local_policy_test.cpp
@@ -113,6 +113,26 @@
       cr_assert_geq(Group.Servers.size(), MaxGroupServers / 4, "%u", Count);
 }
 
+// Guards against small VMs that dispatch for many others and fall behind.
+Test(RankMembers, vms_with_more_processor_get_most_groups) {
+  constexpr std::uint32_t Large = 500;
+  std::vector<core::Member> Members;
+  for (int Index = 0; Index < 100; ++Index)
+    Members.push_back({.Id = "vm" + std::to_string(Index),
+                       .Address = {},
+                       .Zone = {},
+                       .Region = "a",
+                       .ProcessorMilli = Index < 8 ? Large : 100U});
+  int OnLarge = 0;
+  constexpr int Groups = 200;
+  for (int Group = 0; Group < Groups; ++Group) {
+    const auto Ranked =
+        rankMembers("tags/a/" + std::to_string(Group), "a", Members);
+    OnLarge += std::stoi(Ranked.front().substr(2)) < 8;
+  }
+  cr_assert_geq(OnLarge, Groups * 8 / 10, "%d", OnLarge);
+}
+
 // Guards against a dispatcher that is leaving or not reachable, and against
 // moving other members when one leaves.
 Test(RankMembers, leaving_member_is_left_out_and_order_of_others_stays) {
--- a/tests/platform/entry_codec_test.cpp
+++ b/tests/platform/entry_codec_test.cpp
@@ -127,7 +127,8 @@
   const core::Member Vm{.Id = "front-a-1",
                         .Address = "10.1.0.18:7200",
                         .Zone = "a",
-                        .Region = "r"};
+                        .Region = "r",
+                        .ProcessorMilli = 200};
   const auto Read = With.Codec.vm(With.Codec.vmKey(Vm.Id),
                                   With.Codec.encode(Vm), With.Report);
   cr_assert(Read == Vm);
