Make the start of a fleet cheap for the store

Cause: every VM listed all pages at full price, then watched at once, and since none knew the others yet, each took itself for the reader: 100 VMs made 475 watches and 100 lists of several pages within 3 s (trial with a log line for each call); 111 of the watches were gaps, since the reader keeps only 64 changes. Change: the first list may be stale, which costs a tenth; a new VM then registers and catches up 400 ms later by one watch before anything is used, so VMs that start together know each other. A lost history is followed by a list of the latest entries as before. The reader keeps 256 changes. Tests: three of the feed and one of the client are new. Two tests of the feed counted on a start without a watch; they now start first and demand the same afterwards, with exactly one watch at the start.

--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -44,16 +44,24 @@
 /// @brief Identifies a lease of a store.
 using LeaseId = std::uint64_t;
 
+/// @brief How recent the answer of a read must be.
+enum class ReadMode : std::uint8_t {
+  /// With every write that was acknowledged before the read.
+  Latest,
+  /// Possibly seconds old; costs the store far less.
+  Stale
+};
+
 /// @brief A store with one revision for all keys, prefix watches and leases.
 class EntryStore {
 public:
   virtual ~EntryStore() = default;
 
   /// @brief Reads all entries.
-  /// @return The entries; AsOf is the revision before the first page, so that
+  /// @return The entries; AsOf is the revision of the oldest page, so that
   /// changes after it must be read too.
   [[nodiscard]] virtual Awaitable<Result<EntryList>>
-  list(TimePoint Deadline) = 0;
+  list(ReadMode Mode, TimePoint Deadline) = 0;
 
   /// @brief Waits for changes after a revision.
   /// @param Until When to return without a change.
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -9,7 +9,7 @@
 namespace internal {
 
 // Entries kept for peers that missed an answer.
-constexpr std::size_t MaxRecent = 64;
+constexpr std::size_t MaxRecent = 256;
 // Bytes of values in one message; peers read larger changes themselves.
 constexpr std::size_t MaxSharedBytes = std::size_t{512} * 1024;
 
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -21,6 +21,8 @@
   std::chrono::milliseconds WatchTime{700};
   /// Wait for the answer to a list or a write.
   std::chrono::milliseconds AnswerTimeout{1000};
+  /// Time in which VMs that start together register.
+  std::chrono::milliseconds JoinDelay{400};
   /// Pause after a change, so that changes in quick succession are read by
   /// one call.
   std::chrono::milliseconds BatchDelay{100};
@@ -83,6 +85,7 @@
 
 private:
   [[nodiscard]] core::Awaitable<bool> load();
+  [[nodiscard]] core::Awaitable<bool> catchUp();
   [[nodiscard]] core::Awaitable<bool> follow();
   [[nodiscard]] core::Awaitable<void> backOff();
   [[nodiscard]] core::Awaitable<bool> registerOnce();
@@ -99,6 +102,11 @@
   MemberListener Notified;
   std::vector<core::Member> LastMembers;
   std::atomic<bool> Stopped{false};
+  core::ReadMode ListMode = core::ReadMode::Stale;
+  /// Whether the entries were read once, so that it is known whether this VM
+  /// is registered.
+  bool Listed = false;
+  /// Whether the entries are complete and current.
   bool Loaded = false;
   unsigned Failures = 0;
   core::TimePoint LastReached;
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -10,10 +10,13 @@
 
 constexpr unsigned MaxBackoffDoublings = 8;
 constexpr std::chrono::milliseconds RegistrationPoll{1000};
+constexpr std::chrono::milliseconds ListPoll{10};
 // How often a VM that hears from others looks whether it still does.
 constexpr std::chrono::milliseconds ListenPoll{120};
 // A write is seen by the watch within its batch delay and one answer.
 constexpr std::chrono::milliseconds RegistrationSettles{5000};
+// A watch for changes that have happened already returns at once.
+constexpr std::chrono::milliseconds CatchUpWait{2};
 
 } // namespace internal
 
@@ -76,20 +79,47 @@
     publish();
 }
 
+// A start lists every page, so it reads them stale, which costs a tenth, and
+// then the changes since, before anything is used.
 core::Awaitable<bool> DirectoryFeed::load() {
   const auto All =
-      co_await Env.Store.list(Env.Time.now() + Options.AnswerTimeout);
+      co_await Env.Store.list(ListMode, Env.Time.now() + Options.AnswerTimeout);
   if (!All) {
     failed("list", All.error());
     co_return false;
   }
-  reached();
   Known.replace(*All, Env.Time.now());
+  Listed = true;
+  if (ListMode == core::ReadMode::Stale) {
+    const bool CaughtUp = co_await catchUp();
+    if (!CaughtUp)
+      co_return false;
+  }
+  reached();
+  // After a lost history only the newest entries are certain to go on from.
+  ListMode = core::ReadMode::Latest;
   Loaded = true;
   publish();
   co_return true;
 }
 
+core::Awaitable<bool> DirectoryFeed::catchUp() {
+  // VMs that start together know each other after one read if all have
+  // registered before it.
+  if (!Known.registered(Self))
+    co_await Env.Delays.sleepUntil(Env.Time.now() + Options.JoinDelay);
+  const auto Changed = co_await Env.Store.changes(
+      Known.asOf(), Env.Time.now() + internal::CatchUpWait);
+  if (!Changed) {
+    if (Changed.error() == core::Error::HistoryLost)
+      ListMode = core::ReadMode::Latest;
+    failed("catch up", Changed.error());
+    co_return false;
+  }
+  Known.apply(*Changed, Env.Time.now());
+  co_return true;
+}
+
 core::Awaitable<bool> DirectoryFeed::follow() {
   const core::TimePoint Until =
       std::min(Env.Time.now() + Options.WatchTime,
@@ -170,10 +200,10 @@
 }
 
 core::Awaitable<void> DirectoryFeed::keepRegistered() {
+  while (!Listed)
+    co_await Env.Delays.sleepUntil(Env.Time.now() + internal::ListPoll);
   while (!Stopped) {
-    bool Registered = true;
-    if (Loaded)
-      Registered = co_await registerOnce();
+    const bool Registered = co_await registerOnce();
     if (!Registered)
       co_await backOff();
     co_await Env.Delays.sleepUntil(Env.Time.now() + internal::RegistrationPoll);
