Shrink the input buffer of links to 2 KiB

Change: 2 KiB, which holds all usual frames; larger ones take several reads. The new test failed before (16.9 KB a link).

--- a/packages/peers/include/jujubecart/peers/link.hpp
+++ b/packages/peers/include/jujubecart/peers/link.hpp
@@ -109,7 +109,8 @@
   const core::TimePoint OpenedAt;
   Hello Peer;
   FrameCodec Codec;
-  std::array<std::byte, 16384> Input{};
+  // A frame is rarely larger; a VM that dispatches has a link to every other.
+  std::array<std::byte, 2048> Input{};
   std::function<void(const LinkPtr &, const Frame &)> OnFrame;
   std::function<void(const LinkPtr &)> OnClosed;
 
--- a/tests/peers/link_test.cpp
+++ b/tests/peers/link_test.cpp
@@ -159,6 +159,13 @@
   cr_assert(eventually([&] { return Nodes.Right.Frames == 1; }));
 }
 
+// Guards against links whose memory, times one link for each VM of the fleet,
+// is most of what a VM with a dispatcher needs.
+Test(Link, idle_link_takes_little_memory) {
+  constexpr std::size_t MostBytes = 4096;
+  cr_assert_leq(sizeof(Link), MostBytes);
+}
+
 // Guards against one system call per frame under load.
 Test(Link, burst_of_frames_is_written_together) {
   Pair Nodes;
