--- a/dev/common/draw.cpp
+++ b/dev/common/draw.cpp
@@ -67,6 +67,13 @@
   return std::nullopt;
 }
 
+std::string orderKeyText(std::chrono::system_clock::time_point RunStart,
+                         std::uint64_t Draw) {
+  const auto Started = std::chrono::duration_cast<std::chrono::milliseconds>(
+      RunStart.time_since_epoch());
+  return "order-" + std::to_string(Started.count()) + "-" + drawText(Draw);
+}
+
 std::string drawText(std::uint64_t Draw) {
   static constexpr char Digits[] = "0123456789abcdef";
   std::string Text(16, '0');
--- a/dev/common/draw.hpp
+++ b/dev/common/draw.hpp
@@ -35,6 +35,12 @@
 [[nodiscard]] std::optional<std::uint64_t>
 parseDraw(std::string_view Text) noexcept;
 
+/// @brief Idempotency key of the order with a draw; no two runs share one.
+/// @param RunStart When the run of the load generator began.
+[[nodiscard]] std::string
+orderKeyText(std::chrono::system_clock::time_point RunStart,
+             std::uint64_t Draw);
+
 /// @brief Complete response body for a draw: token, length, filler.
 [[nodiscard]] std::string responseBody(std::uint64_t Draw);
 
--- a/dev/load/generator.cpp
+++ b/dev/load/generator.cpp
@@ -90,7 +90,7 @@
                                  Deadline.time_since_epoch())
                                  .count()));
   if (Service.Order) {
-    Message.set("Idempotency-Key", "order-" + drawText(Cause.Draw));
+    Message.set("Idempotency-Key", orderKeyText(WallStart, Cause.Draw));
     Message.body() = requestBody(Cause.Draw);
   }
   Message.prepare_payload();
--- a/tests/dev/draw_test.cpp
+++ b/tests/dev/draw_test.cpp
@@ -53,3 +53,13 @@
   cr_assert(quantile({1.0, 2.0, 3.0, 4.0}, 0.5) == 2.0);
   cr_assert(quantile({1.0, 2.0, 3.0, 4.0}, 0.99) == 4.0);
 }
+
+// Guards against orders of a later run that are rejected as repeated, since
+// runs with one seed have the same draws.
+Test(OrderKeyText, equal_draws_of_two_runs_have_different_keys) {
+  const std::chrono::system_clock::time_point First{std::chrono::seconds(100)};
+  const auto Second = First + std::chrono::milliseconds(1);
+  cr_assert(orderKeyText(First, 7) == orderKeyText(First, 7));
+  cr_assert(orderKeyText(First, 7) != orderKeyText(First, 8));
+  cr_assert(orderKeyText(First, 7) != orderKeyText(Second, 7));
+}
