--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -59,24 +59,26 @@
   }
 
   /// @brief Limits of the operators' configuration, or of the options.
-  [[nodiscard]] core::HttpLimits httpLimits() const {
+  [[nodiscard]] core::CallerLimits limits() const {
     const auto Config = Uses.Config.current();
     if (const core::RoutingTable *Routing = Config->routing())
-      return {.Head = Routing->limits().HeaderBytes,
-              .Body = Routing->limits().BodyBytes};
-    return {.Head = Options.MaxHead, .Body = Options.MaxBody};
+      return Routing->limits();
+    return {.HeaderBytes = static_cast<std::uint32_t>(Options.MaxHead),
+            .BodyBytes = Options.MaxBody,
+            .HeaderTimeoutMs =
+                static_cast<std::uint32_t>(Options.HeadTimeout.count()),
+            .IdleTimeoutMs =
+                static_cast<std::uint32_t>(Options.IdleTimeout.count())};
+  }
+  [[nodiscard]] core::HttpLimits httpLimits() const {
+    const core::CallerLimits Current = limits();
+    return {.Head = Current.HeaderBytes, .Body = Current.BodyBytes};
   }
   [[nodiscard]] std::chrono::milliseconds headTimeout() const {
-    const auto Config = Uses.Config.current();
-    if (const core::RoutingTable *Routing = Config->routing())
-      return std::chrono::milliseconds(Routing->limits().HeaderTimeoutMs);
-    return Options.HeadTimeout;
+    return std::chrono::milliseconds(limits().HeaderTimeoutMs);
   }
   [[nodiscard]] std::chrono::milliseconds idleTimeout() const {
-    const auto Config = Uses.Config.current();
-    if (const core::RoutingTable *Routing = Config->routing())
-      return std::chrono::milliseconds(Routing->limits().IdleTimeoutMs);
-    return Options.IdleTimeout;
+    return std::chrono::milliseconds(limits().IdleTimeoutMs);
   }
 
   boost::asio::any_io_executor Executor;
--- a/packages/core/include/jujubecart/core.hpp
+++ b/packages/core/include/jujubecart/core.hpp
@@ -9,6 +9,7 @@
 #include <jujubecart/core/config_source.hpp>
 #include <jujubecart/core/config_table.hpp>
 #include <jujubecart/core/directory_codec.hpp>
+#include <jujubecart/core/duration_text.hpp>
 #include <jujubecart/core/entry_store.hpp>
 #include <jujubecart/core/error.hpp>
 #include <jujubecart/core/event_ring.hpp>
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -32,11 +32,10 @@
 class LoadTable {
 public:
   LoadTable(const std::vector<core::BackendServer> &Servers,
-            DispatcherOptions Options, core::TimePoint Now);
+            DispatcherOptions Options);
 
   /// @brief Replaces the configuration; indices of kept servers stay.
-  void configure(const std::vector<core::BackendServer> &Servers,
-                 core::TimePoint Now);
+  void configure(const std::vector<core::BackendServer> &Servers);
 
   /// @brief Finds the server with the highest value for a call.
   /// @param Until Instant that the end of the call is compared with.
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -43,13 +43,12 @@
 } // namespace
 
 LoadTable::LoadTable(const std::vector<core::BackendServer> &Configured,
-                     DispatcherOptions Options, core::TimePoint Now)
+                     DispatcherOptions Options)
     : Options(Options), Random(Options.Seed) {
-  configure(Configured, Now);
+  configure(Configured);
 }
 
-void LoadTable::configure(const std::vector<core::BackendServer> &Configured,
-                          core::TimePoint /*Now*/) {
+void LoadTable::configure(const std::vector<core::BackendServer> &Configured) {
   for (ServerLoad &Server : Servers)
     Server.Configured = false;
   for (const core::BackendServer &Config : Configured) {
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -40,7 +40,7 @@
   Implementation(DispatchGroup Group, const DispatcherOptions &Options,
                  core::TimePoint Now)
       : Group(std::move(Group)), Options(Options),
-        Table(this->Group.Servers, Options, Now), Random(Options.Seed),
+        Table(this->Group.Servers, Options), Random(Options.Seed),
         NextGrant(Random() >> 1), Last(Now) {}
 
   void enqueue(PendingCall Call, core::TimePoint Now, Decisions &Out);
@@ -332,7 +332,7 @@
 void ObjectiveDispatcher::configure(DispatchGroup Group, core::TimePoint Now,
                                     Decisions &Out) {
   Self->Group = std::move(Group);
-  Self->Table.configure(Self->Group.Servers, Now);
+  Self->Table.configure(Self->Group.Servers);
   Self->dispatch(Now, Out);
 }
 
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -1,10 +1,12 @@
 #include <jujubecart/operators/settings_reader.hpp>
 
 #include <jujubecart/core/config_json.hpp>
+#include <jujubecart/core/duration_text.hpp>
 #include <jujubecart/core/json_reader.hpp>
 
 #include <boost/asio/ip/address.hpp>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 namespace jujubecart::operators {
@@ -180,27 +182,18 @@
 // tool can pass on its own values.
 std::uint32_t readDuration(const json &Value, const std::string &Pointer,
                            std::uint32_t Default, Findings &Report) {
-  constexpr double MillisecondsPerSecond = 1000;
   if (Value.is_null())
     return Default;
-  double Number = 0;
-  std::string Unit = "ms";
-  if (Value.is_number()) {
-    Number = Value.get<double>();
-  } else if (Value.is_string()) {
-    std::istringstream In(Value.get<std::string>());
-    Unit.clear();
-    In >> Number >> Unit;
-  }
-  if (Unit == "s")
-    Number *= MillisecondsPerSecond;
-  if ((Unit != "ms" && Unit != "s") || !(Number >= 1) ||
-      Number > MaxTimeoutMs) {
-    Report.add(Pointer, Value.dump(),
-               "time such as 1500, \"1500ms\", \"2.5s\"");
-    return Default;
-  }
-  return static_cast<std::uint32_t>(Number);
+  std::optional<std::uint32_t> Time;
+  if (Value.is_number_unsigned() &&
+      Value.get<std::uint64_t>() <= std::uint64_t{MaxTimeoutMs})
+    Time = Value.get<std::uint32_t>();
+  else if (Value.is_string())
+    Time = core::parseMilliseconds(Value.get_ref<const std::string &>());
+  if (Time && *Time >= 1 && *Time <= MaxTimeoutMs)
+    return *Time;
+  Report.add(Pointer, Value.dump(), "time such as 1500, \"1500ms\", \"2.5s\"");
+  return Default;
 }
 
 DirectorySettings readDirectory(JsonReader &Root, Findings &Report) {
