Accept fractions of milliseconds as directory times again

Cause: the shared time parser dropped numbers such as 1500.5, which the settings accepted before. Change: any number within the range is read.

--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -185,11 +185,11 @@
   if (Value.is_null())
     return Default;
   std::optional<std::uint32_t> Time;
-  if (Value.is_number_unsigned() &&
-      Value.get<std::uint64_t>() <= std::uint64_t{MaxTimeoutMs})
-    Time = Value.get<std::uint32_t>();
-  else if (Value.is_string())
+  if (Value.is_string())
     Time = core::parseMilliseconds(Value.get_ref<const std::string &>());
+  else if (Value.is_number() && Value.get<double>() >= 1 &&
+           Value.get<double>() <= MaxTimeoutMs)
+    Time = static_cast<std::uint32_t>(Value.get<double>());
   if (Time && *Time >= 1 && *Time <= MaxTimeoutMs)
     return *Time;
   Report.add(Pointer, Value.dump(), "time such as 1500, \"1500ms\", \"2.5s\"");
