--- a/packages/decision/src/dispatch_group.cpp
+++ b/packages/decision/src/dispatch_group.cpp
@@ -23,9 +23,10 @@
                                        const std::string &Region,
                                        std::size_t Servers) {
   std::vector<DispatchGroup> Groups;
+  const std::string Prefix = Service + '/' + Region + '/';
   for (std::size_t Start = 0; Start < Servers; Start += MaxGroupServers)
     Groups.push_back(
-        {.Name = Service + '/' + Region + '/' + std::to_string(Groups.size()),
+        {.Name = std::string(Prefix).append(std::to_string(Groups.size())),
          .Service = Service,
          .Region = Region,
          .Servers = {}});
--- a/tests/decision/local_policy_test.cpp
+++ b/tests/decision/local_policy_test.cpp
@@ -116,8 +116,10 @@
 // Guards against small VMs that dispatch for many others and fall behind.
 Test(RankMembers, vms_with_more_processor_get_most_groups) {
   constexpr std::uint32_t Large = 500;
+  constexpr int Vms = 100;
   std::vector<core::Member> Members;
-  for (int Index = 0; Index < 100; ++Index)
+  Members.reserve(Vms);
+  for (int Index = 0; Index < Vms; ++Index)
     Members.push_back({.Id = "vm" + std::to_string(Index),
                        .Address = {},
                        .Zone = {},
