Let the start tests of the feed wait for the start, not for a time

Cause: three new tests gave the start 60 to 100 ms, which a busy machine under a sanitizer may exceed. Change: they run until the entries are in use, 2 s at most; what they demand is the same.

--- a/tests/store/directory_feed_test.cpp
+++ b/tests/store/directory_feed_test.cpp
@@ -216,7 +216,7 @@
   });
   With.Store.Next.push_back(
       {.Entries = {{.Key = "config", .Value = "8", .Changed = 3}}, .AsOf = 3});
-  With.run(60ms);
+  With.start();
   cr_assert(With.Store.Modes == std::vector{core::ReadMode::Stale});
   cr_assert_eq(Versions.size(), 1);
   cr_assert_eq(Versions.front(), 8);
@@ -232,7 +232,7 @@
   With.Feed.onMembers([&](const std::vector<core::Member> &Vms) {
     Members.push_back(Vms.size());
   });
-  With.run(100ms);
+  With.start();
   cr_assert_eq(With.Store.Puts, 1);
   cr_assert(!Members.empty());
   cr_assert_eq(Members.front(), 1);
@@ -243,7 +243,7 @@
 Test(DirectoryFeed, latest_list_is_read_if_a_stale_one_cannot_be_caught_up) {
   Fixture With(3);
   With.Store.HistoryLost = true;
-  With.run(60ms);
+  With.start();
   cr_assert_eq(With.servers(), 1);
   cr_assert_eq(With.Store.Modes.size(), 2);
   cr_assert(With.Store.Modes.back() == core::ReadMode::Latest);
