Decision: one copy of adopted calls, exclusion and conversion; count groups

Found in reading the whole change again: - dispatcherOptions divided a service into groups only to count them, and the directory of groups then did the same once more; it counts now. - LoadTable summed up the usable slots for each waiting call; the sum is kept where the other counts are. - Both dispatchers kept the calls of an earlier dispatcher by hand; AdoptedCalls serves both. The exclusion rule stood in two tables, the conversion to microseconds in four sources. Behaviour is unchanged.

--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -122,6 +122,8 @@
   std::uint32_t Active = 0;
   std::uint32_t Ejected = 0;
   std::uint32_t Unhealthy = 0;
+  /// Slots of the servers in use, in slots of a server of usual speed.
+  double UsableSlots = 0;
 };
 
 } // namespace jujubecart::decision::internal
--- /dev/null
+++ b/packages/decision/include/jujubecart/decision/internal/microseconds.hpp
@@ -0,0 +1,18 @@
+#ifndef JUJUBECART_DECISION_INTERNAL_MICROSECONDS_HPP
+#define JUJUBECART_DECISION_INTERNAL_MICROSECONDS_HPP
+
+#include <jujubecart/core/clock.hpp>
+
+#include <chrono>
+
+namespace jujubecart::decision::internal {
+
+/// @brief A time as a number of microseconds.
+[[nodiscard]] inline double
+microseconds(core::TimePoint::duration Time) noexcept {
+  return std::chrono::duration<double, std::micro>(Time).count();
+}
+
+} // namespace jujubecart::decision::internal
+
+#endif
--- a/packages/decision/include/jujubecart/decision/pending_call.hpp
+++ b/packages/decision/include/jujubecart/decision/pending_call.hpp
@@ -3,8 +3,10 @@
 
 #include <jujubecart/core/clock.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jujubecart::decision {
@@ -30,6 +32,12 @@
   core::TimePoint Objective = core::TimePoint::max();
   /// Identifies calls with similar service times; 0 if unknown.
   std::uint64_t WorkClass = 0;
+
+  /// @brief Whether a backend server must not get the call.
+  [[nodiscard]] bool excludes(std::string_view ServerId) const noexcept {
+    return std::find(Excluded.begin(), Excluded.end(), ServerId) !=
+           Excluded.end();
+  }
 };
 
 } // namespace jujubecart::decision
--- a/packages/decision/src/dispatch_group.cpp
+++ b/packages/decision/src/dispatch_group.cpp
@@ -7,6 +7,7 @@
 #include <cassert>
 #include <iterator>
 #include <map>
+#include <numeric>
 
 namespace jujubecart::decision {
 
@@ -18,18 +19,31 @@
   return Found == Service.Zones.end() ? Zone : Found->second;
 }
 
+constexpr std::size_t groupsFor(std::size_t Servers) noexcept {
+  return (Servers + MaxGroupServers - 1) / MaxGroupServers;
+}
+
+std::size_t groupCount(const core::ServiceConfig &Service) {
+  std::map<std::string, std::size_t> Servers;
+  for (const core::BackendServer &Server : Service.Servers)
+    ++Servers[regionOf(Service, Server.Zone)];
+  return std::accumulate(Servers.begin(), Servers.end(), std::size_t{0},
+                         [](std::size_t Sum, const auto &Item) {
+                           return Sum + groupsFor(Item.second);
+                         });
+}
+
 // Groups of one region without their servers.
 std::vector<DispatchGroup> emptyGroups(const std::string &Service,
                                        const std::string &Region,
                                        std::size_t Servers) {
   std::vector<DispatchGroup> Groups;
   const std::string Prefix = Service + '/' + Region + '/';
-  for (std::size_t Start = 0; Start < Servers; Start += MaxGroupServers)
-    Groups.push_back(
-        {.Name = std::string(Prefix).append(std::to_string(Groups.size())),
-         .Service = Service,
-         .Region = Region,
-         .Servers = {}});
+  for (std::size_t Index = 0; Index < groupsFor(Servers); ++Index)
+    Groups.push_back({.Name = std::string(Prefix).append(std::to_string(Index)),
+                      .Service = Service,
+                      .Region = Region,
+                      .Servers = {}});
   return Groups;
 }
 
@@ -74,8 +88,7 @@
 
 DispatcherOptions dispatcherOptions(const core::ServiceConfig &Service,
                                     std::uint64_t Seed) {
-  const std::size_t Groups =
-      std::max<std::size_t>(1, dispatchGroups(Service).size());
+  const std::size_t Groups = std::max<std::size_t>(1, groupCount(Service));
   DispatcherOptions Options;
   Options.MeasurePerS =
       static_cast<std::uint32_t>(Service.MeasurePerS / Groups);
--- a/packages/decision/src/group_dispatcher.cpp
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include <jujubecart/decision/group_dispatcher.hpp>
 
+#include <jujubecart/decision/internal/adopted_calls.hpp>
 #include <jujubecart/decision/internal/call_queue.hpp>
 #include <jujubecart/decision/internal/probe_schedule.hpp>
 #include <jujubecart/decision/internal/server_table.hpp>
@@ -77,7 +78,7 @@
   std::mt19937_64 Random;
   std::uint64_t NextGrant;
   std::unordered_map<std::uint64_t, Grant> Grants;
-  std::map<std::pair<std::string, std::string>, std::uint32_t> Adopted;
+  internal::AdoptedCalls Adopted;
   std::vector<const internal::QueuedCall *> Candidates;
   core::TimePoint Last;
   core::TimePoint LastRefresh;
@@ -226,10 +227,9 @@
   const auto Index = Table.find(ServerId);
   if (!Index)
     return;
-  std::uint32_t &Count = Adopted[{std::move(Holder), std::move(ServerId)}];
-  const std::uint32_t Total = Table.at(*Index).Adopted - Count + InFlight;
-  Count = InFlight;
-  Table.setAdopted(*Index, Total, Now);
+  const std::uint32_t Before =
+      Adopted.set(std::move(Holder), std::move(ServerId), InFlight);
+  Table.setAdopted(*Index, Table.at(*Index).Adopted - Before + InFlight, Now);
 }
 
 void GroupDispatcher::Implementation::dropHolder(std::string_view Holder,
@@ -244,14 +244,9 @@
     Table.forget(Item->second.Server, Item->first, Now);
     Item = Grants.erase(Item);
   }
-  for (auto Item = Adopted.begin(); Item != Adopted.end();) {
-    if (Item->first.first != Holder) {
-      ++Item;
-      continue;
-    }
-    const std::uint32_t Index = *Table.find(Item->first.second);
-    Table.setAdopted(Index, Table.at(Index).Adopted - Item->second, Now);
-    Item = Adopted.erase(Item);
+  for (const auto &Part : Adopted.drop(Holder)) {
+    const std::uint32_t Index = *Table.find(Part.ServerId);
+    Table.setAdopted(Index, Table.at(Index).Adopted - Part.Calls, Now);
   }
 }
 
@@ -351,10 +346,10 @@
                                      const core::CallReport &Report,
                                      core::TimePoint Now, Decisions &Out) {
   Self->observe(Now);
-  const auto Found = Self->Adopted.find({Holder, ServerId});
-  if (Found != Self->Adopted.end() && Found->second > 0) {
+  const std::uint32_t Count = Self->Adopted.count(Holder, ServerId);
+  if (Count > 0) {
     const std::uint32_t Index = *Self->Table.find(ServerId);
-    Self->adopt(std::move(Holder), std::move(ServerId), Found->second - 1, Now);
+    Self->adopt(std::move(Holder), std::move(ServerId), Count - 1, Now);
     Self->Table.result(Index, Report, false, Now);
   }
   Self->dispatch(Now, Out);
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/decision/internal/load_table.hpp>
 
+#include <jujubecart/decision/internal/microseconds.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,19 +29,10 @@
 constexpr auto ProbeWait = 12ms;
 constexpr double MicrosecondsPerSecond = 1e6;
 
-double microseconds(core::TimePoint::duration Time) {
-  return std::chrono::duration<double, std::micro>(Time).count();
-}
-
 bool isFar(const PendingCall &Call, const ServerLoad &Server) {
   return !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
 }
 
-bool excludes(const PendingCall &Call, const ServerLoad &Server) {
-  return std::find(Call.Excluded.begin(), Call.Excluded.end(),
-                   Server.Config.Id) != Call.Excluded.end();
-}
-
 } // namespace
 
 LoadTable::LoadTable(const std::vector<core::BackendServer> &Configured,
@@ -76,10 +69,13 @@
 
 void LoadTable::recount() {
   Active = Ejected = Unhealthy = 0;
+  UsableSlots = 0;
   for (const ServerLoad &Server : Servers) {
     if (!Server.active())
       continue;
     ++Active;
+    if (!Server.Health.ejected())
+      UsableSlots += Server.preferredLimit() / Server.Speed;
     Ejected += Server.Health.ejected();
     Unhealthy += Server.Health.unhealthy();
   }
@@ -152,7 +148,7 @@
       Until == core::TimePoint::max() ? Until : Until - ReturnTime;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
-    if (!usable(Server, Now) || excludes(Call, Server) ||
+    if (!usable(Server, Now) || Call.excludes(Server.Config.Id) ||
         Server.inFlight() >= limit(Server, Saturate))
       continue;
     const bool Trial = Server.Health.ejected() && Unhealthy != Active;
@@ -184,7 +180,7 @@
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
     const bool Far = isFar(Call, Server);
-    if (!usable(Server, Now) || excludes(Call, Server) ||
+    if (!usable(Server, Now) || Call.excludes(Server.Config.Id) ||
         Server.inFlight() >= Server.preferredLimit() || (NearOnly && Far))
       continue;
     if (Server.Probing && Now - Server.LastProbe < ProbeWait)
@@ -219,11 +215,7 @@
 
 double LoadTable::capacityPerS() const {
   const double Mean = Work.meanUs() > 0 ? Work.meanUs() : 1e5;
-  double Slots = 0;
-  for (const ServerLoad &Server : Servers)
-    if (Server.active() && !Server.Health.ejected())
-      Slots += Server.preferredLimit() / Server.Speed;
-  return std::max(Slots, 0.5) * MicrosecondsPerSecond /
+  return std::max(UsableSlots, 0.5) * MicrosecondsPerSecond /
          (Mean * Pace.meanFactor());
 }
 
@@ -333,10 +325,10 @@
 }
 
 bool LoadTable::anyServerFor(const PendingCall &Call) const {
-  return std::any_of(Servers.begin(), Servers.end(),
-                     [&](const ServerLoad &Server) {
-                       return Server.active() && !excludes(Call, Server);
-                     });
+  return std::any_of(
+      Servers.begin(), Servers.end(), [&](const ServerLoad &Server) {
+        return Server.active() && !Call.excludes(Server.Config.Id);
+      });
 }
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -1,11 +1,11 @@
 #include <jujubecart/decision/objective_dispatcher.hpp>
 
 #include <jujubecart/decision/group_dispatcher.hpp>
+#include <jujubecart/decision/internal/adopted_calls.hpp>
 #include <jujubecart/decision/internal/load_table.hpp>
 #include <jujubecart/decision/internal/objective_queue.hpp>
 
 #include <algorithm>
-#include <map>
 #include <unordered_map>
 
 namespace jujubecart::decision {
@@ -49,8 +49,6 @@
                core::TimePoint Now);
   void adopt(const std::string &Holder, const std::string &ServerId,
              std::uint32_t InFlight);
-  [[nodiscard]] std::uint32_t adopted(const std::string &Holder,
-                                      const std::string &ServerId) const;
   void dropHolder(std::string_view Holder);
   void expireGrants(core::TimePoint Now);
   [[nodiscard]] ServerStatus statusOf(const internal::ServerLoad &Server,
@@ -61,6 +59,7 @@
   internal::LoadTable Table;
   internal::ObjectiveQueue OnTime;
   internal::ObjectiveQueue Late;
+  internal::AdoptedCalls Adopted;
   std::mt19937_64 Random;
   std::uint64_t NextGrant;
   core::TimePoint Last;
@@ -85,18 +84,15 @@
   void demote(core::TimePoint Now, Decisions &Out);
   void acceptLate(PendingCall Call, core::TimePoint Arrived,
                   core::TimePoint Now, Decisions &Out);
-  void reject(const PendingCall &Call, core::Error Reason, core::TimePoint Now,
-              Decisions &Out);
+  void reject(const PendingCall &Call, core::Error Reason, Decisions &Out);
   [[nodiscard]] core::TimePoint latestStart(const PendingCall &Call,
                                             core::TimePoint Now) const;
 
   std::unordered_map<std::uint64_t, Grant> Grants;
-  std::map<std::pair<std::string, std::string>, std::uint32_t> Adopted;
 };
 
 void ObjectiveDispatcher::Implementation::reject(const PendingCall &Call,
                                                  core::Error Reason,
-                                                 core::TimePoint /*Now*/,
                                                  Decisions &Out) {
   // Jitter keeps refused callers from returning together.
   const double Jitter = std::uniform_real_distribution(1.0, 1.5)(Random);
@@ -124,11 +120,11 @@
                                                   core::TimePoint Now,
                                                   Decisions &Out) {
   if (OnTime.contains(Call.Token) || Late.contains(Call.Token))
-    return reject(Call, core::Error::InvalidArgument, Now, Out);
+    return reject(Call, core::Error::InvalidArgument, Out);
   if (Now >= Call.Deadline)
-    return reject(Call, core::Error::DeadlineExceeded, Now, Out);
+    return reject(Call, core::Error::DeadlineExceeded, Out);
   if (!Table.anyServerFor(Call))
-    return reject(Call, core::Error::Unavailable, Now, Out);
+    return reject(Call, core::Error::Unavailable, Out);
   Call.Objective = std::min(Call.Objective, Call.Deadline);
   OnTime.push(std::move(Call), Now);
   dispatch(Now, Out);
@@ -143,7 +139,7 @@
   const auto Wait = Table.expectedWait(OnTime.size() + Late.size() + 1);
   if (Now + Wait > latestStart(Call, Now) ||
       OnTime.size() + Late.size() >= Options.MaxQueued)
-    return reject(Call, core::Error::Overloaded, Now, Out);
+    return reject(Call, core::Error::Overloaded, Out);
   Late.push(std::move(Call), Arrived);
 }
 
@@ -161,7 +157,7 @@
   }
   for (const CallToken Token : Late.tokens())
     if (Now > latestStart(Late.at(Token), Now))
-      reject(*Late.remove(Token), core::Error::Overloaded, Now, Out);
+      reject(*Late.remove(Token), core::Error::Overloaded, Out);
 }
 
 DecisionFacts
@@ -262,18 +258,9 @@
 void ObjectiveDispatcher::Implementation::adopt(const std::string &Holder,
                                                 const std::string &ServerId,
                                                 std::uint32_t InFlight) {
-  const auto Index = Table.find(ServerId);
-  if (!Index)
-    return;
-  std::uint32_t &Count = Adopted[{Holder, ServerId}];
-  Table.at(*Index).Adopted += InFlight - Count;
-  Count = InFlight;
-}
-
-std::uint32_t ObjectiveDispatcher::Implementation::adopted(
-    const std::string &Holder, const std::string &ServerId) const {
-  const auto Found = Adopted.find({Holder, ServerId});
-  return Found == Adopted.end() ? 0 : Found->second;
+  if (const auto Index = Table.find(ServerId))
+    Table.at(*Index).Adopted +=
+        InFlight - Adopted.set(Holder, ServerId, InFlight);
 }
 
 void ObjectiveDispatcher::Implementation::dropHolder(std::string_view Holder) {
@@ -287,13 +274,9 @@
     Table.forget(Item.second.Server, Item.first);
     return true;
   });
-  std::erase_if(Adopted, [&](const auto &Item) {
-    if (Item.first.first != Holder)
-      return false;
-    if (const auto Index = Table.find(Item.first.second))
-      Table.at(*Index).Adopted -= Item.second;
-    return true;
-  });
+  for (const auto &Part : Adopted.drop(Holder))
+    if (const auto Index = Table.find(Part.ServerId))
+      Table.at(*Index).Adopted -= Part.Calls;
 }
 
 void ObjectiveDispatcher::Implementation::expireGrants(core::TimePoint Now) {
@@ -366,7 +349,7 @@
                                          const core::CallReport &Report,
                                          core::TimePoint Now, Decisions &Out) {
   const auto Index = Self->Table.find(ServerId);
-  const std::uint32_t Count = Self->adopted(Holder, ServerId);
+  const std::uint32_t Count = Self->Adopted.count(Holder, ServerId);
   if (Index && Count > 0) {
     Self->adopt(Holder, ServerId, Count - 1);
     Self->Table.result(*Index, Report, Now);
--- a/packages/decision/src/server_pick.cpp
+++ b/packages/decision/src/server_pick.cpp
@@ -1,3 +1,4 @@
+#include <jujubecart/decision/internal/microseconds.hpp>
 #include <jujubecart/decision/internal/server_table.hpp>
 
 #include <algorithm>
@@ -21,16 +22,6 @@
 // exceeds the group's mean by more than the error of the estimate.
 constexpr double SlowerThanMean = 1.4;
 
-double microseconds(core::TimePoint::duration Time) {
-  return std::chrono::duration<double, std::micro>(Time).count();
-}
-
-bool excludes(const PendingCall &Call, const ServerRecord &Server) {
-  return !Call.Excluded.empty() &&
-         std::find(Call.Excluded.begin(), Call.Excluded.end(),
-                   Server.Config.Id) != Call.Excluded.end();
-}
-
 } // namespace
 
 std::optional<std::uint32_t> ServerTable::pick(const QueuedCall &Item,
@@ -84,7 +75,7 @@
     const std::uint32_t Last = Servers[Index].Previous;
     for (;; Index = Servers[Index].Next) {
       const ServerRecord &Server = Servers[Index];
-      if (!excludes(Call, Server)) {
+      if (!Call.excludes(Server.Config.Id)) {
         ++Compared;
         ++Best.Seen;
         if (AllowSlow || !isSlow(Server, Now)) {
--- a/packages/decision/src/wait_estimate.cpp
+++ b/packages/decision/src/wait_estimate.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/decision/internal/wait_estimate.hpp>
 
+#include <jujubecart/decision/internal/microseconds.hpp>
+
 #include <algorithm>
 
 namespace jujubecart::decision::internal {
@@ -13,8 +15,7 @@
 
 void WaitEstimate::served(std::size_t Remaining, core::TimePoint Now) {
   if (LastServed) {
-    const double Gap =
-        std::chrono::duration<double, std::micro>(Now - *LastServed).count();
+    const double Gap = microseconds(Now - *LastServed);
     Samples = std::min(Samples + 1, EnoughSamples);
     IntervalUs += (Gap - IntervalUs) / double(Samples);
   }
@@ -27,8 +28,7 @@
   double Interval = Samples >= EnoughSamples ? IntervalUs : AssumedIntervalUs;
   if (LastServed) {
     // A queue that has stopped draining must not promise the old rate.
-    const double Gap =
-        std::chrono::duration<double, std::micro>(Now - *LastServed).count();
+    const double Gap = microseconds(Now - *LastServed);
     Interval = std::max(Interval, Gap / 8);
   }
   return std::chrono::microseconds(
--- a/packages/decision/src/work_model.cpp
+++ b/packages/decision/src/work_model.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/decision/internal/work_model.hpp>
 
+#include <jujubecart/decision/internal/microseconds.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,10 +17,6 @@
 // Spread of the logarithm of service times within a class.
 constexpr double LogSpread = 0.35;
 
-double microseconds(core::TimePoint::duration Time) {
-  return std::chrono::duration<double, std::micro>(Time).count();
-}
-
 } // namespace
 
 double WorkModel::expectedUs(const PendingCall &Call,
