One copy of store requests, text files, trimming and member entries

Found in reading the whole change again: - platform/ and the store package built requests and parsed endpoints by the same lines; the store package serves both. - The settings file, the settings reader and jujubectl read a file by the same lines; operators::readTextFile serves them. - platform/ had a trim of its own; core's is public now. It also removes tabs, which HTTP allows around the numbers of a load header. - MemberTable wrote the fields of a member entry out twice, so each new field had to be added twice. - StoreRelay scanned all kept changes once for each VM; they are ordered, so the first new one is searched for. - ProbeResult::InFlight was written and never read. The health prober now asks the path that the server's configuration names, which is /health by default. Otherwise behaviour is unchanged.

--- a/apps/jujubecartd/http_health_prober.cpp
+++ b/apps/jujubecartd/http_health_prober.cpp
@@ -34,9 +34,6 @@
     Result.State = decision::ProbeState::Draining;
   else if (State == "cold")
     Result.State = decision::ProbeState::Cold;
-  const auto InFlight = Body.find("in_flight");
-  if (InFlight != Body.end() && InFlight->is_number_unsigned())
-    Result.InFlight = InFlight->get<std::uint32_t>();
   return Result;
 }
 
@@ -54,7 +51,8 @@
   const auto [ConnectCode] = co_await Stream.async_connect(*Endpoint, AsTuple);
   if (ConnectCode)
     co_return decision::ProbeResult{};
-  http::request<http::empty_body> Request(http::verb::get, "/health", 11);
+  http::request<http::empty_body> Request(http::verb::get, Server.HealthPath,
+                                          11);
   Request.set(http::field::host, Server.Address);
   Request.set(http::field::connection, "close");
   const auto [WriteCode, Written] =
--- a/apps/jujubecartd/load_prober.cpp
+++ b/apps/jujubecartd/load_prober.cpp
@@ -45,8 +45,6 @@
                      ? decision::ProbeState::Ok
                      : decision::ProbeState::Draining;
   Result.Load = Exchange->report().Load;
-  if (Result.Load)
-    Result.InFlight = Result.Load->InFlight;
   co_return Result;
 }
 
--- a/apps/jujubectl/ticket_command.cpp
+++ b/apps/jujubectl/ticket_command.cpp
@@ -1,10 +1,9 @@
 #include "commands.hpp"
 
 #include <jujubecart/core/error.hpp>
+#include <jujubecart/operators/text_file.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 namespace jujubectl {
@@ -103,16 +102,15 @@
 } // namespace internal
 
 ExitCode submitTicket(const Connection &Target, const SubmitOptions &Options) {
-  std::ifstream In(Options.File, std::ios::binary);
-  std::ostringstream Text;
-  if (!In || !(Text << In.rdbuf())) {
+  const auto Text = jujubecart::operators::readTextFile(Options.File);
+  if (!Text) {
     std::cerr << "jujubectl: cannot read \"" << Options.File
               << "\" or it is empty\n";
     return InvalidInput;
   }
   nlohmann::json Body;
   const ExitCode Code = internal::reportTicket(
-      Target.client(Target.Endpoint).post("/tickets", Text.str()), Options.Json,
+      Target.client(Target.Endpoint).post("/tickets", *Text), Options.Json,
       Body);
   if (Code != Success || !Options.Wait)
     return Code;
--- a/packages/core/include/jujubecart/core/http_rules.hpp
+++ b/packages/core/include/jujubecart/core/http_rules.hpp
@@ -36,6 +36,9 @@
   return List;
 }
 
+/// @brief Removes spaces and tabs from both ends, as around field values.
+[[nodiscard]] std::string_view trim(std::string_view Text) noexcept;
+
 /// @brief Parses a decimal number without sign or space.
 /// @return The number, or nothing if the text is anything else.
 [[nodiscard]] std::optional<std::uint64_t>
--- a/packages/core/src/http_rules.cpp
+++ b/packages/core/src/http_rules.cpp
@@ -27,13 +27,6 @@
   return (Byte < 0x20 && Byte != '\t') || Byte == 0x7f;
 }
 
-std::string_view trim(std::string_view Text) noexcept {
-  const std::size_t First = Text.find_first_not_of(" \t");
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
-}
-
 // Fields whose repetition two recipients could resolve differently.
 struct Single {
   std::string_view Name;
@@ -81,6 +74,13 @@
 
 } // namespace internal
 
+std::string_view trim(std::string_view Text) noexcept {
+  const std::size_t First = Text.find_first_not_of(" \t");
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
+}
+
 bool equalsIgnoreCase(std::string_view Left, std::string_view Right) noexcept {
   return std::equal(
       Left.begin(), Left.end(), Right.begin(), Right.end(),
@@ -125,7 +125,7 @@
     return true;
   while (!Connection.empty()) {
     const std::size_t Comma = Connection.find(',');
-    if (equalsIgnoreCase(internal::trim(Connection.substr(0, Comma)), Name))
+    if (equalsIgnoreCase(trim(Connection.substr(0, Comma)), Name))
       return true;
     if (Comma == std::string_view::npos)
       break;
--- a/packages/decision/include/jujubecart/decision/probe_result.hpp
+++ b/packages/decision/include/jujubecart/decision/probe_result.hpp
@@ -14,8 +14,6 @@
 /// @brief Result of one health probe.
 struct ProbeResult {
   ProbeState State = ProbeState::Unreachable;
-  /// Requests in flight as stated by the backend server.
-  std::optional<std::uint32_t> InFlight;
   /// Load as stated in the header fields.
   std::optional<core::LoadReport> Load;
 };
--- a/packages/operators/include/jujubecart/operators/settings_file.hpp
+++ b/packages/operators/include/jujubecart/operators/settings_file.hpp
@@ -22,8 +22,6 @@
   [[nodiscard]] bool changed();
 
 private:
-  [[nodiscard]] std::optional<std::string> content() const;
-
   std::string Path;
   std::optional<std::string> Seen;
 };
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -3,11 +3,11 @@
 #include <jujubecart/core/config_json.hpp>
 #include <jujubecart/core/duration_text.hpp>
 #include <jujubecart/core/json_reader.hpp>
+#include <jujubecart/operators/text_file.hpp>
 
 #include <boost/asio/ip/address.hpp>
 #include <fstream>
 #include <optional>
-#include <sstream>
 
 namespace jujubecart::operators {
 
@@ -268,13 +268,12 @@
 }
 
 Settings readSettingsFile(const std::string &File, core::Findings &Report) {
-  std::ifstream In(File, std::ios::binary);
-  std::ostringstream Text;
-  if (!In || !(Text << In.rdbuf())) {
+  const auto Text = readTextFile(File);
+  if (!Text) {
     Report.add("", "unreadable or empty file", "readable JSON file");
     return {};
   }
-  return readSettings(Text.str(), Report);
+  return readSettings(*Text, Report);
 }
 
 } // namespace jujubecart::operators
--- a/packages/peers/src/member_table.cpp
+++ b/packages/peers/src/member_table.cpp
@@ -25,6 +25,18 @@
   return Hash;
 }
 
+MemberEntry entryOf(const core::Member &Info, std::uint8_t Age) {
+  return {.Id = Info.Id,
+          .Address = Info.Address,
+          .Zone = Info.Zone,
+          .Region = Info.Region,
+          .Incarnation = Info.Incarnation,
+          .Leaving = Info.State == core::MemberState::Leaving,
+          .Age = Age,
+          .Operators = Info.Operators,
+          .ProcessorMilli = Info.ProcessorMilli};
+}
+
 } // namespace internal
 
 MemberTable::MemberTable(const PeerOptions &Options, const core::Clock &Time,
@@ -250,27 +262,9 @@
       }
     } else if (!Same) {
       for (const Entry *Known : All[Bucket])
-        Differing.push_back(
-            {.Id = Known->Info.Id,
-             .Address = Known->Info.Address,
-             .Zone = Known->Info.Zone,
-             .Region = Known->Info.Region,
-             .Incarnation = Known->Info.Incarnation,
-             .Leaving = Known->Info.State == core::MemberState::Leaving,
-             .Age = age(*Known, Now),
-             .Operators = Known->Info.Operators,
-             .ProcessorMilli = Known->Info.ProcessorMilli});
+        Differing.push_back(internal::entryOf(Known->Info, age(*Known, Now)));
       if (Here)
-        Differing.push_back(
-            {.Id = Self.Id,
-             .Address = Self.Address,
-             .Zone = Self.Zone,
-             .Region = Self.Region,
-             .Incarnation = Self.Incarnation,
-             .Leaving = Self.State == core::MemberState::Leaving,
-             .Age = 0,
-             .Operators = Self.Operators,
-             .ProcessorMilli = Self.ProcessorMilli});
+        Differing.push_back(internal::entryOf(Self, 0));
     }
     At += Count;
   }
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -20,14 +20,19 @@
   return Bytes;
 }
 
-// Changes after a revision that the receiver is known to have.
+// Changes after a revision that the receiver is known to have; the entries are
+// in the order of their revisions.
 core::EntryChanges changesAfter(const core::EntryChanges &Recent,
                                 core::Revision Known) {
   core::EntryChanges Out{.After = std::max(Recent.After, Known),
                          .List = {.Entries = {}, .AsOf = Recent.List.AsOf}};
-  for (const core::StoredEntry &Entry : Recent.List.Entries)
-    if (Entry.Changed > Out.After)
-      Out.List.Entries.push_back(Entry);
+  const auto &Entries = Recent.List.Entries;
+  const auto First = std::upper_bound(
+      Entries.begin(), Entries.end(), Out.After,
+      [](core::Revision Revision, const core::StoredEntry &Entry) {
+        return Revision < Entry.Changed;
+      });
+  Out.List.Entries.assign(First, Entries.end());
   return Out;
 }
 
@@ -49,10 +54,11 @@
       Recent.List.Entries.erase(Recent.List.Entries.begin());
     }
   }
+  const std::string Self = Members.self().Id;
   for (const core::Member &Vm : Members.members()) {
     const LinkPtr Open = Links.find(Vm.Id);
     if (!Open) {
-      if (Vm.Id != Members.self().Id && Vm.State == core::MemberState::Live)
+      if (Vm.Id != Self && Vm.State == core::MemberState::Live)
         Links.connectLater(Vm.Id, Vm.Address);
       continue;
     }
--- a/packages/store/include/jujubecart/store/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -20,6 +20,15 @@
 using StoreRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
 
+/// @brief Starts a request on a connection that is kept.
+[[nodiscard]] StoreRequest makeStoreRequest(boost::beast::http::verb Method,
+                                            const std::string &Target);
+
+/// @brief Parses addresses that the settings have checked.
+/// @param Texts Each `IP:port`; any other text throws.
+[[nodiscard]] std::vector<boost::asio::ip::tcp::endpoint>
+parseEndpoints(const std::vector<std::string> &Texts);
+
 /// @brief One kept-alive connection; used by one exchange at a time.
 struct StoreConnection {
   // The strand serializes the timer of the stream with its operations when
--- a/packages/store/src/http_key_value_store.cpp
+++ b/packages/store/src/http_key_value_store.cpp
@@ -1,10 +1,8 @@
 #include <jujubecart/store/http_key_value_store.hpp>
 
-#include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/store/store_connections.hpp>
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <cctype>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -13,7 +11,6 @@
 
 namespace internal {
 
-namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using core::Error;
 using core::make_error_code;
@@ -33,13 +30,6 @@
          });
 }
 
-StoreRequest makeRequest(http::verb Method, const std::string &Target) {
-  StoreRequest Message{Method, Target, 11};
-  Message.set(http::field::host, "store");
-  Message.keep_alive(true);
-  return Message;
-}
-
 std::optional<core::VersionedValue> parseValue(const std::string &Body) {
   const auto Parsed = nlohmann::json::parse(Body, nullptr, false);
   if (!Parsed.is_object() || !Parsed.contains("version") ||
@@ -90,15 +80,6 @@
   }
 }
 
-std::vector<asio::ip::tcp::endpoint>
-parseEndpoints(const std::vector<std::string> &Texts) {
-  std::vector<asio::ip::tcp::endpoint> Endpoints;
-  Endpoints.reserve(Texts.size());
-  for (const std::string &Text : Texts)
-    Endpoints.push_back(core::parseEndpoint(Text).value());
-  return Endpoints;
-}
-
 } // namespace internal
 
 using internal::http::verb;
@@ -106,7 +87,7 @@
 HttpKeyValueStore::HttpKeyValueStore(boost::asio::any_io_executor Executor,
                                      const std::vector<std::string> &Endpoints)
     : Connections(std::make_shared<StoreConnections>(
-          std::move(Executor), internal::parseEndpoints(Endpoints))) {}
+          std::move(Executor), parseEndpoints(Endpoints))) {}
 
 HttpKeyValueStore::~HttpKeyValueStore() = default;
 
@@ -116,7 +97,7 @@
     co_return make_error_code(core::Error::InvalidArgument);
   const auto Pool = Connections;
   co_return internal::readResult(co_await Pool->sendIdempotent(
-      internal::makeRequest(verb::get, "/kv/" + Key), Deadline));
+      makeStoreRequest(verb::get, "/kv/" + Key), Deadline));
 }
 
 core::Awaitable<core::Result<std::uint64_t>>
@@ -125,7 +106,7 @@
   if (!internal::isKey(Key))
     co_return make_error_code(core::Error::InvalidArgument);
   const auto Pool = Connections;
-  StoreRequest Message = internal::makeRequest(
+  StoreRequest Message = makeStoreRequest(
       verb::put, "/kv/" + Key + "?version=" + std::to_string(Expected));
   Message.body() = std::move(Value);
   Message.prepare_payload();
@@ -142,7 +123,7 @@
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       Deadline - std::chrono::steady_clock::now() - internal::WatchMargin);
   co_return internal::readResult(co_await Pool->sendIdempotent(
-      internal::makeRequest(
+      makeStoreRequest(
           verb::get,
           "/kv/" + Key + "?after=" + std::to_string(After) + "&timeout_ms=" +
               std::to_string(std::max<std::int64_t>(Left.count(), 0))),
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/store/store_connections.hpp>
 
+#include <jujubecart/core/endpoint.hpp>
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +41,24 @@
 
 } // namespace
 
+StoreRequest makeStoreRequest(boost::beast::http::verb Method,
+                              const std::string &Target) {
+  constexpr unsigned Http11 = 11;
+  StoreRequest Message{Method, Target, Http11};
+  Message.set(boost::beast::http::field::host, "store");
+  Message.keep_alive(true);
+  return Message;
+}
+
+std::vector<boost::asio::ip::tcp::endpoint>
+parseEndpoints(const std::vector<std::string> &Texts) {
+  std::vector<boost::asio::ip::tcp::endpoint> Endpoints;
+  Endpoints.reserve(Texts.size());
+  for (const std::string &Text : Texts)
+    Endpoints.push_back(core::parseEndpoint(Text).value());
+  return Endpoints;
+}
+
 StoreConnections::StoreConnections(
     asio::any_io_executor Executor,
     std::vector<asio::ip::tcp::endpoint> Endpoints)
