--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/decision/internal/pace_model.hpp>
 #include <jujubecart/decision/internal/server_load.hpp>
+#include <jujubecart/decision/internal/slot_demand.hpp>
 #include <jujubecart/decision/internal/string_map.hpp>
 #include <jujubecart/decision/internal/work_model.hpp>
 #include <jujubecart/decision/pending_call.hpp>
@@ -15,18 +16,22 @@
 
 namespace jujubecart::decision::internal {
 
+/// @brief What a call can still meet.
+enum class Goal : std::uint8_t { Objective, Deadline };
+
 /// @brief Server chosen for a call, and the estimates behind the choice.
 struct Placement {
   std::uint32_t Index = 0;
-  /// Probability that the call ends there by the instant given to findBest.
-  double OnTimeProbability = 0;
-  /// Ranks servers: the same probability, reduced by failures of the server,
-  /// by the delay of calls in flight there and by cross-zone traffic.
+  /// Probability that the call meets its goal there.
+  double InTimeProbability = 0;
+  /// Expected gain in calls that meet their objective, from this call and from
+  /// those that it delays or keeps from a slot. Negative if the slot is worth
+  /// more than the call.
   double Score = 0;
   /// Whether a recent report shows that the server is not in a slow period.
   bool KnownFast = false;
-  /// Whether the server is in another zone than the entry VM of the call.
-  bool CrossZone = false;
+  /// Deducted for traffic between zones and for a new connection.
+  double TransferCost = 0;
 };
 
 /// @brief Backend servers of a group with their calls in flight, pace and
@@ -41,21 +46,23 @@
   void configure(const std::vector<core::BackendServer> &Servers);
 
   /// @brief Finds the server with the highest score for a call.
-  /// @param Until Instant by which the call should end.
+  /// @param Aim What the call should meet; a call that meets only its deadline
+  /// has a tenth of the value.
   /// @param Saturate Whether all slots of a server may be used, instead of its
   /// preferred limit.
   /// @return Nothing if no server has a free slot within that limit.
   [[nodiscard]] std::optional<Placement> findBest(const PendingCall &Call,
-                                                  core::TimePoint Until,
-                                                  bool Saturate,
+                                                  Goal Aim, bool Saturate,
                                                   core::TimePoint Now);
 
   /// @brief Selects servers with an outdated pace report that should be probed
   /// before the call is placed, and marks them as being probed.
-  /// @param SameZoneOnly Leaves out servers in other zones than the call.
+  /// @param Found Best server so far; servers that cannot be better are left
+  /// out.
   /// @param Out Receives the indices of the servers to probe.
   /// @return Whether the result of a probe, new or pending, should be awaited.
-  [[nodiscard]] bool requestProbes(const PendingCall &Call, bool SameZoneOnly,
+  [[nodiscard]] bool requestProbes(const PendingCall &Call,
+                                   const std::optional<Placement> &Found,
                                    core::TimePoint Now,
                                    std::vector<std::uint32_t> &Out);
 
@@ -69,11 +76,26 @@
                                                   std::size_t Ahead,
                                                   core::TimePoint Now) const;
 
+  /// @brief Records that a call arrived which can meet its objective.
+  void recordArrival(const PendingCall &Call, core::TimePoint Now);
+
+  /// @brief Share of successful calls on the server with the fewest failures.
+  [[nodiscard]] double bestSuccessRate(core::TimePoint Now) const;
+
   /// @brief Expected time in which the servers finish a number of calls.
-  [[nodiscard]] std::chrono::microseconds expectedWait(std::size_t Calls) const;
+  [[nodiscard]] std::chrono::microseconds
+  expectedWait(std::size_t Calls, core::TimePoint Now) const;
+
+  /// @brief The same for calls that get only what arriving calls leave.
+  [[nodiscard]] std::chrono::microseconds
+  expectedLateWait(std::size_t Calls, core::TimePoint Now) const;
 
   /// @brief Estimated number of calls that the servers finish per second.
-  [[nodiscard]] double capacityPerS() const;
+  [[nodiscard]] double capacityPerS(core::TimePoint Now) const;
+
+  /// @brief Number of calls per second that the servers can finish beyond those
+  /// that arrive; at least a quarter of their capacity.
+  [[nodiscard]] double spareCallsPerS(core::TimePoint Now) const;
 
   /// @brief Adds a granted call and sets its PacePercent and Saturated.
   void startCall(std::uint32_t Index, RunningCall Call);
@@ -128,6 +150,16 @@
   /// their objective because one more call saturates it.
   [[nodiscard]] double saturationCost(const ServerLoad &Server,
                                       core::TimePoint Now) const;
+  /// @brief Calls that are kept from a slot because the call runs longer than
+  /// it would outside of a slow period.
+  [[nodiscard]] double wasteCost(const ServerLoad &Server, double ExpectedUs,
+                                 core::TimePoint Now) const;
+  /// @brief Latest end at the entry VM with which a call meets its goal.
+  [[nodiscard]] static core::TimePoint latestEnd(const PendingCall &Call,
+                                                 Goal Aim);
+  /// @brief Whether a call has run so long that no response is expected.
+  [[nodiscard]] bool overdue(const ServerLoad &Server, const RunningCall &Call,
+                             core::TimePoint Now) const;
   /// @brief Share of the calls in flight on the server that have run far
   /// longer than expected.
   [[nodiscard]] double overdueShare(const ServerLoad &Server,
@@ -137,7 +169,7 @@
   void learnServiceTime(ServerLoad &Server, const RunningCall &Call,
                         std::chrono::microseconds Elapsed,
                         std::uint64_t WorkClass);
-  /// @brief Updates the failure rate; ejects or readmits the server.
+  /// @brief Ejects or readmits the server.
   void updateEjection(ServerLoad &Server, bool Failed, core::TimePoint Now);
   /// @brief Recomputes the totals over all servers.
   void updateTotals();
@@ -147,6 +179,7 @@
   StringMap<std::uint32_t> ById;
   WorkModel Work;
   PaceModel Pace;
+  SlotDemand Demand;
   std::mt19937_64 Random;
   /// Number of active servers, and how many of them are ejected or unhealthy.
   std::uint32_t ActiveServers = 0;
--- a/packages/decision/include/jujubecart/decision/internal/pace_model.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/pace_model.hpp
@@ -29,7 +29,10 @@
 public:
   /// @brief Records a pace report of any server.
   /// @param Percent Time that work takes, in percent of the normal time.
-  void record(std::uint32_t Percent);
+  void record(std::uint32_t Percent, core::TimePoint Now);
+
+  /// @brief Whether any server has reported its pace within the last second.
+  [[nodiscard]] bool reported(core::TimePoint Now) const noexcept;
 
   /// @brief Probability that a server is in a slow period.
   /// @param Last Its last report; without one, the average share applies.
@@ -44,6 +47,10 @@
     return 1 + SlowShare * (SlowFactor - 1);
   }
 
+  /// @brief Share of the time in which a server is not in a slow period; at
+  /// least a tenth.
+  [[nodiscard]] double normalShare() const noexcept;
+
   /// @brief Whether a reported pace indicates a slow period.
   [[nodiscard]] static bool isSlow(std::uint32_t Percent) noexcept;
 
@@ -51,6 +58,7 @@
   /// Share of reports that indicate a slow period.
   double SlowShare = 0.1;
   double SlowFactor = 3;
+  std::optional<core::TimePoint> LastReport;
 };
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -2,7 +2,9 @@
 #define JUJUBECART_DECISION_INTERNAL_SERVER_LOAD_HPP
 
 #include <jujubecart/core/config.hpp>
+#include <jujubecart/decision/internal/failure_rate.hpp>
 #include <jujubecart/decision/internal/health_tracker.hpp>
+#include <jujubecart/decision/internal/idle_connections.hpp>
 #include <jujubecart/decision/internal/pace_model.hpp>
 #include <jujubecart/decision/internal/saturation_model.hpp>
 
@@ -15,6 +17,8 @@
 /// @brief A call in flight: granted and not yet released.
 struct RunningCall {
   std::uint64_t GrantId = 0;
+  /// Hash of the id of the VM that sends the call.
+  std::uint64_t Holder = 0;
   core::TimePoint Start;
   core::TimePoint Objective = core::TimePoint::max();
   /// Expected service time at the normal pace on an average server.
@@ -40,8 +44,9 @@
   /// Factor on service times on this server; above 1 is slower than average.
   double ServiceTimeFactor = 1;
   SaturationModel Saturation;
-  /// Exponential moving average of the share of failed calls.
-  double FailureRate = 0;
+  FailureRate Failures;
+  /// Connections of the entry VMs to this server.
+  IdleConnections Connections;
   /// Whether another process now answers at its address. It gets no calls
   /// until its configuration changes.
   bool Replaced = false;
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -1,9 +1,11 @@
 #include <jujubecart/decision/internal/load_table.hpp>
 
+#include <jujubecart/core/hash.hpp>
 #include <jujubecart/decision/internal/microseconds.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace jujubecart::decision::internal {
 
@@ -14,9 +16,11 @@
 // Deducted from the score of a server in another zone, because operators pay
 // for traffic between zones; relative to the value of a call that ends on time.
 constexpr double CrossZoneCost = 0.04;
-// Weights of one sample in the moving averages.
+// Deducted if the entry VM most likely has to open a connection, which delays
+// the call and may hold a slot; above CrossZoneCost, since it costs more.
+constexpr double NewConnectionCost = 0.06;
+// Weight of one sample in the moving average.
 constexpr double ServiceTimeFactorWeight = 0.1;
-constexpr double FailureRateWeight = 0.15;
 // Bounds of the learned service time factor of a server.
 constexpr double MinServiceTimeFactor = 0.5;
 constexpr double MaxServiceTimeFactor = 8;
@@ -33,11 +37,24 @@
 // Mean service time that is assumed for the capacity until a call has ended.
 constexpr double UnknownServiceTimeUs = 1e5;
 constexpr double MicrosecondsPerSecond = 1e6;
+// Share of the capacity that calls with a missed objective are assumed to get
+// at least, because the measured arrivals include peaks.
+constexpr double MinSpareShare = 0.25;
+// Value of a call that meets its deadline but not its objective, relative to
+// one that meets its objective.
+constexpr double LateCallValue = 0.1;
 
 bool isCrossZone(const PendingCall &Call, const ServerLoad &Server) {
   return !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
 }
 
+double transferCost(const PendingCall &Call, const ServerLoad &Server,
+                    core::TimePoint Now) {
+  const bool Connected = Server.Connections.has(core::hash64(Call.Holder), Now);
+  return (isCrossZone(Call, Server) ? CrossZoneCost : 0) +
+         (Connected ? 0 : NewConnectionCost);
+}
+
 } // namespace
 
 LoadTable::LoadTable(const std::vector<core::BackendServer> &Configured,
@@ -64,7 +81,8 @@
       Server.Pace.reset();
       Server.ServiceTimeFactor = 1;
       Server.Saturation = SaturationModel();
-      Server.FailureRate = 0;
+      Server.Failures = FailureRate();
+      Server.Connections = IdleConnections();
       Server.Replaced = false;
     }
     Server.Config = Config;
@@ -141,28 +159,44 @@
   return ExpectedMisses;
 }
 
+// Starting a call in a slow period occupies a slot for several service times,
+// which other calls could have used once the period is over. Without reports,
+// waiting for a better moment gains nothing.
+double LoadTable::wasteCost(const ServerLoad &Server, double ExpectedUs,
+                            core::TimePoint Now) const {
+  if (!Pace.reported(Now) || Work.meanServiceTimeUs() <= 0)
+    return 0;
+  const double ExtraTimes =
+      Pace.slowProbability(Server.Pace, Now) * (Pace.slowFactor() - 1);
+  return Demand.price(UsableSlots * Pace.normalShare(), Now) * ExtraTimes *
+         ExpectedUs / Work.meanServiceTimeUs();
+}
+
 // A high share indicates a server that stopped without closing its connections.
 double LoadTable::overdueShare(const ServerLoad &Server,
                                core::TimePoint Now) const {
   if (Server.Calls.empty())
     return 0;
   const auto Count = std::count_if(
-      Server.Calls.begin(), Server.Calls.end(), [&](const RunningCall &Call) {
-        return microseconds(Now - Call.Start) >
-               OverdueFactor * Pace.slowFactor() * Call.ExpectedUs *
-                   Server.ServiceTimeFactor;
-      });
+      Server.Calls.begin(), Server.Calls.end(),
+      [&](const RunningCall &Call) { return overdue(Server, Call, Now); });
   return double(Count) / double(Server.Calls.size());
 }
 
-std::optional<Placement> LoadTable::findBest(const PendingCall &Call,
-                                             core::TimePoint Until,
+bool LoadTable::overdue(const ServerLoad &Server, const RunningCall &Call,
+                        core::TimePoint Now) const {
+  return microseconds(Now - Call.Start) > OverdueFactor * Pace.slowFactor() *
+                                              Call.ExpectedUs *
+                                              Server.ServiceTimeFactor;
+}
+
+std::optional<Placement> LoadTable::findBest(const PendingCall &Call, Goal Aim,
                                              bool Saturate,
                                              core::TimePoint Now) {
   std::optional<Placement> Best;
   const double ExpectedUs = Work.expectedServiceTimeUs(Call, Now);
-  const core::TimePoint LatestEnd =
-      Until == core::TimePoint::max() ? Until : Until - CallerNetworkTime;
+  const double Value = Aim == Goal::Objective ? 1 : LateCallValue;
+  const core::TimePoint LatestEnd = latestEnd(Call, Aim);
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
     if (!usable(Server, Now) || Call.excludes(Server.Config.Id) ||
@@ -170,38 +204,51 @@
       continue;
     const bool Trial =
         Server.Health.ejected() && UnhealthyServers != ActiveServers;
-    const double OnTime = onTimeProbability(Server, ExpectedUs, LatestEnd, Now);
-    const bool CrossZone = isCrossZone(Call, Server);
-    double Score =
-        OnTime * (1 - Server.FailureRate) * (1 - overdueShare(Server, Now));
-    Score -= saturationCost(Server, Now) + (CrossZone ? CrossZoneCost : 0);
+    const double InTime = onTimeProbability(Server, ExpectedUs, LatestEnd, Now);
+    const double Transfer = transferCost(Call, Server, Now);
+    double Score = Value * InTime * (1 - Server.Failures.value(Now)) *
+                   (1 - overdueShare(Server, Now));
+    Score -= saturationCost(Server, Now) + wasteCost(Server, ExpectedUs, Now) +
+             Value * Transfer;
     // An ejected server must get a trial call at some time. It should not be a
     // retry, so the score is reduced for calls with excluded servers.
     if (Trial)
-      Score = Call.Excluded.empty() ? OnTime : Score / 2;
+      Score = Call.Excluded.empty() ? Value * InTime : Score / 2;
     // Tie-breaker: prefers servers with fewer calls per slot.
-    Score -= 0.01 * Server.inFlight() / Server.slots();
+    Score -= Value * 0.01 * Server.inFlight() / Server.slots();
     if (!Best || Score > Best->Score)
       Best = Placement{.Index = Index,
-                       .OnTimeProbability = OnTime,
+                       .InTimeProbability = InTime,
                        .Score = Score,
                        .KnownFast = Server.Pace && Server.Pace->fresh(Now) &&
                                     !PaceModel::isSlow(Server.Pace->Percent),
-                       .CrossZone = CrossZone};
+                       .TransferCost = Transfer};
   }
   return Best;
 }
 
-bool LoadTable::requestProbes(const PendingCall &Call, bool SameZoneOnly,
+core::TimePoint LoadTable::latestEnd(const PendingCall &Call, Goal Aim) {
+  const core::TimePoint Until =
+      Aim == Goal::Objective ? Call.Objective : Call.Deadline;
+  return Until == core::TimePoint::max() ? Until : Until - CallerNetworkTime;
+}
+
+bool LoadTable::requestProbes(const PendingCall &Call,
+                              const std::optional<Placement> &Found,
                               core::TimePoint Now,
                               std::vector<std::uint32_t> &Out) {
+  // Only a server with lower costs can be better than one known to be fast.
+  const double MaxTransferCost = Found && Found->KnownFast
+                                     ? Found->TransferCost
+                                     : std::numeric_limits<double>::max();
   std::vector<std::pair<double, std::uint32_t>> Candidates;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
-    const bool CrossZone = isCrossZone(Call, Server);
     if (!usable(Server, Now) || Call.excludes(Server.Config.Id) ||
-        Server.inFlight() >= Server.preferredLimit() ||
-        (SameZoneOnly && CrossZone))
+        Server.inFlight() >= Server.preferredLimit())
+      continue;
+    const double Transfer = transferCost(Call, Server, Now);
+    if (Transfer >= MaxTransferCost)
       continue;
     if (Server.ProbePending && Now - Server.LastProbe < ProbeWait)
       return true;
@@ -209,7 +256,7 @@
     const bool RecentlyProbed = Now < Server.LastProbe + 2 * ProbeWait;
     if (!PaceKnown && !RecentlyProbed)
       Candidates.emplace_back(Pace.slowProbability(Server.Pace, Now) +
-                                  (CrossZone ? CrossZoneCost : 0) +
+                                  Transfer +
                                   0.1 * Server.inFlight() / Server.slots(),
                               Index);
   }
@@ -226,6 +273,18 @@
   return Count > 0;
 }
 
+void LoadTable::recordArrival(const PendingCall &Call, core::TimePoint Now) {
+  Demand.recordArrival(Work.expectedServiceTimeUs(Call, Now), Now);
+}
+
+double LoadTable::bestSuccessRate(core::TimePoint Now) const {
+  double LowestFailures = 1;
+  for (const ServerLoad &Server : Servers)
+    if (usable(Server, Now))
+      LowestFailures = std::min(LowestFailures, Server.Failures.value(Now));
+  return 1 - LowestFailures;
+}
+
 void LoadTable::recordProbe(std::uint32_t Index, const ProbeResult &Result,
                             core::TimePoint Now) {
   Servers[Index].ProbePending = false;
@@ -233,22 +292,37 @@
     recordPace(Index, Result.Load->PacePercent, Now);
 }
 
-double LoadTable::capacityPerS() const {
+double LoadTable::capacityPerS(core::TimePoint Now) const {
   const double MeanUs = Work.meanServiceTimeUs() > 0 ? Work.meanServiceTimeUs()
                                                      : UnknownServiceTimeUs;
+  // Servers are not used in slow periods that are known from reports.
+  const double Slowdown =
+      Pace.reported(Now) ? 1 / Pace.normalShare() : Pace.meanSlowdown();
   return std::max(UsableSlots, 0.5) * MicrosecondsPerSecond /
-         (MeanUs * Pace.meanSlowdown());
+         (MeanUs * Slowdown);
 }
 
-std::chrono::microseconds LoadTable::expectedWait(std::size_t Calls) const {
+std::chrono::microseconds LoadTable::expectedWait(std::size_t Calls,
+                                                  core::TimePoint Now) const {
   return std::chrono::microseconds(static_cast<std::int64_t>(
-      double(Calls) * MicrosecondsPerSecond / capacityPerS()));
+      double(Calls) * MicrosecondsPerSecond / capacityPerS(Now)));
+}
+
+double LoadTable::spareCallsPerS(core::TimePoint Now) const {
+  const double Capacity = capacityPerS(Now);
+  return std::max(Capacity - Demand.callsPerS(Now), MinSpareShare * Capacity);
+}
+
+std::chrono::microseconds
+LoadTable::expectedLateWait(std::size_t Calls, core::TimePoint Now) const {
+  return std::chrono::microseconds(static_cast<std::int64_t>(
+      double(Calls) * MicrosecondsPerSecond / spareCallsPerS(Now)));
 }
 
 double LoadTable::onTimeProbabilityAfterWait(const PendingCall &Call,
                                              std::size_t Ahead,
                                              core::TimePoint Now) const {
-  const core::TimePoint Start = Now + expectedWait(Ahead + 1);
+  const core::TimePoint Start = Now + expectedWait(Ahead + 1, Now);
   const double AvailableUs =
       microseconds(Call.Objective - CallerNetworkTime - Start);
   // The pace is not considered: most servers that become free are fast, since
@@ -262,6 +336,7 @@
   if (Server.Pace && Server.Pace->fresh(Call.Start))
     Call.PacePercent = Server.Pace->Percent;
   Call.Saturated = Server.inFlight() + 1 > Server.unsaturatedLimit();
+  Server.Connections.take(Call.Holder);
   Server.Calls.push_back(Call);
 }
 
@@ -284,9 +359,16 @@
   Server.Calls.erase(Found);
   const bool Succeeded =
       Report.Outcome == core::CallOutcome::Completed && !Report.ServerError;
+  if (Succeeded)
+    Server.Connections.put(Call.Holder, Now);
   if (Succeeded && Call.PacePercent)
     learnServiceTime(Server, Call, Report.Elapsed, WorkClass);
-  recordResult(Index, Report, Now);
+  core::CallReport Counted = Report;
+  // A call that was given too little time tells nothing about the server.
+  if (Report.Outcome == core::CallOutcome::TimedOut &&
+      !overdue(Server, Call, Now))
+    Counted.Outcome = core::CallOutcome::Cancelled;
+  recordResult(Index, Counted, Now);
 }
 
 void LoadTable::learnServiceTime(ServerLoad &Server, const RunningCall &Call,
@@ -322,8 +404,16 @@
   // A response that reports a failure counts like a broken connection.
   if (Report.Outcome == core::CallOutcome::Completed && Report.ServerError)
     Counted.Outcome = core::CallOutcome::Broken;
+  const bool Cancelled = Counted.Outcome == core::CallOutcome::Cancelled;
+  if (!Cancelled)
+    Server.Failures.record(Counted.Outcome != core::CallOutcome::Completed,
+                           Now);
+  // A server that rejects calls is alive and has too much load, so it is
+  // avoided for a moment but not ejected.
+  if (Report.Outcome == core::CallOutcome::Rejected)
+    Counted.Outcome = core::CallOutcome::Completed;
   Server.Health.onResult(Counted, Now);
-  if (Counted.Outcome != core::CallOutcome::Cancelled)
+  if (!Cancelled)
     updateEjection(Server, Counted.Outcome != core::CallOutcome::Completed,
                    Now);
   updateTotals();
@@ -331,8 +421,6 @@
 
 void LoadTable::updateEjection(ServerLoad &Server, bool Failed,
                                core::TimePoint Now) {
-  Server.FailureRate +=
-      ((Failed ? 1 : 0) - Server.FailureRate) * FailureRateWeight;
   HealthTracker &Health = Server.Health;
   if (Health.ejected()) {
     if (Failed)
@@ -348,7 +436,7 @@
 void LoadTable::recordPace(std::uint32_t Index, std::uint32_t Percent,
                            core::TimePoint Now) {
   Servers[Index].Pace = PaceSample{.Percent = Percent, .At = Now};
-  Pace.record(Percent);
+  Pace.record(Percent, Now);
 }
 
 std::optional<std::uint32_t> LoadTable::find(std::string_view Id) const {
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -4,6 +4,9 @@
 #include <jujubecart/decision/internal/adopted_calls.hpp>
 #include <jujubecart/decision/internal/load_table.hpp>
 #include <jujubecart/decision/internal/objective_queue.hpp>
+#include <jujubecart/decision/internal/return_schedule.hpp>
+
+#include <jujubecart/core/hash.hpp>
 
 #include <algorithm>
 #include <unordered_map>
@@ -26,7 +29,7 @@
 constexpr std::size_t MaxCandidates = 8;
 // A call whose probability to meet its objective is lower moves to the late
 // queue, which is served after the calls that can still meet theirs.
-constexpr double MinOnTimeProbability = 0.3;
+constexpr double MinOnTimeProbability = 0.5;
 // A free server is taken if its score is at least the on-time probability after
 // waiting times WaitDiscount; less UnsaturatedAllowance if the call stays
 // within the preferred limit of the server.
@@ -39,6 +42,8 @@
 
 } // namespace
 
+using internal::Goal;
+
 class ObjectiveDispatcher::Implementation {
 public:
   Implementation(DispatchGroup Group, const DispatcherOptions &Options,
@@ -69,6 +74,7 @@
   std::mt19937_64 Random;
   std::uint64_t NextGrant;
   core::TimePoint LastTick;
+  internal::ReturnSchedule Returns;
   /// Indices of servers to probe; taken from the back.
   std::vector<std::uint32_t> PendingProbes;
 
@@ -102,7 +108,8 @@
   /// not start in time for its deadline or the queues are full.
   void enqueueLate(PendingCall Call, core::TimePoint ArrivalTime,
                    core::TimePoint Now, Decisions &Out);
-  void reject(const PendingCall &Call, core::Error Reason, Decisions &Out);
+  void reject(const PendingCall &Call, core::Error Reason, core::TimePoint Now,
+              Decisions &Out);
   /// @brief Latest start with which a call most likely meets its deadline.
   [[nodiscard]] core::TimePoint latestStart(const PendingCall &Call,
                                             core::TimePoint Now) const;
@@ -113,17 +120,22 @@
 
 void ObjectiveDispatcher::Implementation::reject(const PendingCall &Call,
                                                  core::Error Reason,
+                                                 core::TimePoint Now,
                                                  Decisions &Out) {
-  // Jitter keeps rejected callers from retrying at the same time.
+  const core::TimePoint Return = Returns.reserve(
+      Table.expectedLateWait(OnTimeQueue.size() + LateQueue.size() + 1, Now),
+      Table.spareCallsPerS(Now), Now);
+  // Other dispatchers of the service reserve times of their own; jitter keeps
+  // their callers from returning at the same time.
   const double Jitter = std::uniform_real_distribution(1.0, 1.5)(Random);
   const auto Wait = std::clamp<std::chrono::microseconds>(
-      Table.expectedWait(OnTimeQueue.size() + LateQueue.size()), MinRetryAfter,
-      MaxRetryAfter);
+      std::chrono::duration_cast<std::chrono::microseconds>((Return - Now) *
+                                                            Jitter),
+      MinRetryAfter, MaxRetryAfter);
   Out.emplace_back(Rejected{
       .Token = Call.Token,
       .Reason = Reason,
-      .RetryAfter =
-          std::chrono::duration_cast<std::chrono::milliseconds>(Wait * Jitter),
+      .RetryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(Wait),
       .Facts = DecisionFacts{.Waiting = OnTimeQueue.size(),
                              .WaitingLate = LateQueue.size()}});
 }
@@ -140,12 +152,13 @@
                                                   core::TimePoint Now,
                                                   Decisions &Out) {
   if (OnTimeQueue.contains(Call.Token) || LateQueue.contains(Call.Token))
-    return reject(Call, core::Error::InvalidArgument, Out);
+    return reject(Call, core::Error::InvalidArgument, Now, Out);
   if (Now >= Call.Deadline)
-    return reject(Call, core::Error::DeadlineExceeded, Out);
+    return reject(Call, core::Error::DeadlineExceeded, Now, Out);
   if (!Table.anyServerFor(Call))
-    return reject(Call, core::Error::Unavailable, Out);
+    return reject(Call, core::Error::Unavailable, Now, Out);
   Call.Objective = std::min(Call.Objective, Call.Deadline);
+  Table.recordArrival(Call, Now);
   OnTimeQueue.push(std::move(Call), Now);
   dispatch(Now, Out);
 }
@@ -154,10 +167,10 @@
     PendingCall Call, core::TimePoint ArrivalTime, core::TimePoint Now,
     Decisions &Out) {
   const auto Wait =
-      Table.expectedWait(OnTimeQueue.size() + LateQueue.size() + 1);
+      Table.expectedLateWait(OnTimeQueue.size() + LateQueue.size() + 1, Now);
   if (Now + Wait > latestStart(Call, Now) ||
       OnTimeQueue.size() + LateQueue.size() >= Options.MaxQueued)
-    return reject(Call, core::Error::Overloaded, Out);
+    return reject(Call, core::Error::Overloaded, Now, Out);
   LateQueue.push(std::move(Call), ArrivalTime);
 }
 
@@ -176,7 +189,7 @@
   }
   for (const CallToken Token : LateQueue.tokens())
     if (Now > latestStart(LateQueue.at(Token), Now))
-      reject(*LateQueue.remove(Token), core::Error::Overloaded, Out);
+      reject(*LateQueue.remove(Token), core::Error::Overloaded, Now, Out);
 }
 
 DecisionFacts
@@ -199,7 +212,7 @@
   const std::uint64_t GrantId = NextGrant++;
   DecisionFacts Facts = factsOf(Table.at(Chosen.Index), Now);
   Facts.OnTimePercent =
-      static_cast<std::uint32_t>(Chosen.OnTimeProbability * PercentPerUnit);
+      static_cast<std::uint32_t>(Chosen.InTimeProbability * PercentPerUnit);
   const std::uint32_t Server = Chosen.Index;
   Grants.emplace(GrantId, Grant{.Holder = Call.Holder,
                                 .Server = Server,
@@ -207,6 +220,7 @@
                                 .Expires = Call.Deadline + GrantGrace});
   Table.startCall(
       Server, {.GrantId = GrantId,
+               .Holder = core::hash64(Call.Holder),
                .Start = Now,
                .Objective = Call.Objective,
                .ExpectedUs = Table.work().expectedServiceTimeUs(Call, Now)});
@@ -222,15 +236,13 @@
   const CallToken Token = OnTimeQueue.tokens()[Position];
   const PendingCall &Call = OnTimeQueue.at(Token);
   const double OnTimeIfWaiting =
-      Table.onTimeProbabilityAfterWait(Call, Position, Now);
+      Table.onTimeProbabilityAfterWait(Call, Position, Now) *
+      Table.bestSuccessRate(Now);
   for (const bool Saturate : {false, true}) {
-    const auto Found = Table.findBest(Call, Call.Objective, Saturate, Now);
-    // A server that no probe result could improve on.
-    const bool Ideal = Found && Found->KnownFast && !Found->CrossZone;
-    if (Found && !Ideal &&
-        Table.requestProbes(Call, Found->KnownFast, Now, PendingProbes))
+    const auto Found = Table.findBest(Call, Goal::Objective, Saturate, Now);
+    if (Found && Table.requestProbes(Call, Found, Now, PendingProbes))
       return false;
-    if (!Found || Found->OnTimeProbability < MinOnTimeProbability ||
+    if (!Found || Found->InTimeProbability < MinOnTimeProbability ||
         Found->Score < OnTimeIfWaiting * WaitDiscount -
                            (Saturate ? 0 : UnsaturatedAllowance))
       continue;
@@ -244,9 +256,13 @@
                                                     Decisions &Out) {
   for (const CallToken Token : LateQueue.tokens()) {
     const PendingCall &Call = LateQueue.at(Token);
-    const auto Found = Table.findBest(Call, Call.Deadline, false, Now);
+    const auto Found = Table.findBest(Call, Goal::Deadline, false, Now);
     if (!Found)
       continue;
+    if (Found->Score <= 0) {
+      static_cast<void>(Table.requestProbes(Call, Found, Now, PendingProbes));
+      return false;
+    }
     grant(*LateQueue.remove(Token), *Found, Now, Out);
     return true;
   }
--- a/packages/decision/src/pace_model.cpp
+++ b/packages/decision/src/pace_model.cpp
@@ -16,6 +16,9 @@
 // loses its influence.
 constexpr double DecayMs = 250;
 constexpr double PercentPerUnit = 100;
+// Reports are taken to have stopped after this time.
+constexpr std::chrono::seconds ReportTimeout{1};
+constexpr double MinNormalShare = 0.1;
 
 } // namespace
 
@@ -23,13 +26,22 @@
   return Percent >= MinSlowPercent;
 }
 
-void PaceModel::record(std::uint32_t Percent) {
+void PaceModel::record(std::uint32_t Percent, core::TimePoint Now) {
+  LastReport = Now;
   const bool Slow = isSlow(Percent);
   SlowShare += ((Slow ? 1 : 0) - SlowShare) * ReportWeight;
   if (Slow)
     SlowFactor += (Percent / PercentPerUnit - SlowFactor) * ReportWeight;
 }
 
+bool PaceModel::reported(core::TimePoint Now) const noexcept {
+  return LastReport && Now - *LastReport <= ReportTimeout;
+}
+
+double PaceModel::normalShare() const noexcept {
+  return std::max(1 - SlowShare, MinNormalShare);
+}
+
 double PaceModel::slowProbability(const std::optional<PaceSample> &Last,
                                   core::TimePoint Now) const {
   if (!Last)
--- a/tests/decision/objective_dispatcher_test.cpp
+++ b/tests/decision/objective_dispatcher_test.cpp
@@ -1,212 +1,15 @@
-#include <criterion/criterion.h>
-#include <jujubecart/decision/objective_dispatcher.hpp>
+#include "objective_simulation.hpp"
 
-#include <algorithm>
-#include <functional>
-#include <map>
-#include <queue>
-#include <random>
+#include <criterion/criterion.h>
 
 using namespace jujubecart;
+using namespace objective_simulation;
 using namespace std::chrono_literals;
-using std::chrono::microseconds;
-using std::chrono::milliseconds;
 
 namespace {
 
 const core::TimePoint Start{1h};
 
-/// @brief Workload on servers that run on shared machines. Service times are
-/// multiplied by SlowFactor in slow periods and by SaturationFactor if all
-/// slots are busy; both are fixed for a call when it starts.
-struct Workload {
-  unsigned Servers = 8;
-  unsigned Slots = 2;
-  double CallsPerS = 28;
-  double MeanServiceMs = 120;
-  milliseconds Objective = 300ms;
-  milliseconds Deadline = 1000ms;
-  /// Probability that a period is a slow one.
-  double SlowShare = 0.25;
-  double SlowFactor = 4;
-  double SaturationFactor = 1.7;
-  /// Number of servers that accept calls and never answer.
-  unsigned UnresponsiveServers = 0;
-  /// Time during which calls arrive.
-  double DurationS = 40;
-};
-
-/// @brief Number of calls by result.
-struct Statistics {
-  unsigned Calls = 0;
-  /// Calls that met the objective.
-  unsigned OnTime = 0;
-  /// Calls that missed the objective and met the deadline.
-  unsigned Late = 0;
-  unsigned Rejected = 0;
-  /// Longest time between the arrival of a call and its rejection.
-  milliseconds MaxRejectionTime{0};
-  unsigned MaxInFlight = 0;
-
-  [[nodiscard]] double onTimeShare() const { return double(OnTime) / Calls; }
-  [[nodiscard]] double servedShare() const {
-    return double(OnTime + Late) / Calls;
-  }
-};
-
-/// @brief Runs a workload in simulated time, without a network.
-class Simulation {
-public:
-  explicit Simulation(const Workload &Load)
-      : Load(Load), Dispatcher(group(Load), options(), Start),
-        InSlowPeriod(Load.Servers), InFlight(Load.Servers) {}
-
-  Statistics run() {
-    std::exponential_distribution<> InterarrivalS(Load.CallsPerS);
-    std::exponential_distribution<> PeriodS(1 / 0.3);
-    for (unsigned Server = 0; Server < Load.Servers; ++Server)
-      startPeriod(Server, PeriodS);
-    double ArrivalS = 0;
-    while ((ArrivalS += InterarrivalS(Random)) < Load.DurationS)
-      schedule(Start + microseconds(std::int64_t(ArrivalS * 1e6)),
-               [this] { enqueueCall(); });
-    tick();
-    while (!Events.empty()) {
-      const auto Next = Events.begin();
-      Now = Next->first;
-      const auto Handler = std::move(Next->second);
-      Events.erase(Next);
-      Handler();
-      sendProbes();
-    }
-    return Result;
-  }
-
-private:
-  static decision::DispatchGroup group(const Workload &Load) {
-    decision::DispatchGroup Out{.Name = "g", .Service = "s", .Region = "r"};
-    for (unsigned Server = 0; Server < Load.Servers; ++Server)
-      Out.Servers.push_back({.Id = std::to_string(Server),
-                             .Address = "10.0.0.1:1",
-                             .Slots = Load.Slots});
-    return Out;
-  }
-  static decision::DispatcherOptions options() {
-    decision::DispatcherOptions Out;
-    Out.Profile = core::PolicyProfile::Objective;
-    return Out;
-  }
-  void schedule(core::TimePoint When, std::function<void()> Handler) {
-    Events.emplace(When, std::move(Handler));
-  }
-  /// @brief Starts a slow or normal period and schedules the next one.
-  void startPeriod(unsigned Server, std::exponential_distribution<> &PeriodS) {
-    InSlowPeriod[Server] =
-        std::uniform_real_distribution<>(0, 1)(Random) < Load.SlowShare;
-    if (Now < Start + microseconds(std::int64_t(Load.DurationS * 1e6)))
-      schedule(Now + microseconds(std::int64_t(PeriodS(Random) * 1e6)),
-               [this, Server, &PeriodS] { startPeriod(Server, PeriodS); });
-  }
-  void tick() {
-    decision::Decisions Out;
-    Dispatcher.tick(Now, Out);
-    apply(Out);
-    if (!Events.empty())
-      schedule(std::max(Dispatcher.nextTick(), Now + 1ms), [this] { tick(); });
-  }
-  void enqueueCall() {
-    const decision::CallToken Token = ++LastToken;
-    Arrived[Token] = Now;
-    ++Result.Calls;
-    decision::Decisions Out;
-    Dispatcher.enqueue({.Token = Token,
-                        .Holder = "vm",
-                        .Deadline = Now + Load.Deadline,
-                        .Objective = Now + Load.Objective,
-                        .WorkClass = 1},
-                       Now, Out);
-    apply(Out);
-  }
-  void apply(const decision::Decisions &Out) {
-    for (const decision::Decision &Item : Out) {
-      if (const auto *Grant = std::get_if<decision::Granted>(&Item)) {
-        startCall(*Grant);
-        continue;
-      }
-      const auto &Rejection = std::get<decision::Rejected>(Item);
-      ++Result.Rejected;
-      Result.MaxRejectionTime = std::max(
-          Result.MaxRejectionTime, std::chrono::duration_cast<milliseconds>(
-                                       Now - Arrived[Rejection.Token]));
-    }
-  }
-  void startCall(const decision::Granted &Grant) {
-    const unsigned Server = unsigned(std::stoul(Grant.Server.Id));
-    const unsigned Calls = ++InFlight[Server];
-    Result.MaxInFlight = std::max(Result.MaxInFlight, Calls);
-    std::lognormal_distribution<> ServiceMs(
-        std::log(Load.MeanServiceMs) - 0.045, 0.3);
-    double Ms = ServiceMs(Random) *
-                (InSlowPeriod[Server] ? Load.SlowFactor : 1) *
-                (Calls == Load.Slots ? Load.SaturationFactor : 1);
-    const bool Unresponsive = Server < Load.UnresponsiveServers;
-    if (Unresponsive)
-      Ms = double(Load.Deadline.count());
-    const core::TimePoint StartedAt = Now;
-    schedule(Now + microseconds(std::int64_t(Ms * 1000)),
-             [this, Grant, Server, Unresponsive, StartedAt] {
-               --InFlight[Server];
-               core::CallReport Report;
-               Report.Elapsed =
-                   std::chrono::duration_cast<microseconds>(Now - StartedAt);
-               if (Unresponsive)
-                 Report.Outcome = core::CallOutcome::TimedOut;
-               else
-                 Report.Load = core::LoadReport{.InFlight = InFlight[Server],
-                                                .PacePercent = pace(Server)};
-               const auto Latency = Now - Arrived[Grant.Token];
-               if (!Unresponsive && Latency <= Load.Objective)
-                 ++Result.OnTime;
-               else if (!Unresponsive && Latency <= Load.Deadline)
-                 ++Result.Late;
-               decision::Decisions Out;
-               Dispatcher.release(Grant.GrantId, Report, Now, Out);
-               apply(Out);
-             });
-  }
-  [[nodiscard]] std::uint32_t pace(unsigned Server) const {
-    return InSlowPeriod[Server] ? std::uint32_t(100 * Load.SlowFactor) : 100;
-  }
-  void sendProbes() {
-    while (const auto Server = Dispatcher.nextProbe(Now)) {
-      const unsigned Index = unsigned(std::stoul(Server->Id));
-      if (Index < Load.UnresponsiveServers)
-        continue;
-      schedule(Now + 3ms, [this, Index, Id = Server->Id] {
-        decision::Decisions Out;
-        Dispatcher.recordProbe(
-            Id,
-            {.State = decision::ProbeState::Ok,
-             .Load = core::LoadReport{.PacePercent = pace(Index)}},
-            Now, Out);
-        apply(Out);
-      });
-    }
-  }
-
-  const Workload Load;
-  decision::ObjectiveDispatcher Dispatcher;
-  std::mt19937_64 Random{7};
-  core::TimePoint Now = Start;
-  std::multimap<core::TimePoint, std::function<void()>> Events;
-  /// By server.
-  std::vector<bool> InSlowPeriod;
-  std::vector<unsigned> InFlight;
-  std::map<decision::CallToken, core::TimePoint> Arrived;
-  decision::CallToken LastToken = 0;
-  Statistics Result;
-};
-
 /// @brief A dispatcher, the decisions it has made and a clock that stands still
 /// between the calls of wait.
 struct Fixture {
@@ -280,12 +83,12 @@
 Test(ObjectiveDispatcher,
      overload_serves_most_on_time_and_rejects_the_rest_by_the_deadline) {
   Workload Load;
-  Load.CallsPerS = 62;
+  Load.Classes = {{.CallsPerS = 62}};
   const Statistics Result = Simulation(Load).run();
   // Rejecting calls by a fixed margin reached 0.66 in the model in the design
   // notes.
   cr_assert_geq(Result.onTimeShare(), 0.55, "%.3f", Result.onTimeShare());
-  cr_assert_leq(Result.MaxRejectionTime, Load.Deadline);
+  cr_assert_leq(Result.MaxRejectionTime, Load.Classes.front().Deadline);
 }
 
 // Workload: servers with three slots that slow down when all are busy, at twice
@@ -294,10 +97,10 @@
 Test(ObjectiveDispatcher, high_load_stays_below_saturation) {
   const Statistics Result = Simulation({.Servers = 17,
                                         .Slots = 3,
-                                        .CallsPerS = 46,
-                                        .MeanServiceMs = 480,
-                                        .Objective = 1200ms,
-                                        .Deadline = 8000ms,
+                                        .Classes = {{.CallsPerS = 46,
+                                                     .MeanServiceMs = 480,
+                                                     .Objective = 1200ms,
+                                                     .Deadline = 8000ms}},
                                         .SlowShare = 0.35})
                                 .run();
   cr_assert_geq(Result.onTimeShare(), 0.75, "%.3f", Result.onTimeShare());
@@ -310,7 +113,7 @@
 Test(ObjectiveDispatcher,
      servers_that_keep_their_speed_are_used_up_to_all_slots) {
   const Statistics Result =
-      Simulation({.CallsPerS = 75, .SaturationFactor = 1}).run();
+      Simulation({.Classes = {{.CallsPerS = 75}}, .SaturationFactor = 1}).run();
   cr_assert_geq(Result.onTimeShare(), 0.88, "%.3f", Result.onTimeShare());
 }
 
@@ -318,9 +121,10 @@
 // they can sustain. Guards against a saturation factor that is too low for such
 // servers: a fixed factor reached 0.74.
 Test(ObjectiveDispatcher, servers_that_slow_down_strongly_are_not_saturated) {
-  const Statistics Result =
-      Simulation({.Slots = 3, .CallsPerS = 97.5, .SaturationFactor = 2.5})
-          .run();
+  const Statistics Result = Simulation({.Slots = 3,
+                                        .Classes = {{.CallsPerS = 97.5}},
+                                        .SaturationFactor = 2.5})
+                                .run();
   cr_assert_geq(Result.onTimeShare(), 0.82, "%.3f", Result.onTimeShare());
 }
 
@@ -341,6 +145,20 @@
   cr_assert_gt(With.Rejections.front().RetryAfter.count(), 0);
 }
 
+// Guards against callers that are rejected at the same time and told to return
+// at the same time, when there is room for one of them only.
+Test(ObjectiveDispatcher,
+     callers_rejected_at_the_same_time_return_one_after_another) {
+  Fixture With(1, 1);
+  for (int Count = 0; Count < 16; ++Count)
+    With.call();
+  cr_assert_geq(With.Rejections.size(), 8);
+  const auto &First = With.Rejections.front();
+  // The server needs at least 50 ms for each of the callers.
+  cr_assert_geq(With.Rejections.back().RetryAfter - First.RetryAfter,
+                (With.Rejections.size() - 1) * 50ms);
+}
+
 // Guards against a call that waits for the result of a probe that an
 // unresponsive server never answers.
 Test(ObjectiveDispatcher, unanswered_probes_delay_a_call_by_milliseconds_only) {
--- /dev/null
+++ b/tests/decision/objective_simulation.cpp
@@ -0,0 +1,301 @@
+#include "objective_simulation.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace objective_simulation {
+
+using namespace jujubecart;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1h};
+// Attempts beyond the first that the retry budget allows for each call.
+constexpr double RetryRatio = 0.2;
+constexpr double MaxRetryTokens = 60;
+// Share of the time left for which callers wait at most before they return.
+constexpr double MaxReturnShare = 1.0 / 3;
+// Time that a server needs to reject a call, and to answer a probe.
+constexpr auto ServerRoundTrip = 3ms;
+
+microseconds fromSeconds(double Seconds) {
+  return microseconds(static_cast<std::int64_t>(Seconds * 1e6));
+}
+
+decision::DispatchGroup group(const Workload &Load, unsigned Removed) {
+  decision::DispatchGroup Out{.Name = "g", .Service = "s", .Region = "r"};
+  for (unsigned Server = Removed; Server < Load.Servers; ++Server)
+    Out.Servers.push_back({.Id = std::to_string(Server),
+                           .Address = "10.0.0.1:1",
+                           .Slots = Load.Slots});
+  return Out;
+}
+
+decision::DispatcherOptions options() {
+  decision::DispatcherOptions Out;
+  Out.Profile = core::PolicyProfile::Objective;
+  return Out;
+}
+
+unsigned indexOf(const std::string &ServerId) {
+  return static_cast<unsigned>(std::stoul(ServerId));
+}
+
+} // namespace
+
+double Statistics::earnedShare(std::size_t From, std::size_t To) const {
+  const auto Sum = [&](const std::vector<double> &Values) {
+    double Total = 0;
+    for (std::size_t At = From; At < std::min(To, Values.size()); ++At)
+      Total += Values[At];
+    return Total;
+  };
+  return Sum(Earned) / Sum(Owed);
+}
+
+Simulation::Simulation(Workload Chosen)
+    : Load(std::move(Chosen)), Dispatcher(group(Load, 0), options(), Start),
+      ArrivalRandom(Load.Seed), ServiceRandom(Load.Seed + 1),
+      PeriodRandom(Load.Seed + 2), Now(Start),
+      End(Start + fromSeconds(Load.DurationS)), InSlowPeriod(Load.Servers),
+      InFlight(Load.Servers) {
+  const auto Seconds = static_cast<std::size_t>(std::ceil(Load.DurationS));
+  Result.Owed.resize(Seconds);
+  Result.Earned.resize(Seconds);
+}
+
+Statistics Simulation::run() {
+  for (unsigned Server = 0; Server < Load.Servers; ++Server)
+    startPeriod(Server);
+  for (std::size_t Class = 0; Class < Load.Classes.size(); ++Class)
+    scheduleArrivals(Class);
+  for (const Disturbance &Each : Load.Disturbances)
+    if (Each.RemovedServers > 0) {
+      schedule(Start + fromSeconds(Each.FromS),
+               [this, Each] { configure(Each.RemovedServers); });
+      schedule(Start + fromSeconds(Each.ToS), [this] { configure(0); });
+    }
+  tick();
+  while (!Events.empty()) {
+    const auto Next = Events.begin();
+    Now = Next->first;
+    const auto Handler = std::move(Next->second);
+    Events.erase(Next);
+    Handler();
+    sendProbes();
+  }
+  return Result;
+}
+
+void Simulation::schedule(TimePoint When, std::function<void()> Handler) {
+  Events.emplace(When, std::move(Handler));
+}
+
+double Simulation::arrivalFactor() const {
+  double Factor = 1;
+  for (const Disturbance &Each : Load.Disturbances)
+    if (Now >= Start + fromSeconds(Each.FromS) &&
+        Now < Start + fromSeconds(Each.ToS))
+      Factor *= Each.ArrivalFactor;
+  return Factor;
+}
+
+double Simulation::shedShare() const {
+  double Share = 0;
+  for (const Disturbance &Each : Load.Disturbances)
+    if (Now >= Start + fromSeconds(Each.FromS) &&
+        Now < Start + fromSeconds(Each.ToS))
+      Share = std::max(Share, Each.ShedShare);
+  return Share;
+}
+
+// Starts a slow or normal period and schedules the next one.
+void Simulation::startPeriod(unsigned Server) {
+  InSlowPeriod[Server] =
+      std::uniform_real_distribution<>(0, 1)(PeriodRandom) < Load.SlowShare;
+  std::exponential_distribution<> LengthS(1 / Load.PeriodS);
+  if (Now < End)
+    schedule(Now + fromSeconds(LengthS(PeriodRandom)),
+             [this, Server] { startPeriod(Server); });
+}
+
+void Simulation::scheduleArrivals(std::size_t Class) {
+  std::exponential_distribution<> GapS(Load.Classes[Class].CallsPerS *
+                                       arrivalFactor());
+  const TimePoint Next = Now + fromSeconds(GapS(ArrivalRandom));
+  if (Next >= End)
+    return;
+  schedule(Next, [this, Class] {
+    ++Result.Calls;
+    RetryTokens = std::min(RetryTokens + RetryRatio, MaxRetryTokens);
+    const auto Second = static_cast<std::size_t>((Now - Start) / 1s);
+    Result.Owed[Second] += Load.Classes[Class].Worth;
+    enqueue({.Class = Class, .FirstArrival = Now, .Arrival = Now});
+    scheduleArrivals(Class);
+  });
+}
+
+void Simulation::tick() {
+  decision::Decisions Out;
+  Dispatcher.tick(Now, Out);
+  apply(Out);
+  if (!Events.empty())
+    schedule(std::max(Dispatcher.nextTick(), Now + 1ms), [this] { tick(); });
+}
+
+void Simulation::configure(unsigned RemovedServers) {
+  decision::Decisions Out;
+  Dispatcher.configure(group(Load, RemovedServers), Now, Out);
+  apply(Out);
+}
+
+void Simulation::enqueue(CallState Call) {
+  const CallClass &Class = Load.Classes[Call.Class];
+  const decision::CallToken Token = ++LastToken;
+  const decision::PendingCall Pending{.Token = Token,
+                                      .Holder = "vm",
+                                      .Deadline = Call.Arrival + Class.Deadline,
+                                      .Priority = Class.Priority,
+                                      .Excluded = Call.Excluded,
+                                      .Objective =
+                                          Call.Arrival + Class.Objective,
+                                      .WorkClass = Call.Class + 1};
+  Calls.emplace(Token, std::move(Call));
+  decision::Decisions Out;
+  Dispatcher.enqueue(Pending, Now, Out);
+  apply(Out);
+}
+
+void Simulation::apply(const decision::Decisions &Out) {
+  for (const decision::Decision &Item : Out) {
+    if (const auto *Grant = std::get_if<decision::Granted>(&Item))
+      startCall(*Grant);
+    else
+      onRejected(std::get<decision::Rejected>(Item));
+  }
+}
+
+void Simulation::onRejected(const decision::Rejected &Rejection) {
+  CallState Call = std::move(Calls.at(Rejection.Token));
+  Calls.erase(Rejection.Token);
+  ++Result.Rejected;
+  Result.MaxRejectionTime =
+      std::max(Result.MaxRejectionTime,
+               std::chrono::duration_cast<milliseconds>(Now - Call.Arrival));
+  const TimePoint GivesUp =
+      Call.FirstArrival + Load.Classes[Call.Class].Patience;
+  if (Call.Returned || GivesUp <= Now)
+    return;
+  const auto Longest = fromSeconds(
+      std::chrono::duration<double>(GivesUp - Now).count() * MaxReturnShare);
+  const TimePoint Return =
+      Now + std::min<microseconds>(Longest, Rejection.RetryAfter);
+  schedule(Return, [this, Call] {
+    CallState Next{.Class = Call.Class,
+                   .FirstArrival = Call.FirstArrival,
+                   .Arrival = Now,
+                   .Returned = true};
+    enqueue(std::move(Next));
+  });
+}
+
+bool Simulation::answers(unsigned Server) const {
+  return Server >= Load.UnresponsiveServers;
+}
+
+core::LoadReport Simulation::loadOf(unsigned Server) const {
+  constexpr double PercentPerUnit = 100;
+  return {.InFlight = InFlight[Server],
+          .PacePercent = InSlowPeriod[Server]
+                             ? std::uint32_t(PercentPerUnit * Load.SlowFactor)
+                             : core::LoadReport::NormalPacePercent};
+}
+
+void Simulation::startCall(const decision::Granted &Grant) {
+  if (std::uniform_real_distribution<>(0, 1)(ServiceRandom) < shedShare()) {
+    schedule(Now + ServerRoundTrip, [this, Grant] { rejectAtServer(Grant); });
+    return;
+  }
+  const CallState &Call = Calls.at(Grant.Token);
+  const CallClass &Class = Load.Classes[Call.Class];
+  const unsigned Server = indexOf(Grant.Server.Id);
+  const unsigned Running = ++InFlight[Server];
+  Result.MaxInFlight = std::max(Result.MaxInFlight, Running);
+  // The mean of a log-normal distribution exceeds its median by half of the
+  // variance of the logarithm.
+  std::lognormal_distribution<> ServiceMs(std::log(Class.MeanServiceMs) - 0.045,
+                                          0.3);
+  double Ms = ServiceMs(ServiceRandom) *
+              (InSlowPeriod[Server] ? Load.SlowFactor : 1) *
+              (Running >= Load.Slots ? Load.SaturationFactor : 1);
+  const double LeftMs = std::chrono::duration<double, std::milli>(
+                            Call.Arrival + Class.Deadline - Now)
+                            .count();
+  // A server stops work at the deadline of the call.
+  Ms = answers(Server) ? std::min(Ms, LeftMs) : LeftMs;
+  schedule(Now + microseconds(static_cast<std::int64_t>(Ms * 1000)),
+           [this, Grant, StartedAt = Now] { finishCall(Grant, StartedAt); });
+}
+
+void Simulation::finishCall(const decision::Granted &Grant,
+                            TimePoint StartedAt) {
+  const CallState Call = std::move(Calls.at(Grant.Token));
+  Calls.erase(Grant.Token);
+  const CallClass &Class = Load.Classes[Call.Class];
+  const unsigned Server = indexOf(Grant.Server.Id);
+  --InFlight[Server];
+  core::CallReport Report;
+  Report.Elapsed = std::chrono::duration_cast<microseconds>(Now - StartedAt);
+  const bool Answered = answers(Server) && Now < Call.Arrival + Class.Deadline;
+  if (!Answered)
+    Report.Outcome = core::CallOutcome::TimedOut;
+  if (answers(Server) && Load.ReportsPace)
+    Report.Load = loadOf(Server);
+  const bool MetObjective = Now - Call.FirstArrival <= Class.Objective;
+  if (Answered) {
+    const auto Second =
+        static_cast<std::size_t>((Call.FirstArrival - Start) / 1s);
+    ++(MetObjective ? Result.OnTime : Result.Late);
+    Result.Earned[Second] += Class.Worth * (MetObjective ? 1 : 0.1);
+  }
+  decision::Decisions Out;
+  Dispatcher.release(Grant.GrantId, Report, Now, Out);
+  apply(Out);
+}
+
+void Simulation::rejectAtServer(const decision::Granted &Grant) {
+  CallState Call = std::move(Calls.at(Grant.Token));
+  Calls.erase(Grant.Token);
+  core::CallReport Report{.Outcome = core::CallOutcome::Rejected};
+  if (Load.ReportsPace)
+    Report.Load = loadOf(indexOf(Grant.Server.Id));
+  decision::Decisions Out;
+  Dispatcher.release(Grant.GrantId, Report, Now, Out);
+  apply(Out);
+  ++Call.Attempts;
+  Call.Excluded.push_back(Grant.Server.Id);
+  if (Call.Attempts >= Load.Classes[Call.Class].MaxAttempts || RetryTokens < 1)
+    return;
+  RetryTokens -= 1;
+  enqueue(std::move(Call));
+}
+
+void Simulation::sendProbes() {
+  while (const auto Server = Dispatcher.nextProbe(Now)) {
+    const unsigned Index = indexOf(Server->Id);
+    if (!answers(Index))
+      continue;
+    schedule(Now + ServerRoundTrip, [this, Index, Id = Server->Id] {
+      decision::ProbeResult Probe{.State = decision::ProbeState::Ok};
+      if (Load.ReportsPace)
+        Probe.Load = loadOf(Index);
+      decision::Decisions Out;
+      Dispatcher.recordProbe(Id, Probe, Now, Out);
+      apply(Out);
+    });
+  }
+}
+
+} // namespace objective_simulation
