Verify idle connections before orders instead of opening new ones

Cause: an order reused a connection only within 100 ms of its last response, so nearly every order opened one. Change: an idle connection to a server that reports its load is verified by a health request, limited to 40 ms, before an order is sent on it. A duplicate response to an earlier request does not verify it. A skipped response is read up to 1 MiB, so one without end fails the exchange.

--- a/packages/backends/include/jujubecart/backends/connection.hpp
+++ b/packages/backends/include/jujubecart/backends/connection.hpp
@@ -27,6 +27,9 @@
   /// When the server was last known to be reachable on this connection: when
   /// it was opened, then at the end of each response.
   core::TimePoint LastVerified;
+  /// Whether the server reports its load, and so answers a health request at
+  /// once, without waiting for a slot.
+  bool ReportsLoad = false;
 };
 
 /// @brief State of one pending ConnectionPool::acquire, with which the user of
@@ -38,7 +41,7 @@
 
   /// Limits the connect or the wait in the queue of the pool.
   boost::asio::steady_timer Timer;
-  /// Socket being connected, or nullptr.
+  /// Socket being connected or verified, or nullptr.
   boost::asio::ip::tcp::socket *Connecting = nullptr;
   bool Aborted = false;
   /// Set when a connection may have become available, so that a waiting
@@ -47,6 +50,9 @@
 
   /// @brief Makes the pending acquire fail; call it on the user's strand.
   void abort() noexcept;
+
+  /// @brief Closes the socket in Connecting, if there is one.
+  void abortConnect() noexcept;
 };
 
 } // namespace jujubecart::backends
--- a/packages/backends/include/jujubecart/backends/connection_pool.hpp
+++ b/packages/backends/include/jujubecart/backends/connection_pool.hpp
@@ -54,6 +54,14 @@
   acquire(core::BackendServer Server, bool RequireVerified,
           std::shared_ptr<PendingAcquire> Pending);
 
+  /// @brief Takes the idle connection that was used last, if it is verified or
+  /// can be verified by a health request.
+  /// @return Nullptr if there is none; nothing else is reserved then.
+  [[nodiscard]] ConnectionPtr takeVerifiable(const std::string &Address);
+
+  /// @brief Whether a response arrived on a connection within OrderReuseWindow.
+  [[nodiscard]] bool isVerified(const Connection &Item) const noexcept;
+
   /// @brief Returns a connection to the pool right after the end of a response.
   void release(ConnectionPtr Item) noexcept;
 
--- a/packages/backends/include/jujubecart/backends/pool_options.hpp
+++ b/packages/backends/include/jujubecart/backends/pool_options.hpp
@@ -15,9 +15,12 @@
   std::chrono::milliseconds ConnectTimeout{1000};
   std::chrono::milliseconds IdleTimeout{30000};
   /// An order (a request that must not be repeated) reuses a pooled connection
-  /// only if a response arrived on it within this time; otherwise it opens a
-  /// new one.
+  /// only if a response arrived on it within this time; otherwise the
+  /// connection is verified by a health request, or a new one is opened.
   std::chrono::milliseconds OrderReuseWindow{100};
+  /// Limits the wait for the response to that health request. It takes a round
+  /// trip and about 1 ms on the server.
+  std::chrono::milliseconds VerifyTimeout{40};
   /// An attempt that times out after at least this time makes the pool close
   /// the server's connections that have been idle since before the attempt.
   std::chrono::milliseconds MinUnresponsiveTime{250};
--- a/packages/backends/src/connection_pool.cpp
+++ b/packages/backends/src/connection_pool.cpp
@@ -30,10 +30,14 @@
 
 void PendingAcquire::abort() noexcept {
   Aborted = true;
+  abortConnect();
+  Timer.cancel();
+}
+
+void PendingAcquire::abortConnect() noexcept {
   boost::system::error_code Ignored;
   if (Connecting != nullptr)
     Connecting->close(Ignored);
-  Timer.cancel();
 }
 
 ConnectionPool::ConnectionPool(boost::asio::any_io_executor Executor,
@@ -119,9 +123,8 @@
     Pending->Connecting = &Opened->Socket;
     Pending->Timer.expires_after(Options.ConnectTimeout);
     Pending->Timer.async_wait([Pending](const boost::system::error_code &Code) {
-      boost::system::error_code Ignored;
-      if (!Code && Pending->Connecting != nullptr)
-        Pending->Connecting->close(Ignored);
+      if (!Code)
+        Pending->abortConnect();
     });
     ConnectError =
         core::bindSource(Opened->Socket, *Endpoint, Options.SourceAddress);
@@ -148,6 +151,34 @@
   co_return std::move(Opened);
 }
 
+bool ConnectionPool::isVerified(const Connection &Item) const noexcept {
+  return Time.now() - Item.LastVerified <= Options.OrderReuseWindow;
+}
+
+ConnectionPool::ConnectionPtr
+ConnectionPool::takeVerifiable(const std::string &Address) {
+  ConnectionPtr Found;
+  {
+    const std::lock_guard Lock(Mutex);
+    ServerPool &Pool = Servers[Address];
+    if (Pool.Idle.empty())
+      return nullptr;
+    const Connection &Last = *Pool.Idle.back();
+    const bool Outdated = Time.now() - Last.LastVerified > Options.IdleTimeout;
+    if (Outdated || (!Last.ReportsLoad && !isVerified(Last)))
+      return nullptr;
+    Found = std::move(Pool.Idle.back());
+    Pool.Idle.pop_back();
+  }
+  if (internal::isReusable(Found->Socket)) {
+    ++Reused;
+    return Found;
+  }
+  ++Stale;
+  close(std::move(Found));
+  return nullptr;
+}
+
 void ConnectionPool::release(ConnectionPtr Item) noexcept {
   Item->LastVerified = Time.now();
   {
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -16,6 +16,12 @@
 // Limits the interim (1xx) responses and the responses to other requests that
 // are skipped; a server that sends more is treated as broken.
 constexpr int MaxPrecedingResponses = 8;
+// A faulty server may send a response without end; a skipped one that is longer
+// than this ends the exchange.
+constexpr std::size_t MaxSkippedBytes = 1 << 20;
+// Id that no request has, so that a response with any id belongs to an earlier
+// request.
+constexpr std::string_view NoRequestId = "none";
 
 namespace {
 
@@ -38,10 +44,16 @@
       std::make_shared<PendingAcquire>(co_await asio::this_coro::executor);
   if (Aborted)
     co_return core::make_error_code(core::Error::Cancelled);
-  auto Acquired = co_await Pool.acquire(Server, Request->IsOrder, Pending);
-  if (!Acquired)
-    co_return Acquired.error();
-  Connection = std::move(*Acquired);
+  if (Request->IsOrder)
+    Connection = co_await reuseForOrder();
+  if (Aborted)
+    co_return fail(core::Error::Cancelled);
+  if (!Connection) {
+    auto Acquired = co_await Pool.acquire(Server, Request->IsOrder, Pending);
+    if (!Acquired)
+      co_return Acquired.error();
+    Connection = std::move(*Acquired);
+  }
   if (Aborted)
     co_return fail(core::Error::Cancelled);
   Started = Time.now();
@@ -50,6 +62,54 @@
   co_return co_await receiveHead();
 }
 
+core::Awaitable<ConnectionPool::ConnectionPtr> Exchange::reuseForOrder() {
+  ConnectionPool::ConnectionPtr Idle = Pool.takeVerifiable(Server.Address);
+  if (!Idle || Pool.isVerified(*Idle))
+    co_return Idle;
+  // The timer closes the socket, which ends the health request.
+  const std::shared_ptr<PendingAcquire> Waiting = Pending;
+  Waiting->Connecting = &Idle->Socket;
+  Waiting->Timer.expires_after(Pool.options().VerifyTimeout);
+  Waiting->Timer.async_wait([Waiting](const boost::system::error_code &Code) {
+    if (!Code)
+      Waiting->abortConnect();
+  });
+  const bool Works = co_await verify(*Idle);
+  Waiting->Connecting = nullptr;
+  Waiting->Timer.cancel();
+  if (Works && !Aborted)
+    co_return Idle;
+  Pool.close(std::move(Idle));
+  co_return nullptr;
+}
+
+core::Awaitable<bool> Exchange::verify(backends::Connection &Item) {
+  const std::string Head = "GET " + Server.HealthPath +
+                           " HTTP/1.1\r\nHost: " + Server.Address + "\r\n\r\n";
+  const auto [Code, Count] =
+      co_await asio::async_write(Item.Socket, asio::buffer(Head), UseTuple);
+  if (Code)
+    co_return false;
+  for (int Preceding = 0; Preceding <= MaxPrecedingResponses; ++Preceding) {
+    const core::HeadError ReadError =
+        co_await Item.Reader.readHead(Item.Socket, false);
+    if (ReadError != core::HeadError::None)
+      co_return false;
+    const bool OtherResponse =
+        Profile.readResponse(Item.Reader.message(), NoRequestId)
+            .RequestIdMismatch;
+    const bool KeptAlive = Item.Reader.parser().keep_alive();
+    const bool Skipped = co_await skipResponse(Item);
+    if (!Skipped || !KeptAlive)
+      co_return false;
+    if (OtherResponse)
+      continue;
+    Item.LastVerified = Time.now();
+    co_return Item.Reader.buffered() == 0;
+  }
+  co_return false;
+}
+
 core::Awaitable<bool> Exchange::write(std::string_view Prefix,
                                       std::span<const char> Data) {
   const bool Chunked =
@@ -126,7 +186,7 @@
       if (!Traits.RequestIdMismatch)
         co_return acceptHead(Traits);
       // A late, duplicate response to an earlier request on this connection.
-      const bool Skipped = co_await skipResponse();
+      const bool Skipped = co_await skipResponse(*Connection);
       if (!Skipped)
         break;
       continue;
@@ -139,15 +199,16 @@
   co_return fail(core::Error::Malformed);
 }
 
-core::Awaitable<bool> Exchange::skipResponse() {
+core::Awaitable<bool> Exchange::skipResponse(backends::Connection &Item) {
   std::array<char, 4096> Discarded{};
-  while (!Connection->Reader.complete()) {
-    if (Connection->Reader.parser().need_eof())
+  std::size_t Size = 0;
+  while (!Item.Reader.complete()) {
+    if (Item.Reader.parser().need_eof() || Size > MaxSkippedBytes)
       co_return false;
-    const auto Count =
-        co_await Connection->Reader.readBody(Connection->Socket, Discarded);
+    const auto Count = co_await Item.Reader.readBody(Item.Socket, Discarded);
     if (!Count || Aborted)
       co_return false;
+    Size += *Count;
   }
   co_return true;
 }
@@ -162,6 +223,7 @@
   Report.Load = Traits.Load;
   Report.Draining = Traits.Draining;
   Report.OtherInstance = Traits.OtherInstance;
+  Connection->ReportsLoad = Traits.Load.has_value();
   Report.ServerError = Status >= FirstServerError;
   Rejected = Traits.NotRun;
   if (const auto Size = Parser.content_length())
--- a/packages/backends/src/exchange.hpp
+++ b/packages/backends/src/exchange.hpp
@@ -37,6 +37,13 @@
   [[nodiscard]] core::CallReport report() const noexcept override;
 
 private:
+  /// @brief Takes an idle connection on which an order can be sent, after a
+  /// health request if no response arrived on it recently.
+  /// @return Nullptr if a new connection is needed.
+  [[nodiscard]] core::Awaitable<ConnectionPool::ConnectionPtr> reuseForOrder();
+  /// @brief Sends a health request and waits for its response.
+  /// @return Whether the connection works.
+  [[nodiscard]] core::Awaitable<bool> verify(backends::Connection &Item);
   /// @brief Sends the head and the body. Succeeds also if the server stopped
   /// reading, because it may have sent a response before that.
   [[nodiscard]] core::Awaitable<std::error_code>
@@ -50,7 +57,7 @@
   [[nodiscard]] core::Awaitable<std::error_code> receiveHead();
   /// @brief Reads and discards the body of a response to another request.
   /// @return Whether the connection can still be used.
-  [[nodiscard]] core::Awaitable<bool> skipResponse();
+  [[nodiscard]] core::Awaitable<bool> skipResponse(backends::Connection &Item);
   /// @brief Checks the head and keeps what report() and head() return.
   [[nodiscard]] std::error_code acceptHead(const core::ResponseTraits &Traits);
   /// @brief Ends the exchange with an error and closes its connection.
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -131,3 +131,161 @@
   cr_assert(Setup.Report.Outcome == core::CallOutcome::Rejected);
   cr_assert(Setup.Report.OtherInstance);
 }
+
+namespace {
+
+/// @brief Runs two orders one after another with a scripted backend server, the
+/// second after the reuse window of the pool.
+struct TwoOrders {
+  /// @param Behave Handles the requests of a connection.
+  explicit TwoOrders(ScriptedBackend::Script Behave)
+      : Backend(std::move(Behave)) {}
+
+  core::Awaitable<core::CallOutcome> order() {
+    auto Request = std::make_shared<core::BackendRequest>();
+    Request->Head = "POST / HTTP/1.1\r\nHost: a\r\n\r\n";
+    Request->CallerRequestId = Id;
+    Request->IsOrder = true;
+    const auto Exchange =
+        Transport.prepare({.Id = "i-1", .Address = Backend.address()}, Request);
+    const std::error_code Failed = co_await Exchange->open(nullptr);
+    std::array<char, 64> Buffer{};
+    while (!Failed && !Exchange->complete()) {
+      const auto Count = co_await Exchange->read(Buffer);
+      if (!Count)
+        break;
+    }
+    co_return Exchange->report().Outcome;
+  }
+  core::Awaitable<void> both() {
+    First = co_await order();
+    std::this_thread::sleep_for(5ms);
+    Second = co_await order();
+  }
+  void run() {
+    auto Result = asio::co_spawn(Io, both(), asio::use_future);
+    Io.run();
+    Result.get();
+  }
+
+  ScriptedBackend Backend;
+  asio::io_context Io;
+  core::SystemClock Time;
+  backends::ConnectionPool Pool{
+      Io.get_executor(), {.OrderReuseWindow = 1ms}, Time};
+  backends::Transport Transport{Pool, Time, platform::httpProfile()};
+  core::CallOutcome First = core::CallOutcome::NotSent;
+  core::CallOutcome Second = core::CallOutcome::NotSent;
+};
+
+/// @brief Reads one request head; its method, or nothing at the end of the
+/// connection.
+std::string readMethod(tcp::socket &Socket) {
+  std::string Request;
+  boost::system::error_code Code;
+  asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n", Code);
+  return Code ? "" : Request.substr(0, Request.find(' '));
+}
+
+std::string orderResponse() {
+  return response(
+      "200 OK", "x",
+      "Request-Id: " + std::string(Id) +
+          "\r\nResponse-Signature: s\r\nUpstream-Load: 0,0,2,100\r\n");
+}
+
+} // namespace
+
+// Guards against a new connection for each order, which the backend server pays
+// for with a slot.
+Test(PlatformExchange, order_reuses_a_connection_after_a_health_request) {
+  std::atomic<int> Orders{0};
+  std::atomic<int> Checks{0};
+  TwoOrders With([&](tcp::socket &Socket, int) {
+    for (std::string Method; !(Method = readMethod(Socket)).empty();) {
+      ++(Method == "GET" ? Checks : Orders);
+      send(Socket, Method == "GET"
+                       ? response("200 OK", "", "Upstream-Load: 0,0,2,100\r\n")
+                       : orderResponse());
+    }
+  });
+  With.run();
+  cr_assert(With.Second == core::CallOutcome::Completed);
+  cr_assert_eq(Orders, 2);
+  cr_assert_eq(Checks, 1);
+  cr_assert_eq(With.Pool.counters().Connects, 1);
+}
+
+// Guards against an order whose outcome is unknown because it was sent on a
+// connection that the server had dropped without notice.
+Test(PlatformExchange, order_is_not_sent_on_an_unresponsive_connection) {
+  std::atomic<int> Orders{0};
+  TwoOrders With([&](tcp::socket &Socket, int Index) {
+    readMethod(Socket);
+    ++Orders;
+    send(Socket, orderResponse());
+    // The first connection never answers again.
+    if (Index == 0)
+      std::this_thread::sleep_for(200ms);
+  });
+  With.run();
+  cr_assert(With.Second == core::CallOutcome::Completed);
+  cr_assert_eq(Orders, 2);
+  cr_assert_eq(With.Pool.counters().Connects, 2);
+}
+
+// Guards against taking a late, duplicate response to an earlier request for
+// the response to the health request, which would then be taken for the
+// response to the order.
+Test(PlatformExchange, duplicate_response_does_not_verify_a_connection) {
+  TwoOrders With([&](tcp::socket &Socket, int) {
+    for (std::string Method; !(Method = readMethod(Socket)).empty();) {
+      if (Method == "GET")
+        send(Socket, orderResponse() + response("200 OK", "health"));
+      else
+        send(Socket, orderResponse());
+    }
+  });
+  With.run();
+  cr_assert(With.Second == core::CallOutcome::Completed);
+  cr_assert_eq(With.Pool.counters().Connects, 1);
+}
+
+namespace {
+
+/// @brief Script that reads a request and then sends bytes without end, until
+/// the other side closes the connection.
+ScriptedBackend::Script respondWithoutEnd(const std::string &Start,
+                                          std::atomic<std::size_t> &Sent) {
+  return [Start, &Sent](tcp::socket &Socket, int) {
+    readMethod(Socket);
+    send(Socket, Start);
+    const std::string Bytes(4096, 'x');
+    boost::system::error_code Code;
+    while (!Code)
+      Sent += asio::write(Socket, asio::buffer(Bytes), Code);
+  };
+}
+
+} // namespace
+
+// Guards against reading a response head without end into memory.
+Test(PlatformExchange, head_without_end_is_rejected_at_the_limit) {
+  std::atomic<std::size_t> Sent{0};
+  Fixture Setup(respondWithoutEnd("HTTP/1.1 200 OK\r\nX: ", Sent));
+  cr_assert_eq(Setup.run(), "failed");
+  cr_assert(Setup.Report.Outcome == core::CallOutcome::Broken);
+  cr_assert_leq(Sent, 8U << 20);
+}
+
+// Guards against an exchange that skips a response to another request for as
+// long as it lasts.
+Test(PlatformExchange, skipped_response_without_end_ends_the_exchange) {
+  std::atomic<std::size_t> Sent{0};
+  Fixture Setup(
+      respondWithoutEnd("HTTP/1.1 200 OK\r\nRequest-Id: ffffffffffffffff\r\n"
+                        "Content-Length: 1000000000000\r\n\r\n",
+                        Sent));
+  cr_assert_eq(Setup.run(), "failed");
+  cr_assert(Setup.Report.Outcome == core::CallOutcome::Broken);
+}
