Buffer uploads up to 512 KiB before they take a slot

Cause: bodies above 16 KiB were streamed while the call held a slot, so a slow sender occupied it, and an upload that a server rejected without running it could not be sent to another one. Change: bodies up to 512 KiB are read first, within a budget of 16 MiB for all requests of a VM; without room in it they are streamed as before.

--- a/packages/callers/include/jujubecart/callers/server_options.hpp
+++ b/packages/callers/include/jujubecart/callers/server_options.hpp
@@ -21,6 +21,13 @@
   /// Request bodies up to this size are read before a slot is acquired, so that
   /// a slow sender holds no slot and another attempt can send the body again.
   std::size_t MaxBufferedBodyBytes = 16384;
+  /// Larger bodies up to this size are read before a slot is acquired as well,
+  /// while BufferedBodyBudget has room for them; otherwise the part beyond
+  /// MaxBufferedBodyBytes is streamed to the backend server.
+  std::size_t MaxBufferedUploadBytes = 524288;
+  /// Bytes that the bodies of all requests together may buffer beyond
+  /// MaxBufferedBodyBytes; a fraction of the memory of a small VM (160 MB).
+  std::size_t BufferedBodyBudget = 16777216;
   /// From the first byte of a request to the end of its head.
   std::chrono::milliseconds HeadTimeout{10000};
   /// For receiving the part of a body that is read before a slot is acquired.
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 Call::Call(CallerLink &Link, ServerState &State)
-    : Link(Link), State(State), Body(Link) {
+    : Link(Link), State(State), Body(Link, State.Bodies) {
   Request.Id = core::newRequestId();
   Link.clearTimeout();
   Link.listen(this);
@@ -140,7 +140,8 @@
     CurrentPhase = Phase::Reading;
   }
   Link.setTimeoutAt(std::min(Deadline, Time.now() + State.Options.BodyTimeout));
-  if (co_await Body.prefetch(State.Options.MaxBufferedBodyBytes))
+  if (co_await Body.prefetch(State.Options.MaxBufferedBodyBytes,
+                             State.Options.MaxBufferedUploadBytes))
     co_return true;
   const Attempt None(State.Dependencies.Broker, Body);
   if (CancelledBy == CancelReason::None && !Link.reader().limitExceeded() &&
--- a/packages/callers/src/request_body.cpp
+++ b/packages/callers/src/request_body.cpp
@@ -4,12 +4,25 @@
 
 namespace jujubecart::callers::internal {
 
-core::Awaitable<bool> RequestBody::prefetch(std::size_t Size) {
+bool RequestBody::reserve(std::size_t Bytes, std::size_t FreeBytes) {
+  if (Bytes <= FreeBytes + TakenBytes)
+    return true;
+  const std::size_t Missing = Bytes - FreeBytes - TakenBytes;
+  if (!Budget.tryTake(Missing))
+    return false;
+  TakenBytes += Missing;
+  return true;
+}
+
+core::Awaitable<bool> RequestBody::prefetch(std::size_t Size,
+                                            std::size_t MaxSize) {
   auto &Reader = Link.reader();
   constexpr std::size_t MaxReadBytes = 4096;
-  while (!Reader.complete() && Prefix.size() < Size) {
+  while (!Reader.complete() && Prefix.size() < MaxSize) {
     const std::size_t Before = Prefix.size();
-    const std::size_t ReadBytes = std::min(MaxReadBytes, Size - Before);
+    const std::size_t ReadBytes = std::min(MaxReadBytes, MaxSize - Before);
+    if (!reserve(Before + ReadBytes, Size))
+      break;
     Prefix.resize(Before + ReadBytes);
     const auto Count = co_await Reader.readBody(
         Link.socket(), {Prefix.data() + Before, ReadBytes});
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBECART_CALLERS_SRC_SERVER_STATE_HPP
 #define JUJUBECART_CALLERS_SRC_SERVER_STATE_HPP
 
+#include "body_budget.hpp"
+
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core/config_source.hpp>
 #include <jujubecart/core/event_sink.hpp>
@@ -46,7 +48,7 @@
   ServerState(boost::asio::any_io_executor Executor, ServerOptions Options,
               ServerDependencies Dependencies)
       : Executor(std::move(Executor)), Options(Options),
-        Dependencies(Dependencies),
+        Dependencies(Dependencies), Bodies(Options.BufferedBodyBudget),
         AcceptExecutor(boost::asio::make_strand(this->Executor)),
         Acceptor(AcceptExecutor) {}
 
@@ -90,6 +92,8 @@
   boost::asio::any_io_executor Executor;
   ServerOptions Options;
   ServerDependencies Dependencies;
+  /// Memory for large request bodies.
+  BodyBudget Bodies;
   /// Strand on which the acceptor is used.
   boost::asio::any_io_executor AcceptExecutor;
   boost::asio::ip::tcp::acceptor Acceptor;
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -150,7 +150,7 @@
         TestSettings.Routes.empty()
             ? nullptr
             : std::make_shared<core::RoutingTable>(1, TestSettings.Routes,
-                                                   core::CallerLimits{})));
+                                                   TestSettings.Limits)));
   }
   Server = std::make_unique<callers::Server>(
       Io.get_executor(), TestSettings.Options,
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -122,6 +122,8 @@
     /// Routing table that replaces the rules of the service `tags`, if not
     /// empty.
     std::vector<core::Route> Routes;
+    /// Limits of the routing table.
+    core::CallerLimits Limits;
   };
 
   /// @brief Starts the server.
