Prefer two home groups at low load, and spread calls by price at high load

Cause: each call of an entry VM went to a random dispatch group of the service, so on 132 VMs and 368 servers a VM opened a connection for most of its calls and hardly used one twice within the idle timeout. At high load all groups got the same share, whatever they could still take. Change: dispatchers report the price of a slot with each grant and refusal (new fields slot_price_percent). GroupChoice, without a network, prefers two groups per VM while their price is low, and otherwise weights all groups by what they have left.

--- a/packages/decision/include/jujubecart/decision/decision.hpp
+++ b/packages/decision/include/jujubecart/decision/decision.hpp
@@ -15,7 +15,7 @@
 namespace jujubecart::decision {
 
 /// @brief What an ObjectiveDispatcher knew when it decided, for logging. A
-/// rejection carries only Waiting and WaitingLate.
+/// rejection carries only Waiting, WaitingLate and SlotPricePercent.
 struct DecisionFacts {
   /// Estimated probability that the call meets its latency objective, in
   /// percent.
@@ -32,6 +32,9 @@
   /// Other waiting calls that will probably miss their latency objective but
   /// can still meet their deadline; not included in Waiting.
   std::size_t WaitingLate = 0;
+  /// Opportunity cost of a slot in percent of a call: 0 at low load, 100 if the
+  /// arriving calls need all slots.
+  std::uint32_t SlotPricePercent = 0;
 };
 
 /// @brief The call may be sent to a backend server. The user returns the grant
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -97,6 +97,12 @@
   /// that arrive; at least a quarter of their capacity.
   [[nodiscard]] double spareCallsPerS(core::TimePoint Now) const;
 
+  /// @brief Opportunity cost of one mean service time of a slot, in calls that
+  /// meet their objective.
+  [[nodiscard]] double slotPrice(core::TimePoint Now) const {
+    return Demand.price(UsableSlots * Pace.normalShare(), Now);
+  }
+
   /// @brief Adds a granted call and sets its PacePercent and Saturated.
   void startCall(std::uint32_t Index, RunningCall Call);
 
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -168,8 +168,7 @@
     return 0;
   const double ExtraTimes =
       Pace.slowProbability(Server.Pace, Now) * (Pace.slowFactor() - 1);
-  return Demand.price(UsableSlots * Pace.normalShare(), Now) * ExtraTimes *
-         ExpectedUs / Work.meanServiceTimeUs();
+  return slotPrice(Now) * ExtraTimes * ExpectedUs / Work.meanServiceTimeUs();
 }
 
 // A high share indicates a server that stopped without closing its connections.
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -98,6 +98,8 @@
   /// @brief Grants a call that was removed from its queue.
   void grant(const PendingCall &Call, const internal::Placement &Chosen,
              core::TimePoint Now, Decisions &Out);
+  /// @brief State of the queues and price of a slot.
+  [[nodiscard]] DecisionFacts queueFacts(core::TimePoint Now) const;
   /// @brief State of a server and of the queues, for the log.
   [[nodiscard]] DecisionFacts factsOf(const internal::ServerLoad &Server,
                                       core::TimePoint Now) const;
@@ -136,8 +138,15 @@
       .Token = Call.Token,
       .Reason = Reason,
       .RetryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(Wait),
-      .Facts = DecisionFacts{.Waiting = OnTimeQueue.size(),
-                             .WaitingLate = LateQueue.size()}});
+      .Facts = queueFacts(Now)});
+}
+
+DecisionFacts
+ObjectiveDispatcher::Implementation::queueFacts(core::TimePoint Now) const {
+  return {.Waiting = OnTimeQueue.size(),
+          .WaitingLate = LateQueue.size(),
+          .SlotPricePercent = static_cast<std::uint32_t>(Table.slotPrice(Now) *
+                                                         PercentPerUnit)};
 }
 
 core::TimePoint
@@ -195,9 +204,8 @@
 DecisionFacts
 ObjectiveDispatcher::Implementation::factsOf(const internal::ServerLoad &Server,
                                              core::TimePoint Now) const {
-  DecisionFacts Out{.InFlight = Server.inFlight(),
-                    .Waiting = OnTimeQueue.size(),
-                    .WaitingLate = LateQueue.size()};
+  DecisionFacts Out = queueFacts(Now);
+  Out.InFlight = Server.inFlight();
   if (Server.Pace) {
     Out.PacePercent = Server.Pace->Percent;
     Out.PaceAge = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -23,6 +23,9 @@
   core::Error Reason = core::Error::Unavailable;
   /// Delay after which a refused call should be retried; 0 if unknown.
   std::chrono::milliseconds RetryAfter{0};
+  /// Opportunity cost of a slot of the group in percent of a call; 0 if
+  /// unknown.
+  std::uint8_t SlotPricePercent = 0;
 };
 
 /// @brief A call of this VM to its own dispatcher. The fields that are not
@@ -139,7 +142,8 @@
   void applyDecisions(Group &Target, const decision::Decisions &Out);
   void grant(Group &Target, Call &Item, const decision::Granted &Decision);
   void refuse(Group &Target, decision::CallToken Token, core::Error Reason,
-              std::chrono::milliseconds RetryAfter);
+              std::chrono::milliseconds RetryAfter,
+              std::uint8_t SlotPricePercent);
   void onGroupsChanged(const GroupDirectory::Index &Index);
 
   core::Awaitable<void> runLoop();
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -71,6 +71,9 @@
   /// Present if the receiver's configuration is older, so that it may not know
   /// the server.
   std::optional<core::BackendServer> ServerDetails;
+  /// Opportunity cost of a slot of the group in percent of a call; 0 if the
+  /// dispatcher does not know it.
+  std::uint8_t SlotPricePercent = 0;
 };
 
 /// @brief Rejects a call: no slot was granted.
@@ -79,6 +82,8 @@
   core::Error Reason = core::Error::Unavailable;
   /// Suggested delay before a retry in milliseconds.
   std::uint32_t RetryAfterMs = 0;
+  /// As in Grant.
+  std::uint8_t SlotPricePercent = 0;
 };
 
 /// @brief Returns a slot with the outcome of its call. The call is identified
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -2,6 +2,7 @@
 #define JUJUBECART_PEERS_REMOTE_BROKER_HPP
 
 #include <jujubecart/core/slot_broker.hpp>
+#include <jujubecart/decision/group_choice.hpp>
 #include <jujubecart/decision/local_broker.hpp>
 #include <jujubecart/peers/dispatch_service.hpp>
 
@@ -83,6 +84,7 @@
   [[nodiscard]] core::SlotGrant recordGrant(HeldGrant Item,
                                             core::SlotGrant Grant);
   void onGrant(const LinkPtr &Source, const Grant &Item);
+  void recordPrice(CallId Call, std::uint32_t SlotPricePercent);
   void complete(CallId Call, AcquireResult Result);
   core::Awaitable<void> watchLoop();
   /// @return Whether calls were waiting.
@@ -113,7 +115,7 @@
   std::unordered_map<std::uint64_t, std::string> ClaimDispatchers;
   std::deque<std::uint64_t> ClaimEvictionOrder;
   View CurrentView;
-  std::minstd_rand Random;
+  decision::GroupChoice Choice;
 };
 
 } // namespace jujubecart::peers
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -50,6 +50,7 @@
   if (const auto *GrantMessage = std::get_if<Grant>(&Item.Body)) {
     onGrant(Source, *GrantMessage);
   } else if (const auto *Refusal = std::get_if<Refuse>(&Item.Body)) {
+    recordPrice(Refusal->Call, Refusal->SlotPricePercent);
     complete(Refusal->Call,
              {.Outcome = AcquireResult::Kind::Refused,
               .Reason = Refusal->Reason,
@@ -58,7 +59,15 @@
   }
 }
 
+void RemoteBroker::recordPrice(CallId Call, std::uint32_t SlotPricePercent) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = PendingCalls.find(Call);
+  if (Found != PendingCalls.end())
+    Choice.record(Found->second.Entry->Hash, SlotPricePercent, Env.Time.now());
+}
+
 void RemoteBroker::onGrant(const LinkPtr &Source, const Grant &Item) {
+  recordPrice(Item.Call, Item.SlotPricePercent);
   std::optional<core::BackendServer> Server = Item.ServerDetails;
   GroupPtr Entry;
   {
@@ -237,8 +246,8 @@
   return Found;
 }
 
-// Selects a group of this region at random, weighted by capacity; a group of
-// another region only if no group here has an eligible server.
+// Selects a group of this region; one of another region only if no group here
+// has an eligible server.
 GroupPtr RemoteBroker::chooseGroup(const core::SlotRequest &Request) {
   const GroupDirectory::Index Index = Env.Groups.current();
   const auto Found = Index->ByService.find(Request.Service);
@@ -246,27 +255,19 @@
     return nullptr;
   const std::string Region = memberView()->Region;
   for (const bool SameRegion : {true, false}) {
-    std::vector<const GroupPtr *> Candidates;
-    std::uint64_t Total = 0;
+    std::vector<GroupPtr> Groups;
+    std::vector<decision::GroupCandidate> Candidates;
     for (const GroupPtr &Entry : Found->second)
       if ((Entry->Group.Region == Region) == SameRegion &&
           internal::hasEligibleServer(*Entry, Request.Excluded)) {
-        Candidates.push_back(&Entry);
-        Total += Entry->Capacity;
+        Groups.push_back(Entry);
+        Candidates.push_back(
+            {.Group = Entry->Hash, .Capacity = Entry->Capacity});
       }
     if (Candidates.empty())
       continue;
-    std::uint64_t Offset = 0;
-    {
-      const std::lock_guard Lock(Mutex);
-      Offset =
-          std::uniform_int_distribution<std::uint64_t>(0, Total - 1)(Random);
-    }
-    for (const GroupPtr *Entry : Candidates) {
-      if (Offset < (*Entry)->Capacity)
-        return *Entry;
-      Offset -= (*Entry)->Capacity;
-    }
+    const std::lock_guard Lock(Mutex);
+    return Groups[Choice.choose(Candidates, Env.Time.now())];
   }
   // Every server is excluded or not active, so the dispatcher will refuse.
   return Found->second.front();
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -18,6 +18,10 @@
   return Report;
 }
 
+std::uint8_t slotPrice(const std::optional<decision::DecisionFacts> &Facts) {
+  return Facts ? static_cast<std::uint8_t>(Facts->SlotPricePercent) : 0;
+}
+
 // Logs one decision of a dispatcher with the facts on which it was based.
 void logDecision(const char *Event, const std::string &Group,
                  core::RequestId Request, const decision::DecisionFacts &Facts,
@@ -27,7 +31,8 @@
       .field("group", Group)
       .field("outcome", Outcome)
       .field("waiting", Facts.Waiting)
-      .field("waiting_late", Facts.WaitingLate);
+      .field("waiting_late", Facts.WaitingLate)
+      .field("slot_price_percent", Facts.SlotPricePercent);
   if (Facts.PacePercent)
     Line.field("pace_percent", *Facts.PacePercent)
         .field("pace_age_ms", Facts.PaceAge.count());
@@ -186,7 +191,7 @@
   refuse(*Target, Token,
          IsCoreError ? static_cast<core::Error>(Outcome.error().value())
                      : core::Error::Unavailable,
-         std::chrono::milliseconds(0));
+         std::chrono::milliseconds(0), 0);
   applyDecisions(*Target, Out);
 }
 
@@ -223,7 +228,8 @@
             "dispatch.refused", Target.Name, Found->second.Request,
             *Rejection.Facts,
             core::make_error_code(Rejection.Reason).message());
-      refuse(Target, Rejection.Token, Rejection.Reason, Rejection.RetryAfter);
+      refuse(Target, Rejection.Token, Rejection.Reason, Rejection.RetryAfter,
+             internal::slotPrice(Rejection.Facts));
     }
   }
 }
@@ -244,13 +250,15 @@
                                  : std::string(),
                      .Detail = Target.Entry->Group.Name});
   if (!Item.Requester) {
-    Item.OnComplete({.Server = Decision.Server});
+    Item.OnComplete({.Server = Decision.Server,
+                     .SlotPricePercent = internal::slotPrice(Decision.Facts)});
     return;
   }
   --Item.Requester->WaitingCalls;
   Grant Message{.Call = Item.RemoteCall,
                 .Server = core::hash64(Decision.Server.Id),
-                .ServerDetails = {}};
+                .ServerDetails = {},
+                .SlotPricePercent = internal::slotPrice(Decision.Facts)};
   if (Item.Revision < Target.Entry->Changed)
     Message.ServerDetails = Decision.Server;
   Item.Requester->PeerLink->send(Message);
@@ -258,15 +266,18 @@
 
 void DispatchService::refuse(Group &Target, decision::CallToken Token,
                              core::Error Reason,
-                             std::chrono::milliseconds RetryAfter) {
+                             std::chrono::milliseconds RetryAfter,
+                             std::uint8_t SlotPricePercent) {
   const auto Found = Target.Calls.find(Token);
   if (Found == Target.Calls.end())
     return;
   const Call Item = std::move(Found->second);
   Target.Calls.erase(Found);
   if (!Item.Requester) {
-    Item.OnComplete(
-        {.Server = std::nullopt, .Reason = Reason, .RetryAfter = RetryAfter});
+    Item.OnComplete({.Server = std::nullopt,
+                     .Reason = Reason,
+                     .RetryAfter = RetryAfter,
+                     .SlotPricePercent = SlotPricePercent});
     return;
   }
   --Item.Requester->WaitingCalls;
@@ -278,7 +289,8 @@
   Item.Requester->PeerLink->send(
       Refuse{.Call = Item.RemoteCall,
              .Reason = Reason,
-             .RetryAfterMs = static_cast<std::uint32_t>(RetryAfter.count())});
+             .RetryAfterMs = static_cast<std::uint32_t>(RetryAfter.count()),
+             .SlotPricePercent = SlotPricePercent});
 }
 
 // Ends a call that waits, is granted but not yet claimed, or holds a grant.
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -55,8 +55,10 @@
 }
 
 DecodedBody decode(const wire::Grant &Source) {
-  Grant Item{
-      .Call = Source.call(), .Server = Source.server(), .ServerDetails = {}};
+  Grant Item{.Call = Source.call(),
+             .Server = Source.server(),
+             .ServerDetails = {},
+             .SlotPricePercent = Source.slot_price_percent()};
   if (const wire::Server *Full = Source.full())
     Item.ServerDetails =
         core::BackendServer{.Id = toString(Full->id()),
@@ -74,7 +76,8 @@
     return std::nullopt;
   return Refuse{.Call = Source.call(),
                 .Reason = static_cast<core::Error>(Source.reason()),
-                .RetryAfterMs = Source.retry_after_ms()};
+                .RetryAfterMs = Source.retry_after_ms(),
+                .SlotPricePercent = Source.slot_price_percent()};
 }
 
 DecodedBody decode(const wire::Release &Source) {
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -51,14 +51,14 @@
         Item.ServerDetails->Address.c_str(), Item.ServerDetails->Zone.c_str(),
         Item.ServerDetails->Slots, Item.ServerDetails->Connections,
         Item.ServerDetails->Incarnation);
-  return makeBody<wire::Body::Grant>(
-      wire::CreateGrant(Out, Item.Call, Item.Server, Full));
+  return makeBody<wire::Body::Grant>(wire::CreateGrant(
+      Out, Item.Call, Item.Server, Full, Item.SlotPricePercent));
 }
 
 BodyOffset encode(Builder &Out, const Refuse &Item) {
   return makeBody<wire::Body::Refuse>(
       wire::CreateRefuse(Out, Item.Call, static_cast<std::uint8_t>(Item.Reason),
-                         Item.RetryAfterMs));
+                         Item.RetryAfterMs, Item.SlotPricePercent));
 }
 
 BodyOffset encode(Builder &Out, const Release &Item) {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -748,7 +748,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CALL = 4,
     VT_SERVER = 6,
-    VT_FULL = 8
+    VT_FULL = 8,
+    VT_SLOT_PRICE_PERCENT = 10
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -759,12 +760,16 @@
   const jujubecart::peers::wire::Server *full() const {
     return GetPointer<const jujubecart::peers::wire::Server *>(VT_FULL);
   }
+  uint8_t slot_price_percent() const {
+    return GetField<uint8_t>(VT_SLOT_PRICE_PERCENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
            VerifyField<uint64_t>(verifier, VT_SERVER, 8) &&
            VerifyOffset(verifier, VT_FULL) &&
            verifier.VerifyTable(full()) &&
+           VerifyField<uint8_t>(verifier, VT_SLOT_PRICE_PERCENT, 1) &&
            verifier.EndTable();
   }
 };
@@ -782,6 +787,9 @@
   void add_full(flatbuffers::Offset<jujubecart::peers::wire::Server> full) {
     fbb_.AddOffset(Grant::VT_FULL, full);
   }
+  void add_slot_price_percent(uint8_t slot_price_percent) {
+    fbb_.AddElement<uint8_t>(Grant::VT_SLOT_PRICE_PERCENT, slot_price_percent, 0);
+  }
   explicit GrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -797,11 +805,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t call = 0,
     uint64_t server = 0,
-    flatbuffers::Offset<jujubecart::peers::wire::Server> full = 0) {
+    flatbuffers::Offset<jujubecart::peers::wire::Server> full = 0,
+    uint8_t slot_price_percent = 0) {
   GrantBuilder builder_(_fbb);
   builder_.add_server(server);
   builder_.add_full(full);
   builder_.add_call(call);
+  builder_.add_slot_price_percent(slot_price_percent);
   return builder_.Finish();
 }
 
@@ -810,7 +820,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CALL = 4,
     VT_REASON = 6,
-    VT_RETRY_AFTER_MS = 8
+    VT_RETRY_AFTER_MS = 8,
+    VT_SLOT_PRICE_PERCENT = 10
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -821,11 +832,15 @@
   uint32_t retry_after_ms() const {
     return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
+  uint8_t slot_price_percent() const {
+    return GetField<uint8_t>(VT_SLOT_PRICE_PERCENT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
            VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SLOT_PRICE_PERCENT, 1) &&
            verifier.EndTable();
   }
 };
@@ -843,6 +858,9 @@
   void add_retry_after_ms(uint32_t retry_after_ms) {
     fbb_.AddElement<uint32_t>(Refuse::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_slot_price_percent(uint8_t slot_price_percent) {
+    fbb_.AddElement<uint8_t>(Refuse::VT_SLOT_PRICE_PERCENT, slot_price_percent, 0);
+  }
   explicit RefuseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -858,10 +876,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t call = 0,
     uint8_t reason = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    uint8_t slot_price_percent = 0) {
   RefuseBuilder builder_(_fbb);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_call(call);
+  builder_.add_slot_price_percent(slot_price_percent);
   builder_.add_reason(reason);
   return builder_.Finish();
 }
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -28,7 +28,8 @@
                            const Environment &Dependencies)
     : Executor(Executor), Env(Dependencies),
       Timer(internal::makeSerialTimer(Executor)),
-      Random(static_cast<std::uint32_t>(Env.Links.options().RandomSeed) + 1) {}
+      Choice(Env.Members.self().Id,
+             static_cast<std::uint32_t>(Env.Links.options().RandomSeed) + 1) {}
 
 RemoteBroker::~RemoteBroker() = default;
 
@@ -133,6 +134,7 @@
                              .Reason = Dispatched.Reason,
                              .Grant = {},
                              .RetryAfter = Dispatched.RetryAfter};
+        recordPrice(Call, Dispatched.SlotPricePercent);
         if (Dispatched.Server) {
           Result.Outcome = AcquireResult::Kind::Granted;
           Result.Grant = recordGrant({.Entry = Entry,
