Register entry VMs without a lease; the reader removes lost ones

Cause: each VM made two priced calls at its start, one for a lease and one for its registration, and renewed the lease for as long as it ran. Change: a registration does not expire. A VM whose registration was removed registers again, as before.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -153,6 +153,7 @@
           .Sleeper = Sleeper,
           .Random = internal::randomNumber,
           .ReaderRank = [this] { return Peers.storeRelay().readerRank(); },
+          .LostVms = [this] { return Peers.members().lostVms(); },
           .Broadcast =
               [this](const core::EntryChanges &Changes) {
                 Peers.storeRelay().broadcast(Changes);
--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -42,8 +42,14 @@
   friend auto operator<=>(const EntryChanges &, const EntryChanges &) = default;
 };
 
-/// @brief Identifies a lease granted by the store.
-using LeaseId = std::uint64_t;
+/// @brief A key at one revision.
+struct EntryVersion {
+  std::string Key;
+  /// Revision of its last change.
+  Revision Changed = 0;
+
+  friend auto operator<=>(const EntryVersion &, const EntryVersion &) = default;
+};
 
 /// @brief Consistency of a read.
 enum class ReadMode : std::uint8_t {
@@ -53,8 +59,8 @@
   Stale
 };
 
-/// @brief Key-value store with a revision common to all keys, prefix watches
-/// and leases.
+/// @brief Key-value store with a revision common to all keys and prefix
+/// watches.
 class EntryStore {
 public:
   virtual ~EntryStore() = default;
@@ -72,23 +78,20 @@
   [[nodiscard]] virtual Awaitable<Result<EntryList>>
   waitForChanges(Revision After, TimePoint Until) = 0;
 
-  /// @brief Creates a lease.
-  /// @param Ttl Time after which the lease expires unless it is renewed.
-  [[nodiscard]] virtual Awaitable<Result<LeaseId>>
-  grantLease(std::chrono::milliseconds Ttl, TimePoint Deadline) = 0;
+  /// @brief Writes a key.
+  /// @return Success, OutcomeUnknown or Unavailable.
+  [[nodiscard]] virtual Awaitable<Result<void>>
+  put(std::string Key, std::string Value, TimePoint Deadline) = 0;
 
-  /// @brief Extends a lease by its time to live.
-  /// @return NotFound if the lease has expired.
+  /// @brief Deletes keys, all or none of them.
+  /// @param Keys At most MaxWrites keys; none is deleted if one of them has
+  /// changed since the given revision.
+  /// @return Success, Conflict, OutcomeUnknown or Unavailable.
   [[nodiscard]] virtual Awaitable<Result<void>>
-  renewLease(LeaseId Lease, TimePoint Deadline) = 0;
-
-  /// @brief Writes a key that the store deletes when the lease expires.
-  /// @return Success, NotFound if the lease has expired, OutcomeUnknown or
-  /// Unavailable.
-  [[nodiscard]] virtual Awaitable<Result<void>> put(std::string Key,
-                                                    std::string Value,
-                                                    LeaseId Lease,
-                                                    TimePoint Deadline) = 0;
+  remove(std::vector<EntryVersion> Keys, TimePoint Deadline) = 0;
+
+  /// Limit of the writes in one call.
+  static constexpr std::size_t MaxWrites = 32;
 };
 
 } // namespace jujubecart::core
--- a/packages/peers/include/jujubecart/peers/member_table.hpp
+++ b/packages/peers/include/jujubecart/peers/member_table.hpp
@@ -39,6 +39,11 @@
   /// are removed.
   void update(const std::vector<core::Member> &Listed);
 
+  /// @brief Ids of listed VMs that have been silent for longer than
+  /// RemoveAfter, by twice that time. Empty if not more than half of the listed
+  /// VMs are reachable, since this VM may then be the one that is cut off.
+  [[nodiscard]] std::vector<std::string> lostVms() const;
+
   /// @brief Sets the `IP:port` that other VMs connect to; needed when the
   /// configured port is 0 and the system chose one.
   void setAddress(std::string Address);
--- a/packages/peers/src/member_table.cpp
+++ b/packages/peers/src/member_table.cpp
@@ -103,6 +103,8 @@
       Existing.Confirmed = true;
       recordChange(Existing, "listed");
     } else if (!Existing.Confirmed) {
+      if (Existing.LastHeard == core::TimePoint())
+        Existing.LastHeard = ListedHeardAt;
       const std::uint64_t Known = Existing.Info.Incarnation;
       Existing.Info = Item;
       Existing.Info.Incarnation = Known;
@@ -114,6 +116,24 @@
   });
 }
 
+std::vector<std::string> MemberTable::lostVms() const {
+  const std::lock_guard Lock(Mutex);
+  const core::TimePoint Now = Time.now();
+  std::vector<std::string> Lost;
+  std::size_t Listed = 0;
+  std::size_t Reachable = 0;
+  for (const auto &[Vm, Item] : Others) {
+    if (!Item.Listed)
+      continue;
+    ++Listed;
+    Reachable +=
+        Item.Confirmed && Item.Info.State != core::MemberState::Suspect;
+    if (!Item.Confirmed && Now - Item.LastHeard >= 2 * Options.RemoveAfter)
+      Lost.push_back(Vm);
+  }
+  return Reachable * 2 > Listed ? Lost : std::vector<std::string>();
+}
+
 void MemberTable::setAddress(std::string Address) {
   const std::lock_guard Lock(Mutex);
   Self.Address = std::move(Address);
--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -61,6 +61,10 @@
   /// @brief Returns the registered entry VMs in the order of their store keys.
   [[nodiscard]] std::vector<core::Member> vms() const;
 
+  /// @brief Store entries of registered VMs, without those of unknown ids.
+  [[nodiscard]] std::vector<core::EntryVersion>
+  vmEntries(const std::vector<std::string> &Ids) const;
+
   /// @brief Whether an entry VM is registered with the given properties; its
   /// other properties are ignored.
   [[nodiscard]] bool isRegistered(const core::Member &Vm) const;
@@ -90,8 +94,12 @@
   core::RoutingConfig Config;
   /// By store key.
   std::map<std::string, ServerEntry> Servers;
+  struct VmEntry {
+    core::Member Registered;
+    core::Revision Changed = 0;
+  };
   /// By store key.
-  std::map<std::string, core::Member> Vms;
+  std::map<std::string, VmEntry> Vms;
 };
 
 } // namespace jujubecart::store
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -19,7 +19,7 @@
   /// A watch without a change ends after this time, so that the other VMs are
   /// told that nothing changed before they read the store themselves.
   std::chrono::milliseconds WatchTimeout{700};
-  /// Timeout of a list, of a lease renewal, and of a registration.
+  /// Timeout of a list, a registration and a removal of registrations.
   std::chrono::milliseconds CallTimeout{1000};
   /// How long a VM that is not registered yet waits after its first list, so
   /// that VMs that start together have registered before it reads the changes.
@@ -44,10 +44,8 @@
   std::chrono::milliseconds ReregistrationTime{2300};
   /// The store loses no entries in an outage shorter than this.
   std::chrono::milliseconds MinLossyOutage{1800};
-  /// Time to live of the lease of this VM's registration.
-  std::chrono::milliseconds LeaseTtl{600000};
-  /// Time after which the lease is renewed.
-  std::chrono::milliseconds LeaseRenewalInterval{200000};
+  /// How often the reader removes the registrations of lost VMs.
+  std::chrono::milliseconds CleanupInterval{5000};
 };
 
 /// @brief Keeps this VM's configuration and member list up to date with a
@@ -70,6 +68,9 @@
     /// Rank of this VM in the order in which VMs take over reading the store
     /// for all; the VM with rank 0 reads.
     std::function<std::size_t()> ReaderRank;
+    /// Ids of registered VMs that are lost, so that the reader removes their
+    /// registrations.
+    std::function<std::vector<std::string>()> LostVms;
     /// Sends an answer of the store to the other VMs.
     std::function<void(const core::EntryChanges &)> Broadcast;
   };
@@ -106,6 +107,7 @@
   [[nodiscard]] core::Awaitable<bool> watchStore();
   [[nodiscard]] core::Awaitable<void> backOff();
   [[nodiscard]] core::Awaitable<bool> ensureRegistered();
+  [[nodiscard]] core::Awaitable<void> removeLostVms();
   [[nodiscard]] bool mustReadStore() const;
   void recordConfirmation();
   void recordSuccess();
@@ -135,9 +137,7 @@
   /// Whether another VM reported changes that follow changes unknown here; the
   /// missing ones must be read from the store.
   bool MissedChanges = false;
-  std::optional<core::LeaseId> Lease;
-  /// When the lease is renewed next.
-  core::TimePoint NextRenewal;
+  core::TimePoint NextCleanup = core::TimePoint::min();
   /// Earliest time of the next check of the registration.
   core::TimePoint NextCheck = core::TimePoint::min();
 };
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -120,7 +120,8 @@
   }
   core::Findings Report(Entry.Key);
   if (auto Read = Codec.decodeVm(Entry.Key, *Entry.Value, Report))
-    Vms.insert_or_assign(Entry.Key, std::move(*Read));
+    Vms.insert_or_assign(Entry.Key, VmEntry{.Registered = std::move(*Read),
+                                            .Changed = Entry.Changed});
   else
     internal::logInvalid(Entry.Key, Report);
 }
@@ -201,15 +202,26 @@
   std::vector<core::Member> Result;
   Result.reserve(Vms.size());
   for (const auto &[Key, Vm] : Vms)
-    Result.push_back(Vm);
+    Result.push_back(Vm.Registered);
+  return Result;
+}
+
+std::vector<core::EntryVersion>
+Directory::vmEntries(const std::vector<std::string> &Ids) const {
+  std::vector<core::EntryVersion> Result;
+  for (const std::string &Id : Ids)
+    if (const auto Found = Vms.find(Codec.vmKey(Id)); Found != Vms.end())
+      Result.push_back({.Key = Found->first, .Changed = Found->second.Changed});
   return Result;
 }
 
 bool Directory::isRegistered(const core::Member &Vm) const {
   const auto Found = Vms.find(Codec.vmKey(Vm.Id));
-  return Found != Vms.end() && Found->second.Address == Vm.Address &&
-         Found->second.Zone == Vm.Zone && Found->second.Region == Vm.Region &&
-         Found->second.ProcessorMilli == Vm.ProcessorMilli;
+  if (Found == Vms.end())
+    return false;
+  const core::Member &Known = Found->second.Registered;
+  return Known.Address == Vm.Address && Known.Zone == Vm.Zone &&
+         Known.Region == Vm.Region && Known.ProcessorMilli == Vm.ProcessorMilli;
 }
 
 } // namespace jujubecart::store
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -38,6 +38,7 @@
       Succeeded = co_await load();
     } else if (mustReadStore()) {
       Succeeded = co_await watchStore();
+      co_await removeLostVms();
     } else {
       co_await Env.Sleeper.sleepUntil(Env.Time.now() + internal::TakeoverPoll);
       if (Entries.removeExpired(Env.Time.now()))
@@ -154,6 +155,27 @@
   co_return true;
 }
 
+// Registrations do not expire: a lease would cost each VM a call at its start
+// and further ones to renew it. A VM that was lost and has changed its
+// registration since is kept, because the store then removes none.
+core::Awaitable<void> DirectoryFeed::removeLostVms() {
+  if (Env.ReaderRank() != 0 || Env.Time.now() < NextCleanup)
+    co_return;
+  NextCleanup = Env.Time.now() + Options.CleanupInterval;
+  std::vector<core::EntryVersion> Lost = Entries.vmEntries(Env.LostVms());
+  if (Lost.empty())
+    co_return;
+  Lost.resize(std::min(Lost.size(), core::EntryStore::MaxWrites));
+  const std::size_t Count = Lost.size();
+  const std::string First = Lost.front().Key;
+  const auto Removed = co_await Env.Store.remove(
+      std::move(Lost), Env.Time.now() + Options.CallTimeout);
+  core::LogLine(core::LogLevel::Info, "vm.registrations_removed")
+      .field("count", Count)
+      .field("first", First)
+      .field("result", Removed ? "ok" : Removed.error().message());
+}
+
 core::Awaitable<void> DirectoryFeed::backOff() {
   const unsigned Doublings =
       std::min(Failures == 0 ? 0 : Failures - 1, internal::MaxBackoffDoublings);
@@ -219,33 +241,15 @@
   }
 }
 
-// Whether this VM is registered is decided by what the watch reports, never by
-// the assumption that the lease is still valid.
+// Whether this VM is registered is decided by what the watch reports, since the
+// reader may have removed the registration of a VM that was cut off.
 core::Awaitable<bool> DirectoryFeed::ensureRegistered() {
-  const core::TimePoint Deadline = Env.Time.now() + Options.CallTimeout;
-  if (Env.Time.now() < NextCheck)
-    co_return true;
-  const bool Registered = Entries.isRegistered(Self);
-  if (Registered && (!Lease || Env.Time.now() < NextRenewal))
+  if (Env.Time.now() < NextCheck || Entries.isRegistered(Self))
     co_return true;
-  if (Lease && Registered) {
-    const auto Renewed = co_await Env.Store.renewLease(*Lease, Deadline);
-    if (Renewed)
-      NextRenewal = Env.Time.now() + Options.LeaseRenewalInterval;
-    else if (Renewed.error() == core::Error::NotFound)
-      Lease.reset();
-    co_return static_cast<bool>(Renewed);
-  }
-  const auto Granted =
-      co_await Env.Store.grantLease(Options.LeaseTtl, Deadline);
-  if (!Granted)
-    co_return false;
-  Lease = *Granted;
-  NextRenewal = Env.Time.now() + Options.LeaseRenewalInterval;
-  const auto Written = co_await Env.Store.put(
-      Env.Codec.vmKey(Self.Id), Env.Codec.encodeVm(Self), *Granted, Deadline);
+  const auto Written =
+      co_await Env.Store.put(Env.Codec.vmKey(Self.Id), Env.Codec.encodeVm(Self),
+                             Env.Time.now() + Options.CallTimeout);
   core::LogLine(core::LogLevel::Info, "vm.registered")
-      .field("lease", *Granted)
       .field("result", Written ? "ok" : Written.error().message());
   if (Written)
     NextCheck = Env.Time.now() + internal::RegistrationDelay;
