--- a/cmake/Options.cmake
+++ b/cmake/Options.cmake
@@ -1,6 +1,7 @@
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
 find_package(nlohmann_json REQUIRED)
+find_package(ZLIB REQUIRED)
 
 find_program(Ccache ccache)
 if(Ccache)
--- a/packages/core/include/jujubecart/core/directory_codec.hpp
+++ b/packages/core/include/jujubecart/core/directory_codec.hpp
@@ -69,6 +69,10 @@
   decodeVm(std::string_view Key, std::string_view Value,
            Findings &Report) const = 0;
 
+  /// @brief Key under which the reader of the store keeps a snapshot of the
+  /// entries; its entry kind is Other.
+  [[nodiscard]] virtual std::string snapshotKey() const = 0;
+
   /// @brief Key of an entry VM's registration.
   [[nodiscard]] virtual std::string vmKey(std::string_view Id) const = 0;
 
--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -71,6 +71,11 @@
   [[nodiscard]] virtual Awaitable<Result<EntryList>>
   list(ReadMode Mode, TimePoint Deadline) = 0;
 
+  /// @brief Reads one key.
+  /// @return The entry, or NotFound, Unavailable or DeadlineExceeded.
+  [[nodiscard]] virtual Awaitable<Result<StoredEntry>>
+  get(std::string Key, ReadMode Mode, TimePoint Deadline) = 0;
+
   /// @brief Waits for changes after a revision.
   /// @param Until Time at which the wait ends without a change.
   /// @return The changes in revision order, or HistoryLost if the store no
--- a/packages/peers/include/jujubecart/peers/member_table.hpp
+++ b/packages/peers/include/jujubecart/peers/member_table.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/event_sink.hpp>
 #include <jujubecart/core/member.hpp>
+#include <jujubecart/decision/token_bucket.hpp>
 #include <jujubecart/peers/message.hpp>
 #include <jujubecart/peers/peer_options.hpp>
 
@@ -116,6 +117,10 @@
   core::TimePoint AgesValidFrom;
   // No VM becomes suspect and none is removed before this time.
   core::TimePoint SuspicionFrom;
+  // Limits the log lines of single members.
+  decision::TokenBucket LogTokens;
+  // Changes without a line of their own since the last summary.
+  std::size_t UnloggedChanges = 0;
 };
 
 } // namespace jujubecart::peers
--- a/packages/peers/src/member_table.cpp
+++ b/packages/peers/src/member_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <jujubecart/core/hash.hpp>
 #include <jujubecart/core/log.hpp>
+#include <utility>
 
 namespace jujubecart::peers {
 
@@ -10,6 +11,10 @@
 
 // A longer gap between two ticks means that this process was paused.
 constexpr std::chrono::milliseconds MaxTickGap{1000};
+// Log lines of member changes a second, and at once. When many VMs restart
+// together, the lines would delay the calls of this VM; the rest is summarized.
+constexpr double MemberLinesPerS = 10;
+constexpr double MemberLinesBurst = 20;
 // Time to read the frames that arrived during a pause.
 constexpr std::chrono::milliseconds BacklogDrainTime{250};
 
@@ -46,7 +51,9 @@
 MemberTable::MemberTable(const PeerOptions &Options, const core::Clock &Time,
                          core::EventSink &Events)
     : Options(Options), Time(Time), Events(Events), Self(Options.Self),
-      LastTick(Time.now()), AgesValidFrom(LastTick) {}
+      LastTick(Time.now()), AgesValidFrom(LastTick),
+      LogTokens(internal::MemberLinesPerS, internal::MemberLinesBurst,
+                LastTick) {}
 
 core::Member MemberTable::self() const {
   const std::lock_guard Lock(Mutex);
@@ -72,10 +79,13 @@
 
 void MemberTable::recordChange(const Entry &Item, std::string_view State) {
   ++Version;
-  core::LogLine(core::LogLevel::Info, "member.changed")
-      .field("peer", Item.Info.Id)
-      .field("incarnation", Item.Info.Incarnation)
-      .field("state", State);
+  if (LogTokens.tryTake(Time.now()))
+    core::LogLine(core::LogLevel::Info, "member.changed")
+        .field("peer", Item.Info.Id)
+        .field("incarnation", Item.Info.Incarnation)
+        .field("state", State);
+  else
+    ++UnloggedChanges;
   Events.record({.Kind = "member.changed",
                  .Peer = Item.Info.Id,
                  .Detail = std::string(State)});
@@ -87,6 +97,7 @@
 // that start together then need not send each other their member tables.
 void MemberTable::update(const std::vector<core::Member> &Listed) {
   const std::lock_guard Lock(Mutex);
+  std::size_t Added = 0;
   const core::TimePoint ListedHeardAt =
       Time.now() - Options.SuspectAfter * 2 / 3;
   for (auto &[Vm, Item] : Others)
@@ -101,7 +112,8 @@
       Existing.Info.State = core::MemberState::Live;
       Existing.LastHeard = ListedHeardAt;
       Existing.Confirmed = true;
-      recordChange(Existing, "listed");
+      ++Version;
+      ++Added;
     } else if (!Existing.Confirmed) {
       if (Existing.LastHeard == core::TimePoint())
         Existing.LastHeard = ListedHeardAt;
@@ -114,6 +126,10 @@
   std::erase_if(Others, [](const auto &Item) {
     return !Item.second.Listed && !Item.second.Confirmed;
   });
+  if (Added > 0)
+    core::LogLine(core::LogLevel::Info, "members.listed")
+        .field("listed", Listed.size())
+        .field("new", Added);
 }
 
 std::vector<std::string> MemberTable::lostVms() const {
@@ -325,6 +341,10 @@
     SuspicionFrom = AgesValidFrom + 2 * Options.GossipInterval;
   }
   LastTick = Now;
+  if (UnloggedChanges > 0)
+    core::LogLine(core::LogLevel::Info, "members.changed")
+        .field("changes", std::exchange(UnloggedChanges, 0))
+        .field("members", Others.size());
   if (Now < SuspicionFrom)
     return Unreachable;
   for (auto At = Others.begin(); At != Others.end();) {
--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -89,6 +89,8 @@
   const core::DirectoryCodec &Codec;
   const Zones ZoneRegions;
   core::Revision AsOf = 0;
+  /// Whether changes of servers are logged.
+  bool LogsServers = true;
   /// Deletions of active servers before this instant are deferred until then.
   core::TimePoint DeletionsDeferredUntil = core::TimePoint::min();
   core::RoutingConfig Config;
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -44,6 +44,11 @@
   std::chrono::milliseconds ReregistrationTime{2300};
   /// The store loses no entries in an outage shorter than this.
   std::chrono::milliseconds MinLossyOutage{1800};
+  /// How often the reader writes a snapshot of the entries after changes, and
+  /// how often at least, so that the changes since the snapshot are still in
+  /// the store's history (20 s).
+  std::chrono::milliseconds SnapshotInterval{5000};
+  std::chrono::milliseconds MaxSnapshotInterval{10000};
   /// How often the reader removes the registrations of lost VMs.
   std::chrono::milliseconds CleanupInterval{5000};
 };
@@ -103,6 +108,8 @@
 
 private:
   [[nodiscard]] core::Awaitable<bool> load();
+  [[nodiscard]] core::Awaitable<core::Result<core::EntryList>> readAll();
+  [[nodiscard]] core::Awaitable<void> writeSnapshot();
   [[nodiscard]] core::Awaitable<bool> catchUp();
   [[nodiscard]] core::Awaitable<bool> watchStore();
   [[nodiscard]] core::Awaitable<void> backOff();
@@ -121,7 +128,9 @@
   MemberListener OnMembers;
   std::vector<core::Member> LastMembers;
   std::atomic<bool> Stopped{false};
-  core::ReadMode ListMode = core::ReadMode::Stale;
+  /// What load() reads first; each is tried if the one before fails.
+  enum class Source : std::uint8_t { Snapshot, StaleList, LatestList };
+  Source LoadFrom = Source::Snapshot;
   /// Whether the entries were listed once. Only then is it known whether this
   /// VM is registered.
   bool Listed = false;
@@ -138,6 +147,10 @@
   /// missing ones must be read from the store.
   bool MissedChanges = false;
   core::TimePoint NextCleanup = core::TimePoint::min();
+  /// When the reader last wrote a snapshot, or began to read the store.
+  std::optional<core::TimePoint> LastSnapshot;
+  /// Whether entries have changed since.
+  bool SnapshotOutdated = true;
   /// Earliest time of the next check of the registration.
   core::TimePoint NextCheck = core::TimePoint::min();
 };
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -46,9 +46,17 @@
     removeServer(Key, Now);
   std::erase_if(
       Vms, [&](const auto &Item) { return !Present.contains(Item.first); });
+  // One line for the first list instead of one for each of its servers: at the
+  // start of a VM the log would cost more time than the list itself.
+  LogsServers = !Servers.empty();
   for (const core::StoredEntry &Entry : All.Entries)
     apply(Entry, Now);
+  LogsServers = true;
   AsOf = std::max(AsOf, All.AsOf);
+  core::LogLine(core::LogLevel::Info, "directory.listed")
+      .field("servers", Servers.size())
+      .field("vms", Vms.size())
+      .field("revision", AsOf);
 }
 
 void Directory::apply(const core::EntryList &Changes, core::TimePoint Now) {
@@ -109,8 +117,10 @@
   if (Known.Registered == *Read)
     return;
   Known.Registered = std::move(*Read);
-  internal::logServerChange(internal::stateName(Known.Registered.Server.State),
-                            Known.Registered, Entry.Changed);
+  if (LogsServers)
+    internal::logServerChange(
+        internal::stateName(Known.Registered.Server.State), Known.Registered,
+        Entry.Changed);
 }
 
 void Directory::applyVm(const core::StoredEntry &Entry) {
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/store/directory_feed.hpp>
 
 #include <jujubecart/core/log.hpp>
+#include <jujubecart/store/directory_snapshot.hpp>
 
 #include <algorithm>
 
@@ -39,6 +40,7 @@
     } else if (mustReadStore()) {
       Succeeded = co_await watchStore();
       co_await removeLostVms();
+      co_await writeSnapshot();
     } else {
       co_await Env.Sleeper.sleepUntil(Env.Time.now() + internal::TakeoverPoll);
       if (Entries.removeExpired(Env.Time.now()))
@@ -85,18 +87,36 @@
     publish();
 }
 
-// The first list reads every page, so it uses stale reads, which cost a tenth.
-// The changes since then are read before any entry is used.
+// A snapshot is a tenth of the size of a list. When all VMs start together, the
+// lists of all of them would keep the store's network link busy for a second.
+core::Awaitable<core::Result<core::EntryList>> DirectoryFeed::readAll() {
+  const core::TimePoint Deadline = Env.Time.now() + Options.CallTimeout;
+  if (LoadFrom == Source::Snapshot) {
+    const auto Stored = co_await Env.Store.get(Env.Codec.snapshotKey(),
+                                               core::ReadMode::Stale, Deadline);
+    auto Decoded =
+        Stored && Stored->Value ? decodeSnapshot(*Stored->Value) : std::nullopt;
+    if (Decoded)
+      co_return std::move(*Decoded);
+    LoadFrom = Source::StaleList;
+  }
+  co_return co_await Env.Store.list(LoadFrom == Source::StaleList
+                                        ? core::ReadMode::Stale
+                                        : core::ReadMode::Latest,
+                                    Deadline);
+}
+
+// Snapshots and stale reads, which cost a tenth, may be outdated. The changes
+// since then are read before any entry is used.
 core::Awaitable<bool> DirectoryFeed::load() {
-  const auto All =
-      co_await Env.Store.list(ListMode, Env.Time.now() + Options.CallTimeout);
+  const auto All = co_await readAll();
   if (!All) {
     recordFailure("list", All.error());
     co_return false;
   }
   Entries.replace(*All, Env.Time.now());
   Listed = true;
-  if (ListMode == core::ReadMode::Stale) {
+  if (LoadFrom != Source::LatestList) {
     const bool CaughtUp = co_await catchUp();
     if (!CaughtUp)
       co_return false;
@@ -104,7 +124,7 @@
   recordSuccess();
   // A later list follows a loss of the store's history. Only the latest entries
   // are then certain to be recent enough to watch for changes after them.
-  ListMode = core::ReadMode::Latest;
+  LoadFrom = Source::LatestList;
   Loaded = true;
   publish();
   co_return true;
@@ -119,7 +139,8 @@
       Entries.asOf(), Env.Time.now() + internal::CatchUpTimeout);
   if (!Changed) {
     if (Changed.error() == core::Error::HistoryLost)
-      ListMode = core::ReadMode::Latest;
+      LoadFrom =
+          LoadFrom == Source::Snapshot ? Source::StaleList : Source::LatestList;
     recordFailure("catch up", Changed.error());
     co_return false;
   }
@@ -127,12 +148,55 @@
   co_return true;
 }
 
+namespace internal {
+
+/// @brief Leaves out entries that are not part of the directory.
+core::EntryList withoutOther(core::EntryList List,
+                             const core::DirectoryCodec &Codec) {
+  std::erase_if(List.Entries, [&](const core::StoredEntry &Entry) {
+    return Codec.entryKind(Entry.Key) == core::EntryKind::Other;
+  });
+  return List;
+}
+
+} // namespace internal
+
+// The reader lists the entries instead of keeping their values, which no VM
+// needs after it has decoded them.
+core::Awaitable<void> DirectoryFeed::writeSnapshot() {
+  const core::TimePoint Now = Env.Time.now();
+  if (Env.ReaderRank() != 0 || !LastSnapshot) {
+    LastSnapshot = Now;
+    co_return;
+  }
+  const core::TimePoint Due =
+      *LastSnapshot + (SnapshotOutdated ? Options.SnapshotInterval
+                                        : Options.MaxSnapshotInterval);
+  if (Now < Due)
+    co_return;
+  LastSnapshot = Now;
+  SnapshotOutdated = false;
+  const auto All =
+      co_await Env.Store.list(core::ReadMode::Stale, Now + Options.CallTimeout);
+  if (!All)
+    co_return;
+  std::string Value = encodeSnapshot(internal::withoutOther(*All, Env.Codec));
+  const std::size_t Bytes = Value.size();
+  const auto Written =
+      co_await Env.Store.put(Env.Codec.snapshotKey(), std::move(Value),
+                             Env.Time.now() + Options.CallTimeout);
+  core::LogLine(core::LogLevel::Info, "directory.snapshot_written")
+      .field("revision", All->AsOf)
+      .field("bytes", Bytes)
+      .field("result", Written ? "ok" : Written.error().message());
+}
+
 core::Awaitable<bool> DirectoryFeed::watchStore() {
   const core::TimePoint Until =
       std::min(Env.Time.now() + Options.WatchTimeout,
                std::max(Entries.nextRemoval(), Env.Time.now()));
   const core::Revision After = Entries.asOf();
-  const auto Changed = co_await Env.Store.waitForChanges(After, Until);
+  auto Changed = co_await Env.Store.waitForChanges(After, Until);
   if (!Changed) {
     if (Changed.error() == core::Error::HistoryLost) {
       core::LogLine(core::LogLevel::Warning, "store.history_lost")
@@ -145,6 +209,8 @@
   }
   recordSuccess();
   MissedChanges = false;
+  *Changed = internal::withoutOther(std::move(*Changed), Env.Codec);
+  SnapshotOutdated = SnapshotOutdated || !Changed->Entries.empty();
   Entries.apply(*Changed, Env.Time.now());
   Env.Broadcast({.After = After, .List = *Changed});
   const bool Removed = Entries.removeExpired(Env.Time.now());
--- a/tests/store/directory_feed_test.cpp
+++ b/tests/store/directory_feed_test.cpp
@@ -1,6 +1,7 @@
 #include "plain_codec.hpp"
 
 #include <jujubecart/store/directory_feed.hpp>
+#include <jujubecart/store/directory_snapshot.hpp>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -30,6 +31,16 @@
       co_return core::make_error_code(Error::Unavailable);
     co_return All;
   }
+  [[nodiscard]] core::Awaitable<core::Result<core::StoredEntry>>
+  get(std::string Key, core::ReadMode /*Mode*/,
+      core::TimePoint /*Deadline*/) override {
+    if (Down)
+      co_return core::make_error_code(Error::Unavailable);
+    if (!Snapshot)
+      co_return core::make_error_code(Error::NotFound);
+    co_return core::StoredEntry{
+        .Key = std::move(Key), .Value = *Snapshot, .Changed = 2};
+  }
   [[nodiscard]] core::Awaitable<core::Result<core::EntryList>>
   waitForChanges(core::Revision After, core::TimePoint Until) override {
     ++Watches;
@@ -56,6 +67,11 @@
   [[nodiscard]] core::Awaitable<core::Result<void>>
   put(std::string Key, std::string Value,
       core::TimePoint /*Deadline*/) override {
+    if (Key == "snapshot") {
+      Snapshot = std::move(Value);
+      ++SnapshotsWritten;
+      co_return core::Result<void>();
+    }
     ++Puts;
     Next.push_back({.Entries = {{.Key = std::move(Key),
                                  .Value = std::move(Value),
@@ -75,6 +91,8 @@
   std::vector<core::ReadMode> Modes;
   int Watches = 0;
   int Puts = 0;
+  std::optional<std::string> Snapshot;
+  int SnapshotsWritten = 0;
   std::vector<core::EntryVersion> Removed;
 
 private:
@@ -82,13 +100,17 @@
 };
 
 struct Fixture {
-  explicit Fixture(std::size_t Rank) : Rank(Rank) {
+  explicit Fixture(std::size_t Rank,
+                   std::chrono::milliseconds SnapshotInterval = 10s)
+      : Rank(Rank), SnapshotInterval(SnapshotInterval) {
     boost::asio::co_spawn(Io, Feed.run(), boost::asio::detached);
   }
 
-  static store::DirectoryFeedOptions options() {
+  [[nodiscard]] store::DirectoryFeedOptions options() const {
     store::DirectoryFeedOptions Result;
     Result.WatchTimeout = 20ms;
+    Result.SnapshotInterval = SnapshotInterval;
+    Result.MaxSnapshotInterval = SnapshotInterval;
     Result.JoinDelay = 10ms;
     Result.BatchDelay = 1ms;
     Result.InitialBackoff = 1ms;
@@ -117,6 +139,7 @@
   PlainCodec Codec;
   ScriptedStore Store{Sleeper};
   std::size_t Rank;
+  std::chrono::milliseconds SnapshotInterval;
   std::vector<std::string> Lost;
   std::vector<core::EntryChanges> Shared;
   store::DirectoryFeed Feed{{.Store = Store,
@@ -310,3 +333,73 @@
     cr_assert_eq(Setup.Store.Removed.front().Changed, 2);
   }
 }
+
+// Guards against the list of every entry being read by every VM that starts,
+// and against entries of an outdated snapshot that are used unchanged.
+Test(DirectoryFeed, starting_vm_reads_the_snapshot_and_the_changes_since) {
+  Fixture Setup(1);
+  Setup.Store.Snapshot = store::encodeSnapshot(Setup.Store.All);
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 3}},
+       .AsOf = 3});
+  Setup.run(100ms);
+  cr_assert_eq(Setup.servers(), 2);
+  cr_assert_eq(Setup.Store.Lists, 0);
+}
+
+// Guards against a VM that never starts because the snapshot is damaged or too
+// old for the store's history.
+Test(DirectoryFeed, unusable_snapshot_leads_to_a_list) {
+  for (const bool TooOld : {true, false}) {
+    Fixture Setup(1);
+    Setup.Store.Snapshot =
+        TooOld ? store::encodeSnapshot(Setup.Store.All) : "damaged";
+    Setup.Store.HistoryLost = TooOld;
+    Setup.start();
+    cr_assert_eq(Setup.Store.Lists, 1);
+    cr_assert(Setup.Store.Modes.front() == core::ReadMode::Stale);
+  }
+}
+
+// Guards against a snapshot that is never written, or by every VM, and against
+// one that contains itself or is passed on to the other VMs.
+Test(DirectoryFeed, reader_writes_a_snapshot_of_the_directory) {
+  for (const std::size_t Rank : {0U, 1U}) {
+    Fixture Setup(Rank, 60ms);
+    Setup.Store.All.Entries.push_back(
+        {.Key = "snapshot", .Value = "old", .Changed = 2});
+    Setup.start();
+    Setup.Store.Next.push_back(
+        {.Entries = {{.Key = "snapshot", .Value = "new", .Changed = 3}},
+         .AsOf = 3});
+    Setup.run(300ms);
+    if (Rank != 0) {
+      cr_assert_eq(Setup.Store.SnapshotsWritten, 0);
+      continue;
+    }
+    cr_assert_geq(Setup.Store.SnapshotsWritten, 1);
+    cr_assert_leq(Setup.Store.SnapshotsWritten, 4);
+    const auto Decoded = store::decodeSnapshot(*Setup.Store.Snapshot);
+    cr_assert(Decoded.has_value());
+    cr_assert_eq(Decoded->Entries.size(), 2);
+    for (const core::EntryChanges &Each : Setup.Shared)
+      cr_assert(Each.List.Entries.empty());
+  }
+}
+
+// Guards against a snapshot that loses bytes, and against one that takes all
+// memory when it is decompressed.
+Test(DirectorySnapshot, list_is_decoded_unchanged_and_damaged_ones_are_not) {
+  core::EntryList List{.AsOf = 17};
+  for (int Index = 0; Index < 600; ++Index)
+    List.Entries.push_back({.Key = "s/" + std::to_string(Index),
+                            .Value = std::string(400, '\xff') + "\0",
+                            .Changed = core::Revision(Index)});
+  const std::string Encoded = store::encodeSnapshot(List);
+  cr_assert_lt(Encoded.size(), 24000);
+  cr_assert(store::decodeSnapshot(Encoded) == List);
+  cr_assert_not(store::decodeSnapshot(""));
+  cr_assert_not(store::decodeSnapshot(Encoded.substr(0, 1000)));
+  List.Entries = {{.Key = "k", .Value = std::string(20 << 20, 'x')}};
+  cr_assert_not(store::decodeSnapshot(store::encodeSnapshot(List)));
+}
--- a/tests/store/plain_codec.hpp
+++ b/tests/store/plain_codec.hpp
@@ -50,6 +50,7 @@
     return core::Member{.Id = std::string(Key.substr(2)),
                         .Address = std::string(Value)};
   }
+  [[nodiscard]] std::string snapshotKey() const override { return "snapshot"; }
   [[nodiscard]] std::string vmKey(std::string_view Id) const override {
     return std::string("v/").append(Id);
   }
