Budget retries per service, with a share of the fleet's limit for each VM

The budget was one for all services of a VM, and 16 VMs could each save ten retries: a fleet could send 160 and a tenth of the calls of all services to one service. Change: RetryBudget counts per service; the settings retries.ratio and retries.fleet_burst give the platform's limits, of which three quarters are used and the burst is divided between the VMs.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -71,7 +71,7 @@
                            : &HttpProber}),
       Startup(Config, ConfigReader, Peers.config(), Time, Sleeper),
       Pool(Io.get_executor(), poolOptions(Settings), Time),
-      Transport(Pool, Time, profile()),
+      Transport(Pool, Time, profile()), Retries(retryOptions(Settings, 1)),
       Callers(Io.get_executor(), callerOptions(Settings),
               {.Time = Time,
                .Config = Config,
@@ -277,6 +277,7 @@
     else
       ConfigReader.stopWatching();
     Pool.setFleetSize(static_cast<std::uint32_t>(Members.size()));
+    Retries.setMaxSaved(retryOptions(Settings, Members.size()).MaxSaved);
     Pool.prune();
     co_await Sleeper.sleepUntil(Time.now() + internal::MaintenanceInterval);
   }
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -45,6 +45,25 @@
       Settings.Directory.Enabled ? Settings.Directory.LeaveMs : 0);
 }
 
+// The fleet stays below the limits that are set: whoever enforces them may
+// count in other windows than the buckets, and a VM that is cut off from the
+// others still has its share.
+decision::RetryBudgetOptions retryOptions(const operators::Settings &Settings,
+                                          std::size_t Vms) {
+  constexpr double UsedShare = 0.75;
+  decision::RetryBudgetOptions Options;
+  if (Settings.Retries.FleetBurst == 0) {
+    Options.Ratio = Settings.Retries.Ratio;
+    return Options;
+  }
+  Options.Ratio = UsedShare * Settings.Retries.Ratio;
+  Options.MaxSaved =
+      std::clamp(UsedShare * Settings.Retries.FleetBurst /
+                     static_cast<double>(std::max<std::size_t>(Vms, 1)),
+                 1.0, Options.MaxSaved);
+  return Options;
+}
+
 callers::ServerOptions callerOptions(const operators::Settings &Settings) {
   const operators::CallerSettings &Callers = Settings.Callers;
   callers::ServerOptions Options;
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/backends/pool_options.hpp>
 #include <jujubecart/callers/server_options.hpp>
+#include <jujubecart/decision/retry_budget.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_options.hpp>
 
@@ -15,6 +16,11 @@
 [[nodiscard]] callers::ServerOptions
 callerOptions(const operators::Settings &Settings);
 
+/// @brief Limits of the retries that this VM sends to each service.
+/// @param Vms Number of VMs that share the limit of the fleet.
+[[nodiscard]] decision::RetryBudgetOptions
+retryOptions(const operators::Settings &Settings, std::size_t Vms);
+
 /// @brief Maximum time from SIGTERM until requests in flight are cut off.
 [[nodiscard]] std::chrono::milliseconds
 shutdownTimeout(const operators::Settings &Settings);
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -128,7 +128,7 @@
   }
   ++AttemptsSent;
   if (!std::exchange(FirstAttemptRecorded, true))
-    State.Dependencies.Retries.recordFirstAttempt();
+    State.Dependencies.Retries.recordFirstAttempt(Service->Name);
   ++State.Counters.Attempts;
   if (Route == nullptr && idempotent() && allowsAnotherAttempt()) {
     AttemptTimeoutAt = Time.now() + (Deadline - Time.now()) / 2;
@@ -184,7 +184,7 @@
   if (Route != nullptr && Outcome == core::CallOutcome::NotSent)
     return ExcludedServers.size() < MaxUnsentAttempts;
   return std::exchange(RetryReserved, false) ||
-         State.Dependencies.Retries.tryTake();
+         State.Dependencies.Retries.tryTake(Service->Name);
 }
 
 // A connection can stop responding without an error. An idempotent request that
@@ -196,7 +196,7 @@
       core::TimePoint::max();
   Link.setTimeoutAt(Deadline);
   if (!Pending || ActiveAttempts.size() != 1 || !allowsAnotherAttempt() ||
-      !State.Dependencies.Retries.tryTake())
+      !State.Dependencies.Retries.tryTake(Service->Name))
     return;
   RetryReserved = true;
   ActiveAttempts.front()->abort(core::AbortReason::TimedOut);
--- a/packages/callers/src/call_hedge.cpp
+++ b/packages/callers/src/call_hedge.cpp
@@ -47,7 +47,7 @@
   co_await Wake.async_wait(UseTuple);
   const Attempt &First = *Started.front();
   if (!First.Done && First.Exchange && allowsAnotherAttempt() &&
-      State.Dependencies.Retries.tryTake()) {
+      State.Dependencies.Retries.tryTake(Service->Name)) {
     ++State.Counters.Hedges;
     State.recordEvent("call.retried", Request.Id, First.Grant.Server.Id,
                       "hedged");
--- a/packages/decision/src/retry_budget.cpp
+++ b/packages/decision/src/retry_budget.cpp
@@ -1,32 +1,39 @@
 #include <jujubecart/decision/retry_budget.hpp>
 
+#include <algorithm>
+
 namespace jujubecart::decision {
 
 namespace {
 
-constexpr std::int32_t TenthsPerRetry = 10;
-// At most ten retries can be saved up, so that after a long healthy period no
-// burst of retries hits a service that begins to fail.
-constexpr std::int32_t MaxTenths = 10 * TenthsPerRetry;
+// Ten allowances of a tenth are a whole token, although their sum is a little
+// less in floating point.
+constexpr double WholeToken = 1 - 1e-9;
 
 } // namespace
 
-void RetryBudget::recordFirstAttempt() noexcept {
-  std::int32_t Current = Tenths.load(std::memory_order_relaxed);
-  while (Current < MaxTenths &&
-         !Tenths.compare_exchange_weak(Current, Current + 1,
-                                       std::memory_order_relaxed)) {
-  }
+void RetryBudget::recordFirstAttempt(std::string_view Service) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Tokens.find(Service);
+  double &Held =
+      Found != Tokens.end() ? Found->second : Tokens[std::string(Service)];
+  Held = std::min(Held + Options.Ratio, Options.MaxSaved);
+}
+
+bool RetryBudget::tryTake(std::string_view Service) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Tokens.find(Service);
+  if (Found == Tokens.end() || Found->second < WholeToken)
+    return false;
+  Found->second = std::max(Found->second - 1, 0.0);
+  return true;
 }
 
-bool RetryBudget::tryTake() noexcept {
-  std::int32_t Current = Tenths.load(std::memory_order_relaxed);
-  while (Current >= TenthsPerRetry) {
-    if (Tenths.compare_exchange_weak(Current, Current - TenthsPerRetry,
-                                     std::memory_order_relaxed))
-      return true;
-  }
-  return false;
+void RetryBudget::setMaxSaved(double Retries) {
+  const std::lock_guard Lock(Mutex);
+  Options.MaxSaved = Retries;
+  for (auto &[Service, Held] : Tokens)
+    Held = std::min(Held, Retries);
 }
 
 } // namespace jujubecart::decision
--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -99,6 +99,18 @@
                           const DirectorySettings &) = default;
 };
 
+/// @brief Limits on the retries to each service.
+struct RetrySettings {
+  /// Retries per first attempt.
+  double Ratio = 0.1;
+  /// Retries that all VMs together may save up for a burst; 0 lets each VM save
+  /// ten.
+  std::uint32_t FleetBurst = 0;
+
+  friend auto operator<=>(const RetrySettings &,
+                          const RetrySettings &) = default;
+};
+
 /// @brief All settings of one process.
 struct Settings {
   VmSettings Vm;
@@ -107,6 +119,7 @@
   PeerSettings Peers;
   StoreSettings Store;
   DirectorySettings Directory;
+  RetrySettings Retries;
   /// `IP:port` that serves the platform's VM list; empty if there is none.
   std::string PlatformEndpoint;
   /// `dispatcher`, or a baseline policy that each VM applies on its own:
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -223,6 +223,17 @@
   return Directory;
 }
 
+RetrySettings readRetries(JsonReader &Root, Findings &Report) {
+  constexpr std::uint32_t MaxFleetBurst = 1000000;
+  RetrySettings Retries;
+  JsonReader Reader(objectOrEmpty(Root, "retries", false), "/retries", Report);
+  Retries.Ratio = Reader.numberOr("ratio", 0, 1, Retries.Ratio);
+  Retries.FleetBurst =
+      unsignedOr(Reader, "fleet_burst", 0, MaxFleetBurst, Retries.FleetBurst);
+  Reader.rejectUnknownKeys();
+  return Retries;
+}
+
 std::string readPlatform(JsonReader &Root, Findings &Report) {
   const json *Value = Root.object("platform", false);
   if (Value == nullptr)
@@ -257,6 +268,7 @@
   Result.Peers = internal::readPeers(Root, Report);
   Result.Store = internal::readStore(Root, Report);
   Result.Directory = internal::readDirectory(Root, Report);
+  Result.Retries = internal::readRetries(Root, Report);
   Result.PlatformEndpoint = internal::readPlatform(Root, Report);
   Result.Policy =
       internal::PolicyNames[Root.choice("policy", internal::PolicyNames, 0)];
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -131,7 +131,7 @@
       Transport(Pool, Time), Work(asio::make_work_guard(Io)) {
   // Each first attempt adds a tenth of a token to the retry budget.
   for (int Count = 0; Count < 10 * TestSettings.RetryTokens; ++Count)
-    Retries.recordFirstAttempt();
+    Retries.recordFirstAttempt("tags");
   if (TestSettings.Configured) {
     core::ServiceConfig Service{.Name = "tags",
                                 .Kind = TestSettings.Kind,
--- a/tests/decision/local_policy_test.cpp
+++ b/tests/decision/local_policy_test.cpp
@@ -165,20 +165,40 @@
 // limited to a tenth of first attempts, and at most ten are saved up.
 Test(RetryBudget, retries_stay_at_a_tenth_of_first_attempts) {
   RetryBudget Budget;
-  cr_assert_not(Budget.tryTake());
+  cr_assert_not(Budget.tryTake("tags"));
   int Retries = 0;
   for (int Call = 0; Call < 1000; ++Call) {
-    Budget.recordFirstAttempt();
-    Retries += Budget.tryTake();
+    Budget.recordFirstAttempt("tags");
+    Retries += Budget.tryTake("tags");
   }
   cr_assert_eq(Retries, 100);
   for (int Call = 0; Call < 1000; ++Call)
-    Budget.recordFirstAttempt();
-  for (Retries = 0; Budget.tryTake();)
+    Budget.recordFirstAttempt("tags");
+  for (Retries = 0; Budget.tryTake("tags");)
     ++Retries;
   cr_assert_eq(Retries, 10);
 }
 
+// Guards against retries to one failing service that use up what calls to the
+// other services allow, and against a fleet whose VMs together exceed its
+// limit.
+Test(RetryBudget, each_service_has_its_own_budget_and_each_vm_its_share) {
+  RetryBudget Budget({.Ratio = 0.15, .MaxSaved = 10});
+  for (int Call = 0; Call < 1000; ++Call)
+    Budget.recordFirstAttempt("tags");
+  cr_assert_not(Budget.tryTake("orders"));
+  Budget.setMaxSaved(3);
+  int Retries = 0;
+  while (Budget.tryTake("tags"))
+    ++Retries;
+  cr_assert_eq(Retries, 3);
+  for (int Call = 0; Call < 100; ++Call) {
+    Budget.recordFirstAttempt("tags");
+    Retries += Budget.tryTake("tags");
+  }
+  cr_assert_eq(Retries, 3 + 15);
+}
+
 // Guards against a bucket that exceeds its rate, or that refills when the clock
 // steps back.
 Test(TokenBucket, rate_holds_in_every_window) {
--- a/tests/operators/settings_test.cpp
+++ b/tests/operators/settings_test.cpp
@@ -135,6 +135,30 @@
   cr_assert_geq(Report.items().size(), 8);
 }
 
+// Guards against a fleet that sends more retries than its platform allows,
+// because a limit is ignored or read as another.
+Test(Settings, retry_limits_are_read_and_checked) {
+  const std::string Whole = R"({
+    "vm": {"id": "a", "zone": "z", "region": "r"},
+    "callers": {"listen": "127.0.0.1:1"},
+    "operators": {"listen": "127.0.0.1:2"},
+    "peers": {"listen": "127.0.0.1:3"},
+    "store": {"endpoints": ["127.0.0.1:4"]},
+    "retries": {"ratio": 0.2, "fleet_burst": 56}})";
+  core::Findings Report("test");
+  const operators::Settings Read = operators::readSettings(Whole, Report);
+  cr_assert(Report.empty(), "%s", Report.text().c_str());
+  cr_assert_eq(Read.Retries.Ratio, 0.2);
+  cr_assert_eq(Read.Retries.FleetBurst, 56);
+  for (const char *Wrong : {"-0.1", "1.5", "\"much\""}) {
+    std::string Text = Whole;
+    Text.replace(Text.find("0.2"), 3, Wrong);
+    core::Findings Problems("test");
+    static_cast<void>(operators::readSettings(Text, Problems));
+    cr_assert_not(Problems.empty(), "%s", Wrong);
+  }
+}
+
 // Guards against durations written by a deployment tool that are read in the
 // wrong unit, and against invalid durations that are accepted.
 Test(Settings, directory_times_are_read_with_and_without_unit) {
