Use the last slots of servers for calls that would otherwise be late

Cause: the cost of saturating a server assumed that the calls that run there are slowed like the further one, and only the first eight waiting calls, which would meet their objective after waiting, were tried on the last slots. In a burst these slots stayed empty while calls were rejected. Change: the slow-down of running calls is learned on its own, from calls that are joined early. Calls up to the 64th position take a last slot if they would otherwise most likely miss their objective.

--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -185,6 +185,10 @@
   StringMap<std::uint32_t> ById;
   WorkModel Work;
   PaceModel Pace;
+  /// Factor on the remaining time of running calls when a further call takes
+  /// their server above its unsaturated limit. It is lower than that on the
+  /// further call, which is affected for all of its time.
+  SaturationModel RunningSlowdown{1.2};
   SlotDemand Demand;
   std::mt19937_64 Random;
   /// Number of active servers, and how many of them are ejected or unhealthy.
--- a/packages/decision/include/jujubecart/decision/internal/saturation_model.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/saturation_model.hpp
@@ -7,6 +7,10 @@
 /// almost all of its slots are busy (saturation).
 class SaturationModel {
 public:
+  /// @param Initial Factor that is assumed before the first call; many servers
+  /// slow down near capacity.
+  explicit SaturationModel(double Initial = 1.7) noexcept : Factor(Initial) {}
+
   /// @brief Records a call that ran on a saturated server.
   /// @param Ratio Its service time divided by the time expected below
   /// saturation.
@@ -20,8 +24,7 @@
   [[nodiscard]] bool negligible() const noexcept;
 
 private:
-  // Initial assumption, since many servers slow down near capacity.
-  double Factor = 1.7;
+  double Factor;
 };
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -28,6 +28,8 @@
   std::optional<std::uint32_t> PacePercent;
   /// Whether this call took the server above its unsaturated limit.
   bool Saturated = false;
+  /// When a later call took the server above that limit, if one did.
+  std::optional<core::TimePoint> JoinedAt;
 };
 
 /// @brief State that an ObjectiveDispatcher keeps for one backend server.
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -27,6 +27,9 @@
 // A call that takes this many times its expected service time most likely gets
 // no response.
 constexpr double OverdueFactor = 2.5;
+// Share of its expected time before which a call must have been joined by a
+// further one to show whether running calls are slowed.
+constexpr double MaxJoinShare = 0.3;
 // Network time between the entry VM and the caller; a call must end at the
 // entry VM this long before its objective.
 constexpr auto CallerNetworkTime = 6ms;
@@ -153,8 +156,8 @@
         microseconds(Call.Objective - CallerNetworkTime - Now);
     ExpectedMisses +=
         WorkModel::completionProbability(RemainingUs, AvailableUs) -
-        WorkModel::completionProbability(
-            RemainingUs * Server.Saturation.factor(), AvailableUs);
+        WorkModel::completionProbability(RemainingUs * RunningSlowdown.factor(),
+                                         AvailableUs);
   }
   return ExpectedMisses;
 }
@@ -335,6 +338,10 @@
   if (Server.Pace && Server.Pace->fresh(Call.Start))
     Call.PacePercent = Server.Pace->Percent;
   Call.Saturated = Server.inFlight() + 1 > Server.unsaturatedLimit();
+  if (Call.Saturated)
+    for (RunningCall &Running : Server.Calls)
+      if (!Running.Saturated && !Running.JoinedAt)
+        Running.JoinedAt = Call.Start;
   Server.Connections.take(Call.Holder);
   Server.Calls.push_back(Call);
 }
@@ -379,6 +386,13 @@
   const double ExpectedUs = Call.ExpectedUs * Server.ServiceTimeFactor;
   if (Call.Saturated)
     return Server.Saturation.record(NormalPaceUs / ExpectedUs);
+  if (Call.JoinedAt) {
+    const double BeforeUs = microseconds(*Call.JoinedAt - Call.Start);
+    if (BeforeUs <= MaxJoinShare * ExpectedUs &&
+        NormalPaceUs < OverdueFactor * ExpectedUs)
+      RunningSlowdown.record(NormalPaceUs / ExpectedUs);
+    return;
+  }
   // If a slow period began just before the call, after the last pace report,
   // the time would be mistaken for a longer service time.
   if (NormalPaceUs >= OverdueFactor * ExpectedUs)
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -25,8 +25,13 @@
 constexpr auto GrantGrace = 2s;
 constexpr auto MinRetryAfter = 50ms;
 constexpr auto MaxRetryAfter = 5s;
-// Limit of waiting calls that are tried in one pass over the queue.
+// Limits of the waiting calls that are tried in one pass over the queue, on
+// servers below their preferred limit and above it.
 constexpr std::size_t MaxCandidates = 8;
+constexpr std::size_t MaxSaturatingCandidates = 64;
+// A call does not take the last slots of a server while it most likely meets
+// its objective after waiting.
+constexpr double SafeOnTimeProbability = 0.9;
 // A call whose probability to meet its objective is lower moves to the late
 // queue, which is served after the calls that can still meet theirs.
 constexpr double MinOnTimeProbability = 0.5;
@@ -86,11 +91,17 @@
     core::TimePoint Expires;
   };
 
+  /// @brief Tries to grant a call of the on-time queue.
+  /// @param Saturate Whether servers may be used above their preferred limit.
+  /// @return Whether a call was granted.
+  [[nodiscard]] bool placeAnyOnTime(bool Saturate, core::TimePoint Now,
+                                    Decisions &Out);
   /// @brief Tries to grant one call of the on-time queue; requests probes first
   /// if their results could improve the choice of the server.
   /// @param Position Position of the call in the queue.
   /// @return Whether it was granted; if not, it keeps waiting.
-  [[nodiscard]] bool placeOnTime(std::size_t Position, core::TimePoint Now,
+  [[nodiscard]] bool placeOnTime(CallToken Token, std::size_t Position,
+                                 bool Saturate, core::TimePoint Now,
                                  Decisions &Out);
   /// @brief Tries to grant the first placeable call of the late queue.
   /// @return Whether a call was granted.
@@ -238,26 +249,42 @@
                            .Facts = Facts});
 }
 
-bool ObjectiveDispatcher::Implementation::placeOnTime(std::size_t Position,
+// Calls at the front of the queue wait for a slot below the preferred limits,
+// which comes free soon. Calls further back, which would miss their objective
+// by then, may take the last slots of the servers, on which they run longer.
+bool ObjectiveDispatcher::Implementation::placeAnyOnTime(bool Saturate,
+                                                         core::TimePoint Now,
+                                                         Decisions &Out) {
+  const std::vector<CallToken> Tokens = OnTimeQueue.tokens();
+  const std::size_t Count = std::min(
+      Tokens.size(), Saturate ? MaxSaturatingCandidates : MaxCandidates);
+  for (std::size_t Position = 0; Position < Count; ++Position)
+    if (placeOnTime(Tokens[Position], Position, Saturate, Now, Out))
+      return true;
+  return false;
+}
+
+bool ObjectiveDispatcher::Implementation::placeOnTime(CallToken Token,
+                                                      std::size_t Position,
+                                                      bool Saturate,
                                                       core::TimePoint Now,
                                                       Decisions &Out) {
-  const CallToken Token = OnTimeQueue.tokens()[Position];
   const PendingCall &Call = OnTimeQueue.at(Token);
   const double OnTimeIfWaiting =
-      Table.onTimeProbabilityAfterWait(Call, Position, Now) *
-      Table.bestSuccessRate(Now);
-  for (const bool Saturate : {false, true}) {
-    const auto Found = Table.findBest(Call, Goal::Objective, Saturate, Now);
-    if (Found && Table.requestProbes(Call, Found, Now, PendingProbes))
-      return false;
-    if (!Found || Found->InTimeProbability < MinOnTimeProbability ||
-        Found->Score < OnTimeIfWaiting * WaitDiscount -
-                           (Saturate ? 0 : UnsaturatedAllowance))
-      continue;
-    grant(*OnTimeQueue.remove(Token), *Found, Now, Out);
-    return true;
-  }
-  return false;
+      Table.onTimeProbabilityAfterWait(Call, Position, Now);
+  if (Saturate && OnTimeIfWaiting >= SafeOnTimeProbability)
+    return false;
+  const auto Found = Table.findBest(Call, Goal::Objective, Saturate, Now);
+  if (Found && Table.requestProbes(Call, Found, Now, PendingProbes))
+    return false;
+  const double MinScore =
+      OnTimeIfWaiting * Table.bestSuccessRate(Now) * WaitDiscount -
+      (Saturate ? 0 : UnsaturatedAllowance);
+  if (!Found || Found->InTimeProbability < MinOnTimeProbability ||
+      Found->Score < MinScore)
+    return false;
+  grant(*OnTimeQueue.remove(Token), *Found, Now, Out);
+  return true;
 }
 
 bool ObjectiveDispatcher::Implementation::placeLate(core::TimePoint Now,
@@ -279,12 +306,7 @@
 
 void ObjectiveDispatcher::Implementation::dispatch(core::TimePoint Now,
                                                    Decisions &Out) {
-  bool Placed = true;
-  while (Placed) {
-    Placed = false;
-    const std::size_t Count = std::min(OnTimeQueue.size(), MaxCandidates);
-    for (std::size_t Position = 0; Position < Count && !Placed; ++Position)
-      Placed = placeOnTime(Position, Now, Out);
+  while (placeAnyOnTime(false, Now, Out) || placeAnyOnTime(true, Now, Out)) {
   }
   demoteLateCalls(Now, Out);
   while (placeLate(Now, Out)) {
--- a/tests/decision/objective_dispatcher_test.cpp
+++ b/tests/decision/objective_dispatcher_test.cpp
@@ -128,6 +128,40 @@
   cr_assert_geq(Result.onTimeShare(), 0.82, "%.3f", Result.onTimeShare());
 }
 
+// Workload: more calls than the servers can run below their preferred limit, on
+// servers where only the call that takes the last slot is slow. Guards against
+// slots that stay unused because running calls are thought to be slowed. With
+// all slots in use outside of slow periods the servers finish 21 x 0.75 x 2 /
+// (1.7 x 0.16 s) = 116 calls per second.
+Test(ObjectiveDispatcher,
+     last_slots_are_used_if_running_calls_keep_their_speed) {
+  constexpr double CallsPerS = 150;
+  const Statistics Result = Simulation({.Servers = 21,
+                                        .Classes = {{.CallsPerS = CallsPerS,
+                                                     .MeanServiceMs = 160,
+                                                     .Objective = 400ms}},
+                                        .SlowFactor = 5,
+                                        .PeriodS = 0.15})
+                                .run();
+  cr_assert_geq(Result.servedShare(), 116 / CallsPerS, "%.3f",
+                Result.servedShare());
+}
+
+// Workload: the same at a lower rate, where running calls are slowed as well.
+// Guards against taking the last slots at the cost of calls that would have met
+// their objective.
+Test(ObjectiveDispatcher, last_slots_stay_free_if_running_calls_are_slowed) {
+  const Statistics Result = Simulation({.Servers = 21,
+                                        .Classes = {{.CallsPerS = 115,
+                                                     .MeanServiceMs = 160,
+                                                     .Objective = 400ms}},
+                                        .SlowFactor = 5,
+                                        .PeriodS = 0.15,
+                                        .SlowsRunningCalls = true})
+                                .run();
+  cr_assert_geq(Result.onTimeShare(), 0.85, "%.3f", Result.onTimeShare());
+}
+
 // Workload: two of eight servers accept calls and never answer. Guards against
 // unresponsive servers that keep getting calls.
 Test(ObjectiveDispatcher, unresponsive_servers_cost_few_calls) {
--- a/tests/decision/objective_simulation.cpp
+++ b/tests/decision/objective_simulation.cpp
@@ -218,10 +218,12 @@
     schedule(Now + ServerRoundTrip, [this, Grant] { rejectAtServer(Grant); });
     return;
   }
-  const CallState &Call = Calls.at(Grant.Token);
+  CallState &Call = Calls.at(Grant.Token);
   const CallClass &Class = Load.Classes[Call.Class];
   const unsigned Server = indexOf(Grant.Server.Id);
   const unsigned Running = ++InFlight[Server];
+  if (Running >= Load.Slots && Load.SlowsRunningCalls)
+    slowRunningCalls(Server);
   Result.MaxInFlight = std::max(Result.MaxInFlight, Running);
   // The mean of a log-normal distribution exceeds its median by half of the
   // variance of the logarithm.
@@ -235,12 +237,28 @@
                             .count();
   // A server stops work at the deadline of the call.
   Ms = answers(Server) ? std::min(Ms, LeftMs) : LeftMs;
-  schedule(Now + microseconds(static_cast<std::int64_t>(Ms * 1000)),
+  Call.Server = Server;
+  Call.End = Now + microseconds(static_cast<std::int64_t>(Ms * 1000));
+  schedule(Call.End,
            [this, Grant, StartedAt = Now] { finishCall(Grant, StartedAt); });
 }
 
+void Simulation::slowRunningCalls(unsigned Server) {
+  for (auto &[Token, Call] : Calls)
+    if (Call.Server == Server && Call.End > Now)
+      Call.End =
+          Now +
+          fromSeconds(std::chrono::duration<double>(Call.End - Now).count() *
+                      Load.SaturationFactor);
+}
+
 void Simulation::finishCall(const decision::Granted &Grant,
                             TimePoint StartedAt) {
+  const TimePoint End = Calls.at(Grant.Token).End;
+  // Another call has slowed it down in the meantime.
+  if (End > Now)
+    return schedule(End,
+                    [this, Grant, StartedAt] { finishCall(Grant, StartedAt); });
   const CallState Call = std::move(Calls.at(Grant.Token));
   Calls.erase(Grant.Token);
   const CallClass &Class = Load.Classes[Call.Class];
--- a/tests/decision/objective_simulation.hpp
+++ b/tests/decision/objective_simulation.hpp
@@ -56,6 +56,9 @@
   /// Mean length of a period.
   double PeriodS = 0.3;
   double SaturationFactor = 1.7;
+  /// Whether a call that occupies the last slot also slows the calls that run
+  /// there, by the same factor on their remaining time.
+  bool SlowsRunningCalls = false;
   /// Number of servers that accept calls and never answer.
   unsigned UnresponsiveServers = 0;
   /// Whether servers report their load and pace.
@@ -112,6 +115,9 @@
     std::uint32_t Attempts = 0;
     std::vector<std::string> Excluded;
     bool Returned = false;
+    /// Server that runs the call, and the end of its work there.
+    unsigned Server = 0;
+    TimePoint End;
   };
 
   void schedule(TimePoint When, std::function<void()> Handler);
@@ -122,6 +128,7 @@
   void apply(const jujubecart::decision::Decisions &Out);
   void onRejected(const jujubecart::decision::Rejected &Rejection);
   void startCall(const jujubecart::decision::Granted &Grant);
+  void slowRunningCalls(unsigned Server);
   void finishCall(const jujubecart::decision::Granted &Grant,
                   TimePoint StartedAt);
   void rejectAtServer(const jujubecart::decision::Granted &Grant);
