Mend linter findings

The health request on an idle connection is sent without waiting; the analyzer reported the coroutine that waited, falsely, as elsewhere in Asio's headers.

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -83,12 +83,16 @@
   co_return nullptr;
 }
 
-core::Awaitable<bool> Exchange::verify(backends::Connection &Item) {
+// Does not wait: an idle connection takes a request of this size at once.
+bool Exchange::sendHealthRequest(backends::Connection &Item) const {
   const std::string Head = "GET " + Server.HealthPath +
                            " HTTP/1.1\r\nHost: " + Server.Address + "\r\n\r\n";
-  const auto [Code, Count] =
-      co_await asio::async_write(Item.Socket, asio::buffer(Head), UseTuple);
-  if (Code)
+  boost::system::error_code Code;
+  return Item.Socket.send(asio::buffer(Head), 0, Code) == Head.size() && !Code;
+}
+
+core::Awaitable<bool> Exchange::verify(backends::Connection &Item) {
+  if (!sendHealthRequest(Item))
     co_return false;
   for (int Preceding = 0; Preceding <= MaxPrecedingResponses; ++Preceding) {
     const core::HeadError ReadError =
--- a/packages/backends/src/exchange.hpp
+++ b/packages/backends/src/exchange.hpp
@@ -41,6 +41,8 @@
   /// health request if no response arrived on it recently.
   /// @return Nullptr if a new connection is needed.
   [[nodiscard]] core::Awaitable<ConnectionPool::ConnectionPtr> reuseForOrder();
+  /// @return Whether all of the health request was sent.
+  [[nodiscard]] bool sendHealthRequest(backends::Connection &Item) const;
   /// @brief Sends a health request and waits for its response.
   /// @return Whether the connection works.
   [[nodiscard]] core::Awaitable<bool> verify(backends::Connection &Item);
--- a/tests/decision/metastable_overload_test.cpp
+++ b/tests/decision/metastable_overload_test.cpp
@@ -44,7 +44,7 @@
 
   /// @brief Mean earned share over all seeds, from a second on.
   static double earnedFrom(std::size_t From,
-                           std::vector<Disturbance> Disturbances) {
+                           const std::vector<Disturbance> &Disturbances) {
     double Sum = 0;
     for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
       Workload Load = workload(Seed);
--- a/tests/peers/membership_test.cpp
+++ b/tests/peers/membership_test.cpp
@@ -120,21 +120,21 @@
   for (const char *Id : {"vm-7", "vm-8", "vm-9"})
     Listed.push_back({.Id = Id, .Address = "10.0.0.9:1", .Incarnation = 7});
   Table.update(Listed);
-  const auto keepAlive = [&](std::size_t Count) {
+  const auto KeepAlive = [&](std::size_t Count) {
     for (std::size_t At = 0; At < Count; ++At)
       Table.recordHello(
           {.Sender = Listed[At].Id, .Incarnation = 8, .Address = "10.0.0.9:1"});
     (void)Table.tick();
     return Table.lostVms();
   };
-  cr_assert(eventually([&] { return keepAlive(2).size() == 1; }));
-  cr_assert_eq(keepAlive(2).front(), "vm-9");
+  cr_assert(eventually([&] { return KeepAlive(2).size() == 1; }));
+  cr_assert_eq(KeepAlive(2).front(), "vm-9");
   const auto End = Time.now() + 300ms;
   while (Time.now() < End) {
-    (void)keepAlive(1);
+    (void)KeepAlive(1);
     std::this_thread::sleep_for(2ms);
   }
-  cr_assert(keepAlive(1).empty());
+  cr_assert(KeepAlive(1).empty());
 }
 
 // Guards against a stopped VM that stays eligible as dispatcher because it is
