Estimate the wait of late calls from both queues

The wait of a late call was the length of both queues divided by the capacity that arriving calls leave; the on-time queue is served at full capacity. With 15 waiting calls and a quarter of the capacity left, a late call was rejected although it would have started in time.

--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -123,6 +123,9 @@
                    core::TimePoint Now, Decisions &Out);
   void reject(const PendingCall &Call, core::Error Reason, core::TimePoint Now,
               Decisions &Out);
+  /// @brief Expected wait of a call that joins the late queue now.
+  [[nodiscard]] std::chrono::microseconds
+  expectedLateWait(core::TimePoint Now) const;
   /// @brief Latest start with which a call most likely meets its deadline.
   [[nodiscard]] core::TimePoint latestStart(const PendingCall &Call,
                                             core::TimePoint Now) const;
@@ -135,9 +138,8 @@
                                                  core::Error Reason,
                                                  core::TimePoint Now,
                                                  Decisions &Out) {
-  const core::TimePoint Return = Returns.reserve(
-      Table.expectedLateWait(OnTimeQueue.size() + LateQueue.size() + 1, Now),
-      Table.spareCallsPerS(Now), Now);
+  const core::TimePoint Return =
+      Returns.reserve(expectedLateWait(Now), Table.spareCallsPerS(Now), Now);
   // Other dispatchers of the service reserve times of their own; jitter keeps
   // their callers from returning at the same time.
   const double Jitter = std::uniform_real_distribution(1.0, 1.5)(Random);
@@ -160,6 +162,12 @@
                                                          PercentPerUnit)};
 }
 
+std::chrono::microseconds ObjectiveDispatcher::Implementation::expectedLateWait(
+    core::TimePoint Now) const {
+  return Table.expectedWait(OnTimeQueue.size(), Now) +
+         Table.expectedLateWait(LateQueue.size() + 1, Now);
+}
+
 core::TimePoint
 ObjectiveDispatcher::Implementation::latestStart(const PendingCall &Call,
                                                  core::TimePoint Now) const {
@@ -186,8 +194,7 @@
 void ObjectiveDispatcher::Implementation::enqueueLate(
     PendingCall Call, core::TimePoint ArrivalTime, core::TimePoint Now,
     Decisions &Out) {
-  const auto Wait =
-      Table.expectedLateWait(OnTimeQueue.size() + LateQueue.size() + 1, Now);
+  const auto Wait = expectedLateWait(Now);
   if (Now + Wait > latestStart(Call, Now) ||
       OnTimeQueue.size() + LateQueue.size() >= Options.MaxQueued)
     return reject(Call, core::Error::Overloaded, Now, Out);
