Mend a linter finding in the directory tests

An embedded NUL in a string literal is cut off by the conversion to a string, so the entry had no NUL byte at all; a character constant adds it.

--- a/tests/store/directory_feed_test.cpp
+++ b/tests/store/directory_feed_test.cpp
@@ -393,7 +393,7 @@
   core::EntryList List{.AsOf = 17};
   for (int Index = 0; Index < 600; ++Index)
     List.Entries.push_back({.Key = "s/" + std::to_string(Index),
-                            .Value = std::string(400, '\xff') + "\0",
+                            .Value = std::string(400, '\xff') + '\0',
                             .Changed = core::Revision(Index)});
   const std::string Encoded = store::encodeSnapshot(List);
   cr_assert_lt(Encoded.size(), 24000);
