Hedge safe routed requests when their server most likely hangs

Cause: a routed request whose server never answered waited for its deadline; only requests without routes had a second attempt in time. The entry VM then starts a second attempt of a safe request within the retry budget, takes the first response and reports the first attempt as timed out if it loses, so that the server is ejected sooner. A call counts as overdue by the pace that was known at its start. New log event request.hedged. Tests of the grant on the wire, of the entry VM, and of orders, which are never hedged.

--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -78,6 +78,10 @@
   // call_hedge.cpp: hedging with two concurrent attempts.
   [[nodiscard]] bool mayHedge() const;
   [[nodiscard]] core::Awaitable<AttemptPtr> runHedgedAttempts();
+  /// Waits until an attempt has ended or its hedge is due.
+  [[nodiscard]] core::Awaitable<void>
+  waitForHedge(const Attempt &First, boost::asio::steady_timer &Wake);
+  void logHedge(const Attempt &First) const;
   void startAttempt(const AttemptPtr &Current, boost::asio::steady_timer &Wake);
 
   // call_attempts.cpp: failure and cancellation.
@@ -126,6 +130,8 @@
   /// Ids of the backend servers that earlier attempts used.
   std::vector<std::string> ExcludedServers;
   std::vector<AttemptPtr> ActiveAttempts;
+  /// Cancelled when a hedged attempt gets its grant; nullptr without one.
+  boost::asio::steady_timer *GrantWake = nullptr;
   /// Compared with MaxAttempts.
   std::uint32_t AttemptsSent = 0;
   /// Whether the next retry has already taken its token from the retry budget.
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -122,6 +122,8 @@
   }
   Current->Grant = std::move(*Grant);
   Current->Granted = true;
+  if (GrantWake != nullptr)
+    GrantWake->cancel();
   if (CancelledBy != CancelReason::None || Current->Aborted) {
     Current->Failure = core::make_error_code(core::Error::Cancelled);
     co_return;
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -56,6 +56,9 @@
   /// VM id of the dispatcher; empty if this VM made the decision.
   std::string Dispatcher;
   BackendServer Server;
+  /// When a second attempt on another server is worth its cost, if the request
+  /// may run twice; TimePoint::max() if it never is.
+  TimePoint HedgeAt = TimePoint::max();
 
   friend auto operator<=>(const SlotGrant &, const SlotGrant &) = default;
 };
--- a/packages/decision/include/jujubecart/decision/decision.hpp
+++ b/packages/decision/include/jujubecart/decision/decision.hpp
@@ -48,6 +48,9 @@
   core::BackendServer Server;
   /// Set only by an ObjectiveDispatcher.
   std::optional<DecisionFacts> Facts;
+  /// When a second attempt on another server is worth its cost; max if it never
+  /// is.
+  core::TimePoint HedgeAt = core::TimePoint::max();
 };
 
 /// @brief The call was refused; no backend server has received it.
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -103,6 +103,13 @@
     return Demand.price(UsableSlots * Pace.normalShare(), Now);
   }
 
+  /// @brief When a second attempt of a call that starts now on a server is
+  /// worth its cost; max at high load, when it would take the slot of another
+  /// call.
+  [[nodiscard]] core::TimePoint hedgeTime(const PendingCall &Call,
+                                          std::uint32_t Index,
+                                          core::TimePoint Now) const;
+
   /// @brief Adds a granted call and sets its PacePercent and Saturated.
   void startCall(std::uint32_t Index, RunningCall Call);
 
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/decision/internal/load_table.hpp>
 
 #include <jujubecart/core/hash.hpp>
+#include <jujubecart/decision/internal/hedge_timing.hpp>
 #include <jujubecart/decision/internal/microseconds.hpp>
 
 #include <algorithm>
@@ -27,6 +28,10 @@
 // A call that takes this many times its expected service time most likely gets
 // no response.
 constexpr double OverdueFactor = 2.5;
+// Price of a slot above which calls are not hedged. Under overload, hedges of
+// calls that are only slow would keep the servers overloaded.
+constexpr double MaxHedgePrice = 0.5;
+constexpr double PercentPerUnit = 100;
 // Share of its expected time before which a call must have been joined by a
 // further one to show whether running calls are slowed.
 constexpr double MaxJoinShare = 0.3;
@@ -187,11 +192,31 @@
 
 bool LoadTable::overdue(const ServerLoad &Server, const RunningCall &Call,
                         core::TimePoint Now) const {
-  return microseconds(Now - Call.Start) > OverdueFactor * Pace.slowFactor() *
-                                              Call.ExpectedUs *
+  const double Slowdown =
+      Call.PacePercent ? std::max(1.0, *Call.PacePercent / PercentPerUnit)
+                       : Pace.slowFactor();
+  const double Saturation = Call.Saturated ? Server.Saturation.factor() : 1;
+  return microseconds(Now - Call.Start) > OverdueFactor * Slowdown *
+                                              Saturation * Call.ExpectedUs *
                                               Server.ServiceTimeFactor;
 }
 
+core::TimePoint LoadTable::hedgeTime(const PendingCall &Call,
+                                     std::uint32_t Index,
+                                     core::TimePoint Now) const {
+  if (slotPrice(Now) > MaxHedgePrice)
+    return core::TimePoint::max();
+  const ServerLoad &Server = Servers[Index];
+  const bool Saturated = Server.inFlight() + 1 > Server.unsaturatedLimit();
+  return internal::hedgeTime(
+      Now, {.ExpectedUs = Work.expectedServiceTimeUs(Call, Now) *
+                          Server.ServiceTimeFactor *
+                          (Saturated ? Server.Saturation.factor() : 1),
+            .SlowProbability = Pace.slowProbability(Server.Pace, Now),
+            .SlowFactor = Pace.slowFactor(),
+            .FailureRate = Server.Failures.value(Now)});
+}
+
 std::optional<Placement> LoadTable::findBest(const PendingCall &Call, Goal Aim,
                                              bool Saturate,
                                              core::TimePoint Now) {
@@ -380,7 +405,6 @@
 void LoadTable::learnServiceTime(ServerLoad &Server, const RunningCall &Call,
                                  std::chrono::microseconds Elapsed,
                                  std::uint64_t WorkClass) {
-  constexpr double PercentPerUnit = 100;
   const double NormalPaceUs = double(Elapsed.count()) * PercentPerUnit /
                               std::max(1U, *Call.PacePercent);
   const double ExpectedUs = Call.ExpectedUs * Server.ServiceTimeFactor;
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -240,6 +240,7 @@
   Facts.OnTimePercent =
       static_cast<std::uint32_t>(Chosen.InTimeProbability * PercentPerUnit);
   const std::uint32_t Server = Chosen.Index;
+  const core::TimePoint HedgeAt = Table.hedgeTime(Call, Server, Now);
   Grants.emplace(GrantId, Grant{.Holder = Call.Holder,
                                 .Server = Server,
                                 .WorkClass = Call.WorkClass,
@@ -253,7 +254,8 @@
   Out.emplace_back(Granted{.Token = Call.Token,
                            .GrantId = GrantId,
                            .Server = Table.at(Server).Config,
-                           .Facts = Facts});
+                           .Facts = Facts,
+                           .HedgeAt = HedgeAt});
 }
 
 // Calls at the front of the queue wait for a slot below the preferred limits,
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -26,6 +26,8 @@
   /// Opportunity cost of a slot of the group in percent of a call; 0 if
   /// unknown.
   std::uint8_t SlotPricePercent = 0;
+  /// As in core::SlotGrant.
+  core::TimePoint HedgeAt = core::TimePoint::max();
 };
 
 /// @brief A call of this VM to its own dispatcher. The fields that are not
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -74,6 +74,11 @@
   /// Opportunity cost of a slot of the group in percent of a call; 0 if the
   /// dispatcher does not know it.
   std::uint8_t SlotPricePercent = 0;
+  /// Time in milliseconds until a second attempt on another server is worth its
+  /// cost; NeverHedgeMs if it never is.
+  std::uint32_t HedgeAfterMs = NeverHedgeMs;
+
+  static constexpr std::uint32_t NeverHedgeMs = 0xffffffff;
 };
 
 /// @brief Rejects a call: no slot was granted.
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -66,6 +66,16 @@
     Choice.record(Found->second.Entry->Hash, SlotPricePercent, Env.Time.now());
 }
 
+namespace internal {
+
+core::TimePoint hedgeTimeOf(const Grant &Item, core::TimePoint Now) {
+  return Item.HedgeAfterMs == Grant::NeverHedgeMs
+             ? core::TimePoint::max()
+             : Now + std::chrono::milliseconds(Item.HedgeAfterMs);
+}
+
+} // namespace internal
+
 void RemoteBroker::onGrant(const LinkPtr &Source, const Grant &Item) {
   recordPrice(Item.Call, Item.SlotPricePercent);
   std::optional<core::BackendServer> Server = Item.ServerDetails;
@@ -110,7 +120,9 @@
                                  {.Id = 0,
                                   .Group = Entry->Group.Name,
                                   .Dispatcher = Source->peer().Sender,
-                                  .Server = *Server})});
+                                  .Server = *Server,
+                                  .HedgeAt = internal::hedgeTimeOf(
+                                      Item, Env.Time.now())})});
 }
 
 void RemoteBroker::complete(CallId Call, AcquireResult Result) {
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_state.hpp"
 #include "timer.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/strand.hpp>
@@ -22,6 +23,14 @@
   return Facts ? static_cast<std::uint8_t>(Facts->SlotPricePercent) : 0;
 }
 
+// Time until the hedge of a call, as its Grant states it.
+std::uint32_t hedgeAfterMs(core::TimePoint HedgeAt, core::TimePoint Now) {
+  if (HedgeAt == core::TimePoint::max())
+    return Grant::NeverHedgeMs;
+  const auto Left = std::chrono::ceil<std::chrono::milliseconds>(HedgeAt - Now);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, Left.count()));
+}
+
 // Logs one decision of a dispatcher with the facts on which it was based.
 void logDecision(const char *Event, const std::string &Group,
                  core::RequestId Request, const decision::DecisionFacts &Facts,
@@ -251,14 +260,17 @@
                      .Detail = Target.Entry->Group.Name});
   if (!Item.Requester) {
     Item.OnComplete({.Server = Decision.Server,
-                     .SlotPricePercent = internal::slotPrice(Decision.Facts)});
+                     .SlotPricePercent = internal::slotPrice(Decision.Facts),
+                     .HedgeAt = Decision.HedgeAt});
     return;
   }
   --Item.Requester->WaitingCalls;
   Grant Message{.Call = Item.RemoteCall,
                 .Server = core::hash64(Decision.Server.Id),
                 .ServerDetails = {},
-                .SlotPricePercent = internal::slotPrice(Decision.Facts)};
+                .SlotPricePercent = internal::slotPrice(Decision.Facts),
+                .HedgeAfterMs =
+                    internal::hedgeAfterMs(Decision.HedgeAt, Env.Time.now())};
   if (Item.Revision < Target.Entry->Changed)
     Message.ServerDetails = Decision.Server;
   Item.Requester->PeerLink->send(Message);
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -58,7 +58,8 @@
   Grant Item{.Call = Source.call(),
              .Server = Source.server(),
              .ServerDetails = {},
-             .SlotPricePercent = Source.slot_price_percent()};
+             .SlotPricePercent = Source.slot_price_percent(),
+             .HedgeAfterMs = Source.hedge_after_ms()};
   if (const wire::Server *Full = Source.full())
     Item.ServerDetails =
         core::BackendServer{.Id = toString(Full->id()),
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -52,7 +52,8 @@
         Item.ServerDetails->Slots, Item.ServerDetails->Connections,
         Item.ServerDetails->Incarnation);
   return makeBody<wire::Body::Grant>(wire::CreateGrant(
-      Out, Item.Call, Item.Server, Full, Item.SlotPricePercent));
+      Out, Item.Call, Item.Server, Full, Item.SlotPricePercent,
+      Item.HedgeAfterMs));
 }
 
 BodyOffset encode(Builder &Out, const Refuse &Item) {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -749,7 +749,8 @@
     VT_CALL = 4,
     VT_SERVER = 6,
     VT_FULL = 8,
-    VT_SLOT_PRICE_PERCENT = 10
+    VT_SLOT_PRICE_PERCENT = 10,
+    VT_HEDGE_AFTER_MS = 12
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -763,6 +764,9 @@
   uint8_t slot_price_percent() const {
     return GetField<uint8_t>(VT_SLOT_PRICE_PERCENT, 0);
   }
+  uint32_t hedge_after_ms() const {
+    return GetField<uint32_t>(VT_HEDGE_AFTER_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
@@ -770,6 +774,7 @@
            VerifyOffset(verifier, VT_FULL) &&
            verifier.VerifyTable(full()) &&
            VerifyField<uint8_t>(verifier, VT_SLOT_PRICE_PERCENT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_HEDGE_AFTER_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -790,6 +795,9 @@
   void add_slot_price_percent(uint8_t slot_price_percent) {
     fbb_.AddElement<uint8_t>(Grant::VT_SLOT_PRICE_PERCENT, slot_price_percent, 0);
   }
+  void add_hedge_after_ms(uint32_t hedge_after_ms) {
+    fbb_.AddElement<uint32_t>(Grant::VT_HEDGE_AFTER_MS, hedge_after_ms, 4294967295);
+  }
   explicit GrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -806,9 +814,11 @@
     uint32_t call = 0,
     uint64_t server = 0,
     flatbuffers::Offset<jujubecart::peers::wire::Server> full = 0,
-    uint8_t slot_price_percent = 0) {
+    uint8_t slot_price_percent = 0,
+    uint32_t hedge_after_ms = 4294967295) {
   GrantBuilder builder_(_fbb);
   builder_.add_server(server);
+  builder_.add_hedge_after_ms(hedge_after_ms);
   builder_.add_full(full);
   builder_.add_call(call);
   builder_.add_slot_price_percent(slot_price_percent);
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -145,7 +145,8 @@
                                      {.Id = 0,
                                       .Group = Entry->Group.Name,
                                       .Dispatcher = memberView()->Self,
-                                      .Server = *Dispatched.Server});
+                                      .Server = *Dispatched.Server,
+                                      .HedgeAt = Dispatched.HedgeAt});
         }
         complete(Call, std::move(Result));
       });
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -20,9 +20,12 @@
                   Server.Id) != Request.Excluded.end())
       continue;
     ++Granted;
-    co_return core::SlotGrant{.Id = static_cast<std::uint64_t>(Granted),
-                              .Group = Request.Service,
-                              .Server = Server};
+    co_return core::SlotGrant{
+        .Id = static_cast<std::uint64_t>(Granted),
+        .Group = Request.Service,
+        .Server = Server,
+        .HedgeAt = HedgeDelay ? core::SystemClock().now() + *HedgeDelay
+                              : core::TimePoint::max()};
   }
   co_return core::make_error_code(core::Error::Unavailable);
 }
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -40,12 +40,16 @@
   /// @brief Outcomes of the released slots, in order of release.
   std::vector<core::CallOutcome> outcomes();
 
+  /// @brief Sets after which time grants allow a second attempt.
+  void setHedgeDelay(std::chrono::milliseconds Delay) { HedgeDelay = Delay; }
+
   std::atomic<int> Granted{0};
   std::atomic<int> Cancels{0};
   std::atomic<int> ClaimsReleased{0};
 
 private:
   const core::ConfigSource &Config;
+  std::optional<std::chrono::milliseconds> HedgeDelay;
   std::mutex Mutex;
   /// The request that holds each claimed key.
   std::map<core::OrderKey, core::RequestId> Claims;
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -1,5 +1,6 @@
 #include "harness.hpp"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace jujubecart;
@@ -171,3 +172,34 @@
   cr_assert_eq(statusOf(Answer), 200);
   cr_assert_neq(Answer.find("Connection: close"), std::string::npos);
 }
+
+// Guards against a safe request that waits until its deadline for a server that
+// hangs, and against a hanging server that is not reported as such.
+Test(Routes, safe_request_is_hedged_when_its_grant_says_so) {
+  ScriptedBackend Hanging(neverAnswer());
+  ScriptedBackend Good(answerWith("done"));
+  Harness Fixture({Hanging.address(), Good.address()}, makeSettings(true));
+  Fixture.Broker.setHedgeDelay(30ms);
+  cr_assert(Fixture.call(Get).ends_with("done"));
+  cr_assert_eq(Fixture.Server->counters().Hedges, 1);
+  cr_assert(eventually([&] { return Fixture.Broker.outcomes().size() == 2; }));
+  const auto Outcomes = Fixture.Broker.outcomes();
+  cr_assert_eq(std::count(Outcomes.begin(), Outcomes.end(),
+                          core::CallOutcome::TimedOut),
+               1);
+}
+
+// Guards against an order that runs twice because its first attempt is slow,
+// and against a second attempt that no grant allows.
+Test(Routes, request_is_not_hedged_if_it_is_unsafe_or_its_grant_does_not_say) {
+  for (const bool Idempotent : {false, true}) {
+    ScriptedBackend Hanging(neverAnswer());
+    ScriptedBackend Good(answerWith("done"));
+    Harness Fixture({Hanging.address(), Good.address()},
+                    makeSettings(Idempotent));
+    if (!Idempotent)
+      Fixture.Broker.setHedgeDelay(30ms);
+    cr_assert_eq(statusOf(Fixture.call(Idempotent ? Get : Post)), 504);
+    cr_assert_eq(Good.connections(), 0);
+  }
+}
--- a/tests/decision/objective_simulation.cpp
+++ b/tests/decision/objective_simulation.cpp
@@ -151,7 +151,7 @@
   apply(Out);
 }
 
-void Simulation::enqueue(CallState Call) {
+decision::CallToken Simulation::enqueue(CallState Call) {
   const CallClass &Class = Load.Classes[Call.Class];
   const decision::CallToken Token = ++LastToken;
   const decision::PendingCall Pending{.Token = Token,
@@ -166,6 +166,45 @@
   decision::Decisions Out;
   Dispatcher.enqueue(Pending, Now, Out);
   apply(Out);
+  return Token;
+}
+
+void Simulation::hedge(decision::CallToken Token) {
+  const auto Found = Calls.find(Token);
+  if (Found == Calls.end() || Found->second.End <= Now || RetryTokens < 1)
+    return;
+  RetryTokens -= 1;
+  CallState Second{.Class = Found->second.Class,
+                   .FirstArrival = Found->second.FirstArrival,
+                   .Arrival = Found->second.Arrival,
+                   .Excluded = {std::to_string(Found->second.Server)},
+                   .Returned = true,
+                   .Other = Token,
+                   .IsHedge = true};
+  // It may have been rejected at once.
+  const decision::CallToken Other = enqueue(std::move(Second));
+  if (Calls.contains(Other))
+    Calls.at(Token).Other = Other;
+}
+
+void Simulation::cancelAttempt(decision::CallToken Token) {
+  const auto Found = Calls.find(Token);
+  if (Found == Calls.end())
+    return;
+  const CallState Call = std::move(Found->second);
+  Calls.erase(Found);
+  decision::Decisions Out;
+  if (Call.GrantId == 0) {
+    Dispatcher.withdraw(Token, Now, Out);
+  } else {
+    --InFlight[Call.Server];
+    const core::CallReport Report{.Outcome =
+                                      Call.IsHedge
+                                          ? core::CallOutcome::Cancelled
+                                          : core::CallOutcome::TimedOut};
+    Dispatcher.release(Call.GrantId, Report, Now, Out);
+  }
+  apply(Out);
 }
 
 void Simulation::apply(const decision::Decisions &Out) {
@@ -180,6 +219,8 @@
 void Simulation::onRejected(const decision::Rejected &Rejection) {
   CallState Call = std::move(Calls.at(Rejection.Token));
   Calls.erase(Rejection.Token);
+  if (Call.IsHedge)
+    return;
   ++Result.Rejected;
   Result.MaxRejectionTime =
       std::max(Result.MaxRejectionTime,
@@ -205,6 +246,11 @@
   return Server >= Load.UnresponsiveServers;
 }
 
+bool Simulation::drawHang(unsigned Server) {
+  return Server < Load.HangingServers &&
+         std::uniform_real_distribution<>(0, 1)(ServiceRandom) < Load.HangShare;
+}
+
 core::LoadReport Simulation::loadOf(unsigned Server) const {
   constexpr double PercentPerUnit = 100;
   return {.InFlight = InFlight[Server],
@@ -236,11 +282,15 @@
                             Call.Arrival + Class.Deadline - Now)
                             .count();
   // A server stops work at the deadline of the call.
-  Ms = answers(Server) ? std::min(Ms, LeftMs) : LeftMs;
+  Call.Hangs = !answers(Server) || drawHang(Server);
+  Ms = Call.Hangs ? LeftMs : std::min(Ms, LeftMs);
   Call.Server = Server;
+  Call.GrantId = Grant.GrantId;
   Call.End = Now + microseconds(static_cast<std::int64_t>(Ms * 1000));
   schedule(Call.End,
            [this, Grant, StartedAt = Now] { finishCall(Grant, StartedAt); });
+  if (Class.Hedged && !Call.IsHedge && Grant.HedgeAt < Call.End)
+    schedule(Grant.HedgeAt, [this, Token = Grant.Token] { hedge(Token); });
 }
 
 void Simulation::slowRunningCalls(unsigned Server) {
@@ -254,6 +304,9 @@
 
 void Simulation::finishCall(const decision::Granted &Grant,
                             TimePoint StartedAt) {
+  // The other attempt of a hedged call was faster.
+  if (!Calls.contains(Grant.Token))
+    return;
   const TimePoint End = Calls.at(Grant.Token).End;
   // Another call has slowed it down in the meantime.
   if (End > Now)
@@ -266,13 +319,14 @@
   --InFlight[Server];
   core::CallReport Report;
   Report.Elapsed = std::chrono::duration_cast<microseconds>(Now - StartedAt);
-  const bool Answered = answers(Server) && Now < Call.Arrival + Class.Deadline;
+  const bool Answered = !Call.Hangs && Now < Call.Arrival + Class.Deadline;
   if (!Answered)
     Report.Outcome = core::CallOutcome::TimedOut;
   if (answers(Server) && Load.ReportsPace)
     Report.Load = loadOf(Server);
   const bool MetObjective = Now - Call.FirstArrival <= Class.Objective;
   if (Answered) {
+    cancelAttempt(Call.Other);
     const auto Second =
         static_cast<std::size_t>((Call.FirstArrival - Start) / 1s);
     ++(MetObjective ? Result.OnTime : Result.Late);
--- a/tests/decision/objective_simulation.hpp
+++ b/tests/decision/objective_simulation.hpp
@@ -29,6 +29,8 @@
   double Worth = 1;
   /// Whether an attempt may follow one that a server has rejected.
   std::uint32_t MaxAttempts = 1;
+  /// Whether a second attempt starts at the time that the grant states.
+  bool Hedged = false;
 };
 
 /// @brief A cause of overload that lasts for a time.
@@ -61,6 +63,9 @@
   bool SlowsRunningCalls = false;
   /// Number of servers that accept calls and never answer.
   unsigned UnresponsiveServers = 0;
+  /// Number of servers that never answer a share of their calls.
+  unsigned HangingServers = 0;
+  double HangShare = 0;
   /// Whether servers report their load and pace.
   bool ReportsPace = true;
   /// Time during which calls arrive.
@@ -118,13 +123,22 @@
     /// Server that runs the call, and the end of its work there.
     unsigned Server = 0;
     TimePoint End;
+    /// Grant in use; 0 while the call waits.
+    std::uint64_t GrantId = 0;
+    /// The other attempt of a hedged call; 0 if there is none.
+    jujubecart::decision::CallToken Other = 0;
+    bool IsHedge = false;
+    /// Whether the server never answers this call.
+    bool Hangs = false;
   };
 
   void schedule(TimePoint When, std::function<void()> Handler);
   void startPeriod(unsigned Server);
   void scheduleArrivals(std::size_t Class);
   void tick();
-  void enqueue(CallState Call);
+  jujubecart::decision::CallToken enqueue(CallState Call);
+  void hedge(jujubecart::decision::CallToken Token);
+  void cancelAttempt(jujubecart::decision::CallToken Token);
   void apply(const jujubecart::decision::Decisions &Out);
   void onRejected(const jujubecart::decision::Rejected &Rejection);
   void startCall(const jujubecart::decision::Granted &Grant);
@@ -137,6 +151,7 @@
   [[nodiscard]] double shedShare() const;
   [[nodiscard]] double arrivalFactor() const;
   [[nodiscard]] bool answers(unsigned Server) const;
+  [[nodiscard]] bool drawHang(unsigned Server);
   [[nodiscard]] jujubecart::core::LoadReport loadOf(unsigned Server) const;
 
   const Workload Load;
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -84,6 +84,27 @@
   cr_assert_eq(Item.Time, 77);
 }
 
+// Guards against a grant whose time of a second attempt is lost, or appears
+// although the dispatcher did not state one.
+Test(FrameCodec, grant_round_trip_keeps_every_field) {
+  for (const std::uint32_t HedgeAfterMs : {250U, Grant::NeverHedgeMs}) {
+    FrameCodec Codec;
+    Frame Item;
+    cr_assert(decode(Codec,
+                     encoded(1, Grant{.Call = 7,
+                                      .Server = 0x1122334455667788,
+                                      .ServerDetails = {},
+                                      .SlotPricePercent = 40,
+                                      .HedgeAfterMs = HedgeAfterMs}),
+                     Item) == DecodeStatus::Ready);
+    const auto &Decoded = std::get<Grant>(Item.Body);
+    cr_assert_eq(Decoded.Call, 7);
+    cr_assert_eq(Decoded.Server, 0x1122334455667788);
+    cr_assert_eq(Decoded.SlotPricePercent, 40);
+    cr_assert_eq(Decoded.HedgeAfterMs, HedgeAfterMs);
+  }
+}
+
 // Guards against a decoder that fails when TCP delivers a frame in several
 // reads.
 Test(FrameCodec, frame_fed_byte_by_byte_is_decoded) {
