Count the calls of a dispatcher that failed with its link still open

Finding: dispatch_test order_moves_to_next_dispatcher_with_its_claim failed once beside other work, then in 3 of 25 runs with a trace: the next dispatcher granted the order at once although all slots were in use. It was told of the calls in flight whose link to the dispatcher had closed; two VMs can have two links, and the one with the grants was closed a moment after the one with the waiting order. A dispatcher that is paused keeps all its links open, so the next one counted none of its calls and overloaded their servers in every such case. Change: calls granted by a suspect dispatcher are reported to the next one as well, and returned to both. A new suspicion starts the reports anew.

--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -81,6 +81,9 @@
   [[nodiscard]] bool isSuspected(const std::string &Vm);
   void markSuspect(const std::string &Vm);
   void reportInFlight(const GroupPtr &Entry, const LinkPtr &Dispatcher);
+  /// @return Whether a dispatcher that answers counts the call; call with Mutex
+  /// held.
+  [[nodiscard]] bool isTracked(const HeldGrant &Item) const;
   [[nodiscard]] core::SlotGrant recordGrant(HeldGrant Item,
                                             core::SlotGrant Grant);
   void onGrant(const LinkPtr &Source, const Grant &Item);
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -199,9 +199,21 @@
     complete(Call, {});
 }
 
+// The dispatcher that granted a call may have failed although its link is still
+// open, because it is paused or the link is about to be closed.
+bool RemoteBroker::isTracked(const HeldGrant &Item) const {
+  if (Item.Token != 0 || Item.AdoptedBy || Item.AdoptedHere)
+    return true;
+  if (!Item.DispatcherLink)
+    return false;
+  const auto Found = SuspectedUntil.find(Item.DispatcherLink->peer().Sender);
+  return Found == SuspectedUntil.end() || Env.Time.now() >= Found->second;
+}
+
 // Reports the calls in flight that no dispatcher counts, so that a new
 // dispatcher does not overload their servers. Runs before the first call to a
-// dispatcher; a null link stands for the dispatcher of this VM.
+// dispatcher after another one failed; a null link stands for the dispatcher of
+// this VM.
 void RemoteBroker::reportInFlight(const GroupPtr &Entry,
                                   const LinkPtr &Dispatcher) {
   std::map<std::string, std::uint32_t> Counts;
@@ -212,11 +224,15 @@
              .second)
       return;
     for (auto &[Id, Item] : Grants) {
-      if (!Item.Entry || Item.Entry->Hash != Entry->Hash || !Item.isUntracked())
+      if (!Item.Entry || Item.Entry->Hash != Entry->Hash)
         continue;
-      ++Counts[Item.Server];
-      Item.AdoptedBy = Dispatcher;
-      Item.AdoptedHere = !Dispatcher;
+      if (!isTracked(Item)) {
+        Item.AdoptedBy = Dispatcher;
+        Item.AdoptedHere = !Dispatcher;
+      }
+      // A report replaces the one before.
+      if (Item.isAdoptedBy(Dispatcher))
+        ++Counts[Item.Server];
     }
   }
   if (Counts.empty())
@@ -298,6 +314,7 @@
 
 void RemoteBroker::markSuspect(const std::string &Vm) {
   const std::lock_guard Lock(Mutex);
+  ReportedInFlight.clear();
   if (SuspectedUntil
           .insert_or_assign(Vm, Env.Time.now() +
                                     Env.Links.options().SuspectDuration)
--- a/packages/peers/src/broker_state.hpp
+++ b/packages/peers/src/broker_state.hpp
@@ -54,9 +54,10 @@
   /// Whether the call was reported to this VM's dispatcher.
   bool AdoptedHere = false;
 
-  /// @brief Whether no dispatcher counts the call.
-  [[nodiscard]] bool isUntracked() const noexcept {
-    return !DispatcherLink && Token == 0 && !AdoptedBy && !AdoptedHere;
+  /// @brief Whether the call was reported to a dispatcher.
+  /// @param Dispatcher Link to it; nullptr for the one of this VM.
+  [[nodiscard]] bool isAdoptedBy(const LinkPtr &Dispatcher) const noexcept {
+    return Dispatcher ? AdoptedBy == Dispatcher : AdoptedHere;
   }
 };
 
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -270,7 +270,8 @@
         Release{.Call = Item.Call, .Report = Report, .Group = 0, .Server = 0});
   } else if (Item.Token != 0) {
     Env.Dispatch.release(Item.Entry->Hash, Item.Token, Report);
-  } else if (Item.AdoptedBy) {
+  }
+  if (Item.AdoptedBy) {
     Item.AdoptedBy->send(Release{.Call = 0,
                                  .Report = Report,
                                  .Group = Item.Entry->Hash,
--- a/tests/peers/dispatch_test.cpp
+++ b/tests/peers/dispatch_test.cpp
@@ -281,6 +281,23 @@
   cr_assert(*Fleet.Claims.owner(*Request.Key) == Request.Request);
 }
 
+// Guards against a next dispatcher that does not count the calls in flight of
+// one that is paused with its link open, and so overloads their servers.
+Test(Dispatch, calls_of_paused_dispatcher_are_counted_by_the_next_one) {
+  Cluster Fleet(1);
+  const auto Held = Fleet.acquireSlots(Fleet.third(), MaxGrants);
+  const core::SlotRequest Request = Fleet.orderRequest(7);
+  Fleet.dispatcher().Context.pause(2000ms);
+  std::this_thread::sleep_for(20ms);
+  auto Waiting = Fleet.third().acquireLater(Request);
+  cr_assert(Waiting.wait_for(300ms) == std::future_status::timeout);
+  Fleet.third().Node.broker().release(Held.front(), CompletedReport);
+  cr_assert(Waiting.wait_for(1s) == std::future_status::ready);
+  const auto Granted = Waiting.get();
+  cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
+  cr_assert_eq(Granted->Dispatcher, idOf(Fleet.second()));
+}
+
 // Guards against an order that runs twice: two VMs with different member lists
 // each act as dispatcher and grant the same key to two requests.
 Test(Dispatch, two_dispatchers_grant_order_key_once) {
