Test more kinds of bytes without end from a backend server

Bytes without a status line, empty lines, header fields, interim responses, a chunk extension and trailers without end: each ends the exchange at a limit and not at its deadline.

--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -255,12 +255,14 @@
 
 /// @brief Script that reads a request and then sends bytes without end, until
 /// the other side closes the connection.
-ScriptedBackend::Script respondWithoutEnd(const std::string &Start,
-                                          std::atomic<std::size_t> &Sent) {
-  return [Start, &Sent](tcp::socket &Socket, int) {
+/// @param Repeated Sent again and again after the start.
+ScriptedBackend::Script
+respondWithoutEnd(const std::string &Start, std::atomic<std::size_t> &Sent,
+                  const std::string &Repeated = std::string(4096, 'x')) {
+  return [Start, Repeated, &Sent](tcp::socket &Socket, int) {
     readMethod(Socket);
     send(Socket, Start);
-    const std::string Bytes(4096, 'x');
+    const std::string &Bytes = Repeated;
     boost::system::error_code Code;
     while (!Code)
       Sent += asio::write(Socket, asio::buffer(Bytes), Code);
@@ -289,3 +291,33 @@
   cr_assert_eq(Setup.run(), "failed");
   cr_assert(Setup.Report.Outcome == core::CallOutcome::Broken);
 }
+
+// Guards against bytes without end where the end of a response is due: they
+// would be read until the deadline, at the cost of all other calls, or held in
+// memory.
+Test(PlatformExchange, bytes_without_end_that_are_no_response_are_rejected) {
+  struct Case {
+    const char *Name;
+    std::string Start;
+    std::string Repeated;
+  };
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+  const std::vector<Case> Cases{
+      {"no status line", "", std::string(4096, 'x')},
+      {"empty lines", "", "\r\n\r\n\r\n\r\n"},
+      {"header fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"chunk extension", Chunked + "\r\n5;a=", std::string(4096, 'x')},
+      {"trailer field", Chunked + "\r\n0\r\nA: ", std::string(4096, 'x')},
+      {"trailer fields", Chunked + "\r\n0\r\n", "A: b\r\n"},
+  };
+  for (const Case &Each : Cases) {
+    std::atomic<std::size_t> Sent{0};
+    Fixture Setup(respondWithoutEnd(Each.Start, Sent, Each.Repeated));
+    cr_assert_eq(Setup.run(), "failed", "%s", Each.Name);
+    cr_assert(Setup.Report.Outcome == core::CallOutcome::Broken, "%s: %d",
+              Each.Name, int(Setup.Report.Outcome));
+    cr_assert_leq(Sent, 8U << 20, "%s", Each.Name);
+  }
+}
