--- a/packages/callers/src/request.cpp
+++ b/packages/callers/src/request.cpp
@@ -178,10 +178,10 @@
 
 // Whether the load balancer sets the field itself, with every profile.
 bool isSetByBalancer(std::string_view Name) {
-  static constexpr std::array<std::string_view, 3> Names{"host", "expect",
-                                                         "content-length"};
-  return std::any_of(Names.begin(), Names.end(), [&](std::string_view Known) {
-    return core::equalsIgnoreCase(Known, Name);
+  static constexpr std::array Fields{http::field::host, http::field::expect,
+                                     http::field::content_length};
+  return std::any_of(Fields.begin(), Fields.end(), [&](http::field Known) {
+    return core::equalsIgnoreCase(http::to_string(Known), Name);
   });
 }
 
