Wait for the callers' port before an end-to-end test uses it

Cause: the end-to-end tests waited for the operators' endpoint of a VM only, which the daemon opens before the one for callers (Daemon::listen). In the thread sanitizer build beside 20 other processes, the first request of test_request_without_configuration_is_rejected_as_not_run was refused by the system. Change: the harness waits for both. What the tests check is unchanged.

--- a/tests/apps/fleet.py
+++ b/tests/apps/fleet.py
@@ -156,11 +156,12 @@
                 "policy": self.policy, **self.overrides}
 
     def start_vm(self, vm):
-        """Starts jujubecartd of a VM and waits for its operators' endpoint."""
+        """Starts jujubecartd of a VM and waits until it accepts connections of
+        operators and of callers, which it opens one after the other."""
         vm.process = self.spawn(vm.name, "apps/jujubecartd/jujubecartd", "--settings",
                                 self.write(vm.name + ".json", self.settings(vm)))
-        wait_until(lambda: accepts(vm.operators) or vm.process.poll() is not None,
-                   f"{vm.name} accepts connections")
+        wait_until(lambda: (accepts(vm.operators) and accepts(vm.callers)) or
+                   vm.process.poll() is not None, f"{vm.name} accepts connections")
         if vm.process.poll() is not None:
             raise AssertionError(self.log_text(vm.name))
 
