Log takeovers of the store and the reach of broadcasts

When a VM had an outdated configuration, the logs did not tell whether broadcasts had reached it, for how long it had heard nothing, and when it read the store itself. Each takeover, each gap and each broadcast of changes now writes one line.

--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -1,5 +1,6 @@
 #include <jujubecart/peers/store_relay.hpp>
 
+#include <jujubecart/core/log.hpp>
 #include <jujubecart/decision/rendezvous.hpp>
 
 #include <algorithm>
@@ -59,9 +60,12 @@
     }
   }
   const std::string Self = Members.self().Id;
+  std::size_t Sent = 0;
+  std::size_t WithoutLink = 0;
   for (const core::Member &Vm : Members.members()) {
     const LinkPtr OpenLink = Links.find(Vm.Id);
     if (!OpenLink) {
+      WithoutLink += Vm.Id != Self;
       if (Vm.Id != Self && Vm.State == core::MemberState::Live)
         Links.connectInBackground(Vm.Id, Vm.Address);
       continue;
@@ -73,8 +77,14 @@
       Unsent = internal::changesAfter(RecentChanges, SentRevision);
       SentRevision = RecentChanges.List.AsOf;
     }
-    OpenLink->send(StoreChanges{.Changes = std::move(Unsent)});
+    Sent += OpenLink->send(StoreChanges{.Changes = std::move(Unsent)});
   }
+  if (!Changes.List.Entries.empty())
+    core::LogLine(core::LogLevel::Info, "store.broadcast")
+        .field("revision", Changes.List.AsOf)
+        .field("entries", Changes.List.Entries.size())
+        .field("sent", Sent)
+        .field("without_link", WithoutLink);
 }
 
 void StoreRelay::updateRank() {
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -129,6 +129,7 @@
   [[nodiscard]] core::Awaitable<void> removeLostVms();
   [[nodiscard]] bool mustReadStore() const;
   [[nodiscard]] bool readsForAll() const;
+  void logTakeover();
   void recordConfirmation();
   void recordSuccess();
   void recordFailure(std::string_view Call, const std::error_code &Error);
@@ -159,6 +160,8 @@
   /// Whether another VM reported changes that follow changes unknown here; the
   /// missing ones must be read from the store.
   bool MissedChanges = false;
+  /// Whether another VM has passed changes on since the last takeover.
+  bool HeardFromPeer = true;
   core::TimePoint NextCleanup = core::TimePoint::min();
   /// When the reader last wrote a snapshot, or began to read the store.
   std::optional<core::TimePoint> LastSnapshot;
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -4,6 +4,7 @@
 #include <jujubecart/store/directory_snapshot.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubecart::store {
 
@@ -38,6 +39,7 @@
     if (!Loaded) {
       Succeeded = co_await load();
     } else if (mustReadStore()) {
+      logTakeover();
       Succeeded = co_await watchStore();
       co_await removeLostVms();
       co_await writeSnapshot();
@@ -69,6 +71,21 @@
                  static_cast<std::int64_t>(FurtherRanks);
 }
 
+// One line for each time that the other VMs stop passing changes on; it tells
+// whether a VM with an outdated configuration was told nothing, and for how
+// long.
+void DirectoryFeed::logTakeover() {
+  if (Env.ReaderRank() == 0 || MissedChanges ||
+      !std::exchange(HeardFromPeer, false))
+    return;
+  const auto Silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Env.Time.now() - LastConfirmed);
+  core::LogLine(core::LogLevel::Info, "store.takeover")
+      .field("rank", Env.ReaderRank())
+      .field("silent_ms", Silence.count())
+      .field("revision", Entries.asOf());
+}
+
 // Whether the next answer of the store is passed on. A VM that only catches up
 // on changes that it missed has nothing new for the others, and broadcasts of
 // all VMs at the end of an outage would open links between all of them.
@@ -88,9 +105,13 @@
   if (!Loaded)
     return;
   if (Changes.After > Entries.asOf()) {
-    MissedChanges = true;
+    if (!std::exchange(MissedChanges, true))
+      core::LogLine(core::LogLevel::Info, "directory.changes_missed")
+          .field("known", Entries.asOf())
+          .field("reported_after", Changes.After);
     return;
   }
+  HeardFromPeer = true;
   recordConfirmation();
   if (Changes.List.AsOf <= Entries.asOf())
     return;
