Test that no VM applies an acknowledged configuration late

The promise: a VM that can read the store applies an acknowledged version within 2 s, whoever else cannot; calls to a store that is down stay bounded.

--- /dev/null
+++ b/tests/store/directory_fleet.hpp
@@ -0,0 +1,164 @@
+#ifndef JUJUBECART_TESTS_STORE_DIRECTORY_FLEET_HPP
+#define JUJUBECART_TESTS_STORE_DIRECTORY_FLEET_HPP
+
+#include "fakes/simulation.hpp"
+#include "plain_codec.hpp"
+
+#include <jujubecart/store/directory_feed.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubecart::tests {
+
+/// @brief How the store answers the calls of one VM.
+enum class StorePath : std::uint8_t {
+  Open,
+  /// Every call fails at once.
+  Rejecting,
+  /// No call is answered.
+  Silent
+};
+
+/// @brief Entries and history of the simulated store that all VMs share.
+struct FleetStore {
+  /// @brief Writes an entry, which counts as acknowledged at once.
+  void write(const std::string &Key, std::string Value);
+
+  /// @brief Drops the history: older watches get HistoryLost.
+  void dropHistory() noexcept { OldestRevision = AsOf; }
+
+  [[nodiscard]] core::EntryList changesAfter(core::Revision After) const;
+  [[nodiscard]] core::EntryList list() const;
+
+  core::Revision AsOf = 0;
+  /// Changes after this revision can be watched.
+  core::Revision OldestRevision = 0;
+  std::map<std::string, core::StoredEntry> Items;
+  std::vector<core::StoredEntry> History;
+};
+
+class DirectoryFleet;
+
+/// @brief One entry VM: its feed and its view of the time, the store and the
+/// other VMs.
+class FleetVm final : public core::EntryStore,
+                      public core::Sleeper,
+                      public core::Clock {
+public:
+  FleetVm(DirectoryFleet &Fleet, std::size_t Number);
+
+  /// @brief Stops the process for a time, which its monotonic clock does not
+  /// count.
+  void freeze(std::chrono::milliseconds Duration);
+  /// @brief Changes the path to the store.
+  void setPath(StorePath NewPath);
+  /// @brief Makes this VM take another one for lost, or live again.
+  void setTrust(std::size_t Other, bool Live) { Trusted[Other] = Live; }
+
+  /// @brief Version of the configuration in force; 0 without one.
+  [[nodiscard]] std::uint64_t configVersion() const;
+  /// @brief Instant since which this VM could read the store without a pause.
+  [[nodiscard]] core::TimePoint undisturbedSince() const;
+  /// @brief Passes changes that another VM has broadcast to the feed.
+  [[nodiscard]] core::Awaitable<void> deliver(core::EntryChanges Changes,
+                                              core::TimePoint At);
+
+  [[nodiscard]] core::Awaitable<void>
+  sleepUntil(core::TimePoint Until) override;
+  [[nodiscard]] core::TimePoint now() const noexcept override;
+  [[nodiscard]] core::WallTime wallNow() const noexcept override;
+
+  [[nodiscard]] core::Awaitable<core::Result<core::EntryList>>
+  list(core::ReadMode Mode, core::TimePoint Deadline) override;
+  [[nodiscard]] core::Awaitable<core::Result<core::StoredEntry>>
+  get(std::string Key, core::ReadMode Mode, core::TimePoint Deadline) override;
+  [[nodiscard]] core::Awaitable<core::Result<core::EntryList>>
+  waitForChanges(core::Revision After, core::TimePoint Until) override;
+  [[nodiscard]] core::Awaitable<core::Result<void>>
+  put(std::string Key, std::string Value, core::TimePoint Deadline) override;
+  [[nodiscard]] core::Awaitable<core::Result<void>>
+  remove(std::vector<core::EntryVersion> Keys,
+         core::TimePoint Deadline) override;
+
+  /// Price of the calls to the store, in stale reads; a current read costs ten.
+  std::uint64_t CallPrice = 0;
+  std::uint64_t Calls = 0;
+  std::uint64_t Broadcasts = 0;
+
+private:
+  [[nodiscard]] std::size_t rank() const;
+  [[nodiscard]] core::Awaitable<void> whileFrozen();
+  /// @brief Waits for the answer of the store.
+  /// @return An error if there is none.
+  [[nodiscard]] core::Awaitable<std::error_code>
+  awaitAnswer(core::TimePoint Deadline);
+  [[nodiscard]] core::TimePoint::duration
+  frozenTime(core::TimePoint Instant) const noexcept;
+
+  DirectoryFleet &Fleet;
+  const std::size_t Number;
+  StorePath Path = StorePath::Open;
+  core::TimePoint PathSince;
+  core::TimePoint FreezeStart;
+  core::TimePoint FreezeEnd;
+  core::TimePoint::duration EarlierFreezes{0};
+  std::vector<bool> Trusted;
+  core::ConfigTable Table;
+  PlainCodec Codec;
+  store::DirectoryFeed Feed;
+};
+
+/// @brief Entry VMs in simulated time that read one store and tell each other
+/// what they read. Deterministic for a seed.
+class DirectoryFleet {
+public:
+  DirectoryFleet(std::size_t Size, std::uint64_t Seed);
+
+  /// @brief Runs for a time and compares the configuration of every VM with the
+  /// acknowledged one at short intervals.
+  void run(std::chrono::milliseconds Duration);
+
+  /// @brief Writes the next version of the configuration.
+  void changeConfig();
+
+  /// @brief Sends changes from one VM to all others to which its broadcasts are
+  /// not lost.
+  void broadcast(std::size_t Sender, const core::EntryChanges &Changes);
+
+  /// @brief Sets whether the broadcasts of one VM to another are lost.
+  void setLink(std::size_t Sender, std::size_t Receiver, bool Open) {
+    Links[Sender][Receiver] = Open;
+  }
+
+  [[nodiscard]] std::size_t size() const noexcept { return Links.size(); }
+  [[nodiscard]] std::uint64_t callPrice() const;
+  [[nodiscard]] std::uint64_t calls() const;
+  [[nodiscard]] std::uint64_t broadcasts() const;
+
+  FleetStore Store;
+  std::vector<std::unique_ptr<FleetVm>> Vms;
+  /// Longest time for which a VM that could read the store had an older
+  /// version than an acknowledged one, and which VM it was.
+  std::chrono::milliseconds WorstLag{0};
+  std::size_t WorstVm = 0;
+
+private:
+  void checkVersions();
+
+  std::vector<std::vector<bool>> Links;
+  /// Last arrival of a broadcast, by sender and receiver.
+  std::vector<std::vector<core::TimePoint>> LastArrival;
+  /// When each version was acknowledged; the first one has the number 1.
+  std::vector<core::TimePoint> Acknowledged;
+
+public:
+  // Declared last to be destroyed first: it owns the coroutines of the VMs.
+  dev::Simulation Run;
+};
+
+} // namespace jujubecart::tests
+
+#endif
--- /dev/null
+++ b/tests/store/directory_fleet_test.cpp
@@ -0,0 +1,191 @@
+#include "directory_fleet.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <criterion/criterion.h>
+#include <vector>
+
+using namespace jujubecart;
+using namespace std::chrono_literals;
+using tests::DirectoryFleet;
+using tests::StorePath;
+
+namespace {
+
+// An acknowledged change must be in force within this time on every VM that can
+// read the store.
+constexpr auto MaxConfigLag = 2000ms;
+constexpr auto ChangeInterval = 2000ms;
+constexpr std::size_t FleetSize = 100;
+
+/// @brief Runs for a time during which the configuration changes regularly.
+void runWithChanges(DirectoryFleet &Fleet, std::chrono::milliseconds Duration) {
+  for (auto Passed = 0ms; Passed < Duration; Passed += ChangeInterval) {
+    Fleet.run(ChangeInterval);
+    Fleet.changeConfig();
+  }
+}
+
+void expectTimely(const DirectoryFleet &Fleet, const char *Case) {
+  cr_expect_leq(Fleet.WorstLag.count(), MaxConfigLag.count(),
+                "%s: VM %zu applied a version %lld ms late", Case,
+                Fleet.WorstVm, static_cast<long long>(Fleet.WorstLag.count()));
+}
+
+/// @brief Gives all VMs but some random ones a path that does not work.
+void closePaths(DirectoryFleet &Fleet, std::uint64_t OpenPercent,
+                StorePath Path) {
+  for (const auto &Vm : Fleet.Vms)
+    Vm->setPath(Fleet.Run.chance(OpenPercent) ? StorePath::Open : Path);
+}
+
+/// @brief One random fault or its end.
+void disturb(DirectoryFleet &Fleet) {
+  const std::size_t Vm = Fleet.Run.below(Fleet.size());
+  const std::size_t Other = Fleet.Run.below(Fleet.size());
+  switch (Fleet.Run.below(8)) {
+  case 0:
+    Fleet.Vms[Vm]->freeze(std::chrono::milliseconds(Fleet.Run.below(6000)));
+    break;
+  case 1:
+    Fleet.Vms[Fleet.Run.below(10)]->freeze(4000ms);
+    break;
+  case 2:
+    for (std::size_t Receiver = 0; Receiver < Fleet.size(); ++Receiver)
+      Fleet.setLink(Vm, Receiver, Fleet.Run.chance(50));
+    break;
+  case 3:
+    for (std::size_t Sender = 0; Sender < Fleet.size(); ++Sender)
+      Fleet.setLink(Sender, Vm, Fleet.Run.chance(30));
+    break;
+  case 4:
+    Fleet.Vms[Vm]->setTrust(Other % 10, Fleet.Run.chance(50));
+    break;
+  case 5:
+    closePaths(Fleet, Fleet.Run.below(100),
+               Fleet.Run.chance(50) ? StorePath::Silent : StorePath::Rejecting);
+    break;
+  case 6:
+    closePaths(Fleet, 100, StorePath::Open);
+    break;
+  default:
+    Fleet.Store.dropHistory();
+  }
+}
+
+} // namespace
+
+// Guards against a VM that can read the store but gets an acknowledged
+// configuration seconds late, because the VMs that rank before it cannot read
+// the store and it waits for its turn.
+Test(DirectoryFleet, vm_that_reaches_the_store_is_up_to_date_if_most_cannot) {
+  for (const StorePath Path : {StorePath::Rejecting, StorePath::Silent})
+    for (const std::uint64_t OpenPercent : {1U, 5U, 15U, 40U}) {
+      DirectoryFleet Fleet(FleetSize, OpenPercent);
+      Fleet.run(5s);
+      closePaths(Fleet, OpenPercent, Path);
+      runWithChanges(Fleet, 14s);
+      expectTimely(Fleet, Path == StorePath::Silent ? "silent" : "rejecting");
+    }
+}
+
+// Guards against a VM that gets an acknowledged configuration seconds late
+// because the broadcasts to it are lost, while the reader takes it for told.
+Test(DirectoryFleet, vm_without_broadcasts_is_up_to_date) {
+  DirectoryFleet Fleet(FleetSize, 1);
+  Fleet.run(5s);
+  for (const std::size_t Vm : {1U, 9U, 40U, 99U})
+    for (std::size_t Sender = 0; Sender < FleetSize; ++Sender)
+      Fleet.setLink(Sender, Vm, false);
+  runWithChanges(Fleet, 20s);
+  expectTimely(Fleet, "no broadcasts");
+}
+
+// Guards against VMs that wait for readers that are frozen together.
+Test(DirectoryFleet, vms_are_up_to_date_while_the_first_ranks_are_frozen) {
+  DirectoryFleet Fleet(FleetSize, 2);
+  Fleet.run(5s);
+  for (std::size_t Vm = 0; Vm < 30; ++Vm)
+    Fleet.Vms[Vm]->freeze(9s);
+  runWithChanges(Fleet, 14s);
+  expectTimely(Fleet, "frozen readers");
+}
+
+// Guards against a reader that lags and whose broadcasts keep the other VMs
+// from reading the store.
+Test(DirectoryFleet, broadcasts_of_a_lagging_reader_confirm_nothing) {
+  DirectoryFleet Fleet(FleetSize, 3);
+  Fleet.run(5s);
+  Fleet.changeConfig();
+  Fleet.run(1s);
+  // The changes of a reader that was frozen with an answer in its hands arrive
+  // again and again.
+  for (std::size_t Vm = 1; Vm < FleetSize; ++Vm)
+    for (std::size_t Sender = 0; Sender < FleetSize; ++Sender)
+      Fleet.setLink(Sender, Vm, false);
+  const core::EntryChanges Outdated{.After = 1,
+                                    .List = {.Entries = {}, .AsOf = 1}};
+  for (int Round = 0; Round < 16; ++Round) {
+    for (const auto &Vm : Fleet.Vms)
+      boost::asio::co_spawn(Fleet.Run.context(),
+                            Vm->deliver(Outdated, Fleet.Run.now()),
+                            boost::asio::detached);
+    if (Round % 4 == 0)
+      Fleet.changeConfig();
+    Fleet.run(500ms);
+  }
+  expectTimely(Fleet, "lagging reader");
+}
+
+// Guards against combinations of faults that leave a VM with an outdated
+// configuration although it can read the store.
+Test(DirectoryFleet, random_faults_delay_no_vm_that_reaches_the_store) {
+  for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
+    DirectoryFleet Fleet(FleetSize, Seed);
+    Fleet.run(4s);
+    for (int Step = 0; Step < 60; ++Step) {
+      disturb(Fleet);
+      Fleet.run(std::chrono::milliseconds(Fleet.Run.below(1000)));
+      if (Fleet.Run.chance(30))
+        Fleet.changeConfig();
+    }
+    expectTimely(Fleet, ("seed " + std::to_string(Seed)).c_str());
+  }
+}
+
+// Guards against a stampede: a large fleet whose VMs all call a store that is
+// down, several times a second each.
+Test(DirectoryFleet, calls_to_a_store_that_is_down_are_bounded) {
+  constexpr auto Outage = 10s;
+  for (const StorePath Path : {StorePath::Rejecting, StorePath::Silent}) {
+    DirectoryFleet Fleet(300, 7);
+    Fleet.run(5s);
+    const std::uint64_t Calls = Fleet.calls();
+    const std::uint64_t Price = Fleet.callPrice();
+    closePaths(Fleet, 0, Path);
+    Fleet.run(Outage);
+    // A VM that has heard nothing tries every two seconds; the first ranks try
+    // up to twice a second. After its first failed call a VM asks for a stale
+    // read, at a tenth of the price.
+    const std::uint64_t MaxCalls = 300 * Outage / 2s + 8 * 2 * Outage / 1s;
+    cr_expect_leq(Fleet.calls() - Calls, MaxCalls);
+    cr_expect_leq(Fleet.callPrice() - Price, MaxCalls + 300 * 10);
+  }
+}
+
+// Guards against broadcasts of all VMs to all others when a store returns.
+Test(DirectoryFleet, few_vms_broadcast_when_the_store_returns) {
+  for (const StorePath Path : {StorePath::Rejecting, StorePath::Silent}) {
+    DirectoryFleet Fleet(300, 8);
+    Fleet.run(5s);
+    closePaths(Fleet, 0, Path);
+    Fleet.run(8s);
+    Fleet.changeConfig();
+    const std::uint64_t Before = Fleet.broadcasts();
+    closePaths(Fleet, 100, Path);
+    Fleet.run(3s);
+    cr_expect_leq(Fleet.broadcasts() - Before, 40);
+    runWithChanges(Fleet, 4s);
+    expectTimely(Fleet, "store returns");
+  }
+}
