Let every VM that reaches the store read it in time

Callers of one VM got 404 for a route whose configuration had been acknowledged 5 s before.

Cause: freshness depended on other VMs. A VM that heard nothing waited for its turn by rank, up to 10.7 s at rank 99; only the first eight ranks passed on what they read; and a broadcast counted as a confirmation even if its sender knew less than the receiver. Whoever had no link to the reader, or whose first ranks could not reach the store or were frozen, trailed by its rank.

Change: every VM takes over within 1.6 s whatever its rank, the first one that succeeds broadcasts at once and reads on until it hears from another one; ranks from 8 on wait up to 200 ms before they broadcast and leave it to a faster one. A sender that knows less confirms nothing. After a failed call a VM asks for a stale read, at a tenth of the price, so that more VMs may try without a stampede.

--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -35,19 +35,28 @@
   /// Upper bound of the doubled delay.
   std::chrono::milliseconds MaxBackoff{800};
   /// A VM of reader rank 1 reads the store itself if neither the store nor
-  /// another VM has confirmed its entries for this time. Every VM must know a
-  /// change within two seconds.
+  /// another VM has confirmed its entries for this time.
   std::chrono::milliseconds TakeoverDelay{1100};
   /// Additional time for each further rank.
   std::chrono::milliseconds TakeoverDelayPerRank{130};
   /// Upper bound of the number of such additions.
   std::size_t MaxTakeoverDelaySteps = 3;
-  /// VMs that take over within these delays and read for all. Enough for one of
-  /// them to reach a store that rejects a third of the VMs.
+  /// VMs of lower ranks than this take over first, broadcast at once and call a
+  /// store that is down more often than the others.
   std::size_t PromptReaders = 8;
-  /// Additional time for each rank from PromptReaders on. If the store is down
-  /// for all, few VMs of a large fleet call it in vain.
-  std::chrono::milliseconds TakeoverDelayPerFurtherRank{100};
+  /// The others take over within this time after the last prompt reader, each
+  /// at a random moment. Together with the delays above, a call and the time to
+  /// apply a change, this must be less than the time in which every VM must
+  /// have a change.
+  std::chrono::milliseconds TakeoverSpread{110};
+  /// Longest time that one of the others waits before it broadcasts, so that
+  /// one that was faster spares the rest theirs.
+  std::chrono::milliseconds MaxBroadcastDelay{200};
+  /// Time from one failed call of the others to the next, and the random time
+  /// added to it. A VM counts as connected to the store again after three
+  /// seconds and must then have all changes.
+  std::chrono::milliseconds RetryInterval{2000};
+  std::chrono::milliseconds RetryJitter{400};
   /// Time after the end of a store outage within which live servers have
   /// written their lost entries again; deletions are deferred until then.
   std::chrono::milliseconds ReregistrationTime{2300};
@@ -65,7 +74,9 @@
 /// @brief Keeps this VM's configuration and member list up to date with a
 /// store, and keeps this VM registered there.
 ///
-/// Normally one VM watches the store and passes each answer on to the others.
+/// Normally one VM watches the store and passes each answer on to the others. A
+/// VM that hears of no answer reads the store itself, whatever its rank, so
+/// that it has each change in time if it can reach the store at all.
 class DirectoryFeed {
 public:
   using MemberListener = std::function<void(const std::vector<core::Member> &)>;
@@ -122,13 +133,24 @@
   [[nodiscard]] core::Awaitable<core::Result<core::EntryList>> readAll();
   [[nodiscard]] core::Awaitable<void> writeSnapshot();
   [[nodiscard]] core::Awaitable<bool> catchUp();
+  [[nodiscard]] core::Awaitable<bool> readStore();
   [[nodiscard]] core::Awaitable<bool> watchStore();
-  [[nodiscard]] core::Awaitable<bool> relist(bool ForAll);
-  [[nodiscard]] core::Awaitable<void> backOff();
+  [[nodiscard]] core::Awaitable<bool> relist(bool CatchesUp,
+                                             std::uint64_t ConfirmationsBefore);
+  /// @brief Broadcasts an answer of the store unless another VM has done so.
+  /// @param ConfirmationsBefore PeerConfirmations before the store was called.
+  [[nodiscard]] core::Awaitable<void> passOn(core::EntryChanges Changes,
+                                             std::uint64_t ConfirmationsBefore);
+  [[nodiscard]] core::Awaitable<void> backOff(core::TimePoint Started);
   [[nodiscard]] core::Awaitable<bool> ensureRegistered();
   [[nodiscard]] core::Awaitable<void> removeLostVms();
-  [[nodiscard]] bool mustReadStore() const;
-  [[nodiscard]] bool readsForAll() const;
+  [[nodiscard]] bool mustReadStore();
+  [[nodiscard]] core::TimePoint takeoverTime() const;
+  [[nodiscard]] bool isPrompt(std::size_t Rank) const;
+  [[nodiscard]] core::TimePoint watchEnd() const;
+  [[nodiscard]] core::TimePoint retryTime(core::TimePoint Started) const;
+  [[nodiscard]] std::chrono::milliseconds
+  randomUpTo(std::chrono::milliseconds Max) const;
   void logTakeover();
   void recordConfirmation();
   void recordSuccess();
@@ -160,8 +182,16 @@
   /// Whether another VM reported changes that follow changes unknown here; the
   /// missing ones must be read from the store.
   bool MissedChanges = false;
-  /// Whether another VM has passed changes on since the last takeover.
-  bool HeardFromPeer = true;
+  /// When this VM reads the store itself unless it hears from another one.
+  core::TimePoint TakeoverAt;
+  /// This VM's part of TakeoverSpread.
+  const std::chrono::milliseconds TakeoverOffset;
+  /// Whether this VM has taken over and reads until it hears from another one.
+  bool ReadsForAll = false;
+  /// Messages of other VMs that confirmed the entries, and their number at the
+  /// last logged takeover.
+  std::uint64_t PeerConfirmations = 1;
+  std::uint64_t LoggedConfirmations = 0;
   core::TimePoint NextCleanup = core::TimePoint::min();
   /// When the reader last wrote a snapshot, or began to read the store.
   std::optional<core::TimePoint> LastSnapshot;
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds RegistrationPoll{1000};
 // How often keepRegistered() checks for the first list.
 constexpr std::chrono::milliseconds ListPoll{10};
-// How often a VM that other VMs keep up to date checks whether it must read the
-// store itself.
+// How often a VM that other VMs keep up to date checks at least whether it must
+// read the store itself.
 constexpr std::chrono::milliseconds TakeoverPoll{120};
 // A watch reports a write within its batch delay and one response time. Until
 // then a missing registration does not mean that it was lost.
@@ -31,53 +31,65 @@
                              DirectoryFeedOptions Options)
     : Env(Env), Self(std::move(Self)), Options(Options),
       Entries(Env.Codec, std::move(ZoneRegions)), LastSuccess(Env.Time.now()),
-      LastConfirmed(LastSuccess) {}
+      LastConfirmed(LastSuccess), TakeoverAt(LastSuccess),
+      TakeoverOffset(randomUpTo(Options.TakeoverSpread)) {}
 
 core::Awaitable<void> DirectoryFeed::run() {
   while (!Stopped) {
+    const core::TimePoint Started = Env.Time.now();
     bool Succeeded = false;
     if (!Loaded) {
       Succeeded = co_await load();
     } else if (mustReadStore()) {
       logTakeover();
-      Succeeded = co_await watchStore();
+      Succeeded = co_await readStore();
       co_await removeLostVms();
       co_await writeSnapshot();
     } else {
-      co_await Env.Sleeper.sleepUntil(Env.Time.now() + internal::TakeoverPoll);
+      co_await Env.Sleeper.sleepUntil(
+          std::min(TakeoverAt, Env.Time.now() + internal::TakeoverPoll));
       if (Entries.removeExpired(Env.Time.now()))
         publish();
       continue;
     }
     if (!Succeeded)
-      co_await backOff();
+      co_await backOff(Started);
   }
 }
 
 // The VM with rank 0 watches the store and tells the others. If they are told
-// nothing, they take over in the order of their rank, so that only a few read
-// the store at the same time. A VM that missed changes reads them itself.
-bool DirectoryFeed::mustReadStore() const {
-  const std::size_t Rank = Env.ReaderRank();
-  if (Rank == 0 || MissedChanges)
+// nothing, they take over in the order of their rank, so that the first one
+// that reaches the store spares the others a call. Every VM takes over in the
+// end, soon enough to have a change in time: nobody else knows whether it can
+// reach the store. A VM that missed changes reads them itself.
+bool DirectoryFeed::mustReadStore() {
+  if (Env.ReaderRank() == 0 || MissedChanges || ReadsForAll)
     return true;
+  TakeoverAt = takeoverTime();
+  return Env.Time.now() >= TakeoverAt;
+}
+
+core::TimePoint DirectoryFeed::takeoverTime() const {
+  const std::size_t Rank = Env.ReaderRank();
   const auto Steps = std::min(Rank - 1, Options.MaxTakeoverDelaySteps);
-  const auto FurtherRanks =
-      std::max(Rank, Options.PromptReaders - 1) - (Options.PromptReaders - 1);
-  return Env.Time.now() - LastConfirmed >
-         Options.TakeoverDelay +
-             Options.TakeoverDelayPerRank * static_cast<std::int64_t>(Steps) +
-             Options.TakeoverDelayPerFurtherRank *
-                 static_cast<std::int64_t>(FurtherRanks);
+  const core::TimePoint Prompt =
+      LastConfirmed + Options.TakeoverDelay +
+      Options.TakeoverDelayPerRank * static_cast<std::int64_t>(Steps);
+  return isPrompt(Rank) ? Prompt : Prompt + TakeoverOffset;
+}
+
+bool DirectoryFeed::isPrompt(std::size_t Rank) const {
+  return Rank < Options.PromptReaders;
 }
 
 // One line for each time that the other VMs stop passing changes on; it tells
 // whether a VM with an outdated configuration was told nothing, and for how
 // long.
 void DirectoryFeed::logTakeover() {
-  if (Env.ReaderRank() == 0 || MissedChanges ||
-      !std::exchange(HeardFromPeer, false))
+  if (Env.ReaderRank() == 0 || MissedChanges || ReadsForAll ||
+      LoggedConfirmations == PeerConfirmations)
     return;
+  LoggedConfirmations = PeerConfirmations;
   const auto Silence = std::chrono::duration_cast<std::chrono::milliseconds>(
       Env.Time.now() - LastConfirmed);
   core::LogLine(core::LogLevel::Info, "store.takeover")
@@ -86,14 +98,6 @@
       .field("revision", Entries.asOf());
 }
 
-// Whether the next answer of the store is passed on. A VM that only catches up
-// on changes that it missed has nothing new for the others, and broadcasts of
-// all VMs at the end of an outage would open links between all of them.
-bool DirectoryFeed::readsForAll() const {
-  const std::size_t Rank = Env.ReaderRank();
-  return Rank == 0 || (!MissedChanges && Rank < Options.PromptReaders);
-}
-
 void DirectoryFeed::recordConfirmation() {
   const core::TimePoint Now = Env.Time.now();
   if (Now - LastConfirmed >= Options.MinLossyOutage)
@@ -111,9 +115,14 @@
           .field("reported_after", Changes.After);
     return;
   }
-  HeardFromPeer = true;
+  // A sender that knows less than this VM proves nothing: it may have been
+  // paused with an old answer.
+  if (Changes.List.AsOf < Entries.asOf())
+    return;
+  ++PeerConfirmations;
+  ReadsForAll = false;
   recordConfirmation();
-  if (Changes.List.AsOf <= Entries.asOf())
+  if (Changes.List.AsOf == Entries.asOf())
     return;
   Entries.apply(Changes.List, Env.Time.now());
   if (!Changes.List.Entries.empty())
@@ -225,7 +234,8 @@
 // derived from a list of all entries. The others apply them like any other
 // changes; if they had to find out for themselves, all of them would list all
 // entries.
-core::Awaitable<bool> DirectoryFeed::relist(bool ForAll) {
+core::Awaitable<bool> DirectoryFeed::relist(bool CatchesUp,
+                                            std::uint64_t ConfirmationsBefore) {
   core::LogLine(core::LogLevel::Warning, "store.history_lost")
       .field("after", Entries.asOf());
   const auto All = co_await Env.Store.list(
@@ -237,40 +247,87 @@
   recordSuccess();
   MissedChanges = false;
   SnapshotOutdated = true;
-  if (ForAll)
-    Env.Broadcast(Entries.changesTo(*All));
+  const core::EntryChanges Changes = Entries.changesTo(*All);
   Entries.replace(*All, Env.Time.now());
   publish();
+  if (!CatchesUp)
+    co_await passOn(Changes, ConfirmationsBefore);
   co_return true;
 }
 
-core::Awaitable<bool> DirectoryFeed::watchStore() {
+// Many VMs may reach a store that returns at the same moment, and broadcasts of
+// all of them would open links between all VMs. Those of the first ranks
+// broadcast at once; the others wait for a random time and leave it to one that
+// was faster. From then on this VM reads until it hears from another one.
+core::Awaitable<void> DirectoryFeed::passOn(core::EntryChanges Changes,
+                                            std::uint64_t ConfirmationsBefore) {
+  const std::size_t Rank = Env.ReaderRank();
+  if (Rank != 0 && !ReadsForAll) {
+    if (!isPrompt(Rank))
+      co_await Env.Sleeper.sleepUntil(Env.Time.now() +
+                                      randomUpTo(Options.MaxBroadcastDelay));
+    if (PeerConfirmations != ConfirmationsBefore)
+      co_return;
+    ReadsForAll = true;
+    core::LogLine(core::LogLevel::Info, "store.reads_for_all")
+        .field("rank", Rank)
+        .field("revision", Entries.asOf());
+  }
+  Env.Broadcast(Changes);
+}
+
+// After a failed call, a stale read shows at a tenth of the price whether the
+// store can be reached again.
+core::Awaitable<bool> DirectoryFeed::readStore() {
+  if (Failures > 0) {
+    const auto Entry =
+        co_await Env.Store.get(Env.Codec.vmKey(Self.Id), core::ReadMode::Stale,
+                               Env.Time.now() + Options.CallTimeout);
+    if (!Entry && Entry.error() != core::Error::NotFound) {
+      recordFailure("get", Entry.error());
+      co_return false;
+    }
+  }
+  co_return co_await watchStore();
+}
+
+core::TimePoint DirectoryFeed::watchEnd() const {
+  const core::TimePoint Now = Env.Time.now();
+  // The others wait for a confirmation that is overdue.
+  if (Now - LastConfirmed >= Options.TakeoverDelay)
+    return Now + internal::CatchUpTimeout;
   const auto Timeout =
       Env.Alone() ? Options.LoneWatchTimeout : Options.WatchTimeout;
-  const core::TimePoint Until =
-      std::min(Env.Time.now() + Timeout,
-               std::max(Entries.nextRemoval(), Env.Time.now()));
+  return std::min(Now + Timeout, std::max(Entries.nextRemoval(), Now));
+}
+
+core::Awaitable<bool> DirectoryFeed::watchStore() {
   const core::Revision After = Entries.asOf();
-  const bool ForAll = readsForAll();
-  auto Changed = co_await Env.Store.waitForChanges(After, Until);
+  // A VM that catches up on changes that it missed has nothing new for the
+  // others.
+  const bool CatchesUp = MissedChanges && !ReadsForAll && Env.ReaderRank() != 0;
+  const std::uint64_t ConfirmationsBefore = PeerConfirmations;
+  auto Changed = co_await Env.Store.waitForChanges(After, watchEnd());
   if (!Changed) {
     if (Changed.error() == core::Error::HistoryLost)
-      co_return co_await relist(ForAll);
+      co_return co_await relist(CatchesUp, ConfirmationsBefore);
     recordFailure("watch", Changed.error());
     co_return false;
   }
   recordSuccess();
   MissedChanges = false;
   *Changed = internal::withoutOther(std::move(*Changed), Env.Codec);
-  SnapshotOutdated = SnapshotOutdated || !Changed->Entries.empty();
+  const bool Unchanged = Changed->Entries.empty();
+  SnapshotOutdated = SnapshotOutdated || !Unchanged;
   Entries.apply(*Changed, Env.Time.now());
-  if (ForAll)
-    Env.Broadcast({.After = After, .List = *Changed});
   const bool Removed = Entries.removeExpired(Env.Time.now());
-  if (Changed->Entries.empty() && !Removed)
-    co_return true;
-  publish();
-  co_await Env.Sleeper.sleepUntil(Env.Time.now() + Options.BatchDelay);
+  if (!Unchanged || Removed)
+    publish();
+  core::EntryChanges Answer{.After = After, .List = std::move(*Changed)};
+  if (!CatchesUp)
+    co_await passOn(std::move(Answer), ConfirmationsBefore);
+  if (!Unchanged || Removed)
+    co_await Env.Sleeper.sleepUntil(Env.Time.now() + Options.BatchDelay);
   co_return true;
 }
 
@@ -295,18 +352,32 @@
       .field("result", Removed ? "ok" : Removed.error().message());
 }
 
-core::Awaitable<void> DirectoryFeed::backOff() {
+core::Awaitable<void> DirectoryFeed::backOff(core::TimePoint Started) {
+  co_await Env.Sleeper.sleepUntil(retryTime(Started));
+  if (Entries.removeExpired(Env.Time.now()))
+    publish();
+}
+
+// If the store is down for all VMs, few of a large fleet call it often. Each of
+// the others still finds out by itself when it can reach the store again.
+core::TimePoint DirectoryFeed::retryTime(core::TimePoint Started) const {
+  const bool Waits = Loaded && !MissedChanges && !isPrompt(Env.ReaderRank());
+  if (Waits)
+    return std::max(Env.Time.now(), Started + Options.RetryInterval +
+                                        randomUpTo(Options.RetryJitter));
   const unsigned Doublings =
       std::min(Failures == 0 ? 0 : Failures - 1, internal::MaxBackoffDoublings);
   const auto MaxDelay =
       std::min(Options.MaxBackoff, Options.InitialBackoff * (1U << Doublings));
   // The delay is between half and all of the maximum, so that VMs do not retry
   // in lockstep.
-  const auto Jitter = std::chrono::milliseconds(
-      Env.Random() % static_cast<std::uint64_t>(MaxDelay.count() / 2 + 1));
-  co_await Env.Sleeper.sleepUntil(Env.Time.now() + MaxDelay / 2 + Jitter);
-  if (Entries.removeExpired(Env.Time.now()))
-    publish();
+  return Env.Time.now() + MaxDelay / 2 + randomUpTo(MaxDelay / 2);
+}
+
+std::chrono::milliseconds
+DirectoryFeed::randomUpTo(std::chrono::milliseconds Max) const {
+  return std::chrono::milliseconds(Env.Random() %
+                                   static_cast<std::uint64_t>(Max.count() + 1));
 }
 
 void DirectoryFeed::recordSuccess() {
@@ -324,6 +395,7 @@
 
 void DirectoryFeed::recordFailure(std::string_view Call,
                                   const std::error_code &Error) {
+  ReadsForAll = false;
   if (++Failures == 1)
     core::LogLine(core::LogLevel::Warning, "store.lost")
         .field("call", Call)
@@ -352,9 +424,10 @@
   while (!Listed)
     co_await Env.Sleeper.sleepUntil(Env.Time.now() + internal::ListPoll);
   while (!Stopped) {
+    const core::TimePoint Started = Env.Time.now();
     const bool Registered = co_await ensureRegistered();
     if (!Registered)
-      co_await backOff();
+      co_await backOff(Started);
     co_await Env.Sleeper.sleepUntil(Env.Time.now() +
                                     internal::RegistrationPoll);
   }
