Read the rate limit that a backend server states, and log its changes

The header field was forwarded and nothing read it, so neither logs nor the dispatcher could tell that a server had stated a limit. ResponseTraits and CallReport carry it as a typed value, the result of a call takes it to the dispatcher, and the entry VM logs each change.

Values that are no plain decimal number of zero or more (empty, negative, not finite, with an exponent) state no limit. Tests: rate_limit_of_a_server_is_read, release_round_trip_keeps_every_field.

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -225,6 +225,7 @@
       Status < 200 || Status > 599 || Traits.Invalid)
     return fail(core::Error::Malformed);
   Report.Load = Traits.Load;
+  Report.Limit = Traits.Limit;
   Report.Draining = Traits.Draining;
   Report.OtherInstance = Traits.OtherInstance;
   Connection->ReportsLoad = Traits.Load.has_value();
--- a/packages/core/include/jujubecart/core.hpp
+++ b/packages/core/include/jujubecart/core.hpp
@@ -24,6 +24,7 @@
 #include <jujubecart/core/member.hpp>
 #include <jujubecart/core/metrics.hpp>
 #include <jujubecart/core/order_claims.hpp>
+#include <jujubecart/core/rate_limit.hpp>
 #include <jujubecart/core/request_id.hpp>
 #include <jujubecart/core/routing_table.hpp>
 #include <jujubecart/core/sleeper.hpp>
--- a/packages/core/include/jujubecart/core/fwd.hpp
+++ b/packages/core/include/jujubecart/core/fwd.hpp
@@ -37,6 +37,7 @@
 struct LoadReport;
 struct Member;
 struct OrderKey;
+struct RateLimit;
 struct RequestId;
 struct Route;
 struct RouteRule;
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/config.hpp>
 #include <jujubecart/core/load_report.hpp>
+#include <jujubecart/core/rate_limit.hpp>
 #include <jujubecart/core/request_id.hpp>
 
 #include <boost/beast/http/fields.hpp>
@@ -49,6 +50,8 @@
   /// Required header fields are missing.
   bool Invalid = false;
   std::optional<LoadReport> Load;
+  /// Empty if the server states no valid limit.
+  std::optional<RateLimit> Limit;
 };
 
 /// @brief A response that the entry VM generates itself (local reply).
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -7,6 +7,7 @@
 #include <jujubecart/core/error.hpp>
 #include <jujubecart/core/hash.hpp>
 #include <jujubecart/core/load_report.hpp>
+#include <jujubecart/core/rate_limit.hpp>
 #include <jujubecart/core/request_id.hpp>
 
 #include <chrono>
@@ -91,6 +92,9 @@
   bool ServerError = false;
   /// Another server process than the expected one answered.
   bool OtherInstance = false;
+  /// Rate limit that the response stated. A response without one states that
+  /// there is none.
+  std::optional<RateLimit> Limit;
 
   friend bool operator==(const CallReport &, const CallReport &) = default;
 };
@@ -100,6 +104,11 @@
   return Outcome == CallOutcome::NotSent || Outcome == CallOutcome::Rejected;
 }
 
+/// @brief Whether the attempt ended with a response of the backend server.
+[[nodiscard]] constexpr bool answered(CallOutcome Outcome) noexcept {
+  return Outcome == CallOutcome::Completed || Outcome == CallOutcome::Rejected;
+}
+
 /// @brief Assigns requests to backend servers, and queues them under load.
 class SlotBroker {
 public:
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -7,10 +7,15 @@
 #include <jujubecart/peers/dispatch_service.hpp>
 
 #include <deque>
+#include <memory>
 #include <random>
 
 namespace jujubecart::peers {
 
+namespace internal {
+class StatedLimits;
+} // namespace internal
+
 /// @brief Acquires slots from the dispatcher of a group. If the dispatcher is
 /// unreachable or unresponsive, the next one or this VM decides. Thread-safe.
 class RemoteBroker : public core::SlotBroker, public LinkListener {
@@ -119,6 +124,8 @@
   std::deque<std::uint64_t> ClaimEvictionOrder;
   View CurrentView;
   decision::GroupChoice Choice;
+  /// Guarded by Mutex.
+  const std::unique_ptr<internal::StatedLimits> Limits;
 };
 
 } // namespace jujubecart::peers
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -92,12 +92,16 @@
                  .Load = std::nullopt,
                  .Draining = Source.draining(),
                  .ServerError = Source.failed(),
-                 .OtherInstance = Source.other_instance()},
+                 .OtherInstance = Source.other_instance(),
+                 .Limit = std::nullopt},
       .Group = Source.group(),
       .Server = Source.server()};
   if (Source.load() != UINT32_MAX)
     Item.Report.Load = core::LoadReport{.InFlight = Source.load(),
                                         .PacePercent = Source.pace_percent()};
+  if (Source.limit_milli_per_s() != UINT32_MAX)
+    Item.Report.Limit =
+        core::RateLimit{.MilliPerS = Source.limit_milli_per_s()};
   return Item;
 }
 
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -67,10 +67,13 @@
       std::clamp<std::int64_t>(Item.Report.Elapsed.count(), 0, UINT32_MAX));
   const core::LoadReport Load =
       Item.Report.Load.value_or(core::LoadReport{.InFlight = UINT32_MAX});
+  const core::RateLimit Limit =
+      Item.Report.Limit.value_or(core::RateLimit{.MilliPerS = UINT32_MAX});
   return makeBody<wire::Body::Release>(wire::CreateRelease(
       Out, Item.Call, Elapsed, static_cast<std::uint8_t>(Item.Report.Outcome),
       Load.InFlight, Item.Report.Draining, Item.Group, Item.Server,
-      Load.PacePercent, Item.Report.ServerError, Item.Report.OtherInstance));
+      Load.PacePercent, Item.Report.ServerError, Item.Report.OtherInstance,
+      Limit.MilliPerS));
 }
 
 BodyOffset encode(Builder &Out, const Cancel &Item) {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -908,7 +908,8 @@
     VT_SERVER = 16,
     VT_PACE_PERCENT = 18,
     VT_FAILED = 20,
-    VT_OTHER_INSTANCE = 22
+    VT_OTHER_INSTANCE = 22,
+    VT_LIMIT_MILLI_PER_S = 24
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -940,6 +941,9 @@
   bool other_instance() const {
     return GetField<uint8_t>(VT_OTHER_INSTANCE, 0) != 0;
   }
+  uint32_t limit_milli_per_s() const {
+    return GetField<uint32_t>(VT_LIMIT_MILLI_PER_S, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
@@ -952,6 +956,7 @@
            VerifyField<uint32_t>(verifier, VT_PACE_PERCENT, 4) &&
            VerifyField<uint8_t>(verifier, VT_FAILED, 1) &&
            VerifyField<uint8_t>(verifier, VT_OTHER_INSTANCE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT_MILLI_PER_S, 4) &&
            verifier.EndTable();
   }
 };
@@ -990,6 +995,9 @@
   void add_other_instance(bool other_instance) {
     fbb_.AddElement<uint8_t>(Release::VT_OTHER_INSTANCE, static_cast<uint8_t>(other_instance), 0);
   }
+  void add_limit_milli_per_s(uint32_t limit_milli_per_s) {
+    fbb_.AddElement<uint32_t>(Release::VT_LIMIT_MILLI_PER_S, limit_milli_per_s, 4294967295);
+  }
   explicit ReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1012,10 +1020,12 @@
     uint64_t server = 0,
     uint32_t pace_percent = 100,
     bool failed = false,
-    bool other_instance = false) {
+    bool other_instance = false,
+    uint32_t limit_milli_per_s = 4294967295) {
   ReleaseBuilder builder_(_fbb);
   builder_.add_server(server);
   builder_.add_group(group);
+  builder_.add_limit_milli_per_s(limit_milli_per_s);
   builder_.add_pace_percent(pace_percent);
   builder_.add_load(load);
   builder_.add_elapsed_us(elapsed_us);
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -1,4 +1,5 @@
 #include "broker_state.hpp"
+#include "stated_limits.hpp"
 #include "timer.hpp"
 
 #include <algorithm>
@@ -29,7 +30,8 @@
     : Executor(Executor), Env(Dependencies),
       Timer(internal::makeSerialTimer(Executor)),
       Choice(Env.Members.self().Id,
-             static_cast<std::uint32_t>(Env.Links.options().RandomSeed) + 1) {}
+             static_cast<std::uint32_t>(Env.Links.options().RandomSeed) + 1),
+      Limits(std::make_unique<internal::StatedLimits>()) {}
 
 RemoteBroker::~RemoteBroker() = default;
 
@@ -261,6 +263,7 @@
       return;
     Item = std::move(Found->second);
     Grants.erase(Found);
+    Limits->record(Grant.Server, Report, Env.Time.now());
   }
   if (Item.Local)
     Env.Fallback.release(*Item.Local, Report);
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -84,6 +84,36 @@
   cr_assert_eq(Item.Time, 77);
 }
 
+// Guards against a result of a call that reaches the dispatcher without the
+// rate limit that the server stated, or with one that it did not state.
+Test(FrameCodec, release_round_trip_keeps_every_field) {
+  for (const std::optional<core::RateLimit> Limit :
+       {std::optional<core::RateLimit>(), std::optional(core::RateLimit{1300}),
+        std::optional(core::RateLimit{0})}) {
+    FrameCodec Codec;
+    Frame Item;
+    const core::CallReport Report{
+        .Outcome = core::CallOutcome::Rejected,
+        .Elapsed = std::chrono::microseconds(1234),
+        .Load = core::LoadReport{.InFlight = 2, .PacePercent = 400},
+        .Draining = true,
+        .ServerError = true,
+        .OtherInstance = true,
+        .Limit = Limit};
+    cr_assert(decode(Codec,
+                     encoded(1, Release{.Call = 7,
+                                        .Report = Report,
+                                        .Group = 8,
+                                        .Server = 9}),
+                     Item) == DecodeStatus::Ready);
+    const auto &Decoded = std::get<Release>(Item.Body);
+    cr_assert_eq(Decoded.Call, 7);
+    cr_assert_eq(Decoded.Group, 8);
+    cr_assert_eq(Decoded.Server, 9);
+    cr_assert(Decoded.Report == Report);
+  }
+}
+
 // Guards against a grant whose time of a second attempt is lost, or appears
 // although the dispatcher did not state one.
 Test(FrameCodec, grant_round_trip_keeps_every_field) {
--- a/tests/platform/http_profile_test.cpp
+++ b/tests/platform/http_profile_test.cpp
@@ -131,3 +131,20 @@
   Setup.Profile.writeRefusal(Out, {.Status = 504, .RetryAfter = 250ms});
   cr_assert(Out.empty());
 }
+
+// Guards against a stated rate limit that is ignored, and against a malformed
+// one that stops the traffic to a server.
+Test(PlatformHttpProfile, rate_limit_of_a_server_is_read) {
+  Fixture Setup;
+  const auto LimitOf = [&](const char *Text) {
+    return Setup.response(200, {{"Server-Limit", Text}}).Limit;
+  };
+  cr_assert_eq(LimitOf("1.3")->MilliPerS, 1300);
+  cr_assert_eq(LimitOf(" 20 ")->MilliPerS, 20000);
+  cr_assert_eq(LimitOf("0")->MilliPerS, 0);
+  cr_assert_eq(LimitOf("99999999999999999999")->MilliPerS, 1000000000);
+  for (const char *Text : {"", "-1", "-0", "nan", "inf", "1e300", "2,5", "two",
+                           "1.3 per second", "0x10"})
+    cr_assert_not(LimitOf(Text), "%s", Text);
+  cr_assert_not(Setup.response(200, {}).Limit);
+}
