--- /dev/null
+++ b/tests/decision/rate_limit_test.cpp
@@ -0,0 +1,252 @@
+#include <jujubecart/decision/dispatcher.hpp>
+
+#include <algorithm>
+#include <array>
+#include <criterion/criterion.h>
+#include <map>
+#include <random>
+
+using namespace jujubecart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::TimePoint Start{1h};
+constexpr auto ServiceTime = 160ms;
+// Time from the end of a call to its report at the dispatcher.
+constexpr auto ReportDelay = 5ms;
+constexpr auto Step = 5ms;
+// A server that states a limit may get, in each window from the settling time
+// on, one and a half times what it allows and five requests more.
+constexpr auto Window = 4s;
+constexpr auto SettlingTime = 3s;
+
+double allowedIn(core::RateLimit Limit) {
+  return 1.5 * Limit.MilliPerS / 1000 *
+             std::chrono::duration<double>(Window).count() +
+         5;
+}
+
+/// @brief Dispatchers of one group, servers that may state a limit, and a
+/// steady load, in simulated time.
+struct RateLimitFixture {
+  explicit RateLimitFixture(core::PolicyProfile Profile, unsigned Servers = 3)
+      : Profile(Profile) {
+    for (unsigned Server = 0; Server < Servers; ++Server)
+      Group.Servers.push_back({.Id = std::to_string(Server),
+                               .Address = "10.0.0.1:1",
+                               .Zone = "z1",
+                               .Slots = 3});
+    Dispatchers.push_back(makeDispatcher());
+  }
+
+  [[nodiscard]] std::unique_ptr<decision::Dispatcher> makeDispatcher() const {
+    decision::DispatcherOptions Options;
+    Options.Profile = Profile;
+    Options.InitialServiceTime = ServiceTime;
+    Options.MaxExpectedWait = 500ms;
+    return decision::makeDispatcher(Group, Options, Now);
+  }
+
+  /// @brief Runs for a time with calls at a rate; each call goes to the
+  /// dispatcher that Active names.
+  void run(std::chrono::milliseconds Time, double CallsPerS) {
+    const core::TimePoint End = Now + Time;
+    while (Now < End) {
+      Now += Step;
+      finishCalls();
+      decision::Decisions Out;
+      for (std::size_t Index = 0; Index < Dispatchers.size(); ++Index) {
+        Out.clear();
+        Dispatchers[Index]->tick(Now, Out);
+        record(Index, Out);
+      }
+      Due += CallsPerS * std::chrono::duration<double>(Step).count();
+      for (; Due >= 1; Due -= 1)
+        call();
+    }
+  }
+
+  void call() {
+    decision::Decisions Out;
+    Arrivals[++LastToken] = Now;
+    Dispatchers[Active]->enqueue(
+        {.Token = LastToken,
+         .Holder = "vm" + std::to_string(LastToken % 8),
+         .Deadline = Now + 2s,
+         .Zone = "z1",
+         .Objective = Now + 800ms,
+         .WorkClass = 1},
+        Now, Out);
+    record(Active, Out);
+  }
+
+  void record(std::size_t Dispatcher, const decision::Decisions &Out) {
+    for (const decision::Decision &Item : Out) {
+      if (const auto *Grant = std::get_if<decision::Granted>(&Item)) {
+        Sent[Grant->Server.Id].push_back(Now);
+        Running.push_back({.Dispatcher = Dispatcher,
+                           .GrantId = Grant->GrantId,
+                           .Server = Grant->Server.Id,
+                           .AnsweredAt = Now + ServiceTime});
+      } else {
+        const auto &Rejected = std::get<decision::Rejected>(Item);
+        RejectionWaits.push_back(Now - Arrivals[Rejected.Token]);
+        RetryAfter.push_back(Rejected.RetryAfter);
+      }
+    }
+    while (auto Probe = Dispatchers[Dispatcher]->nextProbe(Now))
+      ++Probes[Probe->Id];
+  }
+
+  void finishCalls() {
+    for (std::size_t Index = 0; Index < Running.size();) {
+      const Call Item = Running[Index];
+      if (Item.AnsweredAt + ReportDelay > Now) {
+        ++Index;
+        continue;
+      }
+      Running.erase(Running.begin() + static_cast<std::ptrdiff_t>(Index));
+      core::CallReport Report{.Elapsed = ServiceTime};
+      if (const auto Limit = Limits.find(Item.Server); Limit != Limits.end())
+        Report.Limit = Limit->second;
+      decision::Decisions Out;
+      Dispatchers[Item.Dispatcher]->release(Item.GrantId, Report, Now, Out);
+      record(Item.Dispatcher, Out);
+    }
+  }
+
+  /// @brief Largest number of requests that a server got in one window since a
+  /// time.
+  [[nodiscard]] std::size_t mostInWindow(const std::string &Server,
+                                         core::TimePoint Since) {
+    std::size_t Most = 0;
+    const std::vector<core::TimePoint> &Times = Sent[Server];
+    for (std::size_t First = 0; First < Times.size(); ++First) {
+      if (Times[First] < Since)
+        continue;
+      const auto End = std::find_if(
+          Times.begin() + static_cast<std::ptrdiff_t>(First), Times.end(),
+          [&](core::TimePoint At) { return At - Times[First] > Window; });
+      Most =
+          std::max(Most, static_cast<std::size_t>(End - Times.begin()) - First);
+    }
+    return Most;
+  }
+
+  [[nodiscard]] std::size_t sentSince(const std::string &Server,
+                                      core::TimePoint Since) {
+    const std::vector<core::TimePoint> &Times = Sent[Server];
+    return static_cast<std::size_t>(
+        std::count_if(Times.begin(), Times.end(),
+                      [&](core::TimePoint At) { return At >= Since; }));
+  }
+
+  struct Call {
+    std::size_t Dispatcher = 0;
+    std::uint64_t GrantId = 0;
+    std::string Server;
+    core::TimePoint AnsweredAt;
+  };
+
+  const core::PolicyProfile Profile;
+  decision::DispatchGroup Group{.Name = "g", .Service = "s", .Region = "r"};
+  core::TimePoint Now = Start;
+  std::vector<std::unique_ptr<decision::Dispatcher>> Dispatchers;
+  std::size_t Active = 0;
+  double Due = 0;
+  decision::CallToken LastToken = 0;
+  std::map<decision::CallToken, core::TimePoint> Arrivals;
+  std::vector<Call> Running;
+  /// Limits that servers state, by id.
+  std::map<std::string, core::RateLimit> Limits;
+  std::map<std::string, std::vector<core::TimePoint>> Sent;
+  std::map<std::string, std::size_t> Probes;
+  std::vector<core::TimePoint::duration> RejectionWaits;
+  std::vector<std::chrono::milliseconds> RetryAfter;
+};
+
+constexpr std::array Profiles{core::PolicyProfile::Objective,
+                              core::PolicyProfile::Tail};
+
+} // namespace
+
+// Guards against a server that gets more requests than the limit that it states
+// in its responses, and against a fleet that stops using the other servers.
+Test(RateLimit, limited_server_gets_no_more_than_it_allows) {
+  for (const core::PolicyProfile Profile : Profiles)
+    for (const std::uint32_t MilliPerS : {0U, 300U, 1300U, 2400U, 6000U}) {
+      RateLimitFixture Setup(Profile);
+      Setup.run(2s, 15);
+      const core::RateLimit Limit{.MilliPerS = MilliPerS};
+      Setup.Limits["0"] = Limit;
+      const core::TimePoint Stated = Setup.Now;
+      Setup.run(20s, 15);
+      const auto Most =
+          static_cast<double>(Setup.mostInWindow("0", Stated + SettlingTime));
+      cr_expect_leq(Most, allowedIn(Limit), "%g requests in 4 s at %u", Most,
+                    MilliPerS);
+      cr_expect_leq(Setup.RejectionWaits.size(), 3);
+    }
+}
+
+// Guards against a server that gets nothing any more because it once stated a
+// limit, even one of zero.
+Test(RateLimit, server_without_limit_gets_its_share_again) {
+  for (const core::PolicyProfile Profile : Profiles)
+    for (const std::uint32_t MilliPerS : {0U, 1300U}) {
+      RateLimitFixture Setup(Profile);
+      Setup.run(2s, 15);
+      Setup.Limits["0"] = {.MilliPerS = MilliPerS};
+      Setup.run(10s, 15);
+      Setup.Limits.clear();
+      // The next request shows that the limit has ended.
+      Setup.run(4500ms, 15);
+      const core::TimePoint Since = Setup.Now;
+      Setup.run(4s, 15);
+      cr_expect_geq(Setup.sentSince("0", Since), 12);
+    }
+}
+
+// Guards against calls that wait until their deadline although all servers
+// together accept too few, and that are all told to return at once.
+Test(RateLimit, calls_beyond_all_limits_are_rejected_at_once) {
+  for (const core::PolicyProfile Profile : Profiles) {
+    RateLimitFixture Setup(Profile);
+    Setup.run(2s, 15);
+    for (const core::BackendServer &Server : Setup.Group.Servers)
+      Setup.Limits[Server.Id] = {.MilliPerS = 1300};
+    const core::TimePoint Stated = Setup.Now;
+    Setup.run(2s, 15);
+    Setup.RejectionWaits.clear();
+    Setup.RetryAfter.clear();
+    Setup.run(16s, 15);
+    for (const core::BackendServer &Server : Setup.Group.Servers)
+      cr_expect_leq(static_cast<double>(
+                        Setup.mostInWindow(Server.Id, Stated + SettlingTime)),
+                    allowedIn({.MilliPerS = 1300}));
+    cr_assert_geq(Setup.RejectionWaits.size(), 100);
+    const auto Prompt = std::count_if(
+        Setup.RejectionWaits.begin(), Setup.RejectionWaits.end(),
+        [](core::TimePoint::duration Wait) { return Wait <= 100ms; });
+    cr_expect_geq(Prompt * 10,
+                  static_cast<std::ptrdiff_t>(Setup.RejectionWaits.size()) * 8,
+                  "%td of %zu", Prompt, Setup.RejectionWaits.size());
+    const auto [Least, Most] =
+        std::minmax_element(Setup.RetryAfter.begin(), Setup.RetryAfter.end());
+    cr_expect_gt(Least->count(), 0);
+    cr_expect_lt(Least->count(), Most->count());
+  }
+}
+
+// Guards against health or pace probes that take the place of requests on a
+// server that accepts few.
+Test(RateLimit, limited_server_is_not_probed_for_its_pace) {
+  RateLimitFixture Setup(core::PolicyProfile::Objective);
+  Setup.run(2s, 15);
+  Setup.Limits["0"] = {.MilliPerS = 1300};
+  Setup.run(2s, 15);
+  const std::size_t Before = Setup.Probes["0"];
+  Setup.run(10s, 15);
+  cr_expect_eq(Setup.Probes["0"], Before);
+}
