--- a/packages/decision/include/jujubecart/decision/dispatcher.hpp
+++ b/packages/decision/include/jujubecart/decision/dispatcher.hpp
@@ -33,6 +33,11 @@
   virtual void configure(DispatchGroup Group, core::TimePoint Now,
                          Decisions &Out) = 0;
 
+  /// @brief Sets whether this is the regular dispatcher of the group. Others
+  /// use only a part of the rate limits that servers state, because several of
+  /// them may be in use at the same time. A new dispatcher is a regular one.
+  virtual void setRegular(bool Regular, core::TimePoint Now) = 0;
+
   /// @brief Adds a call. It gets exactly one decision, in Out of this or of a
   /// later call, unless it is withdrawn or its holder is dropped.
   virtual void enqueue(PendingCall Call, core::TimePoint Now,
--- a/packages/decision/include/jujubecart/decision/group_dispatcher.hpp
+++ b/packages/decision/include/jujubecart/decision/group_dispatcher.hpp
@@ -20,6 +20,7 @@
 
   void configure(DispatchGroup Group, core::TimePoint Now,
                  Decisions &Out) override;
+  void setRegular(bool Regular, core::TimePoint Now) override;
   void enqueue(PendingCall Call, core::TimePoint Now, Decisions &Out) override;
   bool withdraw(CallToken Token, core::TimePoint Now, Decisions &Out) override;
   void release(std::uint64_t GrantId, const core::CallReport &Report,
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -127,6 +127,13 @@
   void recordResult(std::uint32_t Index, const core::CallReport &Report,
                     core::TimePoint Now);
 
+  /// @brief Applies the rate limits that servers stated to another VM.
+  void recordLimits(const std::vector<StatedLimit> &Limits,
+                    core::TimePoint Now);
+
+  /// @brief Sets the part of the servers' rate limits that may be used.
+  void setLimitShare(double NewShare, core::TimePoint Now);
+
   /// @brief Records a pace report.
   /// @param Percent Time that work takes, in percent of the normal time.
   void recordPace(std::uint32_t Index, std::uint32_t Percent,
@@ -184,6 +191,10 @@
                         std::uint64_t WorkClass);
   /// @brief Ejects or readmits the server.
   void updateEjection(ServerLoad &Server, bool Failed, core::TimePoint Now);
+  /// @brief Mean service time in microseconds, an assumed one at first.
+  [[nodiscard]] double meanServiceUs() const;
+  /// @brief Slots of a server as they count for the capacity of the group.
+  [[nodiscard]] double capacitySlots(const ServerLoad &Server) const;
   /// @brief Recomputes the totals over all servers.
   void updateTotals();
 
@@ -205,6 +216,10 @@
   /// Preferred slots of all servers that are not ejected, each divided by the
   /// service time factor of its server.
   double UsableSlots = 0;
+  /// Whether any active server states a rate limit.
+  bool AnyLimited = false;
+  /// Part of the servers' rate limits that may be used.
+  double LimitShare = 1;
 };
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -7,6 +7,7 @@
 #include <jujubecart/decision/internal/idle_connections.hpp>
 #include <jujubecart/decision/internal/pace_model.hpp>
 #include <jujubecart/decision/internal/saturation_model.hpp>
+#include <jujubecart/decision/internal/server_rate_limiter.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,8 @@
   std::uint64_t GrantId = 0;
   /// Hash of the id of the VM that sends the call.
   std::uint64_t Holder = 0;
+  /// Incarnation of the server when the call started.
+  std::uint64_t Incarnation = 0;
   core::TimePoint Start;
   core::TimePoint Objective = core::TimePoint::max();
   /// Expected service time at the normal pace on an average server.
@@ -52,6 +55,7 @@
   /// Whether another process now answers at its address. It gets no calls
   /// until its configuration changes.
   bool Replaced = false;
+  ServerRateLimiter Limiter;
   /// When the last probe was requested, and whether its result is pending.
   core::TimePoint LastProbe = core::TimePoint::min();
   bool ProbePending = false;
--- a/packages/decision/include/jujubecart/decision/internal/server_record.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_record.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/core/config.hpp>
 #include <jujubecart/decision/internal/health_tracker.hpp>
+#include <jujubecart/decision/internal/server_rate_limiter.hpp>
 
 #include <cstdint>
 #include <vector>
@@ -14,6 +15,8 @@
   std::uint64_t GrantId = 0;
   /// Time of the grant.
   core::TimePoint Start;
+  /// Incarnation of the server at that time.
+  std::uint64_t Incarnation = 0;
 };
 
 /// @brief State that a GroupDispatcher keeps about one backend server.
@@ -38,6 +41,7 @@
   /// Set when a response arrives after too much busy time without one, cleared
   /// by a fast response.
   bool Suspect = false;
+  ServerRateLimiter Limiter;
   /// When a probe was last sent.
   core::TimePoint LastProbe;
   /// Number that ServerTable assigned to the server's availability zone.
--- a/packages/decision/include/jujubecart/decision/internal/server_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_table.hpp
@@ -57,6 +57,13 @@
   void recordResult(std::uint32_t Index, const core::CallReport &Report,
                     bool Trial, core::TimePoint Now);
 
+  /// @brief Applies the rate limits that servers stated to another VM.
+  void recordLimits(const std::vector<StatedLimit> &Limits,
+                    core::TimePoint Now);
+
+  /// @brief Sets the part of the servers' rate limits that may be used.
+  void setLimitShare(double NewShare, core::TimePoint Now);
+
   /// @brief Sets the number of adopted calls of a server.
   void setAdopted(std::uint32_t Index, std::uint32_t Count,
                   core::TimePoint Now);
@@ -85,10 +92,9 @@
   [[nodiscard]] std::uint32_t activeServers() const noexcept {
     return ActiveCount;
   }
-  /// @brief Sum of the slots of the active servers.
-  [[nodiscard]] std::uint32_t activeSlots() const noexcept {
-    return ActiveSlots;
-  }
+  /// @brief Sum of the slots of the active servers; one with a rate limit
+  /// counts for as many as it can keep busy.
+  [[nodiscard]] double activeSlots() const noexcept { return ActiveSlots; }
   /// @brief Moving average of the group's service time in microseconds.
   [[nodiscard]] double meanServiceUs() const noexcept { return MeanServiceUs; }
   /// @brief Whether a server should get no call now because it responds far too
@@ -134,6 +140,8 @@
   void updateEjection(ServerRecord &Server, bool Failed, bool Trial,
                       core::TimePoint Now);
   void updateNextTrial();
+  /// @brief Slots of a server as they count in activeSlots().
+  [[nodiscard]] double capacitySlots(const ServerRecord &Server) const;
   /// @brief Whether the server may get calls that are not trial requests.
   [[nodiscard]] bool usable(const ServerRecord &Server) const;
   [[nodiscard]] int bucketOf(const ServerRecord &Server,
@@ -167,9 +175,8 @@
   std::mt19937_64 Random;
   /// Moving average of the service time in microseconds.
   double MeanServiceUs;
-  /// Counts of active servers and their slots.
   std::uint32_t ActiveCount = 0;
-  std::uint32_t ActiveSlots = 0;
+  double ActiveSlots = 0;
   std::uint32_t UnhealthyCount = 0;
   std::uint32_t EjectedCount = 0;
   /// Servers in a bucket.
@@ -179,6 +186,8 @@
   /// Earliest time at which dueTrial can find a server.
   core::TimePoint NextTrial = core::TimePoint::max();
   std::uint64_t Compared = 0;
+  /// Part of the servers' rate limits that may be used.
+  double LimitShare = 1;
 };
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/include/jujubecart/decision/pending_call.hpp
+++ b/packages/decision/include/jujubecart/decision/pending_call.hpp
@@ -2,6 +2,7 @@
 #define JUJUBECART_DECISION_PENDING_CALL_HPP
 
 #include <jujubecart/core/clock.hpp>
+#include <jujubecart/core/rate_limit.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -15,6 +16,16 @@
 /// unique among the calls that wait at the same dispatcher.
 using CallToken = std::uint64_t;
 
+/// @brief Rate limit that a backend server stated to one VM.
+struct StatedLimit {
+  std::string ServerId;
+  core::RateLimit Limit;
+  /// When the response with the limit arrived.
+  core::TimePoint StatedAt;
+
+  friend auto operator<=>(const StatedLimit &, const StatedLimit &) = default;
+};
+
 /// @brief A call that waits at a dispatcher for a slot on a backend server.
 struct PendingCall {
   CallToken Token = 0;
@@ -37,6 +48,8 @@
   /// Hash that identifies calls with similar service times; 0 if unknown. Used
   /// by an ObjectiveDispatcher only.
   std::uint64_t WorkClass = 0;
+  /// Rate limits known to the holder, for a dispatcher that does not know them.
+  std::vector<StatedLimit> Limits;
 
   /// @brief Whether the server is listed in Excluded.
   [[nodiscard]] bool excludes(std::string_view ServerId) const noexcept {
--- a/packages/decision/src/group_dispatcher.cpp
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -28,6 +28,9 @@
 // A grant that is not returned within this time after the deadline of its call
 // is considered lost by its holder and is dropped.
 constexpr auto LostGrantTimeout = 2s;
+// Slots that the servers are assumed to have at least, even if all of them
+// state low rate limits.
+constexpr double MinActiveSlots = 0.01;
 // Bounds of the suggested retry delay, before jitter.
 constexpr auto MinRetryAfter = 50ms;
 constexpr auto MaxRetryAfter = 5s;
@@ -130,7 +133,7 @@
 GroupDispatcher::Implementation::expectedWait(const PendingCall &Call,
                                               core::TimePoint Now) const {
   const double Interval =
-      Table.meanServiceUs() / std::max(1U, Table.activeSlots());
+      Table.meanServiceUs() / std::max(MinActiveSlots, Table.activeSlots());
   return Wait.expectedWait(Queue.countAhead(Call.Priority, Call.CallerHash),
                            Interval, Now);
 }
@@ -153,6 +156,7 @@
 void GroupDispatcher::Implementation::enqueue(PendingCall Call,
                                               core::TimePoint Now,
                                               Decisions &Out) {
+  Table.recordLimits(Call.Limits, Now);
   if (Queue.contains(Call.Token))
     return reject(Call.Token, core::Error::InvalidArgument, Now, Out);
   if (Now >= Call.Deadline)
@@ -359,6 +363,10 @@
   Self->dispatch(Now, Out);
 }
 
+void GroupDispatcher::setRegular(bool Regular, core::TimePoint Now) {
+  Self->Table.setLimitShare(Regular ? 1 : internal::BackupLimitShare, Now);
+}
+
 void GroupDispatcher::adopt(std::string Holder, std::string ServerId,
                             std::uint32_t InFlight, core::TimePoint Now) {
   Self->advanceTime(Now);
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -45,6 +45,10 @@
 // Mean service time that is assumed for the capacity until a call has ended.
 constexpr double UnknownServiceTimeUs = 1e5;
 constexpr double MicrosecondsPerSecond = 1e6;
+// Slots that are assumed to be usable at least, since ejected servers are
+// tried again; fewer if servers state rate limits, which bind for longer.
+constexpr double MinUsableSlots = 0.5;
+constexpr double MinLimitedSlots = 0.01;
 // Share of the capacity that calls with a missed objective are assumed to get
 // at least, because the measured arrivals include peaks.
 constexpr double MinSpareShare = 0.25;
@@ -78,6 +82,7 @@
     const auto [Entry, New] = ById.emplace(Config.Id, size());
     if (New) {
       Servers.emplace_back().Config = Config;
+      Servers.back().Limiter.setShare(LimitShare, core::TimePoint());
       continue;
     }
     ServerLoad &Server = Servers[Entry->second];
@@ -92,6 +97,8 @@
       Server.Failures = FailureRate();
       Server.Connections = IdleConnections();
       Server.Replaced = false;
+      Server.Limiter = ServerRateLimiter();
+      Server.Limiter.setShare(LimitShare, core::TimePoint());
     }
     Server.Config = Config;
     Server.Configured = true;
@@ -102,19 +109,34 @@
 void LoadTable::updateTotals() {
   ActiveServers = EjectedServers = UnhealthyServers = 0;
   UsableSlots = 0;
+  AnyLimited = false;
   for (const ServerLoad &Server : Servers) {
     if (!Server.active())
       continue;
     ++ActiveServers;
+    AnyLimited = AnyLimited || Server.Limiter.limited();
     if (!Server.Health.ejected())
-      UsableSlots += Server.preferredLimit() / Server.ServiceTimeFactor;
+      UsableSlots += capacitySlots(Server);
     EjectedServers += Server.Health.ejected();
     UnhealthyServers += Server.Health.unhealthy();
   }
 }
 
+double LoadTable::capacitySlots(const ServerLoad &Server) const {
+  const double Slots = Server.preferredLimit() / Server.ServiceTimeFactor;
+  if (!Server.Limiter.limited())
+    return Slots;
+  return std::min(Slots, Server.Limiter.ratePerS() * meanServiceUs() /
+                             MicrosecondsPerSecond);
+}
+
+double LoadTable::meanServiceUs() const {
+  return Work.meanServiceTimeUs() > 0 ? Work.meanServiceTimeUs()
+                                      : UnknownServiceTimeUs;
+}
+
 bool LoadTable::usable(const ServerLoad &Server, core::TimePoint Now) const {
-  if (!Server.active())
+  if (!Server.active() || !Server.Limiter.allows(Now))
     return false;
   // If all servers are unhealthy, the fault may be elsewhere: ejections are
   // ignored.
@@ -230,14 +252,16 @@
         Server.inFlight() >= callLimit(Server, Saturate))
       continue;
     const bool Trial =
-        Server.Health.ejected() && UnhealthyServers != ActiveServers;
+        (Server.Health.ejected() && UnhealthyServers != ActiveServers) ||
+        Server.Limiter.checkDue(Now);
     const double InTime = onTimeProbability(Server, ExpectedUs, LatestEnd, Now);
     const double Transfer = transferCost(Call, Server, Now);
     double Score = Value * InTime * (1 - Server.Failures.value(Now)) *
                    (1 - overdueShare(Server, Now));
     Score -= saturationCost(Server, Now) + wasteCost(Server, ExpectedUs, Now) +
              Value * Transfer;
-    // An ejected server must get a trial call at some time. It should not be a
+    // An ejected server must get a trial call at some time, and one with a rate
+    // limit a call that shows whether it still applies. It should not be a
     // retry, so the score is reduced for calls with excluded servers.
     if (Trial)
       Score = Call.Excluded.empty() ? Value * InTime : Score / 2;
@@ -271,7 +295,8 @@
   std::vector<std::pair<double, std::uint32_t>> Candidates;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
-    if (!usable(Server, Now) || Call.excludes(Server.Config.Id) ||
+    if (!usable(Server, Now) || Server.Limiter.limited() ||
+        Call.excludes(Server.Config.Id) ||
         Server.inFlight() >= Server.preferredLimit())
       continue;
     const double Transfer = transferCost(Call, Server, Now);
@@ -320,13 +345,12 @@
 }
 
 double LoadTable::capacityPerS(core::TimePoint Now) const {
-  const double MeanUs = Work.meanServiceTimeUs() > 0 ? Work.meanServiceTimeUs()
-                                                     : UnknownServiceTimeUs;
   // Servers are not used in slow periods that are known from reports.
   const double Slowdown =
       Pace.reported(Now) ? 1 / Pace.normalShare() : Pace.meanSlowdown();
-  return std::max(UsableSlots, 0.5) * MicrosecondsPerSecond /
-         (MeanUs * Slowdown);
+  const double MinSlots = AnyLimited ? MinLimitedSlots : MinUsableSlots;
+  return std::max(UsableSlots, MinSlots) * MicrosecondsPerSecond /
+         (meanServiceUs() * Slowdown);
 }
 
 std::chrono::microseconds LoadTable::expectedWait(std::size_t Calls,
@@ -367,6 +391,8 @@
     for (RunningCall &Running : Server.Calls)
       if (!Running.Saturated && !Running.JoinedAt)
         Running.JoinedAt = Call.Start;
+  Server.Limiter.take(Call.Start);
+  Call.Incarnation = Server.Config.Incarnation;
   Server.Connections.take(Call.Holder);
   Server.Calls.push_back(Call);
 }
@@ -395,6 +421,8 @@
   if (Succeeded && Call.PacePercent)
     learnServiceTime(Server, Call, Report.Elapsed, WorkClass);
   core::CallReport Counted = Report;
+  if (Call.Incarnation != Server.Config.Incarnation)
+    Counted.Limit.reset();
   // A call that was given too little time tells nothing about the server.
   if (Report.Outcome == core::CallOutcome::TimedOut &&
       !overdue(Server, Call, Now))
@@ -437,6 +465,8 @@
     recordPace(Index, Report.Load->PacePercent, Now);
   if (Report.OtherInstance)
     Server.Replaced = true;
+  else if (Report.Limit || core::answered(Report.Outcome))
+    Server.Limiter.record(Report.Limit, Now, Now);
   core::CallReport Counted = Report;
   // A response that reports a failure counts like a broken connection.
   if (Report.Outcome == core::CallOutcome::Completed && Report.ServerError)
@@ -470,6 +500,22 @@
   }
 }
 
+void LoadTable::recordLimits(const std::vector<StatedLimit> &Limits,
+                             core::TimePoint Now) {
+  for (const StatedLimit &Item : Limits)
+    if (const auto Index = find(Item.ServerId))
+      Servers[*Index].Limiter.record(Item.Limit, Item.StatedAt, Now);
+  if (!Limits.empty())
+    updateTotals();
+}
+
+void LoadTable::setLimitShare(double NewShare, core::TimePoint Now) {
+  LimitShare = NewShare;
+  for (ServerLoad &Server : Servers)
+    Server.Limiter.setShare(NewShare, Now);
+  updateTotals();
+}
+
 void LoadTable::recordPace(std::uint32_t Index, std::uint32_t Percent,
                            core::TimePoint Now) {
   Servers[Index].Pace = PaceSample{.Percent = Percent, .At = Now};
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -25,6 +25,7 @@
 constexpr auto GrantGrace = 2s;
 constexpr auto MinRetryAfter = 50ms;
 constexpr auto MaxRetryAfter = 5s;
+constexpr double MaxJitter = 1.5;
 // Limits of the waiting calls that are tried in one pass over the queue, on
 // servers below their preferred limit and above it.
 constexpr std::size_t MaxCandidates = 8;
@@ -142,11 +143,13 @@
       Returns.reserve(expectedLateWait(Now), Table.spareCallsPerS(Now), Now);
   // Other dispatchers of the service reserve times of their own; jitter keeps
   // their callers from returning at the same time.
-  const double Jitter = std::uniform_real_distribution(1.0, 1.5)(Random);
-  const auto Wait = std::clamp<std::chrono::microseconds>(
-      std::chrono::duration_cast<std::chrono::microseconds>((Return - Now) *
-                                                            Jitter),
-      MinRetryAfter, MaxRetryAfter);
+  const double Jitter = std::uniform_real_distribution(1.0, MaxJitter)(Random);
+  // The limit is applied before the jitter, or all callers of a group without
+  // capacity would return at the same time.
+  const auto Wait = std::clamp<std::chrono::duration<double, std::micro>>(
+                        Return - Now, MinRetryAfter,
+                        std::chrono::microseconds(MaxRetryAfter) / MaxJitter) *
+                    Jitter;
   Out.emplace_back(Rejected{
       .Token = Call.Token,
       .Reason = Reason,
@@ -179,6 +182,7 @@
 void ObjectiveDispatcher::Implementation::enqueue(PendingCall Call,
                                                   core::TimePoint Now,
                                                   Decisions &Out) {
+  Table.recordLimits(Call.Limits, Now);
   if (OnTimeQueue.contains(Call.Token) || LateQueue.contains(Call.Token))
     return reject(Call, core::Error::InvalidArgument, Now, Out);
   if (Now >= Call.Deadline)
@@ -397,6 +401,10 @@
   Self->dispatch(Now, Out);
 }
 
+void ObjectiveDispatcher::setRegular(bool Regular, core::TimePoint Now) {
+  Self->Table.setLimitShare(Regular ? 1 : internal::BackupLimitShare, Now);
+}
+
 void ObjectiveDispatcher::enqueue(PendingCall Call, core::TimePoint Now,
                                   Decisions &Out) {
   Self->enqueue(std::move(Call), Now, Out);
--- a/packages/decision/src/server_pick.cpp
+++ b/packages/decision/src/server_pick.cpp
@@ -66,7 +66,7 @@
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerRecord &Server = Servers[Index];
     if (Server.active() && Server.inFlight() == 0 &&
-        Server.Health.trialDue(Now))
+        Server.Limiter.allows(Now) && Server.Health.trialDue(Now))
       return Index;
   }
   return std::nullopt;
--- /dev/null
+++ b/packages/decision/src/server_rate_limiter.cpp
@@ -0,0 +1,81 @@
+#include <jujubecart/decision/internal/server_rate_limiter.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace jujubecart::decision::internal {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double MilliPerUnit = 1000;
+// Lower limits are raised to this rate: only a response shows that a limit has
+// ended, so even a server with a limit of zero gets a call now and then.
+constexpr double MinRatePerS = 0.25;
+// Calls that may be sent at once, in seconds of the rate; at least one.
+constexpr double BurstS = 0.25;
+// Responses of calls that run at the same time may be reported in another order
+// than they were sent. One without a limit ends it only this long after the
+// last one with a limit.
+constexpr auto MinLimitDuration = 500ms;
+// A limited server that could get a call is checked after this time without
+// one, even if other servers are better.
+constexpr auto CheckInterval = 1s;
+
+} // namespace
+
+void ServerRateLimiter::record(std::optional<core::RateLimit> NewLimit,
+                               core::TimePoint NewStatedAt,
+                               core::TimePoint Now) noexcept {
+  if (NewStatedAt < StatedAt)
+    return;
+  StatedAt = NewStatedAt;
+  if (!NewLimit) {
+    if (StatedAt - LimitStatedAt >= MinLimitDuration)
+      Limit.reset();
+    return;
+  }
+  LimitStatedAt = StatedAt;
+  // A server that has just stated a limit still runs the calls from before.
+  Tokens = Limit ? tokensAt(Now) : 0;
+  RefilledAt = Now;
+  Limit = NewLimit;
+}
+
+void ServerRateLimiter::setShare(double NewShare,
+                                 core::TimePoint Now) noexcept {
+  Tokens = tokensAt(Now);
+  RefilledAt = Now;
+  Share = NewShare;
+}
+
+double ServerRateLimiter::ratePerS() const noexcept {
+  const double Stated = Limit ? Limit->MilliPerS / MilliPerUnit : 0;
+  return std::max(Stated, MinRatePerS) * Share;
+}
+
+double ServerRateLimiter::tokensAt(core::TimePoint Now) const noexcept {
+  const std::chrono::duration<double> Elapsed =
+      std::max(Now - RefilledAt, core::TimePoint::duration::zero());
+  return std::min(std::max(1.0, ratePerS() * BurstS),
+                  Tokens + ratePerS() * Elapsed.count());
+}
+
+bool ServerRateLimiter::allows(core::TimePoint Now) const noexcept {
+  return !Limit || tokensAt(Now) >= 1;
+}
+
+bool ServerRateLimiter::checkDue(core::TimePoint Now) const noexcept {
+  return Limit && allows(Now) && Now - LastCall >= CheckInterval;
+}
+
+void ServerRateLimiter::take(core::TimePoint Now) noexcept {
+  LastCall = Now;
+  if (!Limit)
+    return;
+  Tokens = tokensAt(Now) - 1;
+  RefilledAt = Now;
+}
+
+} // namespace jujubecart::decision::internal
--- a/packages/decision/src/server_table.cpp
+++ b/packages/decision/src/server_table.cpp
@@ -15,8 +15,9 @@
 constexpr double FastResponse = 2;
 
 // The flags that the counts of the group depend on.
-std::array<bool, 3> healthFlags(const ServerRecord &Server) {
-  return {Server.active(), Server.Health.unhealthy(), Server.Health.ejected()};
+std::array<bool, 4> countedFlags(const ServerRecord &Server) {
+  return {Server.active(), Server.Health.unhealthy(), Server.Health.ejected(),
+          Server.Limiter.limited()};
 }
 
 } // namespace
@@ -40,6 +41,7 @@
       ById.emplace(Config.Id, size());
       Servers.emplace_back().Config = Config;
       Servers.back().Zone = internZone(Config.Zone);
+      Servers.back().Limiter.setShare(LimitShare, Now);
       Servers.back().Calls.reserve(Config.Slots + Options.Margin + 1);
       if (!Initial)
         Servers.back().Health.startRamp(Now);
@@ -55,6 +57,11 @@
       Server.Health = HealthTracker();
       Server.Health.startRamp(Now);
     }
+    if (Server.Config.Address != Config.Address ||
+        Server.Config.Incarnation != Config.Incarnation) {
+      Server.Limiter = ServerRateLimiter();
+      Server.Limiter.setShare(LimitShare, Now);
+    }
     Server.Config = Config;
     Server.Configured = true;
     Server.Zone = internZone(Config.Zone);
@@ -64,7 +71,9 @@
 
 void ServerTable::addGrant(std::uint32_t Index, std::uint64_t GrantId,
                            core::TimePoint Now) {
-  Servers[Index].Calls.push_back({GrantId, Now});
+  Servers[Index].Limiter.take(Now);
+  Servers[Index].Calls.push_back(
+      {GrantId, Now, Servers[Index].Config.Incarnation});
   update(Index, Now);
   if (Servers[Index].Health.ejected())
     updateNextTrial();
@@ -99,22 +108,30 @@
     }
   }
   Server.LastRelease = Now;
-  std::erase_if(Server.Calls, [GrantId](const OutstandingCall &Call) {
-    return Call.GrantId == GrantId;
+  core::CallReport Counted = Report;
+  std::erase_if(Server.Calls, [&](const OutstandingCall &Call) {
+    if (Call.GrantId != GrantId)
+      return false;
+    // What an earlier process stated does not bind the one that replaced it.
+    if (Call.Incarnation != Server.Config.Incarnation)
+      Counted.Limit.reset();
+    return true;
   });
-  recordResult(Index, Report, Trial, Now);
+  recordResult(Index, Counted, Trial, Now);
 }
 
 void ServerTable::recordResult(std::uint32_t Index,
                                const core::CallReport &Report, bool Trial,
                                core::TimePoint Now) {
   ServerRecord &Server = Servers[Index];
-  const auto Before = healthFlags(Server);
+  const auto Before = countedFlags(Server);
+  if (!Report.OtherInstance && (Report.Limit || core::answered(Report.Outcome)))
+    Server.Limiter.record(Report.Limit, Now, Now);
   Server.Health.onResult(Report, Now);
   if (Report.Outcome != core::CallOutcome::Cancelled)
     updateEjection(Server, Report.Outcome != core::CallOutcome::Completed,
                    Trial, Now);
-  if (Before != healthFlags(Server))
+  if (Before != countedFlags(Server))
     updateCounts(Now);
   else if (Server.Health.ejected())
     updateNextTrial();
@@ -136,6 +153,23 @@
   }
 }
 
+void ServerTable::recordLimits(const std::vector<StatedLimit> &Limits,
+                               core::TimePoint Now) {
+  for (const StatedLimit &Item : Limits)
+    if (const auto Index = find(Item.ServerId)) {
+      Servers[*Index].Limiter.record(Item.Limit, Item.StatedAt, Now);
+    }
+  if (!Limits.empty())
+    updateCounts(Now);
+}
+
+void ServerTable::setLimitShare(double NewShare, core::TimePoint Now) {
+  LimitShare = NewShare;
+  for (ServerRecord &Server : Servers)
+    Server.Limiter.setShare(NewShare, Now);
+  updateCounts(Now);
+}
+
 void ServerTable::setAdopted(std::uint32_t Index, std::uint32_t Count,
                              core::TimePoint Now) {
   Servers[Index].Adopted = Count;
@@ -155,12 +189,13 @@
 
 // Health changes are rare, so everything derived from health is recomputed.
 void ServerTable::updateCounts(core::TimePoint Now) {
-  ActiveCount = ActiveSlots = UnhealthyCount = EjectedCount = 0;
+  ActiveCount = UnhealthyCount = EjectedCount = 0;
+  ActiveSlots = 0;
   for (const ServerRecord &Server : Servers) {
     if (!Server.active())
       continue;
     ++ActiveCount;
-    ActiveSlots += Server.slots();
+    ActiveSlots += capacitySlots(Server);
     UnhealthyCount += Server.Health.unhealthy();
     EjectedCount += Server.Health.ejected();
   }
@@ -178,9 +213,18 @@
   return Found->second;
 }
 
+double ServerTable::capacitySlots(const ServerRecord &Server) const {
+  if (!Server.Limiter.limited())
+    return Server.slots();
+  constexpr double MicrosecondsPerSecond = 1e6;
+  return std::min<double>(Server.slots(), Server.Limiter.ratePerS() *
+                                              MeanServiceUs /
+                                              MicrosecondsPerSecond);
+}
+
 std::uint32_t ServerTable::limit(const ServerRecord &Server,
                                  core::TimePoint Now) const {
-  if (!Server.active())
+  if (!Server.active() || !Server.Limiter.allows(Now))
     return 0;
   if (Server.Health.ejected() && !PanicMode)
     return Server.Health.trialDue(Now) ? 1 : 0;
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/member.hpp>
 #include <jujubecart/core/order_claims.hpp>
 #include <jujubecart/decision/decision.hpp>
+#include <jujubecart/decision/pending_call.hpp>
 #include <jujubecart/decision/server_status.hpp>
 #include <jujubecart/peers/group_directory.hpp>
 #include <jujubecart/peers/health_prober.hpp>
@@ -43,6 +44,8 @@
   std::vector<std::string> Excluded;
   core::TimePoint Objective = core::TimePoint::max();
   std::uint64_t WorkClass = 0;
+  /// Rate limits that servers of the group have stated to this VM.
+  std::vector<decision::StatedLimit> Limits;
 };
 
 /// @brief Runs the dispatchers of this VM, one per dispatch group, and serves
@@ -118,6 +121,12 @@
 private:
   struct Group;
   struct Client;
+  /// @brief What a dispatcher needs of a call only until it is queued.
+  struct QueueingFacts {
+    std::vector<std::string> Excluded;
+    std::uint64_t CallerHash = 0;
+    std::vector<decision::StatedLimit> Limits;
+  };
   struct Call;
   using GroupState = std::shared_ptr<Group>;
   using ClientPtr = std::shared_ptr<Client>;
@@ -130,8 +139,7 @@
   [[nodiscard]] GroupState findOrCreateGroup(const GroupPtr &Entry);
   [[nodiscard]] GroupState findGroup(std::uint64_t Hash) const;
   [[nodiscard]] ClientPtr findOrCreateClient(const LinkPtr &Source);
-  void enqueue(const GroupState &Target, Call Item,
-               std::vector<std::string> Excluded, std::uint64_t CallerHash);
+  void enqueue(const GroupState &Target, Call Item, QueueingFacts Facts);
   void finishCall(const GroupState &Target, decision::CallToken Token,
                   const core::CallReport &Report);
   core::Awaitable<void> claimOrderKey(GroupState Target,
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -5,6 +5,7 @@
 #include <jujubecart/core/entry_store.hpp>
 #include <jujubecart/core/error.hpp>
 #include <jujubecart/core/hash.hpp>
+#include <jujubecart/core/rate_limit.hpp>
 #include <jujubecart/core/request_id.hpp>
 #include <jujubecart/core/slot_broker.hpp>
 
@@ -54,6 +55,17 @@
   /// Milliseconds until the latency objective is missed; empty without one.
   std::optional<std::uint32_t> ObjectiveRemainingMs;
   std::uint64_t WorkClass = 0;
+  struct ServerLimit {
+    /// Hash of the server id.
+    std::uint64_t Server = 0;
+    core::RateLimit Limit;
+    /// Milliseconds since the server stated it to the sender.
+    std::uint32_t AgeMs = 0;
+
+    friend auto operator<=>(const ServerLimit &, const ServerLimit &) = default;
+  };
+  /// Rate limits of servers of the group that the sender knows.
+  std::vector<ServerLimit> Limits;
 };
 
 /// @brief Heartbeat while calls of the receiver wait in the sender's queues, so
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -89,6 +89,8 @@
   /// @return Whether a dispatcher that answers counts the call; call with Mutex
   /// held.
   [[nodiscard]] bool isTracked(const HeldGrant &Item) const;
+  [[nodiscard]] std::vector<decision::StatedLimit>
+  statedLimits(const GroupEntry &Entry);
   [[nodiscard]] core::SlotGrant recordGrant(HeldGrant Item,
                                             core::SlotGrant Grant);
   void onGrant(const LinkPtr &Source, const Grant &Item);
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -82,7 +82,17 @@
   for (const std::uint64_t Server : Item.Excluded)
     if (const core::BackendServer *KnownServer = Entry->server(Server))
       Excluded.push_back(KnownServer->Id);
-  enqueue(Target, std::move(NewCall), std::move(Excluded), Item.CallerHash);
+  std::vector<decision::StatedLimit> Limits;
+  for (const Acquire::ServerLimit &Limit : Item.Limits)
+    if (const core::BackendServer *KnownServer = Entry->server(Limit.Server))
+      Limits.push_back(
+          {.ServerId = KnownServer->Id,
+           .Limit = Limit.Limit,
+           .StatedAt = Now - std::chrono::milliseconds(Limit.AgeMs)});
+  enqueue(Target, std::move(NewCall),
+          {.Excluded = std::move(Excluded),
+           .CallerHash = Item.CallerHash,
+           .Limits = std::move(Limits)});
 }
 
 void DispatchService::onRelease(const LinkPtr &Source, const Release &Item) {
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -168,6 +168,7 @@
       Target->Dispatcher =
           decision::makeDispatcher(Entry->Group, Entry->Options, Now);
     Target->RanksFirst = IsFirst;
+    Target->Dispatcher->setRegular(IsFirst, Now);
   }
 }
 
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -97,15 +97,16 @@
   Item.Objective = Call.Objective;
   Item.WorkClass = Call.WorkClass;
   Item.OnComplete = std::move(OnComplete);
-  enqueue(findOrCreateGroup(Group), std::move(Item), std::move(Call.Excluded),
-          Call.CallerHash);
+  enqueue(findOrCreateGroup(Group), std::move(Item),
+          {.Excluded = std::move(Call.Excluded),
+           .CallerHash = Call.CallerHash,
+           .Limits = std::move(Call.Limits)});
 }
 
 // The order key is claimed while the call waits for a slot; the grant is
 // delivered when both are done.
 void DispatchService::enqueue(const GroupState &Target, Call Item,
-                              std::vector<std::string> Excluded,
-                              std::uint64_t CallerHash) {
+                              QueueingFacts Facts) {
   const auto Key = Item.Key;
   const core::RequestId Request = Item.Request;
   const core::TimePoint Deadline = Item.Deadline;
@@ -118,11 +119,12 @@
       .Holder = Item.Requester ? Item.Requester->Holder : Env.Members.self().Id,
       .Deadline = Deadline,
       .Priority = Item.Priority,
-      .CallerHash = CallerHash,
-      .Excluded = std::move(Excluded),
+      .CallerHash = Facts.CallerHash,
+      .Excluded = std::move(Facts.Excluded),
       .Zone = Item.Requester ? Item.Requester->Zone : Env.Members.self().Zone,
       .Objective = Item.Objective,
-      .WorkClass = Item.WorkClass};
+      .WorkClass = Item.WorkClass,
+      .Limits = std::move(Facts.Limits)};
   bool StillWaiting = false;
   {
     const std::lock_guard Lock(Target->Mutex);
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -57,7 +57,9 @@
         Dispatcher(decision::makeDispatcher(Entry->Group, Entry->Options, Now)),
         ProbesOnDemand(Entry->Options.Profile ==
                        core::PolicyProfile::Objective),
-        LastUsed(Now) {}
+        LastUsed(Now) {
+    Dispatcher->setRegular(false, Now);
+  }
 
   const std::string Name;
   const std::string Service;
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -47,6 +47,11 @@
     Item.ObjectiveRemainingMs = Source.objective_left_ms();
   if (Source.order_key() != nullptr)
     Item.Key = toOrderKey(*Source.order_key());
+  if (Source.limits() != nullptr)
+    for (const wire::ServerLimit *Limit : *Source.limits())
+      Item.Limits.push_back({.Server = Limit->server(),
+                             .Limit = {.MilliPerS = Limit->milli_per_s()},
+                             .AgeMs = Limit->age_ms()});
   return Item;
 }
 
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -32,11 +32,16 @@
   std::optional<wire::OrderKey> Key;
   if (Item.Key)
     Key.emplace(Item.Key->High, Item.Key->Low);
+  std::vector<wire::ServerLimit> Limits;
+  Limits.reserve(Item.Limits.size());
+  for (const Acquire::ServerLimit &Limit : Item.Limits)
+    Limits.emplace_back(Limit.Server, Limit.Limit.MilliPerS, Limit.AgeMs);
   return makeBody<wire::Body::Acquire>(wire::CreateAcquireDirect(
       Out, Item.Call, Item.Group, Item.Request.Value, Item.CallerHash,
       Item.Revision, Item.Priority, Key ? &*Key : nullptr,
       Item.Excluded.empty() ? nullptr : &Item.Excluded, Item.RemainingMs,
-      Item.ObjectiveRemainingMs.value_or(UINT32_MAX), Item.WorkClass));
+      Item.ObjectiveRemainingMs.value_or(UINT32_MAX), Item.WorkClass,
+      Limits.empty() ? nullptr : &Limits));
 }
 
 BodyOffset encode(Builder &Out, const Queued &Item) {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -22,6 +22,8 @@
 
 struct OrderKey;
 
+struct ServerLimit;
+
 struct Acquire;
 struct AcquireBuilder;
 
@@ -233,6 +235,35 @@
 };
 FLATBUFFERS_STRUCT_END(OrderKey, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t server_;
+  uint32_t milli_per_s_;
+  uint32_t age_ms_;
+
+ public:
+  ServerLimit()
+      : server_(0),
+        milli_per_s_(0),
+        age_ms_(0) {
+  }
+  ServerLimit(uint64_t _server, uint32_t _milli_per_s, uint32_t _age_ms)
+      : server_(flatbuffers::EndianScalar(_server)),
+        milli_per_s_(flatbuffers::EndianScalar(_milli_per_s)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t server() const {
+    return flatbuffers::EndianScalar(server_);
+  }
+  uint32_t milli_per_s() const {
+    return flatbuffers::EndianScalar(milli_per_s_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServerLimit, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServerCount FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t server_;
@@ -429,7 +460,8 @@
     VT_EXCLUDED = 20,
     VT_LEFT_MS = 22,
     VT_OBJECTIVE_LEFT_MS = 24,
-    VT_WORK_CLASS = 26
+    VT_WORK_CLASS = 26,
+    VT_LIMITS = 28
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -464,6 +496,9 @@
   uint64_t work_class() const {
     return GetField<uint64_t>(VT_WORK_CLASS, 0);
   }
+  const flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
@@ -478,6 +513,8 @@
            VerifyField<uint32_t>(verifier, VT_LEFT_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTIVE_LEFT_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_WORK_CLASS, 8) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
 };
@@ -519,6 +556,9 @@
   void add_work_class(uint64_t work_class) {
     fbb_.AddElement<uint64_t>(Acquire::VT_WORK_CLASS, work_class, 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *>> limits) {
+    fbb_.AddOffset(Acquire::VT_LIMITS, limits);
+  }
   explicit AcquireBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -542,13 +582,15 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> excluded = 0,
     uint32_t left_ms = 0,
     uint32_t objective_left_ms = 4294967295,
-    uint64_t work_class = 0) {
+    uint64_t work_class = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *>> limits = 0) {
   AcquireBuilder builder_(_fbb);
   builder_.add_work_class(work_class);
   builder_.add_revision(revision);
   builder_.add_caller(caller);
   builder_.add_request(request);
   builder_.add_group(group);
+  builder_.add_limits(limits);
   builder_.add_objective_left_ms(objective_left_ms);
   builder_.add_left_ms(left_ms);
   builder_.add_excluded(excluded);
@@ -570,8 +612,10 @@
     const std::vector<uint64_t> *excluded = nullptr,
     uint32_t left_ms = 0,
     uint32_t objective_left_ms = 4294967295,
-    uint64_t work_class = 0) {
+    uint64_t work_class = 0,
+    const std::vector<jujubecart::peers::wire::ServerLimit> *limits = nullptr) {
   auto excluded__ = excluded ? _fbb.CreateVector<uint64_t>(*excluded) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<jujubecart::peers::wire::ServerLimit>(*limits) : 0;
   return jujubecart::peers::wire::CreateAcquire(
       _fbb,
       call,
@@ -584,7 +628,8 @@
       excluded__,
       left_ms,
       objective_left_ms,
-      work_class);
+      work_class,
+      limits__);
 }
 
 struct Queued FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -130,7 +130,8 @@
        .Key = Request.Key,
        .Excluded = std::move(Request.Excluded),
        .Objective = Request.Objective,
-       .WorkClass = Request.WorkClass},
+       .WorkClass = Request.WorkClass,
+       .Limits = statedLimits(*Entry)},
       [this, Call, Entry, Token](const DispatchResult &Dispatched) {
         AcquireResult Result{.Outcome = AcquireResult::Kind::Refused,
                              .Reason = Dispatched.Reason,
@@ -188,6 +189,12 @@
         internal::millisecondsLeft(Env.Time.now(), Request.Objective);
   for (const std::string &Server : Request.Excluded)
     Message.Excluded.push_back(core::hash64(Server));
+  const core::TimePoint Now = Env.Time.now();
+  for (const decision::StatedLimit &Item : statedLimits(*Entry))
+    Message.Limits.push_back(
+        {.Server = core::hash64(Item.ServerId),
+         .Limit = Item.Limit,
+         .AgeMs = internal::millisecondsLeft(Item.StatedAt, Now)});
   {
     const std::lock_guard Lock(Mutex);
     PendingCalls.emplace(Call, PendingCall{.Promise = Promise,
@@ -224,7 +231,12 @@
                      .Request = Request.Request,
                      .Peer = std::string(Dispatcher),
                      .Detail = Entry.Group.Name + ": " + std::string(Reason)});
-  auto Grant = Env.Fallback.acquireNow(Request);
+  // Without a dispatcher nobody counts the requests of all VMs to a server that
+  // states a rate limit.
+  core::SlotRequest Unlimited = Request;
+  for (decision::StatedLimit &Item : statedLimits(Entry))
+    Unlimited.Excluded.push_back(std::move(Item.ServerId));
+  auto Grant = Env.Fallback.acquireNow(Unlimited);
   if (!Grant)
     return Grant;
   const GroupDirectory::Index Index = Env.Groups.current();
@@ -245,6 +257,12 @@
   return recordGrant(std::move(Item), *Grant);
 }
 
+std::vector<decision::StatedLimit>
+RemoteBroker::statedLimits(const GroupEntry &Entry) {
+  const std::lock_guard Lock(Mutex);
+  return Limits->collect(Entry, Env.Time.now());
+}
+
 core::SlotGrant RemoteBroker::recordGrant(HeldGrant Item,
                                           core::SlotGrant Grant) {
   const std::lock_guard Lock(Mutex);
--- a/packages/peers/src/stated_limits.hpp
+++ b/packages/peers/src/stated_limits.hpp
@@ -4,9 +4,12 @@
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/config.hpp>
 #include <jujubecart/core/slot_broker.hpp>
+#include <jujubecart/decision/pending_call.hpp>
+#include <jujubecart/peers/group_directory.hpp>
 
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace jujubecart::peers::internal {
 
@@ -19,8 +22,12 @@
   void record(const core::BackendServer &Server, const core::CallReport &Report,
               core::TimePoint Now);
 
+  /// @brief Limits that servers of a group have stated lately.
+  [[nodiscard]] std::vector<decision::StatedLimit>
+  collect(const GroupEntry &Entry, core::TimePoint Now) const;
+
 private:
-  struct Entry {
+  struct Statement {
     core::RateLimit Limit;
     /// When it was stated last.
     core::TimePoint StatedAt;
@@ -29,7 +36,7 @@
   };
 
   /// By server id.
-  std::unordered_map<std::string, Entry> Limits;
+  std::unordered_map<std::string, Statement> Limits;
 };
 
 } // namespace jujubecart::peers::internal
--- a/tests/decision/rate_limit_test.cpp
+++ b/tests/decision/rate_limit_test.cpp
@@ -1,4 +1,5 @@
 #include <jujubecart/decision/dispatcher.hpp>
+#include <jujubecart/decision/internal/server_rate_limiter.hpp>
 
 #include <algorithm>
 #include <array>
@@ -67,8 +68,16 @@
     }
   }
 
+  /// @brief Adds a dispatcher, which is not the regular one.
+  void addBackup() {
+    Dispatchers.push_back(makeDispatcher());
+    Dispatchers.back()->setRegular(false, Now);
+  }
+
   void call() {
     decision::Decisions Out;
+    if (Rotates)
+      Active = LastToken % Dispatchers.size();
     Arrivals[++LastToken] = Now;
     Dispatchers[Active]->enqueue(
         {.Token = LastToken,
@@ -76,7 +85,8 @@
          .Deadline = Now + 2s,
          .Zone = "z1",
          .Objective = Now + 800ms,
-         .WorkClass = 1},
+         .WorkClass = 1,
+         .Limits = Known},
         Now, Out);
     record(Active, Out);
   }
@@ -88,6 +98,7 @@
         Running.push_back({.Dispatcher = Dispatcher,
                            .GrantId = Grant->GrantId,
                            .Server = Grant->Server.Id,
+                           .Incarnation = Grant->Server.Incarnation,
                            .AnsweredAt = Now + ServiceTime});
       } else {
         const auto &Rejected = std::get<decision::Rejected>(Item);
@@ -108,14 +119,26 @@
       }
       Running.erase(Running.begin() + static_cast<std::ptrdiff_t>(Index));
       core::CallReport Report{.Elapsed = ServiceTime};
-      if (const auto Limit = Limits.find(Item.Server); Limit != Limits.end())
+      const auto Limit = Limits.find(Item.Server);
+      if (Limit != Limits.end() && Item.Incarnation != Unlimited)
         Report.Limit = Limit->second;
+      if (Item.Incarnation == Group.Servers.front().Incarnation)
+        learn(Item.Server, Report.Limit);
       decision::Decisions Out;
       Dispatchers[Item.Dispatcher]->release(Item.GrantId, Report, Now, Out);
       record(Item.Dispatcher, Out);
     }
   }
 
+  /// @brief Updates what the VMs know of the limits.
+  void learn(const std::string &Server, std::optional<core::RateLimit> Limit) {
+    std::erase_if(Known, [&](const decision::StatedLimit &Item) {
+      return Item.ServerId == Server;
+    });
+    if (Limit)
+      Known.push_back({.ServerId = Server, .Limit = *Limit, .StatedAt = Now});
+  }
+
   /// @brief Largest number of requests that a server got in one window since a
   /// time.
   [[nodiscard]] std::size_t mostInWindow(const std::string &Server,
@@ -146,18 +169,26 @@
     std::size_t Dispatcher = 0;
     std::uint64_t GrantId = 0;
     std::string Server;
+    std::uint64_t Incarnation = 0;
     core::TimePoint AnsweredAt;
   };
 
+  /// Incarnation of a server that states no limit.
+  static constexpr std::uint64_t Unlimited = 7;
+
   const core::PolicyProfile Profile;
   decision::DispatchGroup Group{.Name = "g", .Service = "s", .Region = "r"};
   core::TimePoint Now = Start;
   std::vector<std::unique_ptr<decision::Dispatcher>> Dispatchers;
   std::size_t Active = 0;
+  /// Whether calls go to all dispatchers in turn.
+  bool Rotates = false;
   double Due = 0;
   decision::CallToken LastToken = 0;
   std::map<decision::CallToken, core::TimePoint> Arrivals;
   std::vector<Call> Running;
+  /// Limits that the VMs tell the dispatchers.
+  std::vector<decision::StatedLimit> Known;
   /// Limits that servers state, by id.
   std::map<std::string, core::RateLimit> Limits;
   std::map<std::string, std::vector<core::TimePoint>> Sent;
@@ -239,6 +270,101 @@
   }
 }
 
+// Guards against dispatchers that each use the whole limit, while VMs disagree
+// about which of them is in charge.
+Test(RateLimit, limit_holds_with_several_dispatchers) {
+  for (const core::PolicyProfile Profile : Profiles)
+    for (const std::uint32_t MilliPerS : {0U, 1300U, 6000U}) {
+      RateLimitFixture Setup(Profile);
+      Setup.addBackup();
+      Setup.addBackup();
+      Setup.Rotates = true;
+      Setup.run(2s, 30);
+      const core::RateLimit Limit{.MilliPerS = MilliPerS};
+      Setup.Limits["0"] = Limit;
+      const core::TimePoint Stated = Setup.Now;
+      Setup.run(20s, 30);
+      const auto Most =
+          static_cast<double>(Setup.mostInWindow("0", Stated + SettlingTime));
+      cr_expect_leq(Most, allowedIn(Limit), "%g requests in 4 s at %u", Most,
+                    MilliPerS);
+    }
+}
+
+// Guards against a series of new dispatchers that each send calls to a limited
+// server until they learn of its limit.
+Test(RateLimit, limit_holds_while_dispatchers_take_over) {
+  for (const core::PolicyProfile Profile : Profiles)
+    for (const std::uint32_t MilliPerS : {0U, 1300U, 6000U}) {
+      RateLimitFixture Setup(Profile);
+      Setup.run(2s, 15);
+      const core::RateLimit Limit{.MilliPerS = MilliPerS};
+      Setup.Limits["0"] = Limit;
+      const core::TimePoint Stated = Setup.Now;
+      Setup.run(3s, 15);
+      for (int Takeover = 0; Takeover < 8; ++Takeover) {
+        Setup.Dispatchers.push_back(Setup.makeDispatcher());
+        ++Setup.Active;
+        Setup.run(900ms, 15);
+      }
+      const auto Most =
+          static_cast<double>(Setup.mostInWindow("0", Stated + SettlingTime));
+      cr_expect_leq(Most, allowedIn(Limit), "%g requests in 4 s at %u", Most,
+                    MilliPerS);
+    }
+}
+
+// Guards against a limit that binds the process that replaced the one that
+// stated it, also if a result of the old one is reported later.
+Test(RateLimit, new_process_starts_without_the_limit_of_the_old_one) {
+  for (const core::PolicyProfile Profile : Profiles)
+    for (const auto LimitedFor : {0ms, 4000ms}) {
+      RateLimitFixture Setup(Profile);
+      Setup.run(2s, 15);
+      Setup.Limits["0"] = {.MilliPerS = 0};
+      Setup.run(LimitedFor, 15);
+      Setup.Known.clear();
+      Setup.Group.Servers.front().Incarnation = RateLimitFixture::Unlimited;
+      decision::Decisions Out;
+      Setup.Dispatchers.front()->configure(Setup.Group, Setup.Now, Out);
+      const core::TimePoint Since = Setup.Now;
+      // The other two servers cannot take this load.
+      Setup.run(3s, 30);
+      cr_expect_geq(Setup.sentSince("0", Since), 20);
+    }
+}
+
+// Guards against a limit that ends because the result of an earlier call is
+// reported late, and against one that is set again by outdated knowledge.
+Test(ServerRateLimiter, only_the_latest_statement_counts) {
+  decision::internal::ServerRateLimiter Limiter;
+  const core::RateLimit Limit{.MilliPerS = 2000};
+  core::TimePoint Now = Start;
+  Limiter.record(Limit, Now, Now);
+  cr_assert(Limiter.limited());
+  Limiter.record(std::nullopt, Now + 20ms, Now + 20ms);
+  cr_assert(Limiter.limited());
+  Now += 1s;
+  Limiter.record(std::nullopt, Now, Now);
+  cr_assert_not(Limiter.limited());
+  Limiter.record(Limit, Now - 100ms, Now);
+  cr_assert_not(Limiter.limited());
+}
+
+// Guards against a wave of calls when a limit begins or after a pause.
+Test(ServerRateLimiter, calls_are_spread_over_time) {
+  decision::internal::ServerRateLimiter Limiter;
+  Limiter.record(core::RateLimit{.MilliPerS = 2000}, Start, Start);
+  cr_assert_not(Limiter.allows(Start + 400ms));
+  cr_assert(Limiter.allows(Start + 500ms));
+  Limiter.take(Start + 60s);
+  cr_assert_not(Limiter.allows(Start + 60s));
+  cr_assert(Limiter.allows(Start + 60500ms));
+  Limiter.setShare(0.2, Start + 60s);
+  cr_assert_not(Limiter.allows(Start + 62400ms));
+  cr_assert(Limiter.allows(Start + 62500ms));
+}
+
 // Guards against health or pace probes that take the place of requests on a
 // server that accepts few.
 Test(RateLimit, limited_server_is_not_probed_for_its_pace) {
--- a/tests/peers/dispatch_test.cpp
+++ b/tests/peers/dispatch_test.cpp
@@ -298,6 +298,30 @@
   cr_assert_eq(Granted->Dispatcher, idOf(Fleet.second()));
 }
 
+// Guards against a dispatcher that takes over, and a VM that decides itself,
+// without knowing the rate limit that a server has stated.
+Test(Dispatch, stated_rate_limit_outlives_the_dispatcher) {
+  Cluster Fleet(2);
+  Vm &Requester = Fleet.third();
+  std::vector<core::SlotGrant> Held = Fleet.acquireSlots(Requester, 2);
+  const std::string Limited = Held.front().Server.Id;
+  core::CallReport Report = CompletedReport;
+  Report.Limit = core::RateLimit{.MilliPerS = 300};
+  Requester.Node.broker().release(Held.front(), Report);
+  Fleet.dispatcher().kill();
+  for (std::uint64_t Key = 0; Key < 4; ++Key) {
+    const auto Granted = Requester.acquire(Fleet.orderRequest(Key));
+    cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
+    cr_assert_eq(Granted->Dispatcher, idOf(Fleet.second()));
+    cr_assert_neq(Granted->Server.Id, Limited);
+    Requester.Node.broker().release(*Granted, CompletedReport);
+  }
+  Fleet.second().kill();
+  const auto Granted = Requester.acquire(Cluster::request());
+  cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
+  cr_assert_neq(Granted->Server.Id, Limited);
+}
+
 // Guards against an order that runs twice: two VMs with different member lists
 // each act as dispatcher and grant the same key to two requests.
 Test(Dispatch, two_dispatchers_grant_order_key_once) {
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -33,7 +33,8 @@
           .Revision = 12,
           .Priority = 3,
           .Key = core::OrderKey{.High = 1, .Low = 2},
-          .Excluded = {5, 6}};
+          .Excluded = {5, 6},
+          .Limits = {{.Server = 5, .Limit = {1300}, .AgeMs = 40}}};
 }
 
 std::string hex(const Bytes &Input) {
@@ -81,6 +82,7 @@
   cr_assert_eq(Decoded.Priority, 3);
   cr_assert(Decoded.Key == (core::OrderKey{.High = 1, .Low = 2}));
   cr_assert(Decoded.Excluded == (std::vector<std::uint64_t>{5, 6}));
+  cr_assert(Decoded.Limits == sampleAcquire().Limits);
   cr_assert_eq(Item.Time, 77);
 }
 
