Attribute no repeated refusal to another request

It can happen here in two ways, each shown by a test that failed before: a refused request that is sent to the same server again on the same connection gets the repeated refusal, which has its id; and a refusal without an id is taken for the response to whatever request the connection carries. A connection is now closed after a refusal, and a response without an id counts only on a connection that carried no earlier request; otherwise the outcome is unknown.

--- a/packages/backends/include/jujubecart/backends/connection.hpp
+++ b/packages/backends/include/jujubecart/backends/connection.hpp
@@ -30,6 +30,9 @@
   /// Whether the server reports its load, and so answers a health request at
   /// once, without waiting for a slot.
   bool ReportsLoad = false;
+  /// Whether an earlier request was sent on it, so that a response without an
+  /// id may belong to that one.
+  bool Used = false;
 };
 
 /// @brief State of one pending ConnectionPool::acquire, with which the user of
--- a/packages/backends/src/connection_pool.cpp
+++ b/packages/backends/src/connection_pool.cpp
@@ -181,6 +181,7 @@
 
 void ConnectionPool::release(ConnectionPtr Item) noexcept {
   Item->LastVerified = Time.now();
+  Item->Used = true;
   {
     const std::lock_guard Lock(Mutex);
     ServerPool &Pool = Servers[Item->Address];
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -85,6 +85,7 @@
 
 // Does not wait: an idle connection takes a request of this size at once.
 bool Exchange::sendHealthRequest(backends::Connection &Item) const {
+  Item.Used = true;
   const std::string Head = "GET " + Server.HealthPath +
                            " HTTP/1.1\r\nHost: " + Server.Address + "\r\n\r\n";
   boost::system::error_code Code;
@@ -187,6 +188,10 @@
     if (Status / 100 != 1) {
       const core::ResponseTraits Traits = Profile.readResponse(
           Connection->Reader.message(), Request->CallerRequestId);
+      // On a kept connection it may be a repeated response to an earlier
+      // request; what it states proves nothing about this one.
+      if (Traits.WithoutRequestId && Connection->Used)
+        break;
       if (!Traits.RequestIdMismatch)
         co_return acceptHead(Traits);
       // A late, duplicate response to an earlier request on this connection.
@@ -271,8 +276,11 @@
       Time.now() - Started);
   Complete = true;
   // Bytes after the response belong to no request of this connection, which
-  // therefore cannot be reused.
-  if (RequestComplete && Connection->Reader.parser().keep_alive() &&
+  // therefore cannot be reused. Neither can one with a refusal: the same
+  // request may be sent to the server again, and a faulty one repeats the
+  // refusal, which would then be taken for the response to that attempt.
+  if (RequestComplete && !Rejected &&
+      Connection->Reader.parser().keep_alive() &&
       Connection->Reader.buffered() == 0 && !Report.Draining)
     Pool.release(std::move(Connection));
   else
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -47,6 +47,9 @@
   bool OtherInstance = false;
   /// The response carries the id of another request.
   bool RequestIdMismatch = false;
+  /// The response carries no id, although the request had one and servers
+  /// repeat it.
+  bool WithoutRequestId = false;
   /// Required header fields are missing.
   bool Invalid = false;
   std::optional<LoadReport> Load;
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -138,8 +138,11 @@
 /// second after the reuse window of the pool.
 struct TwoOrders {
   /// @param Behave Handles the requests of a connection.
-  explicit TwoOrders(ScriptedBackend::Script Behave)
-      : Backend(std::move(Behave)) {}
+  /// @param ReuseWindow Time for which a connection needs no health request.
+  explicit TwoOrders(ScriptedBackend::Script Behave,
+                     std::chrono::milliseconds ReuseWindow = 1ms)
+      : Backend(std::move(Behave)),
+        Pool(Io.get_executor(), {.OrderReuseWindow = ReuseWindow}, Time) {}
 
   core::Awaitable<core::CallOutcome> order() {
     auto Request = std::make_shared<core::BackendRequest>();
@@ -171,8 +174,7 @@
   ScriptedBackend Backend;
   asio::io_context Io;
   core::SystemClock Time;
-  backends::ConnectionPool Pool{
-      Io.get_executor(), {.OrderReuseWindow = 1ms}, Time};
+  backends::ConnectionPool Pool;
   backends::Transport Transport{Pool, Time, platform::httpProfile()};
   core::CallOutcome First = core::CallOutcome::NotSent;
   core::CallOutcome Second = core::CallOutcome::NotSent;
@@ -253,6 +255,80 @@
 
 namespace {
 
+/// @brief Statement of the server that it did not run a request.
+std::string refusal(const std::string &Fields) {
+  return response("503 Service Unavailable", "",
+                  "Not-Executed: 1\r\n" + Fields);
+}
+
+} // namespace
+
+// Guards against an earlier refusal that the server writes once more: it would
+// be taken for the answer to the next attempt of the same request, which the
+// server runs.
+Test(PlatformExchange, repeated_refusal_does_not_answer_the_next_attempt) {
+  const std::string Refusal =
+      refusal("Request-Id: " + std::string(Id) + "\r\n");
+  TwoOrders With(
+      [&](tcp::socket &Socket, int Index) {
+        if (Index > 0) {
+          readMethod(Socket);
+          send(Socket, orderResponse());
+          return;
+        }
+        while (!readMethod(Socket).empty())
+          send(Socket, Refusal);
+      },
+      10s);
+  With.run();
+  cr_assert(With.First == core::CallOutcome::Rejected);
+  cr_assert(With.Second == core::CallOutcome::Completed);
+}
+
+// Guards against an earlier refusal without an id on a kept connection: nothing
+// shows that it belongs to the request for which a response is due, so it must
+// not state that the request was not run.
+Test(PlatformExchange, refusal_without_id_on_a_kept_connection_proves_nothing) {
+  for (const char *Status :
+       {"503 Service Unavailable", "421 Misdirected Request",
+        "429 Too Many Requests"}) {
+    TwoOrders With(
+        [&](tcp::socket &Socket, int) {
+          readMethod(Socket);
+          send(Socket, orderResponse());
+          while (!readMethod(Socket).empty())
+            send(Socket,
+                 response(Status, "", "Not-Executed: 1\r\n") + orderResponse());
+        },
+        10s);
+    With.run();
+    cr_assert(With.First == core::CallOutcome::Completed);
+    cr_assert(With.Second == core::CallOutcome::Broken, "%s: %d", Status,
+              int(With.Second));
+  }
+}
+
+// Guards against a response whose head ends early with the connection and that
+// is taken for a complete one without a body.
+Test(PlatformExchange, head_that_ends_early_is_no_response) {
+  const std::string Whole = signedResponse(Id, "x");
+  const std::string Unframed =
+      "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(Id) +
+      "\r\nResponse-Signature: s\r\n\r\n";
+  for (const std::string &Text : {Whole, Unframed}) {
+    const std::size_t HeadSize = Text.find("\r\n\r\n") + 4;
+    for (const bool Reset : {false, true})
+      for (std::size_t Cut = 1; Cut < HeadSize;
+           Cut += Cut + 6 < HeadSize ? 9 : 1) {
+        Fixture Setup(respondWith(Text.substr(0, Cut), Reset));
+        cr_assert_eq(Setup.run(), "failed", "%zu bytes", Cut);
+        cr_assert(Setup.Report.Outcome == core::CallOutcome::Broken);
+      }
+  }
+}
+
+namespace {
+
 /// @brief Script that reads a request and then sends bytes without end, until
 /// the other side closes the connection.
 /// @param Repeated Sent again and again after the start.
