Survive odd entries in the store

Deep nesting and large numbers inside the entries themselves were harmless before; tests now show that (deeply_nested_entry_ends_no_process, number_too_large_is_rejected).

--- a/packages/store/src/directory_snapshot.cpp
+++ b/packages/store/src/directory_snapshot.cpp
@@ -16,6 +16,8 @@
 // Bounds the memory that a damaged value can take.
 constexpr std::size_t MaxSnapshotBytes = std::size_t{16} << 20;
 constexpr std::size_t EntryFields = 3;
+// The pair, the list of entries and an entry.
+constexpr std::size_t MaxDepth = 3;
 
 std::string compress(const std::vector<std::uint8_t> &Bytes) {
   uLongf Size = compressBound(Bytes.size());
@@ -48,6 +50,39 @@
   return Result == Z_STREAM_END ? std::optional(std::move(Out)) : std::nullopt;
 }
 
+// Stops at a value that is nested more deeply than a snapshot. The library
+// parses CBOR recursively, so such a value would overflow the stack.
+class DepthCheck final : public json::json_sax_t {
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t &) override { return true; }
+  bool string(string_t &) override { return true; }
+  bool binary(binary_t &) override { return true; }
+  bool start_object(std::size_t) override { return false; }
+  bool key(string_t &) override { return false; }
+  bool end_object() override { return false; }
+  bool start_array(std::size_t) override { return ++Depth <= MaxDepth; }
+  bool end_array() override {
+    --Depth;
+    return true;
+  }
+  bool parse_error(std::size_t, const std::string &,
+                   const json::exception &) override {
+    return false;
+  }
+
+private:
+  std::size_t Depth = 0;
+};
+
+bool isFlat(const std::vector<std::uint8_t> &Bytes) {
+  DepthCheck Check;
+  return json::sax_parse(Bytes, &Check, json::input_format_t::cbor);
+}
+
 std::optional<core::StoredEntry> readEntry(const json &Item) {
   if (!Item.is_array() || Item.size() != EntryFields || !Item[0].is_string() ||
       !Item[1].is_binary() || !Item[2].is_number_unsigned())
@@ -76,7 +111,7 @@
 
 std::optional<core::EntryList> decodeSnapshot(std::string_view Value) {
   const auto Bytes = internal::decompress(Value);
-  if (!Bytes)
+  if (!Bytes || !internal::isFlat(*Bytes))
     return std::nullopt;
   const internal::json Parsed = internal::json::from_cbor(*Bytes, true, false);
   if (!Parsed.is_array() || Parsed.size() != 2 ||
--- a/tests/platform/entry_codec_test.cpp
+++ b/tests/platform/entry_codec_test.cpp
@@ -151,3 +151,82 @@
   cr_assert(Setup.Codec.entryKind("servers/x") == core::EntryKind::Server);
   cr_assert(Setup.Codec.entryKind("other") == core::EntryKind::Other);
 }
+
+namespace {
+
+/// @brief Text with many nested arrays in a field of its own, or in one that is
+/// read.
+std::string nested(const std::string &Text, const std::string &From) {
+  constexpr std::size_t Depth = 200000;
+  return replaced(Text, From,
+                  "\"odd\":" + std::string(Depth, '[') +
+                      std::string(Depth, ']') + "," + From);
+}
+
+} // namespace
+
+// Guards against a process that ends, or stops following the store, because
+// another writer left an entry that is nested very deeply.
+Test(EntryCodec, deeply_nested_entry_ends_no_process) {
+  for (const char *At : {"\"address\"", "\"service\"", "\"state\""}) {
+    Fixture Setup;
+    (void)Setup.Codec.decodeServer("servers/i-7", nested(Server, At),
+                                   Setup.Report);
+  }
+  for (const char *At : {"\"version\":7", "\"health-path\"", "\"host\""}) {
+    Fixture Setup;
+    (void)Setup.Codec.decodeRouting(nested(Config, At), Setup.Report);
+  }
+  Fixture Setup;
+  (void)Setup.Codec.decodeVm(
+      "jujubecart/vms/x", nested("{\"address\":\"10.0.0.1:1\"}", "\"address\""),
+      Setup.Report);
+  (void)Setup.Codec.decodeVm("jujubecart/vms/x", std::string(200000, '['),
+                             Setup.Report);
+}
+
+// Guards against numbers that do not fit their type: they must not make an
+// entry valid with another value, nor end the process.
+Test(EntryCodec, number_too_large_is_rejected) {
+  for (const char *Number :
+       {"1e999", "-1e999", "99999999999999999999999999", "1e30", "-2", "2.5"}) {
+    Fixture Setup;
+    cr_assert_not(
+        Setup.Codec.decodeServer(
+            "servers/i-7",
+            replaced(Server, "\"slots\":2", std::string("\"slots\":") + Number),
+            Setup.Report),
+        "%s", Number);
+    cr_assert_not(Setup.Report.empty(), "%s", Number);
+  }
+  Fixture Setup;
+  const auto Decoded = Setup.Codec.decodeServer(
+      "servers/i-7",
+      replaced(Server, "\"slots\":2", "\"slots\":18446744073709551615"),
+      Setup.Report);
+  cr_assert(Decoded.has_value());
+  cr_assert_leq(Decoded->Server.Slots, 100000);
+}
+
+// Guards against a server whose address cannot be connected to and which gets
+// calls again and again.
+Test(EntryCodec, port_out_of_range_is_rejected) {
+  for (const char *Address :
+       {"10.128.0.9:0", "10.128.0.9:65536", "10.128.0.9:99999", "10.128.0.9:-1",
+        "10.128.0.9:4294975376", "10.128.0.9:", "10.128.0.9:80 ",
+        "10.128.0.9:+80", ":80"}) {
+    Fixture Setup;
+    cr_assert_not(
+        Setup.Codec.decodeServer("servers/i-7",
+                                 replaced(Server, "10.128.0.9:8080", Address),
+                                 Setup.Report),
+        "%s", Address);
+    Fixture Vm;
+    cr_assert_not(Vm.Codec.decodeVm("jujubecart/vms/x",
+                                    std::string("{\"address\":\"") + Address +
+                                        "\",\"zone\":\"a\","
+                                        "\"region\":\"r\"}",
+                                    Vm.Report),
+                  "%s", Address);
+  }
+}
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/platform/store_client.hpp>
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace jujubecart;
@@ -154,3 +155,26 @@
   cr_assert_eq(Changed.remove().error(), Error::Conflict);
   cr_assert_eq(Sent, R"({"expect":[{"key":"k","revision":7}],"remove":["k"]})");
 }
+
+// Guards against a VM that stops following the store because one item of a
+// response is odd: nested very deeply, or with a number that is too large.
+Test(StoreClient, odd_item_does_not_hide_the_others) {
+  constexpr std::size_t Depth = 200000;
+  const std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  for (const std::string &Odd :
+       {"{\"value\":" + Nested + "}", "{\"key\":" + Nested + "}", Nested,
+        std::string("{\"key\":\"servers/x\",\"value\":7,"
+                    "\"revision\":99999999999999999999999}")}) {
+    Fixture Setup(respondWith(
+        200, "{\"events\":[" + Odd +
+                 ",{\"key\":\"a\",\"value\":\"eA==\",\"revision\":9}],"
+                 "\"as-of\":9}"));
+    const auto Changed = Setup.changes(8);
+    cr_assert(Changed.has_value());
+    cr_assert(std::any_of(Changed->Entries.begin(), Changed->Entries.end(),
+                          [](const core::StoredEntry &Entry) {
+                            return Entry.Key == "a" && Entry.Value == "x";
+                          }));
+    cr_assert_eq(Changed->AsOf, 9);
+  }
+}
--- a/tests/store/directory_feed_test.cpp
+++ b/tests/store/directory_feed_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
 #include <deque>
+#include <zlib.h>
 
 using namespace jujubecart;
 using namespace std::chrono_literals;
@@ -509,3 +510,18 @@
   List.Entries = {{.Key = "k", .Value = std::string(20 << 20, 'x')}};
   cr_assert_not(store::decodeSnapshot(store::encodeSnapshot(List)));
 }
+
+// Guards against a process that ends because another writer left a snapshot
+// that is nested very deeply.
+Test(DirectorySnapshot, deeply_nested_snapshot_is_not_decoded) {
+  constexpr char ArrayOfOne = '\x81';
+  const std::string Nested(4 << 20, ArrayOfOne);
+  uLongf Size = compressBound(Nested.size());
+  std::string Value(Size, '\0');
+  cr_assert_eq(compress(reinterpret_cast<Bytef *>(Value.data()), &Size,
+                        reinterpret_cast<const Bytef *>(Nested.data()),
+                        Nested.size()),
+               Z_OK);
+  Value.resize(Size);
+  cr_assert_not(store::decodeSnapshot(Value));
+}
