Send nothing to a server that leaves or wants quiet

A server that leaves says so in its responses, and one that rejects a request with 503 may state for how long it wants nothing from that VM; nothing read either on the platform's path.

Change: ServerStatements (before: StatedLimits) keeps what servers stated to this VM, by process, and the VM excludes such servers from each request for a slot, so that it holds with every dispatcher, with one that was never told and with none. The dispatcher that gets the result stops using a server that leaves. An excluded server that is inactive no longer makes a call count as a retry, or no ejected server would get a trial call while another one leaves.

Tests, without counterpart before: leaving_and_quiet_servers_are_recognized, server_that_leaves_gets_nothing_from_any_dispatcher, quiet_server_gets_nothing_from_this_vm_until_the_time_ends.

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -231,6 +231,8 @@
     return fail(core::Error::Malformed);
   Report.Load = Traits.Load;
   Report.Limit = Traits.Limit;
+  if (Traits.RetryAfter)
+    Report.QuietUntil = Time.now() + *Traits.RetryAfter;
   Report.Draining = Traits.Draining;
   Report.OtherInstance = Traits.OtherInstance;
   Connection->ReportsLoad = Traits.Load.has_value();
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -53,6 +53,8 @@
   /// Required header fields are missing.
   bool Invalid = false;
   std::optional<LoadReport> Load;
+  /// Time for which the server wants no requests of this VM.
+  std::optional<std::chrono::milliseconds> RetryAfter;
   /// Empty if the server states no valid limit.
   std::optional<RateLimit> Limit;
 };
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -95,6 +95,9 @@
   /// Rate limit that the response stated. A response without one states that
   /// there is none.
   std::optional<RateLimit> Limit;
+  /// The server wants no requests of this VM before this time. Not passed on to
+  /// the dispatcher.
+  std::optional<TimePoint> QuietUntil;
 
   friend bool operator==(const CallReport &, const CallReport &) = default;
 };
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -246,6 +246,12 @@
   const double ExpectedUs = Work.expectedServiceTimeUs(Call, Now);
   const double Value = Aim == Goal::Objective ? 1 : LateCallValue;
   const core::TimePoint LatestEnd = latestEnd(Call, Aim);
+  // Servers that leave are excluded from first attempts, too.
+  const bool Retry = std::any_of(
+      Call.Excluded.begin(), Call.Excluded.end(), [&](const std::string &Id) {
+        const auto Excluded = find(Id);
+        return Excluded && Servers[*Excluded].active();
+      });
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
     if (!usable(Server, Now) || Call.excludes(Server.Config.Id) ||
@@ -264,7 +270,7 @@
     // limit a call that shows whether it still applies. It should not be a
     // retry, so the score is reduced for calls with excluded servers.
     if (Trial)
-      Score = Call.Excluded.empty() ? Value * InTime : Score / 2;
+      Score = Retry ? Score / 2 : Value * InTime;
     // Tie-breaker: prefers servers with fewer calls per slot.
     Score -= Value * 0.01 * Server.inFlight() / Server.slots();
     if (!Best || Score > Best->Score)
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -13,7 +13,7 @@
 namespace jujubecart::peers {
 
 namespace internal {
-class StatedLimits;
+class ServerStatements;
 } // namespace internal
 
 /// @brief Acquires slots from the dispatcher of a group. If the dispatcher is
@@ -89,6 +89,8 @@
   /// @return Whether a dispatcher that answers counts the call; call with Mutex
   /// held.
   [[nodiscard]] bool isTracked(const HeldGrant &Item) const;
+  /// @brief Excludes servers that leave or want no requests now.
+  void excludeAvoidedServers(core::SlotRequest &Request);
   [[nodiscard]] std::vector<decision::StatedLimit>
   statedLimits(const GroupEntry &Entry);
   [[nodiscard]] core::SlotGrant recordGrant(HeldGrant Item,
@@ -127,7 +129,7 @@
   View CurrentView;
   decision::GroupChoice Choice;
   /// Guarded by Mutex.
-  const std::unique_ptr<internal::StatedLimits> Limits;
+  const std::unique_ptr<internal::ServerStatements> Statements;
 };
 
 } // namespace jujubecart::peers
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -1,5 +1,5 @@
 #include "broker_state.hpp"
-#include "stated_limits.hpp"
+#include "server_statements.hpp"
 #include "timer.hpp"
 
 #include <algorithm>
@@ -31,12 +31,13 @@
       Timer(internal::makeSerialTimer(Executor)),
       Choice(Env.Members.self().Id,
              static_cast<std::uint32_t>(Env.Links.options().RandomSeed) + 1),
-      Limits(std::make_unique<internal::StatedLimits>()) {}
+      Statements(std::make_unique<internal::ServerStatements>()) {}
 
 RemoteBroker::~RemoteBroker() = default;
 
 core::Awaitable<core::Result<core::SlotGrant>>
 RemoteBroker::acquire(core::SlotRequest Request) {
+  excludeAvoidedServers(Request);
   GroupPtr Entry = chooseGroup(Request);
   if (!Entry)
     co_return core::make_error_code(core::Error::NotFound);
@@ -257,10 +258,22 @@
   return recordGrant(std::move(Item), *Grant);
 }
 
+// This VM remembers by itself what servers stated to it, so that it holds with
+// every dispatcher, also with one that was never told, and without any.
+void RemoteBroker::excludeAvoidedServers(core::SlotRequest &Request) {
+  const GroupDirectory::Index Index = Env.Groups.current();
+  const auto Found = Index->ByService.find(Request.Service);
+  if (Found == Index->ByService.end())
+    return;
+  const std::lock_guard Lock(Mutex);
+  for (const GroupPtr &Entry : Found->second)
+    Statements->appendAvoided(*Entry, Env.Time.now(), Request.Excluded);
+}
+
 std::vector<decision::StatedLimit>
 RemoteBroker::statedLimits(const GroupEntry &Entry) {
   const std::lock_guard Lock(Mutex);
-  return Limits->collect(Entry, Env.Time.now());
+  return Statements->limits(Entry, Env.Time.now());
 }
 
 core::SlotGrant RemoteBroker::recordGrant(HeldGrant Item,
@@ -281,7 +294,7 @@
       return;
     Item = std::move(Found->second);
     Grants.erase(Found);
-    Limits->record(Grant.Server, Report, Env.Time.now());
+    Statements->record(Grant.Server, Report, Env.Time.now());
   }
   if (Item.Local)
     Env.Fallback.release(*Item.Local, Report);
--- a/tests/peers/dispatch_test.cpp
+++ b/tests/peers/dispatch_test.cpp
@@ -322,6 +322,61 @@
   cr_assert_neq(Granted->Server.Id, Limited);
 }
 
+// Guards against requests to a server that has told this VM that it leaves,
+// from a dispatcher that was not told and from none.
+Test(Dispatch, server_that_leaves_gets_nothing_from_any_dispatcher) {
+  Cluster Fleet(2);
+  Vm &Requester = Fleet.third();
+  const auto Held = Fleet.acquireSlots(Requester, 2);
+  const std::string Leaving = Held.front().Server.Id;
+  core::CallReport Report = CompletedReport;
+  Report.Draining = true;
+  Requester.Node.broker().release(Held.front(), Report);
+  const auto ExpectOther = [&](core::SlotRequest Request) {
+    const auto Granted = Requester.acquire(std::move(Request));
+    cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
+    cr_assert_neq(Granted->Server.Id, Leaving);
+  };
+  ExpectOther(Cluster::request());
+  Fleet.dispatcher().kill();
+  ExpectOther(Cluster::orderRequest(1));
+  Fleet.second().kill();
+  ExpectOther(Cluster::request());
+  // A new process under the same id is free again.
+  core::ServiceConfig Service = *Requester.Config.current()->find("tags");
+  for (core::BackendServer &Server : Service.Servers)
+    if (Server.Id == Leaving)
+      Server.Incarnation = 2;
+    else
+      Server.State = core::ServerState::Draining;
+  cr_assert(Requester.Config.apply(std::make_shared<core::ConfigSnapshot>(
+      2, core::ConfigSnapshot::ServiceMap{
+             {"tags", std::make_shared<core::ServiceEntry>(
+                          core::ServiceEntry{2, Service})}})));
+  cr_assert(eventually(
+      [&] { return Requester.acquire(Cluster::request()).has_value(); }));
+}
+
+// Guards against requests to a server that wants none of this VM for a time,
+// against other VMs that avoid it too, and against one that is avoided for good
+// or that calls wait for.
+Test(Dispatch, quiet_server_gets_nothing_from_this_vm_until_the_time_ends) {
+  Cluster Fleet(1);
+  Vm &Requester = Fleet.third();
+  const auto Held = Fleet.acquireSlots(Requester, 1);
+  core::CallReport Report{.Outcome = core::CallOutcome::Rejected};
+  const core::TimePoint Until = std::chrono::steady_clock::now() + 1s;
+  Report.QuietUntil = Until;
+  Requester.Node.broker().release(Held.front(), Report);
+  const auto Refused = Requester.acquire(Cluster::request());
+  cr_assert(std::chrono::steady_clock::now() < Until - 500ms);
+  cr_assert(Refused.error() == core::Error::Unavailable);
+  const auto Other = Fleet.second().acquire(Cluster::request());
+  cr_assert(Other.has_value());
+  std::this_thread::sleep_until(Until);
+  cr_assert(Requester.acquire(Cluster::request()).has_value());
+}
+
 // Guards against an order that runs twice: two VMs with different member lists
 // each act as dispatcher and grant the same key to two requests.
 Test(Dispatch, two_dispatchers_grant_order_key_once) {
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -117,10 +117,12 @@
 Test(PlatformExchange, rejection_by_the_server_is_reported_as_not_run) {
   Fixture Setup(
       respondWith(response("503 Service Unavailable", "",
-                           "Not-Executed: 1\r\nUpstream-Load: 2,4,2,400\r\n")));
+                           "Not-Executed: 1\r\nUpstream-Load: 2,4,2,400\r\n"
+                           "Retry-After: 60\r\n")));
   Setup.run();
   cr_assert(Setup.Report.Outcome == core::CallOutcome::Rejected);
   cr_assert_eq(Setup.Report.Load->PacePercent, 400);
+  cr_assert(Setup.Report.QuietUntil > Setup.Time.now() + 59s);
 }
 
 // Guards against missing that another process now has the server's address
--- a/tests/platform/http_profile_test.cpp
+++ b/tests/platform/http_profile_test.cpp
@@ -132,6 +132,26 @@
   cr_assert(Out.empty());
 }
 
+// Guards against requests to a server that leaves or wants none for a time, and
+// against an odd value that blocks a server.
+Test(PlatformHttpProfile, leaving_and_quiet_servers_are_recognized) {
+  Fixture Setup;
+  cr_assert(Setup.response(200, {{"Server-Leaving", "1"}}).Draining);
+  for (const char *Text : {"", "0", "yes", "11"})
+    cr_assert_not(Setup.response(200, {{"Server-Leaving", Text}}).Draining);
+  const auto QuietFor = [&](unsigned Status, const char *Text) {
+    return Setup.response(Status, {{"Retry-After", Text}}).RetryAfter;
+  };
+  cr_assert(QuietFor(503, "2") == 2000ms);
+  cr_assert(QuietFor(503, "0.25") == 250ms);
+  cr_assert(QuietFor(503, "99999999999999999999") == 10min);
+  for (const char *Text :
+       {"", "-1", "nan", "1e3", "soon", "Fri, 31 Dec 1999 23:59:59 GMT"})
+    cr_assert_not(QuietFor(503, Text), "%s", Text);
+  cr_assert_not(QuietFor(200, "2"));
+  cr_assert_not(QuietFor(429, "2"));
+}
+
 // Guards against a stated rate limit that is ignored, and against a malformed
 // one that stops the traffic to a server.
 Test(PlatformHttpProfile, rate_limit_of_a_server_is_read) {
