--- a/tests/decision/rate_limit_test.cpp
+++ b/tests/decision/rate_limit_test.cpp
@@ -197,6 +197,16 @@
   std::vector<std::chrono::milliseconds> RetryAfter;
 };
 
+/// @brief Expects that no server got more than its limit allows.
+/// @param Stated When the server first stated it.
+void expectWithin(RateLimitFixture &Setup, const std::string &Server,
+                  core::RateLimit Limit, core::TimePoint Stated) {
+  const auto Most =
+      static_cast<double>(Setup.mostInWindow(Server, Stated + SettlingTime));
+  cr_expect_leq(Most, allowedIn(Limit), "%g requests in 4 s at %u", Most,
+                Limit.MilliPerS);
+}
+
 constexpr std::array Profiles{core::PolicyProfile::Objective,
                               core::PolicyProfile::Tail};
 
@@ -213,10 +223,7 @@
       Setup.Limits["0"] = Limit;
       const core::TimePoint Stated = Setup.Now;
       Setup.run(20s, 15);
-      const auto Most =
-          static_cast<double>(Setup.mostInWindow("0", Stated + SettlingTime));
-      cr_expect_leq(Most, allowedIn(Limit), "%g requests in 4 s at %u", Most,
-                    MilliPerS);
+      expectWithin(Setup, "0", Limit, Stated);
       cr_expect_leq(Setup.RejectionWaits.size(), 3);
     }
 }
@@ -253,9 +260,7 @@
     Setup.RetryAfter.clear();
     Setup.run(16s, 15);
     for (const core::BackendServer &Server : Setup.Group.Servers)
-      cr_expect_leq(static_cast<double>(
-                        Setup.mostInWindow(Server.Id, Stated + SettlingTime)),
-                    allowedIn({.MilliPerS = 1300}));
+      expectWithin(Setup, Server.Id, {.MilliPerS = 1300}, Stated);
     cr_assert_geq(Setup.RejectionWaits.size(), 100);
     const auto Prompt = std::count_if(
         Setup.RejectionWaits.begin(), Setup.RejectionWaits.end(),
@@ -284,10 +289,7 @@
       Setup.Limits["0"] = Limit;
       const core::TimePoint Stated = Setup.Now;
       Setup.run(20s, 30);
-      const auto Most =
-          static_cast<double>(Setup.mostInWindow("0", Stated + SettlingTime));
-      cr_expect_leq(Most, allowedIn(Limit), "%g requests in 4 s at %u", Most,
-                    MilliPerS);
+      expectWithin(Setup, "0", Limit, Stated);
     }
 }
 
@@ -307,10 +309,7 @@
         ++Setup.Active;
         Setup.run(900ms, 15);
       }
-      const auto Most =
-          static_cast<double>(Setup.mostInWindow("0", Stated + SettlingTime));
-      cr_expect_leq(Most, allowedIn(Limit), "%g requests in 4 s at %u", Most,
-                    MilliPerS);
+      expectWithin(Setup, "0", Limit, Stated);
     }
 }
 
