--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -214,10 +214,19 @@
         self.free = asyncio.Semaphore(slots)
         self.runs = {}
         self.port = 0
+        self.server = None
+        self.writers = set()
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, self.ip, 0, limit=1 << 20)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, self.ip, 0, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def exit(self):
+        """Ends like a process: the listener and all connections close."""
+        self.record.add("exited", upstream=self.id)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     def entry(self, state="ready"):
         return json.dumps({
@@ -250,6 +259,7 @@
 
     async def serve(self, reader, writer):
         machine = writer.get_extra_info("peername")[0]
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError,
                                  asyncio.CancelledError):
             while (head := await read_head(reader)) is not None:
@@ -265,6 +275,7 @@
                     break
                 writer.write(answer)
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
     async def handle(self, request, reader):
