--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -545,10 +545,12 @@
 
 async def end_tasks():
     """Ends what still serves connections, so that the loop closes cleanly."""
+    await asyncio.sleep(0.1)
     others = asyncio.all_tasks() - {asyncio.current_task()}
     for task in others:
         task.cancel()
     await asyncio.gather(*others, return_exceptions=True)
+    await asyncio.sleep(0.1)
 
 
 def run_case(folder, case):
@@ -571,6 +573,8 @@
                         with open(entry.log, "rb") as src, open(target, "wb") as out:
                             out.write(src.read())
 
+    # SIGTERM ends the run like Ctrl-C, with the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(whole())
         code = 1 if broken else 0
