Refuse requests that wait for a slot when their VM stops

Callers saw: a VM that was stopped under load read lookups, let them wait for a slot, and reset their connections 5.6 s after SIGTERM without an answer.

Cause: a stop had one instant, the cut-off, and it reset all requests alike. Nothing ended the wait for a slot in time for a true refusal.

Change: the server tells its requests the schedule of the stop (StopSchedule). BackendRequest::MaySend holds that until the first byte is written. A request on which a backend server works goes on; one that may have run is answered 502; a response kept from an earlier attempt is delivered. An unused slot is returned as Withheld, which tells nothing about its server. A connection that lingers is closed, not reset.

Why it works: the time that is left, not the cut-off, decides whether a request waits, is sent or is refused, so no request is left unsent at the cut-off.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -255,8 +255,9 @@
   const core::TimePoint Deadline = Time.now() + shutdownTimeout(Settings);
   // The platform's load balancer opens new connections until two of its
   // readiness checks have failed.
-  Callers.drain();
-  co_await Sleeper.sleepUntil(Time.now() + leaveDuration(Settings));
+  const core::TimePoint LeaveAt = Time.now() + leaveDuration(Settings);
+  Callers.drain({.LeaveAt = LeaveAt, .CutOffAt = Deadline});
+  co_await Sleeper.sleepUntil(LeaveAt);
   const callers::StopReport Report = co_await Callers.stop(Deadline);
   for (const callers::CutOffRequest &Request : Report.CutOff)
     core::LogLine(core::LogLevel::Error, "request.cut_off")
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -117,6 +117,12 @@
 
 core::Awaitable<bool> Exchange::write(std::string_view Prefix,
                                       std::span<const char> Data) {
+  // Waiting for a connection or for the caller's body takes time, in which the
+  // server or this VM may have stopped taking requests.
+  if (!MaybeSent && Request->MaySend && !Request->MaySend()) {
+    Withheld = true;
+    co_return false;
+  }
   const bool Chunked =
       Request->Body == core::BackendRequest::Framing::Chunked && !Data.empty();
   const std::string Size = Chunked ? chunkHeader(Data.size()) : std::string();
@@ -313,7 +319,8 @@
   else if (Complete)
     Out.Outcome = core::CallOutcome::Completed;
   else if (!MaybeSent)
-    Out.Outcome = core::CallOutcome::NotSent;
+    Out.Outcome =
+        Withheld ? core::CallOutcome::Withheld : core::CallOutcome::NotSent;
   else if (Aborted == core::AbortReason::TimedOut)
     Out.Outcome = core::CallOutcome::TimedOut;
   else if (Aborted || BodySourceFailed)
--- a/packages/backends/src/exchange.hpp
+++ b/packages/backends/src/exchange.hpp
@@ -85,6 +85,8 @@
   std::optional<core::AbortReason> Aborted;
   /// Bytes of the request may have reached the server.
   bool MaybeSent = false;
+  /// Nothing was sent because Request->MaySend forbade it.
+  bool Withheld = false;
   /// The whole request was sent.
   bool RequestComplete = false;
   /// The body of the request could not be read from its source.
--- a/packages/callers/include/jujubecart/callers.hpp
+++ b/packages/callers/include/jujubecart/callers.hpp
@@ -4,5 +4,6 @@
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/callers/server_counters.hpp>
 #include <jujubecart/callers/server_options.hpp>
+#include <jujubecart/callers/stop_schedule.hpp>
 
 #endif
--- a/packages/callers/include/jujubecart/callers/fwd.hpp
+++ b/packages/callers/include/jujubecart/callers/fwd.hpp
@@ -10,6 +10,7 @@
 struct ServerDependencies;
 struct ServerOptions;
 struct StopReport;
+struct StopSchedule;
 
 } // namespace jujubecart::callers
 
--- a/packages/callers/include/jujubecart/callers/server.hpp
+++ b/packages/callers/include/jujubecart/callers/server.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/callers/server_counters.hpp>
 #include <jujubecart/callers/server_options.hpp>
+#include <jujubecart/callers/stop_schedule.hpp>
 #include <jujubecart/core/awaitable.hpp>
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/fwd.hpp>
@@ -75,11 +76,14 @@
   /// @brief Port that the server listens on; 0 before listen() succeeded.
   [[nodiscard]] std::uint16_t port() const noexcept;
 
-  /// @brief Sends `Connection: close` with every further response; new
-  /// connections are still accepted and served.
-  void drain() noexcept;
+  /// @brief Sends `Connection: close` with every further response, and refuses
+  /// requests that cannot be answered before the cut-off; new connections are
+  /// still accepted and served.
+  void drain(const StopSchedule &Schedule);
 
   /// @brief Stops accepting connections and waits for the requests in flight.
+  /// Those that wait for a slot are refused once they can no longer be answered
+  /// before the deadline.
   /// @param Deadline When the connections of the remaining requests are reset.
   [[nodiscard]] core::Awaitable<StopReport> stop(core::TimePoint Deadline);
 
--- a/packages/callers/include/jujubecart/callers/server_counters.hpp
+++ b/packages/callers/include/jujubecart/callers/server_counters.hpp
@@ -26,14 +26,16 @@
   DeadlineExceeded,
   /// A backend server may have run the request, but no valid response came.
   BadResponse,
-  /// The caller closed its connection, or the server stopped.
+  /// The caller closed its connection, or the request was cut off by a stop.
   CallerGone,
   /// Too many open connections.
   ConnectionLimit,
+  /// The server stops before the request could be answered.
+  Stopping,
 };
 
 /// Number of RejectReason values.
-constexpr std::size_t RejectReasonCount = 12;
+constexpr std::size_t RejectReasonCount = 13;
 
 /// @brief Name of a reason in metric labels and timeline events.
 [[nodiscard]] std::string_view toString(RejectReason Reason) noexcept;
--- a/packages/callers/src/attempt.hpp
+++ b/packages/callers/src/attempt.hpp
@@ -31,10 +31,10 @@
     Broker.release(Grant, report());
   }
 
-  /// @brief Outcome so far; NotSent before the exchange was created.
+  /// @brief Outcome so far; Withheld before the exchange was created.
   [[nodiscard]] core::CallReport report() const noexcept {
     return Exchange ? Exchange->report()
-                    : core::CallReport{.Outcome = core::CallOutcome::NotSent};
+                    : core::CallReport{.Outcome = core::CallOutcome::Withheld};
   }
 
   /// @brief Whether there is a response that can be relayed to the caller.
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -127,6 +127,9 @@
     return Rejection{.Status = Route == nullptr ? 504U : 503U,
                      .Reason = RejectReason::DeadlineExceeded,
                      .Text = "deadline passed on arrival"};
+  updateSendBy();
+  if (sendByPassed())
+    return stopRejection();
   return std::nullopt;
 }
 
@@ -139,7 +142,8 @@
       co_return false;
     CurrentPhase = Phase::Reading;
   }
-  Link.setTimeoutAt(std::min(Deadline, Time.now() + State.Options.BodyTimeout));
+  ReadUntil = std::min(Deadline, Time.now() + State.Options.BodyTimeout);
+  armTimeout();
   if (co_await Body.prefetch(State.Options.MaxBufferedBodyBytes,
                              State.Options.MaxBufferedUploadBytes))
     co_return true;
@@ -197,16 +201,11 @@
   State.Counters.countRejected(Cause.Reason);
   State.recordEvent("call.rejected", Request.Id, {}, toString(Cause.Reason),
                     Key ? Key->High : 0);
-  milliseconds RetryAfter = State.Options.RetryAfter;
-  if (Hint && Hint->RetryAt)
-    RetryAfter = std::max(milliseconds(0),
-                          std::chrono::ceil<milliseconds>(
-                              *Hint->RetryAt - State.Dependencies.Time.now()));
   const std::string Response =
       serializeLocalResponse({.Refusal = {.Id = Request.Id,
                                           .Status = Cause.Status,
                                           .NotRun = NotRun,
-                                          .RetryAfter = RetryAfter},
+                                          .RetryAfter = retryAfter(Cause)},
                               .Close = !Keep,
                               .IsHead = Request.isHead(),
                               .Http10 = Request.Http10,
@@ -224,10 +223,7 @@
     Link.cancelRead();
     return;
   case Phase::Attempting:
-    if (State.Dependencies.Time.now() < Deadline)
-      onAttemptTimeout();
-    else
-      cancelAttempts(CancelReason::TimedOut);
+    onAttemptingTimeout();
     return;
   case Phase::Writing:
     Link.reset();
@@ -235,12 +231,26 @@
   }
 }
 
+void Call::onAttemptingTimeout() {
+  const core::TimePoint Now = State.Dependencies.Time.now();
+  if (Now >= Deadline)
+    return cancelAttempts(CancelReason::TimedOut);
+  if (sendByPassed() && waitsForSlot())
+    return endSlotWait();
+  if (Now >= AttemptTimeoutAt)
+    return onAttemptTimeout();
+  armTimeout();
+}
+
 void Call::onCallerClosed() {
   if (CurrentPhase == Phase::Attempting)
     cancelAttempts(CancelReason::CallerGone);
 }
 
 void Call::onCutOff() {
+  if (Service != nullptr && CurrentPhase != Phase::Writing &&
+      !sentAttemptPending())
+    return cancelAttempts(CancelReason::Stopping);
   cancelAttempts(CancelReason::CutOff);
   Link.reset();
 }
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -37,12 +37,21 @@
 
   void onTimeout() override;
   void onCallerClosed() override;
+  void onStop() override;
   void onCutOff() override;
 
 private:
   /// What the call waits for, which decides how a timeout is handled.
   enum class Phase : std::uint8_t { Reading, Attempting, Writing };
-  enum class CancelReason : std::uint8_t { None, TimedOut, CallerGone, CutOff };
+  enum class CancelReason : std::uint8_t {
+    None,
+    TimedOut,
+    CallerGone,
+    /// The server stops and no backend server works on the request.
+    Stopping,
+    /// The server stops although a backend server may work on the request.
+    CutOff,
+  };
   using AttemptPtr = std::shared_ptr<Attempt>;
 
   // call.cpp: reading, validating and rejecting the request.
@@ -73,6 +82,7 @@
   [[nodiscard]] core::Awaitable<AttemptPtr> runNextAttempt();
   [[nodiscard]] bool tryTakeRetry(core::CallOutcome Outcome);
   [[nodiscard]] bool allowsAnotherAttempt() const;
+  void onAttemptingTimeout();
   void onAttemptTimeout();
 
   // call_hedge.cpp: hedging with two concurrent attempts.
@@ -84,9 +94,25 @@
   void logHedge(const Attempt &First) const;
   void startAttempt(const AttemptPtr &Current, boost::asio::steady_timer &Wake);
 
+  // call_stop.cpp: ending in time when the server stops.
+  void updateSendBy();
+  /// Longest time that a response to such a request is expected to take.
+  [[nodiscard]] std::chrono::microseconds expectedTime() const;
+  [[nodiscard]] std::uint64_t workClass() const;
+  [[nodiscard]] bool sendByPassed() const;
+  [[nodiscard]] bool waitsForSlot() const;
+  /// Whether a backend server may be working on the request.
+  [[nodiscard]] bool sentAttemptPending() const;
+  void endSlotWait();
+  [[nodiscard]] Rejection stopRejection() const;
+  [[nodiscard]] std::chrono::milliseconds
+  retryAfter(const Rejection &Cause) const;
+
   // call_attempts.cpp: failure and cancellation.
   [[nodiscard]] core::Awaitable<bool> answerFailure(AttemptPtr Last);
   [[nodiscard]] Rejection rejectionFor(const Attempt &Last) const;
+  /// Sets the timeout of the connection for the current phase.
+  void armTimeout();
   void cancelAttempts(CancelReason Reason);
   void releaseUnusedClaim() noexcept;
 
@@ -114,6 +140,12 @@
   std::optional<core::OrderKey> Key;
   core::TimePoint Arrival;
   core::TimePoint Deadline;
+  /// Until when the part of the body that is read before a slot is acquired
+  /// must have arrived.
+  core::TimePoint ReadUntil = core::TimePoint::max();
+  /// Latest instant at which the request may be sent to a backend server,
+  /// because the server stops; max if that does not matter.
+  core::TimePoint SendBy = core::TimePoint::max();
   /// When a pending attempt of an idempotent request without a route is aborted
   /// and retried on another backend server; max if it is not.
   core::TimePoint AttemptTimeoutAt = core::TimePoint::max();
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -28,9 +28,12 @@
                         .Excluded = ExcludedServers,
                         .Objective = Objective,
                         .Hint = Hint};
+  // Lets the dispatcher refuse a request at once that it cannot serve in time.
+  if (const auto Schedule = State.schedule())
+    Out.Deadline = std::min(Out.Deadline, Schedule->CutOffAt);
   if (Route != nullptr) {
     Out.Priority = Route->Priority;
-    Out.WorkClass = core::hash64(Route->Name);
+    Out.WorkClass = workClass();
   }
   return Out;
 }
@@ -42,7 +45,8 @@
                            .Body = Request.Body,
                            .IsHead = Request.isHead(),
                            .IsOrder = !idempotent(),
-                           .CallerRequestId = Request.Traits.CallerRequestId});
+                           .CallerRequestId = Request.Traits.CallerRequestId,
+                           .MaySend = [this] { return !sendByPassed(); }});
   State.Dependencies.Profile.writeRequest(Out->Head,
                                           {.Id = Request.Id,
                                            .Traits = Request.Traits,
@@ -62,7 +66,7 @@
   ForwardedHead = serializeForwardedHead(Link.reader().message(), Request,
                                          State.Dependencies.Profile);
   CurrentPhase = Phase::Attempting;
-  Link.setTimeoutAt(Deadline);
+  armTimeout();
   if (Body.fullyBuffered())
     Link.watchForClose();
   while (true) {
@@ -112,6 +116,11 @@
 
 core::Awaitable<void> Call::runAttempt(AttemptPtr Current) {
   const core::Clock &Time = State.Dependencies.Time;
+  if (sendByPassed()) {
+    Current->Failure = core::make_error_code(core::Error::Cancelled);
+    co_return;
+  }
+  armTimeout();
   ClaimRequested = Key.has_value();
   auto Grant = co_await State.Dependencies.Broker.acquire(slotRequest());
   if (!Grant) {
@@ -124,7 +133,7 @@
   Current->Granted = true;
   if (GrantWake != nullptr)
     GrantWake->cancel();
-  if (CancelledBy != CancelReason::None || Current->Aborted) {
+  if (CancelledBy != CancelReason::None || Current->Aborted || sendByPassed()) {
     Current->Failure = core::make_error_code(core::Error::Cancelled);
     co_return;
   }
@@ -134,7 +143,7 @@
   ++State.Counters.Attempts;
   if (Route == nullptr && idempotent() && allowsAnotherAttempt()) {
     AttemptTimeoutAt = Time.now() + (Deadline - Time.now()) / 2;
-    Link.setTimeoutAt(AttemptTimeoutAt);
+    armTimeout();
   }
   State.recordEvent("call.sent", Request.Id, Current->Grant.Server.Id);
   Current->Exchange = State.Dependencies.Backends.prepare(
@@ -174,6 +183,7 @@
 bool Call::allowsAnotherAttempt() const {
   return CancelledBy == CancelReason::None && Request.Traits.Depth == 0 &&
          AttemptsSent < MaxAttempts && Body.replayable() && !Body.failed() &&
+         !sendByPassed() &&
          State.Dependencies.Time.now() + State.Options.MinRetryTime < Deadline;
 }
 
@@ -183,7 +193,8 @@
   if (!allowsAnotherAttempt() || (!idempotent() && MayHaveRun))
     return false;
   // Nothing arrived at a backend server, so no token is taken.
-  if (Route != nullptr && Outcome == core::CallOutcome::NotSent)
+  if (Route != nullptr && (Outcome == core::CallOutcome::NotSent ||
+                           Outcome == core::CallOutcome::Withheld))
     return ExcludedServers.size() < MaxUnsentAttempts;
   return std::exchange(RetryReserved, false) ||
          State.Dependencies.Retries.tryTake(Service->Name);
@@ -196,7 +207,7 @@
   const bool Pending =
       std::exchange(AttemptTimeoutAt, core::TimePoint::max()) !=
       core::TimePoint::max();
-  Link.setTimeoutAt(Deadline);
+  armTimeout();
   if (!Pending || ActiveAttempts.size() != 1 || !allowsAnotherAttempt() ||
       !State.Dependencies.Retries.tryTake(Service->Name))
     return;
@@ -204,6 +215,17 @@
   ActiveAttempts.front()->abort(core::AbortReason::TimedOut);
 }
 
+void Call::armTimeout() {
+  core::TimePoint At = std::min(Deadline, AttemptTimeoutAt);
+  if (CurrentPhase == Phase::Reading)
+    At = ReadUntil;
+  const bool NotSentYet = CurrentPhase == Phase::Reading || waitsForSlot() ||
+                          ActiveAttempts.empty();
+  if (NotSentYet && !sendByPassed())
+    At = std::min(At, SendBy);
+  Link.setTimeoutAt(At);
+}
+
 void Call::cancelAttempts(CancelReason Reason) {
   if (CancelledBy != CancelReason::None)
     return;
@@ -227,8 +249,11 @@
 
 core::Awaitable<bool> Call::answerFailure(AttemptPtr Last) {
   releaseUnusedClaim();
-  if (FallbackAttempt && CancelledBy == CancelReason::None)
+  if (FallbackAttempt && (CancelledBy == CancelReason::None ||
+                          CancelledBy == CancelReason::Stopping)) {
+    CancelledBy = CancelReason::None;
     co_return co_await relay(FallbackAttempt);
+  }
   const bool BodyLost = Body.failed() && CancelledBy == CancelReason::None &&
                         !Link.reader().limitExceeded() && !Body.malformed();
   if (BodyLost || CancelledBy == CancelReason::CallerGone ||
@@ -249,6 +274,10 @@
     return {413, RejectReason::TooLarge, "request body too large"};
   if (Body.malformed())
     return {400, RejectReason::Malformed, "malformed request body"};
+  const core::CallOutcome Outcome = Last.report().Outcome;
+  if ((CancelledBy == CancelReason::Stopping || sendByPassed()) &&
+      !MayHaveRun && !KeyAlreadyUsed && core::certainlyNotRun(Outcome))
+    return stopRejection();
   if (CancelledBy == CancelReason::TimedOut &&
       State.Dependencies.Time.now() < Deadline)
     return {408, RejectReason::Slow, "request body not received in time"};
@@ -265,7 +294,6 @@
             "no backend server left for another attempt"};
   if (!Last.Granted && Last.Failure == Overloaded)
     return {503, RejectReason::Overloaded, "overloaded"};
-  const core::CallOutcome Outcome = Last.report().Outcome;
   if (MayHaveRun && core::certainlyNotRun(Outcome))
     return {502, RejectReason::BadResponse,
             "an earlier attempt may have been run"};
--- a/packages/callers/src/caller_link.cpp
+++ b/packages/callers/src/caller_link.cpp
@@ -18,6 +18,8 @@
 // connection, which can destroy the response before the caller has read it.
 constexpr int MaxLingerReads = 64;
 constexpr std::chrono::seconds MaxLingerTime{1};
+// After the cut-off of a stop the process must end soon.
+constexpr std::chrono::milliseconds MaxLingerTimeAtStop{200};
 
 std::uint64_t hashCallerAddress(const tcp::socket &Socket) {
   boost::system::error_code Code;
@@ -104,7 +106,8 @@
   boost::system::error_code Failed;
   Socket.shutdown(tcp::socket::shutdown_send, Failed);
   TimedOut = false;
-  setTimeoutAt(State->Dependencies.Time.now() + MaxLingerTime);
+  setTimeoutAt(State->Dependencies.Time.now() +
+               (CutOff ? MaxLingerTimeAtStop : MaxLingerTime));
   std::array<char, 4096> Dropped{};
   for (int Count = 0; Count < MaxLingerReads && !Failed && !TimedOut; ++Count) {
     const auto [Code, Size] = co_await Socket.async_read_some(
@@ -196,12 +199,18 @@
     cancelRead();
 }
 
+void CallerLink::beginStop() noexcept {
+  if (Listener != nullptr)
+    Listener->onStop();
+}
+
 void CallerLink::cutOff() noexcept {
   CutOff = true;
   if (Listener != nullptr)
-    Listener->onCutOff();
-  else
-    reset();
+    return Listener->onCutOff();
+  // A reset could destroy the last response before the caller has read it.
+  boost::system::error_code Ignored;
+  Socket.close(Ignored);
 }
 
 void CallerLink::setInFlight(std::optional<InFlightRequest> Request) {
--- a/packages/callers/src/caller_link.hpp
+++ b/packages/callers/src/caller_link.hpp
@@ -25,6 +25,9 @@
   /// @brief The caller closed its connection; see CallerLink::watchForClose.
   virtual void onCallerClosed() = 0;
 
+  /// @brief A stop of the server has begun; ServerState has its schedule.
+  virtual void onStop() = 0;
+
   /// @brief The deadline of a server stop has passed; the request must end now.
   virtual void onCutOff() = 0;
 };
@@ -67,6 +70,9 @@
   /// @brief Closes the connection if it waits for its next request.
   void closeIfIdle() noexcept;
 
+  /// @brief Tells the request being served, if any, that the server stops.
+  void beginStop() noexcept;
+
   /// @brief Ends the connection at the deadline of a server stop, with its
   /// request if there is one.
   void cutOff() noexcept;
--- a/packages/callers/src/server.cpp
+++ b/packages/callers/src/server.cpp
@@ -136,19 +136,25 @@
 
 std::uint16_t Server::port() const noexcept { return State->Port; }
 
-void Server::drain() noexcept { State->Draining = true; }
+void Server::drain(const StopSchedule &Schedule) {
+  State->setSchedule(Schedule);
+  State->Draining = true;
+  internal::forEachLink(*State, [](CallerLink &Link) { Link.beginStop(); });
+}
 
 core::Awaitable<StopReport> Server::stop(core::TimePoint Deadline) {
   // Keeps the state alive if the Server is destroyed during the stop.
   const StatePtr KeptState = State;
   internal::LiveCounters &Counters = KeptState->Counters;
   StopReport Report;
+  const core::Clock &Time = KeptState->Dependencies.Time;
+  KeptState->setSchedule({.LeaveAt = Time.now(), .CutOffAt = Deadline});
   KeptState->Stopping = true;
+  internal::forEachLink(*KeptState, [](CallerLink &Link) { Link.beginStop(); });
   asio::post(KeptState->AcceptExecutor, [KeptState] {
     boost::system::error_code Ignored;
     KeptState->Acceptor.cancel(Ignored);
   });
-  const core::Clock &Time = KeptState->Dependencies.Time;
   const std::uint64_t OpenBefore = Counters.OpenConnections;
   const std::uint64_t AnsweredBefore = Counters.Answered;
   Report.InFlightAtStop = Counters.InFlight;
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/strand.hpp>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -89,6 +90,17 @@
     return std::chrono::milliseconds(limits().IdleTimeoutMs);
   }
 
+  /// @brief Sets or replaces the schedule of a stop.
+  void setSchedule(const StopSchedule &Schedule) {
+    const std::lock_guard Lock(Mutex);
+    Stop = Schedule;
+  }
+  /// @brief Schedule of the stop, if one has begun.
+  [[nodiscard]] std::optional<StopSchedule> schedule() const {
+    const std::lock_guard Lock(Mutex);
+    return Stop;
+  }
+
   boost::asio::any_io_executor Executor;
   ServerOptions Options;
   ServerDependencies Dependencies;
@@ -101,9 +113,10 @@
   std::atomic<bool> Draining{false};
   std::atomic<bool> Stopping{false};
   LiveCounters Counters;
-  /// Guards Links.
-  std::mutex Mutex;
+  /// Guards Links and Stop.
+  mutable std::mutex Mutex;
   std::unordered_map<CallerLink *, std::weak_ptr<CallerLink>> Links;
+  std::optional<StopSchedule> Stop;
 };
 
 } // namespace jujubecart::callers::internal
--- a/packages/core/include/jujubecart/core/backend_transport.hpp
+++ b/packages/core/include/jujubecart/core/backend_transport.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/message.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -42,6 +43,10 @@
   /// Id sent by the caller; a response with another id is rejected. Empty if
   /// the caller sent none.
   std::string CallerRequestId;
+  /// Asked right before the first byte is sent. If it returns false, nothing is
+  /// sent and the exchange ends as Withheld. Empty if the request is always
+  /// sent.
+  std::function<bool()> MaySend;
 };
 
 /// @brief Why an exchange is aborted.
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -77,6 +77,8 @@
   /// This VM aborted the attempt: the caller disconnected, or another attempt
   /// of a hedged request finished first.
   Cancelled,
+  /// This VM did not use the slot and sent nothing.
+  Withheld,
 };
 
 /// @brief Result of one finished attempt, as reported to the dispatcher.
@@ -104,7 +106,13 @@
 
 /// @brief Whether an outcome proves that the request was not executed.
 [[nodiscard]] constexpr bool certainlyNotRun(CallOutcome Outcome) noexcept {
-  return Outcome == CallOutcome::NotSent || Outcome == CallOutcome::Rejected;
+  return Outcome == CallOutcome::NotSent || Outcome == CallOutcome::Rejected ||
+         Outcome == CallOutcome::Withheld;
+}
+
+/// @brief Whether an outcome tells nothing about the backend server.
+[[nodiscard]] constexpr bool inconclusive(CallOutcome Outcome) noexcept {
+  return Outcome == CallOutcome::Cancelled || Outcome == CallOutcome::Withheld;
 }
 
 /// @brief Whether the attempt ended with a response of the backend server.
--- a/packages/decision/src/health_tracker.cpp
+++ b/packages/decision/src/health_tracker.cpp
@@ -37,8 +37,7 @@
     ProbeConfirmedDrain = false;
     DrainReportedAt = Now;
   }
-  // A cancelled attempt gives no information about the server.
-  if (Report.Outcome == core::CallOutcome::Cancelled)
+  if (core::inconclusive(Report.Outcome))
     return;
   LastObserved = Now;
   LastCallResult = Now;
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -477,8 +477,8 @@
   // A response that reports a failure counts like a broken connection.
   if (Report.Outcome == core::CallOutcome::Completed && Report.ServerError)
     Counted.Outcome = core::CallOutcome::Broken;
-  const bool Cancelled = Counted.Outcome == core::CallOutcome::Cancelled;
-  if (!Cancelled)
+  const bool Conclusive = !core::inconclusive(Counted.Outcome);
+  if (Conclusive)
     Server.Failures.record(Counted.Outcome != core::CallOutcome::Completed,
                            Now);
   // A server that rejects calls is alive and has too much load, so it is
@@ -486,7 +486,7 @@
   if (Report.Outcome == core::CallOutcome::Rejected)
     Counted.Outcome = core::CallOutcome::Completed;
   Server.Health.onResult(Counted, Now);
-  if (!Cancelled)
+  if (Conclusive)
     updateEjection(Server, Counted.Outcome != core::CallOutcome::Completed,
                    Now);
   updateTotals();
--- a/packages/decision/src/server_table.cpp
+++ b/packages/decision/src/server_table.cpp
@@ -128,7 +128,7 @@
   if (!Report.OtherInstance && (Report.Limit || core::answered(Report.Outcome)))
     Server.Limiter.record(Report.Limit, Now, Now);
   Server.Health.onResult(Report, Now);
-  if (Report.Outcome != core::CallOutcome::Cancelled)
+  if (!core::inconclusive(Report.Outcome))
     updateEjection(Server, Report.Outcome != core::CallOutcome::Completed,
                    Trial, Now);
   if (Before != countedFlags(Server))
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -67,6 +67,17 @@
                          Item.RetryAfterMs, Item.SlotPricePercent));
 }
 
+namespace {
+
+// To a dispatcher, an unused slot is the same as a cancelled attempt; VMs of
+// earlier versions know the latter only.
+core::CallOutcome encodedOutcome(core::CallOutcome Outcome) {
+  return Outcome == core::CallOutcome::Withheld ? core::CallOutcome::Cancelled
+                                                : Outcome;
+}
+
+} // namespace
+
 BodyOffset encode(Builder &Out, const Release &Item) {
   const auto Elapsed = static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(Item.Report.Elapsed.count(), 0, UINT32_MAX));
@@ -75,7 +86,8 @@
   const core::RateLimit Limit =
       Item.Report.Limit.value_or(core::RateLimit{.MilliPerS = UINT32_MAX});
   return makeBody<wire::Body::Release>(wire::CreateRelease(
-      Out, Item.Call, Elapsed, static_cast<std::uint8_t>(Item.Report.Outcome),
+      Out, Item.Call, Elapsed,
+      static_cast<std::uint8_t>(encodedOutcome(Item.Report.Outcome)),
       Load.InFlight, Item.Report.Draining, Item.Group, Item.Server,
       Load.PacePercent, Item.Report.ServerError, Item.Report.OtherInstance,
       Limit.MilliPerS));
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -8,6 +8,18 @@
 core::Awaitable<core::Result<core::SlotGrant>>
 FirstServerBroker::acquire(core::SlotRequest Request) {
   const auto Snapshot = Config.current();
+  if (Granted >= MaxGrants) {
+    const auto Never = std::make_shared<asio::steady_timer>(
+        co_await asio::this_coro::executor, core::TimePoint::max());
+    {
+      const std::lock_guard Lock(Mutex);
+      Waits.emplace(Request.Request.Value, Never);
+    }
+    ++Waiting;
+    co_await Never->async_wait(asio::as_tuple(asio::use_awaitable));
+    --Waiting;
+    co_return core::make_error_code(core::Error::Cancelled);
+  }
   const std::lock_guard Lock(Mutex);
   if (Request.Key) {
     const auto [Claim, New] = Claims.emplace(*Request.Key, Request.Request);
@@ -30,6 +42,16 @@
   co_return core::make_error_code(core::Error::Unavailable);
 }
 
+void FirstServerBroker::cancel(core::RequestId Request) noexcept {
+  ++Cancels;
+  const std::lock_guard Lock(Mutex);
+  const auto [Begin, End] = Waits.equal_range(Request.Value);
+  for (auto At = Begin; At != End; ++At)
+    asio::post(At->second->get_executor(),
+               [Timer = At->second] { Timer->cancel(); });
+  Waits.erase(Begin, End);
+}
+
 void FirstServerBroker::release(const core::SlotGrant &,
                                 const core::CallReport &Report) noexcept {
   const std::lock_guard Lock(Mutex);
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <future>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -23,7 +24,7 @@
 using namespace std::chrono_literals;
 
 /// @brief Broker that grants the first server of the service that is not
-/// excluded. Grants at once and without limit; keeps claims of order keys.
+/// excluded, at once and up to a limit; keeps claims of order keys.
 class FirstServerBroker final : public core::SlotBroker {
 public:
   explicit FirstServerBroker(const core::ConfigSource &Config)
@@ -31,7 +32,7 @@
 
   core::Awaitable<core::Result<core::SlotGrant>>
   acquire(core::SlotRequest Request) override;
-  void cancel(core::RequestId) noexcept override { ++Cancels; }
+  void cancel(core::RequestId Request) noexcept override;
   void release(const core::SlotGrant &,
                const core::CallReport &) noexcept override;
   void releaseClaim(const std::string &, core::OrderKey Key,
@@ -43,7 +44,11 @@
   /// @brief Sets after which time grants allow a second attempt.
   void setHedgeDelay(std::chrono::milliseconds Delay) { HedgeDelay = Delay; }
 
+  /// Once so many slots were granted, further requests wait until they are
+  /// cancelled.
+  std::atomic<int> MaxGrants{std::numeric_limits<int>::max()};
   std::atomic<int> Granted{0};
+  std::atomic<int> Waiting{0};
   std::atomic<int> Cancels{0};
   std::atomic<int> ClaimsReleased{0};
 
@@ -54,6 +59,8 @@
   /// The request that holds each claimed key.
   std::map<core::OrderKey, core::RequestId> Claims;
   std::vector<core::CallOutcome> Outcomes;
+  /// Timers of the requests that wait, by request id.
+  std::multimap<std::uint64_t, std::shared_ptr<asio::steady_timer>> Waits;
 };
 
 /// @brief Counts the recorded events of each kind.
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -167,7 +167,8 @@
 Test(Routes, draining_server_still_accepts_and_asks_callers_to_close) {
   ScriptedBackend Backend(answerWith("done"));
   Harness Fixture({Backend.address()}, makeSettings(true));
-  Fixture.Server->drain();
+  const core::TimePoint Now = Fixture.Time.now();
+  Fixture.Server->drain({.LeaveAt = Now, .CutOffAt = Now + 10s});
   const std::string Answer = Fixture.call(Get);
   cr_assert_eq(statusOf(Answer), 200);
   cr_assert_neq(Answer.find("Connection: close"), std::string::npos);
--- a/tests/callers/stop_test.cpp
+++ b/tests/callers/stop_test.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr const char *Get = "GET /tags HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr const char *Order = "PUT /tags HTTP/1.1\r\nHost: a\r\n"
+                              "Idempotency-Key: k\r\nContent-Length: 2\r\n"
+                              "\r\nhi";
 
 ScriptedBackend::Script answerAfter(ScriptedBackend *&Self,
                                     std::chrono::milliseconds Delay) {
@@ -19,6 +22,26 @@
   };
 }
 
+// A route whose requests may last longer than the stops of the tests.
+Harness::Settings settingsWithRoute(bool Idempotent) {
+  Harness::Settings Out;
+  Out.Routes = {{.Name = "r",
+                 .Host = "a",
+                 .PathPrefix = "/tags",
+                 .Idempotent = Idempotent,
+                 .MaxAttempts = 2,
+                 .TimeoutMs = 8000,
+                 .ObjectiveMs = 500,
+                 .Services = {{.Service = "tags", .Weight = 1}}}};
+  return Out;
+}
+
+bool isRefusedAsNotRun(const std::string &Answer) {
+  return statusOf(Answer) == 503 &&
+         Answer.find("X-Outcome: not-run") != std::string::npos &&
+         Answer.find("Connection: close") != std::string::npos;
+}
+
 } // namespace
 
 // Guards against a graceful stop that cuts off requests in flight or requests
@@ -67,6 +90,142 @@
   cr_assert_neq(Report.CutOff[0].Id.Value, 0);
 }
 
+// Guards against requests that wait for a slot and lose their connection when
+// the VM stops, although a refusal that they have not run would be true.
+Test(Stop, request_that_waits_for_a_slot_is_refused_in_time) {
+  ScriptedBackend Backend(answerWith("done"));
+  for (const bool Idempotent : {true, false}) {
+    Harness Fixture({Backend.address()}, settingsWithRoute(Idempotent));
+    Fixture.Broker.MaxGrants = 0;
+    auto Caller = Fixture.connect();
+    send(Caller, Get);
+    cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
+    auto Stopped = Fixture.stop(800ms);
+    const auto Started = std::chrono::steady_clock::now();
+    const std::string Answer = Harness::readResponse(Caller);
+    cr_assert(isRefusedAsNotRun(Answer), "%s", Answer.c_str());
+    // It is not told later than necessary that it has to go elsewhere.
+    cr_assert_lt(std::chrono::steady_clock::now() - Started, 600ms);
+    Caller.close();
+    cr_assert(Stopped.get().CutOff.empty());
+  }
+  cr_assert_eq(Backend.connections(), 0);
+}
+
+// Guards against an order that keeps its key claimed although it never left a
+// VM that stopped, so that the caller cannot send it again.
+Test(Stop, order_that_waits_for_a_slot_is_refused_and_its_key_released) {
+  ScriptedBackend Backend(answerWith("done"));
+  Harness::Settings TestSettings;
+  TestSettings.Kind = core::ServiceKind::Order;
+  TestSettings.DeadlineMs = 8000;
+  Harness Fixture({Backend.address()}, TestSettings);
+  Fixture.Broker.MaxGrants = 0;
+  auto Caller = Fixture.connect();
+  send(Caller, Order);
+  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
+  auto Stopped = Fixture.stop(300ms);
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert(isRefusedAsNotRun(Answer), "%s", Answer.c_str());
+  Caller.close();
+  cr_assert(Stopped.get().CutOff.empty());
+  cr_assert_eq(Fixture.Broker.ClaimsReleased, 1);
+}
+
+// Guards against a reset in place of the response of an earlier attempt while
+// the request waits for its next attempt.
+Test(Stop, response_kept_from_an_earlier_attempt_is_delivered) {
+  ScriptedBackend Failing([](tcp::socket &Socket, int) {
+    std::string Request;
+    boost::system::error_code Code;
+    asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n", Code);
+    send(Socket, response("500 Internal", "broken"));
+  });
+  Harness Fixture({Failing.address()}, settingsWithRoute(true));
+  Fixture.Broker.MaxGrants = 1;
+  auto Caller = Fixture.connect();
+  send(Caller, Get);
+  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
+  auto Stopped = Fixture.stop(800ms);
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert_eq(statusOf(Answer), 500, "%s", Answer.c_str());
+  Caller.close();
+  cr_assert(Stopped.get().CutOff.empty());
+}
+
+// Guards against a false refusal of a request that may have run: its first
+// attempt ended without a response and it waits for the second one.
+Test(Stop, request_that_may_have_run_is_not_refused_as_not_run) {
+  ScriptedBackend Breaking([](tcp::socket &Socket, int) {
+    std::string Request;
+    boost::system::error_code Code;
+    asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n", Code);
+  });
+  Harness Fixture({Breaking.address()}, settingsWithRoute(true));
+  Fixture.Broker.MaxGrants = 1;
+  auto Caller = Fixture.connect();
+  send(Caller, Get);
+  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
+  auto Stopped = Fixture.stop(800ms);
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert_eq(statusOf(Answer), 502, "%s", Answer.c_str());
+  Caller.close();
+  cr_assert(Stopped.get().CutOff.empty());
+}
+
+// Guards against a stop that breaks off a request at which a backend server
+// works, because a hedge of the request waits for a slot.
+Test(Stop, request_whose_hedge_waits_for_a_slot_is_finished) {
+  ScriptedBackend *Self = nullptr;
+  ScriptedBackend Backend(answerAfter(Self, 900ms));
+  // NOLINTNEXTLINE(clang-analyzer-deadcode.DeadStores): read by reference
+  Self = &Backend;
+  Harness Fixture({Backend.address()}, settingsWithRoute(true));
+  Fixture.Broker.MaxGrants = 1;
+  Fixture.Broker.setHedgeDelay(50ms);
+  auto Caller = Fixture.connect();
+  send(Caller, Get);
+  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
+  auto Stopped = Fixture.stop(1200ms);
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert_eq(statusOf(Answer), 200, "%s", Answer.c_str());
+  Caller.close();
+  cr_assert(Stopped.get().CutOff.empty());
+  cr_assert_eq(Fixture.Broker.Waiting, 0);
+}
+
+// Guards against a caller that is still sending its body when the VM stops and
+// loses its connection without an answer.
+Test(Stop, request_whose_body_is_incomplete_is_refused_in_time) {
+  ScriptedBackend Backend(answerWith("done"));
+  Harness Fixture({Backend.address()}, settingsWithRoute(false));
+  auto Caller = Fixture.connect();
+  send(Caller, "POST /tags HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab");
+  cr_assert(eventually([&] { return Fixture.Events.count("call.received"); }));
+  auto Stopped = Fixture.stop(800ms);
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert(isRefusedAsNotRun(Answer), "%s", Answer.c_str());
+  Caller.close();
+  cr_assert(Stopped.get().CutOff.empty());
+}
+
+// Guards against a stop that refuses requests for which enough time is left.
+Test(Stop, request_that_arrives_in_time_for_its_response_is_served) {
+  ScriptedBackend Backend(answerWith("done"));
+  Harness Fixture({Backend.address()}, settingsWithRoute(false));
+  auto Caller = Fixture.connect();
+  send(Caller, "GET /tags HTTP/1.1\r\nHo");
+  cr_assert(
+      eventually([&] { return Fixture.Server->counters().InFlight == 1; }));
+  auto Stopped = Fixture.stop(2000ms);
+  std::this_thread::sleep_for(700ms);
+  send(Caller, "st: a\r\n\r\n");
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert_eq(statusOf(Answer), 200, "%s", Answer.c_str());
+  Caller.close();
+  cr_assert(Stopped.get().CutOff.empty());
+}
+
 // Guards against unlimited connections, and against closing a connection above
 // the limit without a response.
 Test(Limits, connection_above_the_limit_is_answered_503) {
