Take no quiet watch of a lone VM for an outage of the store

Cause: a VM that is alone watched the store for 2,000 ms at a time, and a silence of 1,800 ms counts as an outage in which entries can be lost. So each quiet watch deferred deletions by 2,300 ms.

Change: the lone watch is 1,500 ms. longestQuietTime() derives the longest normal silence of every mode from the options, and a static_assert keeps it below the shortest outage with a reserve for answers.

Why it works: no mode has a normal silence that counts as an outage, and the relation cannot be lost by changing one of the constants.

--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -6,8 +6,10 @@
 #include <jujubecart/core/sleeper.hpp>
 #include <jujubecart/store/directory.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -20,8 +22,9 @@
   /// told that nothing changed before they read the store themselves.
   std::chrono::milliseconds WatchTimeout{700};
   /// The same for a VM that is alone, so that nobody has to be told. Bounds the
-  /// time for which a watch on a silent connection goes unnoticed.
-  std::chrono::milliseconds LoneWatchTimeout{2000};
+  /// time for which a watch on a silent connection goes unnoticed. Must be
+  /// shorter than MinLossyOutage; see longestQuietTime().
+  std::chrono::milliseconds LoneWatchTimeout{1500};
   /// Timeout of a list, a registration and a removal of registrations.
   std::chrono::milliseconds CallTimeout{1000};
   /// How long a VM that is not registered yet waits after its first list, so
@@ -60,7 +63,8 @@
   /// Time after the end of a store outage within which live servers have
   /// written their lost entries again; deletions are deferred until then.
   std::chrono::milliseconds ReregistrationTime{2300};
-  /// The store loses no entries in an outage shorter than this.
+  /// The store loses no entries in an outage shorter than this. Every silence
+  /// from this time on counts as an outage.
   std::chrono::milliseconds MinLossyOutage{1800};
   /// How often the reader writes a snapshot of the entries after changes, and
   /// how often at least, so that the changes since the snapshot are still in
@@ -71,6 +75,22 @@
   std::chrono::milliseconds CleanupInterval{5000};
 };
 
+/// @brief Longest time between two confirmations of the entries while the store
+/// answers at once and nothing changes, in any mode: alone, as the reader, and
+/// as a VM that takes over from a lost reader. A longer silence is an outage.
+[[nodiscard]] constexpr std::chrono::milliseconds
+longestQuietTime(const DirectoryFeedOptions &Options) noexcept {
+  const std::chrono::milliseconds Reading =
+      std::max(Options.WatchTimeout, Options.LoneWatchTimeout) +
+      Options.BatchDelay;
+  const std::chrono::milliseconds TakingOver =
+      Options.TakeoverDelay +
+      Options.TakeoverDelayPerRank *
+          static_cast<std::int64_t>(Options.MaxTakeoverDelaySteps) +
+      Options.TakeoverSpread;
+  return std::max(Reading, TakingOver);
+}
+
 /// @brief Keeps this VM's configuration and member list up to date with a
 /// store, and keeps this VM registered there.
 ///
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -23,6 +23,14 @@
 constexpr std::chrono::milliseconds RegistrationDelay{5000};
 // A watch for changes that have already happened returns at once.
 constexpr std::chrono::milliseconds CatchUpTimeout{2};
+// Time that the answers of the store and the snapshots of the reader add to a
+// quiet time.
+constexpr std::chrono::milliseconds AnswerReserve{150};
+
+// Otherwise a quiet fleet would take each watch for an outage, and would keep
+// servers that have left.
+static_assert(longestQuietTime({}) + AnswerReserve <
+              DirectoryFeedOptions{}.MinLossyOutage);
 
 } // namespace internal
 
--- a/tests/store/directory_fleet.cpp
+++ b/tests/store/directory_fleet.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr auto StoreLatency = 4ms;
 // A watch in the simulation notices a change within this time.
 constexpr auto WatchPoll = 10ms;
 // The client gives up a watch this long after it should have ended.
@@ -37,6 +36,11 @@
   History.push_back(Entry);
 }
 
+void FleetStore::erase(const std::string &Key) {
+  Items.erase(Key);
+  History.push_back({.Key = Key, .Value = {}, .Changed = ++AsOf});
+}
+
 core::EntryList FleetStore::changesAfter(core::Revision After) const {
   core::EntryList Result{.Entries = {}, .AsOf = AsOf};
   for (const core::StoredEntry &Entry : History)
@@ -97,6 +101,15 @@
   return Routing ? Routing->version() : 0;
 }
 
+bool FleetVm::knowsServer(const std::string &Id) const {
+  const core::ServiceConfig *Service = Table.current()->find("tags");
+  return Service != nullptr &&
+         std::any_of(Service->Servers.begin(), Service->Servers.end(),
+                     [&](const core::BackendServer &Server) {
+                       return Server.Id == Id;
+                     });
+}
+
 core::TimePoint FleetVm::undisturbedSince() const {
   if (Path != StorePath::Open || Fleet.Run.now() < FreezeEnd)
     return core::TimePoint::max();
@@ -146,7 +159,7 @@
 
 core::Awaitable<std::error_code>
 FleetVm::awaitAnswer(core::TimePoint Deadline) {
-  co_await sleepUntil(now() + StoreLatency);
+  co_await sleepUntil(now() + Fleet.StoreLatency);
   if (Path == StorePath::Rejecting)
     co_return core::make_error_code(core::Error::Unavailable);
   if (Path == StorePath::Silent) {
@@ -229,6 +242,22 @@
   Store.write("config", std::to_string(Acknowledged.size()));
 }
 
+void DirectoryFleet::addServer(const std::string &Id) {
+  Store.write("s/" + Id, "active");
+  Removed.erase(Id);
+}
+
+void DirectoryFleet::removeServer(const std::string &Id) {
+  Store.erase("s/" + Id);
+  Removed[Id] = Run.now();
+}
+
+void DirectoryFleet::lose(std::size_t Number) {
+  Vms[Number]->freeze(std::chrono::hours(24));
+  for (const auto &Vm : Vms)
+    Vm->setTrust(Number, false);
+}
+
 void DirectoryFleet::broadcast(std::size_t Sender,
                                const core::EntryChanges &Changes) {
   for (std::size_t Receiver = 0; Receiver < Vms.size(); ++Receiver) {
@@ -261,11 +290,26 @@
   }
 }
 
+void DirectoryFleet::checkRemovals() {
+  const core::TimePoint Now = Run.now();
+  for (const auto &Vm : Vms) {
+    const core::TimePoint Since = Vm->undisturbedSince();
+    if (Since == core::TimePoint::max() || Now - Since < SettlingTime)
+      continue;
+    for (const auto &[Id, At] : Removed)
+      if (Vm->knowsServer(Id))
+        WorstRemovalLag = std::max(
+            WorstRemovalLag,
+            std::chrono::duration_cast<std::chrono::milliseconds>(Now - At));
+  }
+}
+
 void DirectoryFleet::run(std::chrono::milliseconds Duration) {
   const core::TimePoint End = Run.now() + Duration;
   while (Run.now() < End) {
     Run.runUntil(std::min(End, Run.now() + CheckInterval));
     checkVersions();
+    checkRemovals();
   }
 }
 
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -27,6 +27,9 @@
   /// @brief Writes an entry, which counts as acknowledged at once.
   void write(const std::string &Key, std::string Value);
 
+  /// @brief Deletes an entry, which counts as acknowledged at once.
+  void erase(const std::string &Key);
+
   /// @brief Drops the history: older watches get HistoryLost.
   void dropHistory() noexcept { OldestRevision = AsOf; }
 
@@ -60,6 +63,8 @@
 
   /// @brief Version of the configuration in force; 0 without one.
   [[nodiscard]] std::uint64_t configVersion() const;
+  /// @brief Whether this VM may send requests to a server.
+  [[nodiscard]] bool knowsServer(const std::string &Id) const;
   /// @brief Instant since which this VM could read the store without a pause.
   [[nodiscard]] core::TimePoint undisturbedSince() const;
   /// @brief Passes changes that another VM has broadcast to the feed.
@@ -124,6 +129,13 @@
   /// @brief Writes the next version of the configuration.
   void changeConfig();
 
+  /// @brief Registers a backend server, or removes its entry.
+  void addServer(const std::string &Id);
+  void removeServer(const std::string &Id);
+
+  /// @brief Ends a VM for good; the others know that it is lost.
+  void lose(std::size_t Number);
+
   /// @brief Sends changes from one VM to all others to which its broadcasts are
   /// not lost.
   void broadcast(std::size_t Sender, const core::EntryChanges &Changes);
@@ -144,15 +156,23 @@
   /// version than an acknowledged one, and which VM it was.
   std::chrono::milliseconds WorstLag{0};
   std::size_t WorstVm = 0;
+  /// Longest time for which a VM that could read the store still used a server
+  /// whose entry had been removed.
+  std::chrono::milliseconds WorstRemovalLag{0};
+  /// Time in which the store answers a call.
+  std::chrono::milliseconds StoreLatency{4};
 
 private:
   void checkVersions();
+  void checkRemovals();
 
   std::vector<std::vector<bool>> Links;
   /// Last arrival of a broadcast, by sender and receiver.
   std::vector<std::vector<core::TimePoint>> LastArrival;
   /// When each version was acknowledged; the first one has the number 1.
   std::vector<core::TimePoint> Acknowledged;
+  /// When the entries of servers were removed, by server id.
+  std::map<std::string, core::TimePoint> Removed;
 
 public:
   // Declared last to be destroyed first: it owns the coroutines of the VMs.
--- a/tests/store/directory_fleet_test.cpp
+++ b/tests/store/directory_fleet_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+// A server gets no requests from this time on after its entry was removed.
+constexpr auto MaxRemovalLag = 2000ms;
 // An acknowledged change must be in force within this time on every VM that can
 // read the store.
 constexpr auto MaxConfigLag = 2000ms;
@@ -32,6 +34,22 @@
                 Fleet.WorstVm, static_cast<long long>(Fleet.WorstLag.count()));
 }
 
+/// @brief Removes servers one after the other, at different moments of the
+/// watches, and long enough apart for the fleet to be quiet in between.
+void expectTimelyRemovals(DirectoryFleet &Fleet, const char *Case) {
+  constexpr int Removals = 40;
+  for (int Number = 0; Number < Removals; ++Number)
+    Fleet.addServer("s" + std::to_string(Number));
+  Fleet.run(5s);
+  for (int Number = 0; Number < Removals; ++Number) {
+    Fleet.removeServer("s" + std::to_string(Number));
+    Fleet.run(4s + std::chrono::milliseconds(Fleet.Run.below(1500)));
+  }
+  cr_expect_leq(Fleet.WorstRemovalLag.count(), MaxRemovalLag.count(),
+                "%s: a server was used %lld ms after its removal", Case,
+                static_cast<long long>(Fleet.WorstRemovalLag.count()));
+}
+
 /// @brief Gives all VMs but some random ones a path that does not work.
 void closePaths(DirectoryFleet &Fleet, std::uint64_t OpenPercent,
                 StorePath Path) {
@@ -193,3 +211,68 @@
     expectTimely(Fleet, "store returns");
   }
 }
+
+// Guards against a quiet fleet that takes the normal time between two answers
+// of the store for an outage and therefore keeps servers that are gone, in each
+// of the modes in which a VM learns of changes.
+Test(DirectoryFleet, removed_server_is_gone_in_time_in_every_mode) {
+  for (const std::size_t Size : {1U, 2U, 3U, 20U}) {
+    DirectoryFleet Fleet(Size, Size);
+    Fleet.run(5s);
+    expectTimelyRemovals(Fleet, ("VMs: " + std::to_string(Size)).c_str());
+  }
+  for (const std::size_t Lost : {0U, 1U}) {
+    DirectoryFleet Fleet(2, Lost + 30);
+    Fleet.run(5s);
+    Fleet.lose(Lost);
+    Fleet.run(5s);
+    expectTimelyRemovals(Fleet, Lost == 0 ? "reader lost" : "other VM lost");
+  }
+  DirectoryFleet Relisting(1, 40);
+  Relisting.run(5s);
+  Relisting.Store.dropHistory();
+  expectTimelyRemovals(Relisting, "history lost");
+  for (const std::size_t Size : {1U, 3U}) {
+    DirectoryFleet Slow(Size, 50 + Size);
+    Slow.StoreLatency = 60ms;
+    Slow.run(5s);
+    expectTimelyRemovals(Slow, "slower store");
+  }
+}
+
+// Guards against a VM that takes the time in which it waits for the reader, and
+// then takes over from it, for an outage of the store.
+Test(DirectoryFleet, server_removed_while_the_reader_is_lost_is_gone_in_time) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    DirectoryFleet Fleet(20, Seed);
+    Fleet.addServer("a");
+    Fleet.run(5s + std::chrono::milliseconds(Fleet.Run.below(1000)));
+    Fleet.lose(0);
+    Fleet.run(std::chrono::milliseconds(Fleet.Run.below(1000)));
+    Fleet.removeServer("a");
+    Fleet.run(6s);
+    cr_expect_leq(Fleet.WorstRemovalLag.count(), MaxRemovalLag.count());
+  }
+}
+
+// Guards against a lone VM that drops all servers whose entries were lost in an
+// outage of the store and are about to be written again.
+Test(DirectoryFleet, lone_vm_keeps_servers_that_an_outage_made_vanish) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    DirectoryFleet Fleet(1, Seed);
+    Fleet.addServer("a");
+    Fleet.run(5s + std::chrono::milliseconds(Fleet.Run.below(2000)));
+    Fleet.Vms[0]->setPath(StorePath::Rejecting);
+    Fleet.run(2500ms);
+    Fleet.Store.erase("s/a");
+    Fleet.Vms[0]->setPath(StorePath::Open);
+    for (int Step = 0; Step < 18; ++Step) {
+      Fleet.run(100ms);
+      cr_assert(Fleet.Vms[0]->knowsServer("a"), "seed %d, step %d",
+                static_cast<int>(Seed), Step);
+    }
+    Fleet.addServer("a");
+    Fleet.run(5s);
+    cr_assert(Fleet.Vms[0]->knowsServer("a"));
+  }
+}
