Check what a server states when a slot is granted and before it is used

Cause: a request read the statements of servers once, when it asked for a slot. Neither the grant nor the first byte, seconds later, looked again. Server-Leaving and the state of a server in the VM's own configuration aged in the same way.

Change: RemoteBroker checks each grant, whoever made it, returns one that may not be used and asks again without that server. SlotBroker::permits() is asked once more right before the first byte is sent, since a connection can take a second. A slot that is not used counts neither as an attempt nor as a failure of the server. Exclusions are read again before each further dispatcher and before the fallback.

Why it works: every way to a slot ends in RemoteBroker::acquire(), and every way to the server in Exchange::write(); both ask. Each returned grant excludes one more server, so a request ends or gets another one.

--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -76,11 +76,15 @@
   readResponseStart(AttemptPtr Current);
   [[nodiscard]] core::SlotRequest slotRequest() const;
   [[nodiscard]] std::shared_ptr<core::BackendRequest>
-  makeBackendRequest(const core::BackendServer &Server) const;
+  makeBackendRequest(const Attempt &Current) const;
+  /// Whether an attempt that has a slot may be sent now.
+  [[nodiscard]] bool maySend(const Attempt &Current) const;
   [[nodiscard]] bool idempotent() const noexcept;
   [[nodiscard]] bool keepAsFallback(const AttemptPtr &Current);
   [[nodiscard]] core::Awaitable<AttemptPtr> runNextAttempt();
   [[nodiscard]] bool tryTakeRetry(core::CallOutcome Outcome);
+  /// Whether another slot may be acquired after one that was not used.
+  [[nodiscard]] bool mayAcquireAgain() const;
   [[nodiscard]] bool allowsAnotherAttempt() const;
   void onAttemptingTimeout();
   void onAttemptTimeout();
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -39,24 +39,28 @@
 }
 
 std::shared_ptr<core::BackendRequest>
-Call::makeBackendRequest(const core::BackendServer &Server) const {
-  auto Out = std::make_shared<core::BackendRequest>(
-      core::BackendRequest{.Head = ForwardedHead,
-                           .Body = Request.Body,
-                           .IsHead = Request.isHead(),
-                           .IsOrder = !idempotent(),
-                           .CallerRequestId = Request.Traits.CallerRequestId,
-                           .MaySend = [this] { return !sendByPassed(); }});
+Call::makeBackendRequest(const Attempt &Current) const {
+  auto Out = std::make_shared<core::BackendRequest>(core::BackendRequest{
+      .Head = ForwardedHead,
+      .Body = Request.Body,
+      .IsHead = Request.isHead(),
+      .IsOrder = !idempotent(),
+      .CallerRequestId = Request.Traits.CallerRequestId,
+      .MaySend = [this, &Current] { return maySend(Current); }});
   State.Dependencies.Profile.writeRequest(Out->Head,
                                           {.Id = Request.Id,
                                            .Traits = Request.Traits,
                                            .Deadline = Deadline,
-                                           .Server = Server},
+                                           .Server = Current.Grant.Server},
                                           State.Dependencies.Time);
   Out->Head.append("\r\n");
   return Out;
 }
 
+bool Call::maySend(const Attempt &Current) const {
+  return !sendByPassed() && State.Dependencies.Broker.permits(Current.Grant);
+}
+
 bool Call::idempotent() const noexcept {
   return Route != nullptr ? Route->Idempotent : !Key;
 }
@@ -133,7 +137,8 @@
   Current->Granted = true;
   if (GrantWake != nullptr)
     GrantWake->cancel();
-  if (CancelledBy != CancelReason::None || Current->Aborted || sendByPassed()) {
+  if (CancelledBy != CancelReason::None || Current->Aborted ||
+      !maySend(*Current)) {
     Current->Failure = core::make_error_code(core::Error::Cancelled);
     co_return;
   }
@@ -147,7 +152,7 @@
   }
   State.recordEvent("call.sent", Request.Id, Current->Grant.Server.Id);
   Current->Exchange = State.Dependencies.Backends.prepare(
-      Current->Grant.Server, makeBackendRequest(Current->Grant.Server));
+      Current->Grant.Server, makeBackendRequest(*Current));
   const bool HasBody = Request.Body != core::BackendRequest::Framing::None;
   Current->Failure =
       co_await Current->Exchange->open(HasBody ? &Current->Cursor : nullptr);
@@ -190,16 +195,25 @@
 // Takes a token from the retry budget if another attempt is allowed. A request
 // that is not idempotent is not sent again once it may have run.
 bool Call::tryTakeRetry(core::CallOutcome Outcome) {
+  if (Outcome == core::CallOutcome::Withheld)
+    return mayAcquireAgain();
   if (!allowsAnotherAttempt() || (!idempotent() && MayHaveRun))
     return false;
   // Nothing arrived at a backend server, so no token is taken.
-  if (Route != nullptr && (Outcome == core::CallOutcome::NotSent ||
-                           Outcome == core::CallOutcome::Withheld))
+  if (Route != nullptr && Outcome == core::CallOutcome::NotSent)
     return ExcludedServers.size() < MaxUnsentAttempts;
   return std::exchange(RetryReserved, false) ||
          State.Dependencies.Retries.tryTake(Service->Name);
 }
 
+// Nothing was sent, so this is no further attempt.
+bool Call::mayAcquireAgain() const {
+  return CancelledBy == CancelReason::None && Body.replayable() &&
+         !Body.failed() && !sendByPassed() &&
+         State.Dependencies.Time.now() < Deadline &&
+         ExcludedServers.size() < MaxUnsentAttempts;
+}
+
 // A connection can stop responding without an error. An idempotent request that
 // has no response after half of its remaining time is aborted and retried on
 // another backend server, if the retry budget allows it.
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -134,6 +134,10 @@
   /// @brief Ends a waiting acquire(), which then returns Cancelled.
   virtual void cancel(RequestId Request) noexcept = 0;
 
+  /// @brief Whether a request may still be sent with a grant. Its server may
+  /// have stated since then that it wants none, or have left.
+  [[nodiscard]] virtual bool permits(const SlotGrant &Grant) const noexcept = 0;
+
   /// @brief Frees a slot; called exactly once for each grant.
   /// @param Report Result of the attempt.
   virtual void release(const SlotGrant &Grant,
--- a/packages/decision/include/jujubecart/decision/local_broker.hpp
+++ b/packages/decision/include/jujubecart/decision/local_broker.hpp
@@ -36,6 +36,10 @@
   [[nodiscard]] core::Awaitable<core::Result<core::SlotGrant>>
   acquire(core::SlotRequest Request) override;
   void cancel(core::RequestId Request) noexcept override;
+  [[nodiscard]] bool
+  permits(const core::SlotGrant & /*Grant*/) const noexcept override {
+    return true;
+  }
   void release(const core::SlotGrant &Grant,
                const core::CallReport &Report) noexcept override;
   void releaseClaim(const std::string &Service, core::OrderKey Key,
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -48,6 +48,8 @@
   [[nodiscard]] core::Awaitable<core::Result<core::SlotGrant>>
   acquire(core::SlotRequest Request) override;
   void cancel(core::RequestId Request) noexcept override;
+  [[nodiscard]] bool
+  permits(const core::SlotGrant &Grant) const noexcept override;
   void release(const core::SlotGrant &Grant,
                const core::CallReport &Report) noexcept override;
   void releaseClaim(const std::string &Service, core::OrderKey Key,
@@ -65,6 +67,8 @@
   using Ranking = std::shared_ptr<const std::vector<std::string>>;
   using ResultPromise = std::shared_ptr<internal::OneShot<AcquireResult>>;
 
+  core::Awaitable<core::Result<core::SlotGrant>>
+  acquireOnce(core::SlotRequest Request);
   core::Awaitable<core::Result<core::SlotGrant>>
   acquireInGroup(GroupPtr Entry, core::SlotRequest Request);
   core::Awaitable<AcquireResult> askDispatcher(GroupPtr Entry, std::string Vm,
@@ -91,6 +95,9 @@
   [[nodiscard]] bool isTracked(const HeldGrant &Item) const;
   /// @brief Excludes servers that leave or want no requests now.
   void excludeAvoidedServers(core::SlotRequest &Request);
+  /// @brief Whether a server has left or drains in the configuration of this
+  /// VM.
+  [[nodiscard]] bool isLeaving(const core::SlotGrant &Grant) const;
   [[nodiscard]] std::vector<decision::StatedLimit>
   statedLimits(const GroupEntry &Entry);
   [[nodiscard]] core::SlotGrant recordGrant(HeldGrant Item,
@@ -110,7 +117,7 @@
   std::atomic<bool> Sleeping{false};
   std::atomic<CallId> LastCall{0};
 
-  std::mutex Mutex;
+  mutable std::mutex Mutex;
   std::unordered_map<CallId, PendingCall> PendingCalls;
   /// Waiting calls by request id.
   std::unordered_multimap<std::uint64_t, CallId> CallsByRequest;
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/strand.hpp>
+#include <jujubecart/core/log.hpp>
 
 namespace jujubecart::peers {
 
@@ -35,8 +36,26 @@
 
 RemoteBroker::~RemoteBroker() = default;
 
+// What a server states while a request waits for a slot holds for that request
+// too, whichever dispatcher grants it. The server is then excluded, so each
+// turn of the loop leaves one server less.
 core::Awaitable<core::Result<core::SlotGrant>>
 RemoteBroker::acquire(core::SlotRequest Request) {
+  while (true) {
+    core::Result<core::SlotGrant> Granted = co_await acquireOnce(Request);
+    if (!Granted || permits(*Granted))
+      co_return Granted;
+    core::LogLine(core::LogLevel::Info, "grant.returned")
+        .field("request", toString(Request.Request))
+        .field("server", Granted->Server.Id)
+        .field("dispatcher", Granted->Dispatcher);
+    release(*Granted, {.Outcome = core::CallOutcome::Withheld});
+    Request.Excluded.push_back(Granted->Server.Id);
+  }
+}
+
+core::Awaitable<core::Result<core::SlotGrant>>
+RemoteBroker::acquireOnce(core::SlotRequest Request) {
   excludeAvoidedServers(Request);
   GroupPtr Entry = chooseGroup(Request);
   if (!Entry)
@@ -72,6 +91,7 @@
     if (isSuspected(Vm))
       continue;
     ++AskedCount;
+    excludeAvoidedServers(Request);
     AcquireResult Result = co_await askDispatcher(Entry, Vm, Request);
     if (Result.Outcome == Kind::Granted)
       co_return std::move(Result.Grant);
@@ -88,12 +108,22 @@
           *Entry, Request, Vm,
           Result.Outcome == Kind::Unresponsive ? "silent" : "unreachable");
   }
+  excludeAvoidedServers(Request);
   AcquireResult Result = co_await askLocalDispatcher(Entry, Request);
   if (Result.Outcome == Kind::Granted)
     co_return std::move(Result.Grant);
   co_return toError(Request, Result);
 }
 
+bool RemoteBroker::permits(const core::SlotGrant &Grant) const noexcept {
+  {
+    const std::lock_guard Lock(Mutex);
+    if (Statements->avoids(Grant.Server, Env.Time.now()))
+      return false;
+  }
+  return !isLeaving(Grant);
+}
+
 std::error_code RemoteBroker::toError(const core::SlotRequest &Request,
                                       const AcquireResult &Result) const {
   if (Request.Hint && Result.RetryAfter.count() > 0)
@@ -235,6 +265,8 @@
   // Without a dispatcher nobody counts the requests of all VMs to a server that
   // states a rate limit.
   core::SlotRequest Unlimited = Request;
+  // The request may have waited for a dispatcher since it was checked.
+  excludeAvoidedServers(Unlimited);
   for (decision::StatedLimit &Item : statedLimits(Entry))
     Unlimited.Excluded.push_back(std::move(Item.ServerId));
   auto Grant = Env.Fallback.acquireNow(Unlimited);
@@ -258,6 +290,21 @@
   return recordGrant(std::move(Item), *Grant);
 }
 
+// The dispatcher may not have this VM's configuration yet.
+bool RemoteBroker::isLeaving(const core::SlotGrant &Grant) const {
+  const GroupDirectory::Index Index = Env.Groups.current();
+  const std::uint64_t Id = core::hash64(Grant.Server.Id);
+  const GroupPtr Granting = Index->find(core::hash64(Grant.Group));
+  const core::BackendServer *Known = Granting ? Granting->server(Id) : nullptr;
+  // A server may have moved to another group, and a fallback names none.
+  for (auto At = Index->ByHash.begin();
+       Known == nullptr && At != Index->ByHash.end(); ++At)
+    Known = At->second->server(Id);
+  if (Known == nullptr)
+    return Env.Links.options().AskNextDispatcher;
+  return Known->State == core::ServerState::Draining;
+}
+
 // This VM remembers by itself what servers stated to it, so that it holds with
 // every dispatcher, also with one that was never told, and without any.
 void RemoteBroker::excludeAvoidedServers(core::SlotRequest &Request) {
--- a/packages/peers/src/server_statements.cpp
+++ b/packages/peers/src/server_statements.cpp
@@ -96,18 +96,21 @@
   return Result;
 }
 
+bool ServerStatements::avoids(const core::BackendServer &Server,
+                              core::TimePoint Now) const {
+  const Statement *Known = find(Server);
+  return Known != nullptr && (Known->Leaving || Now < Known->QuietUntil);
+}
+
 void ServerStatements::appendAvoided(const GroupEntry &Entry,
                                      core::TimePoint Now,
                                      std::vector<std::string> &Out) const {
   if (Statements.empty())
     return;
-  for (const core::BackendServer &Server : Entry.Group.Servers) {
-    const Statement *Known = find(Server);
-    if (Known != nullptr && (Known->Leaving || Now < Known->QuietUntil) &&
-        Server.State == core::ServerState::Active &&
+  for (const core::BackendServer &Server : Entry.Group.Servers)
+    if (avoids(Server, Now) && Server.State == core::ServerState::Active &&
         std::find(Out.begin(), Out.end(), Server.Id) == Out.end())
       Out.push_back(Server.Id);
-  }
 }
 
 } // namespace jujubecart::peers::internal
--- a/packages/peers/src/server_statements.hpp
+++ b/packages/peers/src/server_statements.hpp
@@ -28,6 +28,10 @@
   [[nodiscard]] std::vector<decision::StatedLimit>
   limits(const GroupEntry &Entry, core::TimePoint Now) const;
 
+  /// @brief Whether this VM must not send a request to a server now.
+  [[nodiscard]] bool avoids(const core::BackendServer &Server,
+                            core::TimePoint Now) const;
+
   /// @brief Appends the ids of the active servers of a group to which this VM
   /// must not send a request now.
   void appendAvoided(const GroupEntry &Entry, core::TimePoint Now,
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -52,6 +52,16 @@
   Waits.erase(Begin, End);
 }
 
+bool FirstServerBroker::permits(const core::SlotGrant &Grant) const noexcept {
+  const std::lock_guard Lock(Mutex);
+  return !Avoided.contains(Grant.Server.Id);
+}
+
+void FirstServerBroker::avoid(const std::string &Server) {
+  const std::lock_guard Lock(Mutex);
+  Avoided.insert(Server);
+}
+
 void FirstServerBroker::release(const core::SlotGrant &,
                                 const core::CallReport &Report) noexcept {
   const std::lock_guard Lock(Mutex);
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -33,11 +34,16 @@
   core::Awaitable<core::Result<core::SlotGrant>>
   acquire(core::SlotRequest Request) override;
   void cancel(core::RequestId Request) noexcept override;
+  [[nodiscard]] bool
+  permits(const core::SlotGrant &Grant) const noexcept override;
   void release(const core::SlotGrant &,
                const core::CallReport &) noexcept override;
   void releaseClaim(const std::string &, core::OrderKey Key,
                     core::RequestId) noexcept override;
 
+  /// @brief Forbids requests to a server from now on, also with grants.
+  void avoid(const std::string &Server);
+
   /// @brief Outcomes of the released slots, in order of release.
   std::vector<core::CallOutcome> outcomes();
 
@@ -55,7 +61,8 @@
 private:
   const core::ConfigSource &Config;
   std::optional<std::chrono::milliseconds> HedgeDelay;
-  std::mutex Mutex;
+  mutable std::mutex Mutex;
+  std::set<std::string> Avoided;
   /// The request that holds each claimed key.
   std::map<core::OrderKey, core::RequestId> Claims;
   std::vector<core::CallOutcome> Outcomes;
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -114,6 +114,46 @@
   cr_assert_eq(statusOf(Fixture.call(Post)), 200);
 }
 
+// Guards against a request to a backend server that has stated since the grant
+// that it wants none, and against an unused grant that counts as an attempt, a
+// retry or a failure of the server.
+Test(Routes, request_goes_elsewhere_if_its_server_wants_none_since_the_grant) {
+  ScriptedBackend Avoided(answerWith("wrong"));
+  ScriptedBackend Second(answerWith("done"));
+  for (const bool Idempotent : {true, false}) {
+    Harness::Settings TestSettings = makeSettings(Idempotent);
+    TestSettings.RetryTokens = 0;
+    Harness Fixture({Avoided.address(), Second.address()}, TestSettings);
+    Fixture.Broker.avoid("s0");
+    cr_assert_eq(statusOf(Fixture.call(Idempotent ? Get : Post)), 200);
+    cr_assert(
+        eventually([&] { return Fixture.Broker.outcomes().size() == 2; }));
+    cr_assert(Fixture.Broker.outcomes() ==
+              (std::vector{core::CallOutcome::Withheld,
+                           core::CallOutcome::Completed}));
+  }
+  cr_assert_eq(Avoided.connections(), 0);
+}
+
+// Guards against a request that is sent although its server came to want none
+// while a connection to it was set up or the body was on its way.
+Test(Routes, request_is_withheld_if_its_server_wants_none_before_it_is_sent) {
+  ScriptedBackend Avoided(answerWith("wrong"));
+  Harness::Settings TestSettings = makeSettings(false);
+  TestSettings.Options.MaxBufferedBodyBytes = 0;
+  TestSettings.Options.MaxBufferedUploadBytes = 0;
+  Harness Fixture({Avoided.address()}, TestSettings);
+  auto Caller = Fixture.connect();
+  send(Caller, "POST /tags/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
+  cr_assert(eventually([&] { return Avoided.connections() == 1; }));
+  Fixture.Broker.avoid("s0");
+  send(Caller, "high");
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert_eq(statusOf(Answer), 503, "%s", Answer.c_str());
+  cr_assert_neq(Answer.find("X-Outcome: not-run"), std::string::npos);
+  cr_assert(Avoided.requests().empty());
+}
+
 // Guards against retries that exceed the retry budget when a backend server
 // rejects requests.
 Test(Routes, retry_without_budget_is_not_made) {
