Refuse requests whose response would come after the cut-off of a stop

Cause: a stop knew the objective of a route, not how long its responses take; backend servers are up to four times slower for a while.

Change: each VM remembers the longest response time of a route in the last 30 to 60 s. The larger of that and the objective must be left before the cut-off, or the request is refused with 503 as not run.

--- a/packages/callers/src/call_relay.cpp
+++ b/packages/callers/src/call_relay.cpp
@@ -74,6 +74,8 @@
     co_return false;
   }
   ++State.Counters.Completed;
+  State.Times.record(workClass(), Current->report().Elapsed,
+                     State.Dependencies.Time.now());
   logEnd(Exchange.head().result_int(), "passed on", Current->Grant.Server.Id);
   State.recordEvent("call.answered", Request.Id, Current->Grant.Server.Id,
                     std::to_string(Exchange.head().result_int()),
--- a/packages/callers/src/call_stop.cpp
+++ b/packages/callers/src/call_stop.cpp
@@ -16,12 +16,15 @@
   return core::hash64(Route != nullptr ? Route->Name : Service->Name);
 }
 
-// A route states in its objective how long its requests may take.
+// A route states in its objective how long its requests may take; those of this
+// VM tell if they take longer.
 std::chrono::microseconds Call::expectedTime() const {
-  if (Objective == core::TimePoint::max())
-    return std::chrono::microseconds(0);
-  return std::chrono::duration_cast<std::chrono::microseconds>(Objective -
-                                                               Arrival);
+  std::chrono::microseconds Stated{0};
+  if (Objective != core::TimePoint::max())
+    Stated = std::chrono::duration_cast<std::chrono::microseconds>(Objective -
+                                                                   Arrival);
+  return std::max(
+      Stated, State.Times.longest(workClass(), State.Dependencies.Time.now()));
 }
 
 void Call::updateSendBy() {
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -2,6 +2,7 @@
 #define JUJUBECART_CALLERS_SRC_SERVER_STATE_HPP
 
 #include "body_budget.hpp"
+#include "response_times.hpp"
 
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core/config_source.hpp>
@@ -113,6 +114,7 @@
   std::atomic<bool> Draining{false};
   std::atomic<bool> Stopping{false};
   LiveCounters Counters;
+  ResponseTimes Times;
   /// Guards Links and Stop.
   mutable std::mutex Mutex;
   std::unordered_map<CallerLink *, std::weak_ptr<CallerLink>> Links;
--- a/tests/callers/stop_schedule_test.cpp
+++ b/tests/callers/stop_schedule_test.cpp
@@ -1,9 +1,12 @@
+#include "response_times.hpp"
+
 #include <jujubecart/callers/stop_schedule.hpp>
 
 #include <criterion/criterion.h>
 
 using namespace jujubecart;
 using namespace std::chrono_literals;
+using callers::internal::ResponseTimes;
 
 namespace {
 
@@ -33,3 +36,35 @@
   cr_assert(callers::latestSend(Schedule, Start + 20s, 0ms) <
             Schedule.CutOffAt);
 }
+
+// Guards against an estimate that follows the last response instead of the
+// longest, or that mixes classes of requests.
+Test(ResponseTimes, longest_of_a_class_is_returned) {
+  ResponseTimes Times;
+  Times.record(1, 900ms, Start);
+  Times.record(1, 200ms, Start + 1s);
+  Times.record(2, 5s, Start);
+  cr_assert(Times.longest(1, Start + 1s) == 900ms);
+  cr_assert(Times.longest(3, Start + 1s) == 0ms);
+}
+
+// Guards against an estimate that forgets the slow spells of a moment ago, or
+// that keeps them for ever.
+Test(ResponseTimes, old_response_is_forgotten_after_a_while) {
+  ResponseTimes Times;
+  Times.record(1, 900ms, Start);
+  Times.record(1, 200ms, Start + 35s);
+  cr_assert(Times.longest(1, Start + 36s) == 900ms);
+  Times.record(1, 200ms, Start + 70s);
+  cr_assert(Times.longest(1, Start + 71s) == 200ms);
+  cr_assert(Times.longest(1, Start + 200s) == 0ms);
+}
+
+// Guards against memory that grows with each route that ever existed.
+Test(ResponseTimes, outdated_classes_are_dropped) {
+  ResponseTimes Times;
+  for (std::uint64_t Class = 0; Class < 100; ++Class)
+    Times.record(Class, 1ms, Start);
+  Times.record(1000, 1ms, Start + 100s);
+  cr_assert_eq(Times.size(), 1);
+}
--- a/tests/callers/stop_test.cpp
+++ b/tests/callers/stop_test.cpp
@@ -209,6 +209,33 @@
   cr_assert(Stopped.get().CutOff.empty());
 }
 
+// Guards against requests that arrive late in a stop, are passed on and then
+// cut off without an answer: their responses take longer than the time left.
+Test(Stop, request_that_arrives_too_late_for_its_response_is_refused) {
+  ScriptedBackend *Self = nullptr;
+  ScriptedBackend Backend(answerAfter(Self, 700ms));
+  // NOLINTNEXTLINE(clang-analyzer-deadcode.DeadStores): read by reference
+  Self = &Backend;
+  for (const bool Idempotent : {true, false}) {
+    Harness Fixture({Backend.address()}, settingsWithRoute(Idempotent));
+    // Longer than the objective of the route, so only a response can tell.
+    cr_assert_eq(statusOf(Fixture.call(Get)), 200);
+    auto Caller = Fixture.connect();
+    send(Caller, "GET /tags HTTP/1.1\r\nHo");
+    cr_assert(
+        eventually([&] { return Fixture.Server->counters().InFlight == 1; }));
+    const std::size_t Before = Backend.requests().size();
+    auto Stopped = Fixture.stop(1000ms);
+    std::this_thread::sleep_for(400ms);
+    send(Caller, "st: a\r\n\r\n");
+    const std::string Answer = Harness::readResponse(Caller);
+    cr_assert(isRefusedAsNotRun(Answer), "%s", Answer.c_str());
+    Caller.close();
+    cr_assert(Stopped.get().CutOff.empty());
+    cr_assert_eq(Backend.requests().size(), Before);
+  }
+}
+
 // Guards against a stop that refuses requests for which enough time is left.
 Test(Stop, request_that_arrives_in_time_for_its_response_is_served) {
   ScriptedBackend Backend(answerWith("done"));
