--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -16,6 +16,11 @@
 
 namespace jujubecart::decision::internal {
 
+/// A call that takes this many times its expected service time most likely gets
+/// no response.
+inline constexpr double OverdueFactor = 2.5;
+inline constexpr double PercentPerUnit = 100;
+
 /// @brief What a call can still meet.
 enum class Goal : std::uint8_t { Objective, Deadline };
 
