Keep serving when the reader of the log has ended

A VM whose log is read by another process ended by SIGPIPE with its next log line once that reader was gone, and reset its connections.

Cause: the write of a log line to a closed pipe raises SIGPIPE, whose default action ends the process.

Evidence: LogSinks.test_vm_outlives_the_reader_of_its_log (closed pipe, requests and a stop under way) fails before with a reset connection and passes now. The same test with a pipe that nobody reads and with a full disk passed before, too.

Change: jujubecartd ignores SIGPIPE; the line is counted as dropped, as for a slow reader. jujubectl keeps the default, so that `jujubectl ... | head -1` ends like other tools.

--- a/apps/jujubecartd/main.cpp
+++ b/apps/jujubecartd/main.cpp
@@ -3,6 +3,7 @@
 #include <jujubecart/operators/settings_reader.hpp>
 
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -60,5 +61,7 @@
   } catch (const CLI::ParseError &Failure) {
     return App.exit(Failure) == 0 ? 0 : ExitInvalidInput;
   }
+  // The process outlives the reader of its log.
+  std::signal(SIGPIPE, SIG_IGN);
   return endProcess(run(File));
 }
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import os
 import re
 import signal
 import threading
@@ -104,6 +105,54 @@
         self.assertEqual(self.vm.process.wait(EXIT_TIMEOUT_S), 0)
 
 
+class LogSinks(unittest.TestCase):
+    """A VM whose log nobody can read any more."""
+
+    REQUESTS = 300
+    DRAW = {"X-Draw": "0" * 15 + "1"}
+
+    def check(self, sink, broken):
+        """Runs a VM that logs to a file descriptor. Calls a function, then
+        sends requests and stops the VM while they are under way."""
+        with Fleet() as fleet:
+            vm = fleet.vms[0]
+            vm.process.terminate()
+            self.assertEqual(vm.process.wait(20), 0)
+            fleet.start_vm(vm, stdout=sink)
+            code, text = fleet.ctl("ticket", "submit", fleet.ticket(1), "--wait")
+            self.assertEqual(code, 0, text)
+            broken()
+            statuses = [http_call(vm.callers, "GET", "/tags/1", self.DRAW)[0]
+                        for _ in range(self.REQUESTS)]
+            self.assertEqual(statuses, [200] * self.REQUESTS)
+            late = []
+            sender = threading.Thread(target=lambda: late.append(
+                http_call(vm.callers, "GET", "/tags/1", self.DRAW)[0]))
+            sender.start()
+            vm.process.send_signal(signal.SIGTERM)
+            self.assertEqual(vm.process.wait(20), 0)
+            sender.join()
+
+    def test_vm_outlives_the_reader_of_its_log(self):
+        """Guards against a VM that ends by SIGPIPE, and drops its requests,
+        when the process that reads its log has ended."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, writer)
+        self.check(writer, lambda: os.close(reader))
+
+    def test_vm_does_not_wait_for_the_reader_of_its_log(self):
+        """Guards against a VM that blocks because nobody reads its log."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        self.check(writer, lambda: None)
+
+    def test_vm_runs_on_when_the_disk_of_its_log_is_full(self):
+        """Guards against a VM that ends when its log cannot be written."""
+        with open("/dev/full", "wb") as sink:
+            self.check(sink, lambda: None)
+
+
 class StoreDown(unittest.TestCase):
     """A VM that starts while the store is not running."""
 
--- a/tests/apps/fleet.py
+++ b/tests/apps/fleet.py
@@ -111,12 +111,14 @@
             json.dump(value, out)
         return self.path(name)
 
-    def spawn(self, name, *command):
-        """Starts a built program; all its output is appended to NAME.log."""
+    def spawn(self, name, *command, stdout=None):
+        """Starts a built program; all its output is appended to NAME.log,
+        unless standard output is given another file."""
         log = open(self.path(name + ".log"), "ab")
         self.logs.append(log)
         process = subprocess.Popen([os.path.join(BUILD, command[0]), *command[1:]],
-                                   stdout=log, stderr=log)
+                                   stdout=log if stdout is None else stdout,
+                                   stderr=log)
         self.processes.append(process)
         return process
 
@@ -155,11 +157,12 @@
                 "store": {"endpoints": [f"127.0.0.1:{self.store_port}"]},
                 "policy": self.policy, **self.overrides}
 
-    def start_vm(self, vm):
+    def start_vm(self, vm, stdout=None):
         """Starts jujubecartd of a VM and waits until it accepts connections of
         operators and of callers, which it opens one after the other."""
         vm.process = self.spawn(vm.name, "apps/jujubecartd/jujubecartd", "--settings",
-                                self.write(vm.name + ".json", self.settings(vm)))
+                                self.write(vm.name + ".json", self.settings(vm)),
+                                stdout=stdout)
         wait_until(lambda: (accepts(vm.operators) and accepts(vm.callers)) or
                    vm.process.poll() is not None, f"{vm.name} accepts connections")
         if vm.process.poll() is not None:
