--- a/tests/callers/upload_test.cpp
+++ b/tests/callers/upload_test.cpp
@@ -134,6 +134,43 @@
   cr_assert(Free.bodies().front() == Body);
 }
 
+// Guards against a backend server that works on for a caller that has left,
+// because nobody watches the caller's connection once its body was streamed.
+Test(Upload, streamed_upload_of_a_caller_that_has_left_is_cancelled) {
+  std::atomic<bool> Dropped{false};
+  ScriptedBackend *Self = nullptr;
+  ScriptedBackend Backend([&](tcp::socket &Socket, int) {
+    Self->readRequest(Socket);
+    std::string Rest;
+    boost::system::error_code Code;
+    asio::read(Socket, asio::dynamic_buffer(Rest), Code);
+    Dropped = true;
+  });
+  // NOLINTNEXTLINE(clang-analyzer-deadcode.DeadStores): read by reference
+  Self = &Backend;
+  Harness::Settings NoMemory = uploadSettings();
+  NoMemory.Options.BufferedBodyBudget = 4096;
+  NoMemory.Routes.front().TimeoutMs = 20000;
+  NoMemory.DeadlineMs = 20000;
+  const std::string Body = makeBody();
+  for (const std::string &Head :
+       {uploadHead(Body.size()),
+        std::string("POST /tags/1 HTTP/1.1\r\nHost: a\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n30d40\r\n")}) {
+    Harness Fixture({Backend.address()}, NoMemory);
+    const std::size_t Before = Backend.requests().size();
+    Dropped = false;
+    auto Caller = Fixture.connect();
+    send(Caller, Head + Body);
+    if (Head.find("chunked") != std::string::npos)
+      send(Caller, "\r\n0\r\n\r\n");
+    cr_assert(eventually([&] { return Backend.requests().size() > Before; }));
+    cr_assert_not(Dropped);
+    Caller.close();
+    cr_assert(eventually([&] { return Dropped.load(); }));
+  }
+}
+
 // Guards against a body above the limit that is forwarded in part.
 Test(Upload, upload_above_the_limit_is_answered_413_and_reaches_no_server) {
   UploadBackend Free(response("200 OK", "stored"));
