Answer no order that may have run with a status that denies it

Cause: every complete response was passed on with its own status, also a 503, 429, 408 or 421 of a server that does not state that it has not run the request.

Change: HttpProfile::promisesNotRun() names the statuses. Such a response to a request that is not idempotent is replaced by 502, which promises nothing.

--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -80,6 +80,10 @@
   /// Whether an attempt that has a slot may be sent now.
   [[nodiscard]] bool maySend(const Attempt &Current) const;
   [[nodiscard]] bool idempotent() const noexcept;
+  /// Whether the status of a response promises that the request has not run,
+  /// although it may have.
+  [[nodiscard]] bool promisesTooMuch(const Attempt &Current) const;
+  [[nodiscard]] core::Awaitable<bool> replaceResponse(AttemptPtr Current);
   [[nodiscard]] bool keepAsFallback(const AttemptPtr &Current);
   [[nodiscard]] core::Awaitable<AttemptPtr> runNextAttempt();
   [[nodiscard]] bool tryTakeRetry(core::CallOutcome Outcome);
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -77,6 +77,8 @@
     const AttemptPtr Next = co_await runNextAttempt();
     const bool Ready =
         Next->hasUsableResponse() && CancelledBy == CancelReason::None;
+    if (Ready && promisesTooMuch(*Next))
+      co_return co_await replaceResponse(Next);
     if (Ready && !keepAsFallback(Next))
       co_return co_await relay(Next);
     const core::CallOutcome Outcome = Next->report().Outcome;
@@ -97,6 +99,22 @@
   }
 }
 
+// A request that is not idempotent has most likely run, since its response does
+// not deny it; with such a status the caller would send it again.
+bool Call::promisesTooMuch(const Attempt &Current) const {
+  return !idempotent() && State.Dependencies.Profile.promisesNotRun(
+                              Current.Exchange->head().result_int());
+}
+
+core::Awaitable<bool> Call::replaceResponse(AttemptPtr Current) {
+  MayHaveRun = true;
+  Current->release();
+  co_return co_await reject(
+      {502, RejectReason::BadResponse,
+       "the backend server failed and may have run the request"},
+      false);
+}
+
 // Keeps a complete 5xx response as a fallback and allows another attempt, since
 // other backend servers may succeed. Takes a token from the retry budget.
 bool Call::keepAsFallback(const AttemptPtr &Current) {
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -115,6 +115,10 @@
   virtual void writeRefusal(std::string &Out,
                             const Refusal &Response) const = 0;
 
+  /// @brief Whether callers take a status for the statement that their request
+  /// has not run and never will.
+  [[nodiscard]] virtual bool promisesNotRun(unsigned Status) const noexcept = 0;
+
   /// @brief Whether the end of the connection may mark the end of a response
   /// body without Content-Length or chunked encoding.
   [[nodiscard]] virtual bool acceptsUnframedResponses() const noexcept = 0;
--- a/packages/core/src/native_http_profile.cpp
+++ b/packages/core/src/native_http_profile.cpp
@@ -109,6 +109,12 @@
                           .count()));
   }
 
+  // Callers read X-Outcome, which only the entry VM writes.
+  [[nodiscard]] bool
+  promisesNotRun(unsigned /*Status*/) const noexcept override {
+    return false;
+  }
+
   // The end of such a response cannot be distinguished from a truncation.
   [[nodiscard]] bool acceptsUnframedResponses() const noexcept override {
     return false;
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -140,6 +140,7 @@
     /// Routing table that replaces the rules of the service `tags`, if not
     /// empty.
     std::vector<core::Route> Routes;
+    const core::HttpProfile *Profile = &core::nativeHttpProfile();
     /// Limits of the routing table.
     core::CallerLimits Limits;
   };
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -50,6 +50,49 @@
   };
 }
 
+/// @brief The native profile, but 503 promises callers that their request has
+/// not run.
+class PromisingProfile final : public core::HttpProfile {
+public:
+  [[nodiscard]] std::optional<std::string_view>
+  readRequest(const Fields &Head, const core::Clock &Time,
+              core::RequestTraits &Out) const override {
+    return Native.readRequest(Head, Time, Out);
+  }
+  [[nodiscard]] bool
+  removesFromRequest(std::string_view Name) const noexcept override {
+    return Native.removesFromRequest(Name);
+  }
+  void writeRequest(std::string &Out, const core::OutgoingRequest &Request,
+                    const core::Clock &Time) const override {
+    Native.writeRequest(Out, Request, Time);
+  }
+  [[nodiscard]] core::ResponseTraits
+  readResponse(const ResponseHead &Head, std::string_view Id) const override {
+    return Native.readResponse(Head, Id);
+  }
+  [[nodiscard]] bool
+  removesFromResponse(std::string_view Name) const noexcept override {
+    return Native.removesFromResponse(Name);
+  }
+  void writeResponse(std::string &Out, core::RequestId Id) const override {
+    Native.writeResponse(Out, Id);
+  }
+  void writeRefusal(std::string &Out,
+                    const core::Refusal &Response) const override {
+    Native.writeRefusal(Out, Response);
+  }
+  [[nodiscard]] bool promisesNotRun(unsigned Status) const noexcept override {
+    return Status == 503;
+  }
+  [[nodiscard]] bool acceptsUnframedResponses() const noexcept override {
+    return Native.acceptsUnframedResponses();
+  }
+
+private:
+  const core::HttpProfile &Native = core::nativeHttpProfile();
+};
+
 const std::string NotRun =
     response("503 Service Unavailable", "", "X-Outcome: not-run\r\n");
 
@@ -114,6 +157,23 @@
   cr_assert_eq(statusOf(Fixture.call(Post)), 200);
 }
 
+// Guards against an order that has run and is answered with a status that
+// promises the opposite, because the backend server answered so.
+Test(Routes, order_that_may_have_run_is_not_answered_as_not_run) {
+  const PromisingProfile Profile;
+  ScriptedBackend Failing(replyWith(response("503 Unavailable", "broken")));
+  for (const bool Idempotent : {true, false}) {
+    Harness::Settings TestSettings = makeSettings(Idempotent);
+    TestSettings.Profile = &Profile;
+    TestSettings.RetryTokens = 0;
+    Harness Fixture({Failing.address()}, TestSettings);
+    const std::string Answer = Fixture.call(Idempotent ? Get : Post);
+    cr_assert_eq(statusOf(Answer), Idempotent ? 503 : 502, "%s",
+                 Answer.c_str());
+    cr_assert_eq(Answer.find("X-Outcome: not-run"), std::string::npos);
+  }
+}
+
 // Guards against a request to a backend server that has stated since the grant
 // that it wants none, and against an unused grant that counts as an attempt, a
 // retry or a failure of the server.
--- a/tests/platform/http_profile_test.cpp
+++ b/tests/platform/http_profile_test.cpp
@@ -38,6 +38,16 @@
   cr_assert(toString(*Traits.Id) == Traits.CallerRequestId);
 }
 
+// Guards against a status that callers take for a promise, in a response to an
+// order that has run.
+Test(PlatformHttpProfile, statuses_that_promise_not_run_are_known) {
+  const Fixture Setup;
+  for (const unsigned Status : {408U, 421U, 429U, 503U})
+    cr_assert(Setup.Profile.promisesNotRun(Status), "%u", Status);
+  for (const unsigned Status : {200U, 400U, 404U, 500U, 502U, 504U})
+    cr_assert_not(Setup.Profile.promisesNotRun(Status), "%u", Status);
+}
+
 // Guards against ignoring a malformed remaining time, so that the request would
 // run with another deadline than its caller wants.
 Test(PlatformHttpProfile, invalid_remaining_time_is_reported) {
