End a request whose dispatcher grants excluded servers

RemoteBroker::acquire() asks again after a grant that it returned; a dispatcher that ignores exclusions would have kept it asking for ever. The request now ends as Unavailable and an order releases its key.

--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -50,6 +50,14 @@
         .field("server", Granted->Server.Id)
         .field("dispatcher", Granted->Dispatcher);
     release(*Granted, {.Outcome = core::CallOutcome::Withheld});
+    // A dispatcher that grants an excluded server would do so again.
+    if (std::find(Request.Excluded.begin(), Request.Excluded.end(),
+                  Granted->Server.Id) != Request.Excluded.end()) {
+      const auto Error = core::make_error_code(core::Error::Unavailable);
+      if (Request.Key)
+        releaseFailedOrder(Request, Error);
+      co_return Error;
+    }
     Request.Excluded.push_back(Granted->Server.Id);
   }
 }
--- a/tests/callers/stop_test.cpp
+++ b/tests/callers/stop_test.cpp
@@ -42,6 +42,21 @@
          Answer.find("Connection: close") != std::string::npos;
 }
 
+/// @brief Sends a request, stops the server once the request (or its next
+/// attempt) waits for a slot, and checks that nothing is cut off.
+/// @return The answer.
+std::string answerToWaitingRequest(Harness &Fixture, const char *Bytes,
+                                   std::chrono::milliseconds Within) {
+  auto Caller = Fixture.connect();
+  send(Caller, Bytes);
+  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
+  auto Stopped = Fixture.stop(Within);
+  std::string Answer = Harness::readResponse(Caller);
+  Caller.close();
+  cr_assert(Stopped.get().CutOff.empty());
+  return Answer;
+}
+
 } // namespace
 
 // Guards against a graceful stop that cuts off requests in flight or requests
@@ -97,17 +112,11 @@
   for (const bool Idempotent : {true, false}) {
     Harness Fixture({Backend.address()}, settingsWithRoute(Idempotent));
     Fixture.Broker.MaxGrants = 0;
-    auto Caller = Fixture.connect();
-    send(Caller, Get);
-    cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
-    auto Stopped = Fixture.stop(800ms);
     const auto Started = std::chrono::steady_clock::now();
-    const std::string Answer = Harness::readResponse(Caller);
+    const std::string Answer = answerToWaitingRequest(Fixture, Get, 800ms);
     cr_assert(isRefusedAsNotRun(Answer), "%s", Answer.c_str());
     // It is not told later than necessary that it has to go elsewhere.
     cr_assert_lt(std::chrono::steady_clock::now() - Started, 600ms);
-    Caller.close();
-    cr_assert(Stopped.get().CutOff.empty());
   }
   cr_assert_eq(Backend.connections(), 0);
 }
@@ -121,14 +130,8 @@
   TestSettings.DeadlineMs = 8000;
   Harness Fixture({Backend.address()}, TestSettings);
   Fixture.Broker.MaxGrants = 0;
-  auto Caller = Fixture.connect();
-  send(Caller, Order);
-  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
-  auto Stopped = Fixture.stop(300ms);
-  const std::string Answer = Harness::readResponse(Caller);
+  const std::string Answer = answerToWaitingRequest(Fixture, Order, 300ms);
   cr_assert(isRefusedAsNotRun(Answer), "%s", Answer.c_str());
-  Caller.close();
-  cr_assert(Stopped.get().CutOff.empty());
   cr_assert_eq(Fixture.Broker.ClaimsReleased, 1);
 }
 
@@ -143,14 +146,8 @@
   });
   Harness Fixture({Failing.address()}, settingsWithRoute(true));
   Fixture.Broker.MaxGrants = 1;
-  auto Caller = Fixture.connect();
-  send(Caller, Get);
-  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
-  auto Stopped = Fixture.stop(800ms);
-  const std::string Answer = Harness::readResponse(Caller);
+  const std::string Answer = answerToWaitingRequest(Fixture, Get, 800ms);
   cr_assert_eq(statusOf(Answer), 500, "%s", Answer.c_str());
-  Caller.close();
-  cr_assert(Stopped.get().CutOff.empty());
 }
 
 // Guards against a false refusal of a request that may have run: its first
@@ -163,14 +160,8 @@
   });
   Harness Fixture({Breaking.address()}, settingsWithRoute(true));
   Fixture.Broker.MaxGrants = 1;
-  auto Caller = Fixture.connect();
-  send(Caller, Get);
-  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
-  auto Stopped = Fixture.stop(800ms);
-  const std::string Answer = Harness::readResponse(Caller);
+  const std::string Answer = answerToWaitingRequest(Fixture, Get, 800ms);
   cr_assert_eq(statusOf(Answer), 502, "%s", Answer.c_str());
-  Caller.close();
-  cr_assert(Stopped.get().CutOff.empty());
 }
 
 // Guards against a stop that breaks off a request at which a backend server
@@ -183,14 +174,8 @@
   Harness Fixture({Backend.address()}, settingsWithRoute(true));
   Fixture.Broker.MaxGrants = 1;
   Fixture.Broker.setHedgeDelay(50ms);
-  auto Caller = Fixture.connect();
-  send(Caller, Get);
-  cr_assert(eventually([&] { return Fixture.Broker.Waiting == 1; }));
-  auto Stopped = Fixture.stop(1200ms);
-  const std::string Answer = Harness::readResponse(Caller);
+  const std::string Answer = answerToWaitingRequest(Fixture, Get, 1200ms);
   cr_assert_eq(statusOf(Answer), 200, "%s", Answer.c_str());
-  Caller.close();
-  cr_assert(Stopped.get().CutOff.empty());
   cr_assert_eq(Fixture.Broker.Waiting, 0);
 }
 
