--- a/tests/peers/server_statements_test.cpp
+++ b/tests/peers/server_statements_test.cpp
@@ -91,8 +91,10 @@
     Cluster Fleet(2);
     Vm &Requester = OwnDispatcher ? Fleet.dispatcher() : Fleet.third();
     auto Held = Fleet.acquireSlots(Requester, 2 * MaxGrants);
+    constexpr std::size_t Waiters = 4;
     std::vector<std::future<core::Result<core::SlotGrant>>> Waiting;
-    for (int Count = 0; Count < 4; ++Count)
+    Waiting.reserve(Waiters);
+    while (Waiting.size() < Waiters)
       Waiting.push_back(Requester.acquireLater(Cluster::request()));
     std::this_thread::sleep_for(50ms);
     const std::string Quiet = Held.front().Server.Id;
@@ -128,8 +130,10 @@
   Cluster Fleet(2);
   Vm &Requester = Fleet.third();
   auto Held = Fleet.acquireSlots(Requester, 2 * MaxGrants);
+  constexpr std::size_t Waiters = 8;
   std::vector<std::future<core::Result<core::SlotGrant>>> Waiting;
-  for (int Count = 0; Count < 8; ++Count)
+  Waiting.reserve(Waiters);
+  while (Waiting.size() < Waiters)
     Waiting.push_back(Requester.acquireLater(Cluster::request()));
   std::this_thread::sleep_for(50ms);
   const std::string Quiet = Held.front().Server.Id;
