Show closes of callers and the delay of the event loop

Nothing states how late a VM is, how old a close is when it is noticed, at which stage of the request, and whether a request is sent after it. Change: request.caller_closed (stage, age of the close from TCP_INFO), request.sent_after_close and its counter jujubecart_sends_after_close_total, vm.delayed and the summary jujubecart_loop_delay_ms. No decision changes: a request is still sent when its caller has closed.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -43,6 +43,8 @@
       Incarnation(internal::unixMilliseconds(Time)),
       Io(static_cast<int>(Settings.Workers)), StopSignals(Io, SIGTERM, SIGINT),
       ReloadSignals(Io, SIGHUP), Events(Time, Settings.TimelineEvents),
+      LoopDelays(Time, Sleeper,
+                 Metrics.summary("jujubecart_loop_delay_ms", "")),
       Store(Io.get_executor(), Settings.Store.Endpoints),
       Tickets(Store, Time, Sleeper, internal::randomNumber),
       ConfigReader(Io.get_executor(), {.Store = Store,
@@ -212,6 +214,8 @@
   waitForStopSignal();
   internal::asio::co_spawn(Io, watchSettings(), internal::asio::detached);
   internal::asio::co_spawn(Io, maintain(), internal::asio::detached);
+  internal::asio::co_spawn(Io, LoopDelays.run(Stopping),
+                           internal::asio::detached);
   startConfiguration();
   if (VmListPoller)
     VmListPoller->start([this](const inventory::VmList &List) {
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -5,6 +5,7 @@
 #include "daemon_api.hpp"
 #include "http_health_prober.hpp"
 #include "load_prober.hpp"
+#include "loop_delay.hpp"
 
 #include <jujubecart/backends/transport.hpp>
 #include <jujubecart/callers/server.hpp>
@@ -71,6 +72,7 @@
   core::ConfigTable Config;
   core::EventRing Events;
   core::MetricsRegistry Metrics;
+  LoopDelayMonitor LoopDelays;
   store::HttpKeyValueStore Store;
   store::TicketProcessor Tickets;
   store::ConfigReader ConfigReader;
--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -30,6 +30,8 @@
   AddCounter("jujubecart_attempts_total", &callers::ServerCounters::Attempts);
   AddCounter("jujubecart_retries_total", &callers::ServerCounters::Retries);
   AddCounter("jujubecart_hedges_total", &callers::ServerCounters::Hedges);
+  AddCounter("jujubecart_sends_after_close_total",
+             &callers::ServerCounters::SendsAfterClose);
   AddCounter("jujubecart_responses_cut_total",
              &callers::ServerCounters::TruncatedResponses);
   AddCounter("jujubecart_caller_connections_accepted_total",
--- a/packages/callers/include/jujubecart/callers/server_counters.hpp
+++ b/packages/callers/include/jujubecart/callers/server_counters.hpp
@@ -53,6 +53,8 @@
   std::uint64_t Retries = 0;
   /// Second attempts started while the first one was still pending.
   std::uint64_t Hedges = 0;
+  /// Attempts that were sent although the caller had closed its connection.
+  std::uint64_t SendsAfterClose = 0;
   /// Responses that ended early after relaying had begun.
   std::uint64_t TruncatedResponses = 0;
   /// Indexed by RejectReason.
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -243,6 +243,7 @@
 }
 
 void Call::onCallerClosed() {
+  logClose("request.caller_closed", "");
   if (CurrentPhase == Phase::Attempting)
     cancelAttempts(CancelReason::CallerGone);
 }
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -69,6 +69,12 @@
   void logEnd(unsigned Status, std::string_view Outcome,
               std::string_view Server) const;
 
+  // call_close.cpp: callers that close before they have their response.
+  /// How far the request has come, for the log.
+  [[nodiscard]] std::string_view stage() const;
+  /// Logs a close of the caller, with its age and what it ended or missed.
+  void logClose(std::string_view Event, std::string_view Server) const;
+
   // call_attempts.cpp: acquiring slots, attempts, retries, failures.
   [[nodiscard]] core::Awaitable<bool> forward();
   [[nodiscard]] core::Awaitable<void> runAttempt(AttemptPtr Current);
@@ -79,6 +85,8 @@
   makeBackendRequest(const Attempt &Current) const;
   /// Whether an attempt that has a slot may be sent now.
   [[nodiscard]] bool maySend(const Attempt &Current) const;
+  /// Counts and logs a send for a caller that has closed.
+  void noteSend(const Attempt &Current) const;
   [[nodiscard]] bool idempotent() const noexcept;
   /// Whether the status of a response promises that the request has not run,
   /// although it may have.
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -40,13 +40,18 @@
 
 std::shared_ptr<core::BackendRequest>
 Call::makeBackendRequest(const Attempt &Current) const {
-  auto Out = std::make_shared<core::BackendRequest>(core::BackendRequest{
-      .Head = ForwardedHead,
-      .Body = Request.Body,
-      .IsHead = Request.isHead(),
-      .IsOrder = !idempotent(),
-      .CallerRequestId = Request.Traits.CallerRequestId,
-      .MaySend = [this, &Current] { return maySend(Current); }});
+  auto Out = std::make_shared<core::BackendRequest>(
+      core::BackendRequest{.Head = ForwardedHead,
+                           .Body = Request.Body,
+                           .IsHead = Request.isHead(),
+                           .IsOrder = !idempotent(),
+                           .CallerRequestId = Request.Traits.CallerRequestId,
+                           .MaySend = [this, &Current] {
+                             const bool Allowed = maySend(Current);
+                             if (Allowed)
+                               noteSend(Current);
+                             return Allowed;
+                           }});
   State.Dependencies.Profile.writeRequest(Out->Head,
                                           {.Id = Request.Id,
                                            .Traits = Request.Traits,
@@ -61,6 +66,13 @@
   return !sendByPassed() && State.Dependencies.Broker.permits(Current.Grant);
 }
 
+void Call::noteSend(const Attempt &Current) const {
+  if (!Link.callerClosed())
+    return;
+  ++State.Counters.SendsAfterClose;
+  logClose("request.sent_after_close", Current.Grant.Server.Id);
+}
+
 bool Call::idempotent() const noexcept {
   return Route != nullptr ? Route->Idempotent : !Key;
 }
--- a/packages/callers/src/caller_link.cpp
+++ b/packages/callers/src/caller_link.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/buffer.hpp>
 #include <jujubecart/core/hash.hpp>
+#include <netinet/tcp.h>
+#include <poll.h>
 
 namespace jujubecart::callers::internal {
 
@@ -183,6 +185,30 @@
     Listener->onCallerClosed();
 }
 
+bool CallerLink::callerClosed() noexcept {
+  // A peek cannot see a close behind unread bytes.
+  pollfd Query{
+      .fd = Socket.native_handle(), .events = POLLIN | POLLRDHUP, .revents = 0};
+  if (!Socket.is_open() || ::poll(&Query, 1, 0) <= 0)
+    return !Socket.is_open();
+  if ((Query.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+    return true;
+  char Byte = 0;
+  boost::system::error_code Code;
+  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Code);
+  return Code && Code != asio::error::would_block;
+}
+
+std::optional<std::chrono::milliseconds>
+CallerLink::sinceLastSegment() noexcept {
+  tcp_info Info{};
+  socklen_t Size = sizeof Info;
+  if (::getsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info,
+                   &Size) != 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(Info.tcpi_last_ack_recv);
+}
+
 void CallerLink::cancelRead() noexcept {
   boost::system::error_code Ignored;
   Socket.cancel(Ignored);
--- a/packages/callers/src/caller_link.hpp
+++ b/packages/callers/src/caller_link.hpp
@@ -55,6 +55,16 @@
   /// @brief From now on, reports to the listener when the caller closes.
   void watchForClose();
 
+  /// @brief Whether the caller has closed its connection, or its sending side,
+  /// or the connection was reset. Asks the kernel, so the answer does not
+  /// depend on how far the event loop is behind.
+  [[nodiscard]] bool callerClosed() noexcept;
+
+  /// @brief Time since the last segment of the caller arrived, which is the
+  /// age of its close after callerClosed(); nothing if the system cannot tell.
+  [[nodiscard]] std::optional<std::chrono::milliseconds>
+  sinceLastSegment() noexcept;
+
   /// @brief Writes all buffers within the write timeout.
   /// @return Whether it succeeded.
   template <typename Buffers>
--- a/packages/callers/src/server.cpp
+++ b/packages/callers/src/server.cpp
@@ -192,6 +192,7 @@
                      .Attempts = From.Attempts,
                      .Retries = From.Retries,
                      .Hedges = From.Hedges,
+                     .SendsAfterClose = From.SendsAfterClose,
                      .TruncatedResponses = From.TruncatedResponses,
                      .InFlight = From.InFlight,
                      .OpenConnections = From.OpenConnections};
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -35,6 +35,7 @@
   Counter Attempts{0};
   Counter Retries{0};
   Counter Hedges{0};
+  Counter SendsAfterClose{0};
   Counter TruncatedResponses{0};
   Counter InFlight{0};
   Counter OpenConnections{0};
