Send no request whose caller has closed

Callers saw nothing of it; backend servers worked for callers that had left. Cause: a close of the caller is an event of its own. In a VM that is late, the request and the close wait in the socket together; the request is read, gets a slot of the VM's own dispatcher and an idle connection in the turns before the event of the close is handled. The same holds for each slot, retry, hedge or new connection that becomes ready in the turn in which the close does. Change: Call::maySend asks the kernel, when the slot is granted and right before the first byte, and no slot is asked for a caller that has closed. request.caller_closed and jujubecart_caller_closes_total{stage} replace the line and the counter of sends after a close, which cannot happen any more.

--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -30,8 +30,6 @@
   AddCounter("jujubecart_attempts_total", &callers::ServerCounters::Attempts);
   AddCounter("jujubecart_retries_total", &callers::ServerCounters::Retries);
   AddCounter("jujubecart_hedges_total", &callers::ServerCounters::Hedges);
-  AddCounter("jujubecart_sends_after_close_total",
-             &callers::ServerCounters::SendsAfterClose);
   AddCounter("jujubecart_responses_cut_total",
              &callers::ServerCounters::TruncatedResponses);
   AddCounter("jujubecart_caller_connections_accepted_total",
@@ -50,6 +48,14 @@
           return static_cast<double>(Callers.counters().rejected(Reason));
         });
   }
+  for (std::size_t Index = 0; Index < callers::CloseStageCount; ++Index) {
+    const auto Stage = static_cast<callers::CloseStage>(Index);
+    Registry.counter(
+        "jujubecart_caller_closes_total",
+        "stage=\"" + std::string(toString(Stage)) + "\"", [&Callers, Stage] {
+          return static_cast<double>(Callers.counters().closes(Stage));
+        });
+  }
 }
 
 void registerPoolMetrics(core::MetricsRegistry &Registry,
--- a/packages/callers/include/jujubecart/callers/server_counters.hpp
+++ b/packages/callers/include/jujubecart/callers/server_counters.hpp
@@ -40,6 +40,26 @@
 /// @brief Name of a reason in metric labels and timeline events.
 [[nodiscard]] std::string_view toString(RejectReason Reason) noexcept;
 
+/// @brief How far a request had come when a close of its caller was noticed.
+enum class CloseStage : std::uint8_t {
+  /// The VM reads the part of the body that it buffers.
+  Body,
+  /// No slot has been granted yet, or none for the current attempt.
+  Slot,
+  /// The request has a slot, but has not been sent.
+  Connection,
+  /// A backend server may be working on the request.
+  Sent,
+  /// The response is being written to the caller.
+  Response,
+};
+
+/// Number of CloseStage values.
+constexpr std::size_t CloseStageCount = 5;
+
+/// @brief Name of a stage in metric labels and log lines.
+[[nodiscard]] std::string_view toString(CloseStage Stage) noexcept;
+
 /// @brief Totals since the server was created, unless stated otherwise.
 struct ServerCounters {
   std::uint64_t AcceptedConnections = 0;
@@ -53,12 +73,12 @@
   std::uint64_t Retries = 0;
   /// Second attempts started while the first one was still pending.
   std::uint64_t Hedges = 0;
-  /// Attempts that were sent although the caller had closed its connection.
-  std::uint64_t SendsAfterClose = 0;
   /// Responses that ended early after relaying had begun.
   std::uint64_t TruncatedResponses = 0;
   /// Indexed by RejectReason.
   std::array<std::uint64_t, RejectReasonCount> Rejected{};
+  /// Closes of callers without a response, indexed by CloseStage.
+  std::array<std::uint64_t, CloseStageCount> Closes{};
   /// Current number of requests being received or served.
   std::uint64_t InFlight = 0;
   /// Current number of open connections.
@@ -68,6 +88,11 @@
   [[nodiscard]] std::uint64_t rejected(RejectReason Reason) const noexcept {
     return Rejected[static_cast<std::size_t>(Reason)];
   }
+
+  /// @brief Number of closes that were noticed at a stage.
+  [[nodiscard]] std::uint64_t closes(CloseStage Stage) const noexcept {
+    return Closes[static_cast<std::size_t>(Stage)];
+  }
 };
 
 } // namespace jujubecart::callers
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -153,7 +153,9 @@
     CancelledBy = CancelReason::CallerGone;
   if (CancelledBy == CancelReason::CallerGone ||
       CancelledBy == CancelReason::CutOff) {
-    State.Counters.countRejected(RejectReason::CallerGone);
+    if (CancelledBy == CancelReason::CallerGone)
+      recordClose();
+    endWithoutResponse("");
     co_return false;
   }
   static_cast<void>(co_await reject(rejectionFor(None), true));
@@ -242,12 +244,6 @@
   armTimeout();
 }
 
-void Call::onCallerClosed() {
-  logClose("request.caller_closed", "");
-  if (CurrentPhase == Phase::Attempting)
-    cancelAttempts(CancelReason::CallerGone);
-}
-
 void Call::onCutOff() {
   if (Service != nullptr && CurrentPhase != Phase::Writing &&
       !sentAttemptPending())
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -70,10 +70,15 @@
               std::string_view Server) const;
 
   // call_close.cpp: callers that close before they have their response.
-  /// How far the request has come, for the log.
-  [[nodiscard]] std::string_view stage() const;
-  /// Logs a close of the caller, with its age and what it ended or missed.
-  void logClose(std::string_view Event, std::string_view Server) const;
+  /// Cancels the request if its caller has closed, whether or not the event
+  /// loop has noticed it.
+  /// @return Whether the request was cancelled because its caller closed.
+  [[nodiscard]] bool endIfCallerClosed();
+  /// How far the request has come.
+  [[nodiscard]] CloseStage stage() const;
+  void recordClose() const;
+  /// Ends the request of a caller that is gone.
+  void endWithoutResponse(const std::string &Server) const;
 
   // call_attempts.cpp: acquiring slots, attempts, retries, failures.
   [[nodiscard]] core::Awaitable<bool> forward();
@@ -82,11 +87,9 @@
   readResponseStart(AttemptPtr Current);
   [[nodiscard]] core::SlotRequest slotRequest() const;
   [[nodiscard]] std::shared_ptr<core::BackendRequest>
-  makeBackendRequest(const Attempt &Current) const;
+  makeBackendRequest(const Attempt &Current);
   /// Whether an attempt that has a slot may be sent now.
-  [[nodiscard]] bool maySend(const Attempt &Current) const;
-  /// Counts and logs a send for a caller that has closed.
-  void noteSend(const Attempt &Current) const;
+  [[nodiscard]] bool maySend(const Attempt &Current);
   [[nodiscard]] bool idempotent() const noexcept;
   /// Whether the status of a response promises that the request has not run,
   /// although it may have.
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -39,19 +39,14 @@
 }
 
 std::shared_ptr<core::BackendRequest>
-Call::makeBackendRequest(const Attempt &Current) const {
-  auto Out = std::make_shared<core::BackendRequest>(
-      core::BackendRequest{.Head = ForwardedHead,
-                           .Body = Request.Body,
-                           .IsHead = Request.isHead(),
-                           .IsOrder = !idempotent(),
-                           .CallerRequestId = Request.Traits.CallerRequestId,
-                           .MaySend = [this, &Current] {
-                             const bool Allowed = maySend(Current);
-                             if (Allowed)
-                               noteSend(Current);
-                             return Allowed;
-                           }});
+Call::makeBackendRequest(const Attempt &Current) {
+  auto Out = std::make_shared<core::BackendRequest>(core::BackendRequest{
+      .Head = ForwardedHead,
+      .Body = Request.Body,
+      .IsHead = Request.isHead(),
+      .IsOrder = !idempotent(),
+      .CallerRequestId = Request.Traits.CallerRequestId,
+      .MaySend = [this, &Current] { return maySend(Current); }});
   State.Dependencies.Profile.writeRequest(Out->Head,
                                           {.Id = Request.Id,
                                            .Traits = Request.Traits,
@@ -62,15 +57,11 @@
   return Out;
 }
 
-bool Call::maySend(const Attempt &Current) const {
-  return !sendByPassed() && State.Dependencies.Broker.permits(Current.Grant);
-}
-
-void Call::noteSend(const Attempt &Current) const {
-  if (!Link.callerClosed())
-    return;
-  ++State.Counters.SendsAfterClose;
-  logClose("request.sent_after_close", Current.Grant.Server.Id);
+// Right before the first byte, the latest facts count: those of the kernel for
+// the caller, since a VM that is late has not handled all events yet.
+bool Call::maySend(const Attempt &Current) {
+  return !endIfCallerClosed() && !sendByPassed() &&
+         State.Dependencies.Broker.permits(Current.Grant);
 }
 
 bool Call::idempotent() const noexcept {
@@ -150,7 +141,7 @@
 
 core::Awaitable<void> Call::runAttempt(AttemptPtr Current) {
   const core::Clock &Time = State.Dependencies.Time;
-  if (sendByPassed()) {
+  if (sendByPassed() || endIfCallerClosed()) {
     Current->Failure = core::make_error_code(core::Error::Cancelled);
     co_return;
   }
@@ -302,10 +293,7 @@
                         !Link.reader().limitExceeded() && !Body.malformed();
   if (BodyLost || CancelledBy == CancelReason::CallerGone ||
       CancelledBy == CancelReason::CutOff) {
-    State.Counters.countRejected(RejectReason::CallerGone);
-    State.recordEvent("call.rejected", Request.Id, Last->Grant.Server.Id,
-                      toString(RejectReason::CallerGone));
-    logEnd(0, "caller gone", Last->Grant.Server.Id);
+    endWithoutResponse(Last->Grant.Server.Id);
     co_return false;
   }
   co_return co_await reject(rejectionFor(*Last),
--- a/packages/callers/src/call_close.cpp
+++ b/packages/callers/src/call_close.cpp
@@ -5,30 +5,48 @@
 
 namespace jujubecart::callers::internal {
 
-std::string_view Call::stage() const {
+bool Call::endIfCallerClosed() {
+  if (CancelledBy == CancelReason::None && Link.callerClosed())
+    onCallerClosed();
+  return CancelledBy == CancelReason::CallerGone;
+}
+
+void Call::onCallerClosed() {
+  recordClose();
+  if (CurrentPhase == Phase::Attempting)
+    cancelAttempts(CancelReason::CallerGone);
+}
+
+CloseStage Call::stage() const {
   if (CurrentPhase == Phase::Writing)
-    return "response";
+    return CloseStage::Response;
   if (CurrentPhase == Phase::Reading)
-    return "body";
+    return CloseStage::Body;
   if (sentAttemptPending())
-    return "sent";
-  return waitsForSlot() || ActiveAttempts.empty() ? "slot" : "connection";
+    return CloseStage::Sent;
+  return waitsForSlot() || ActiveAttempts.empty() ? CloseStage::Slot
+                                                  : CloseStage::Connection;
 }
 
-void Call::logClose(std::string_view Event, std::string_view Server) const {
+void Call::recordClose() const {
+  State.Counters.countClose(stage());
   if (Route == nullptr)
     return;
-  const core::TimePoint Now = State.Dependencies.Time.now();
-  core::LogLine Line(core::LogLevel::Info, Event);
+  const auto Elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      State.Dependencies.Time.now() - Arrival);
+  core::LogLine Line(core::LogLevel::Info, "request.caller_closed");
   Line.field("request", toString(Request.Id))
-      .field("stage", stage())
-      .field("server", Server)
-      .field(
-          "elapsed_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(Now - Arrival)
-              .count());
+      .field("stage", toString(stage()))
+      .field("elapsed_ms", Elapsed.count());
   if (const auto Age = Link.sinceLastSegment())
     Line.field("close_age_ms", Age->count());
 }
 
+void Call::endWithoutResponse(const std::string &Server) const {
+  State.Counters.countRejected(RejectReason::CallerGone);
+  State.recordEvent("call.rejected", Request.Id, Server,
+                    toString(RejectReason::CallerGone));
+  logEnd(0, "caller gone", Server);
+}
+
 } // namespace jujubecart::callers::internal
--- a/packages/callers/src/server.cpp
+++ b/packages/callers/src/server.cpp
@@ -192,12 +192,13 @@
                      .Attempts = From.Attempts,
                      .Retries = From.Retries,
                      .Hedges = From.Hedges,
-                     .SendsAfterClose = From.SendsAfterClose,
                      .TruncatedResponses = From.TruncatedResponses,
                      .InFlight = From.InFlight,
                      .OpenConnections = From.OpenConnections};
   for (std::size_t Index = 0; Index < RejectReasonCount; ++Index)
     Out.Rejected[Index] = From.Rejected[Index];
+  for (std::size_t Index = 0; Index < CloseStageCount; ++Index)
+    Out.Closes[Index] = From.Closes[Index];
   return Out;
 }
 
--- a/packages/callers/src/server_counters.cpp
+++ b/packages/callers/src/server_counters.cpp
@@ -11,4 +11,10 @@
   return Names[static_cast<std::size_t>(Reason)];
 }
 
+std::string_view toString(CloseStage Stage) noexcept {
+  static constexpr std::array<std::string_view, CloseStageCount> Names{
+      "body", "slot", "connection", "sent", "response"};
+  return Names[static_cast<std::size_t>(Stage)];
+}
+
 } // namespace jujubecart::callers
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -35,15 +35,18 @@
   Counter Attempts{0};
   Counter Retries{0};
   Counter Hedges{0};
-  Counter SendsAfterClose{0};
   Counter TruncatedResponses{0};
   Counter InFlight{0};
   Counter OpenConnections{0};
   std::array<Counter, RejectReasonCount> Rejected{};
+  std::array<Counter, CloseStageCount> Closes{};
 
   void countRejected(RejectReason Reason) noexcept {
     ++Rejected[static_cast<std::size_t>(Reason)];
   }
+  void countClose(CloseStage Stage) noexcept {
+    ++Closes[static_cast<std::size_t>(Stage)];
+  }
 };
 
 /// @brief State shared by the connections of a server.
