Notice closes of callers behind bytes that nobody reads yet

Callers saw nothing of it; backend servers worked on, or got requests, for callers that had left. Cause: the connection of a caller was watched only after its whole body had been buffered, and no longer once bytes of a next request waited in the socket. A peek sees the bytes and not the close behind them, and the socket stays readable, so no event follows. Change: the connection is watched from the first slot request on. While bytes wait, CallerLink::callerClosed (poll with POLLRDHUP) is asked every 100 ms. The watch that began behind a streamed body is part of it now. The body of the test fits into a receive buffer, since a close that has not arrived cannot be noticed.

--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -74,8 +74,7 @@
                                          State.Dependencies.Profile);
   CurrentPhase = Phase::Attempting;
   armTimeout();
-  if (Body.fullyBuffered())
-    Link.watchForClose();
+  Link.watchForClose();
   while (true) {
     const AttemptPtr Next = co_await runNextAttempt();
     const bool Ready =
--- a/packages/callers/src/caller_link.cpp
+++ b/packages/callers/src/caller_link.cpp
@@ -22,6 +22,7 @@
 constexpr std::chrono::seconds MaxLingerTime{1};
 // After the cut-off of a stop the process must end soon.
 constexpr std::chrono::milliseconds MaxLingerTimeAtStop{200};
+constexpr std::chrono::milliseconds CloseCheckInterval{100};
 
 std::uint64_t hashCallerAddress(const tcp::socket &Socket) {
   boost::system::error_code Code;
@@ -34,6 +35,7 @@
 CallerLink::CallerLink(std::shared_ptr<ServerState> State, tcp::socket Caller)
     : State(std::move(State)), Socket(std::move(Caller)),
       Reader(this->State->httpLimits()), Timer(Socket.get_executor()),
+      CloseCheck(Socket.get_executor()),
       CallerAddressHash(hashCallerAddress(Socket)) {
   ++this->State->Counters.OpenConnections;
 }
@@ -55,6 +57,7 @@
   }
   TimeoutAt = core::TimePoint::max();
   Timer.cancel();
+  CloseCheck.cancel();
   Socket.close(Ignored);
 }
 
@@ -165,24 +168,34 @@
         const auto Self = Weak.lock();
         if (!Self)
           return;
-        Self->ReadableWaitPending = false;
-        if (!Code && Self->ReportClose && Self->Listener != nullptr)
-          Self->onReadable();
+        if (Code)
+          Self->ReadableWaitPending = false;
+        else
+          Self->onWatchEvent();
       });
 }
 
 void CallerLink::onReadable() {
-  char Byte = 0;
-  boost::system::error_code Code;
-  Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Code);
-  // The bytes of a pipelined request stay in the socket. A close that follows
-  // them is only noticed when the response is written.
-  if (!Code)
-    return;
-  if (Code == asio::error::would_block)
-    watchForClose();
-  else
-    Listener->onCallerClosed();
+  if (callerClosed())
+    return Listener->onCallerClosed();
+  boost::system::error_code Ignored;
+  if (Socket.available(Ignored) == 0)
+    return watchForClose();
+  // The socket stays readable while bytes of the body or of a next request wait
+  // in it, so a close behind them causes no further event.
+  ReadableWaitPending = true;
+  CloseCheck.expires_after(CloseCheckInterval);
+  CloseCheck.async_wait(
+      [Weak = weak_from_this()](const boost::system::error_code & /*Code*/) {
+        if (const auto Self = Weak.lock())
+          Self->onWatchEvent();
+      });
+}
+
+void CallerLink::onWatchEvent() {
+  ReadableWaitPending = false;
+  if (ReportClose && Listener != nullptr)
+    onReadable();
 }
 
 bool CallerLink::callerClosed() noexcept {
--- a/packages/callers/src/caller_link.hpp
+++ b/packages/callers/src/caller_link.hpp
@@ -116,18 +116,21 @@
   void startTimer(core::TimePoint When);
   void onTimer();
   void onReadable();
+  void onWatchEvent();
 
   std::shared_ptr<ServerState> State;
   boost::asio::ip::tcp::socket Socket;
   core::HttpReader<true> Reader;
   boost::asio::steady_timer Timer;
+  /// Until the next look for a close behind bytes that nobody reads yet.
+  boost::asio::steady_timer CloseCheck;
   /// Max if no timeout is set.
   core::TimePoint TimeoutAt = core::TimePoint::max();
   /// When Timer fires, which may be before TimeoutAt; max if it is not running.
   core::TimePoint TimerExpiry = core::TimePoint::max();
   LinkListener *Listener = nullptr;
   std::uint64_t CallerAddressHash = 0;
-  /// Whether a wait for readability of the socket is pending.
+  /// Whether a wait for readability of the socket, or CloseCheck, is pending.
   bool ReadableWaitPending = false;
   /// Whether a close by the caller is reported to the listener.
   bool ReportClose = false;
--- a/packages/callers/src/request_body.cpp
+++ b/packages/callers/src/request_body.cpp
@@ -54,9 +54,6 @@
   if (!Count) {
     Body.Failed = true;
     Body.Malformed = Count.error() == core::Error::Malformed;
-  } else if (Reader.complete()) {
-    // Nobody reads from the caller any more, so a close would go unnoticed.
-    Body.Link.watchForClose();
   }
   co_return Count;
 }
