Cancel the request when its caller closes during the response

Callers saw nothing of it; a backend server went on with a response that nobody read, until the write timeout (30 s) or its end. Cause: a close that was noticed while the VM wrote to the caller was ignored, and not remembered for the time after the write. Change: Call::onCallerClosed cancels the attempt and resets the connection unless the response is complete; a complete one is still delivered.

--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -74,6 +74,8 @@
   /// loop has noticed it.
   /// @return Whether the request was cancelled because its caller closed.
   [[nodiscard]] bool endIfCallerClosed();
+  /// Whether a backend server has not sent all of its response.
+  [[nodiscard]] bool responsePending() const;
   /// How far the request has come.
   [[nodiscard]] CloseStage stage() const;
   void recordClose() const;
--- a/packages/callers/src/call_close.cpp
+++ b/packages/callers/src/call_close.cpp
@@ -14,7 +14,20 @@
 void Call::onCallerClosed() {
   recordClose();
   if (CurrentPhase == Phase::Attempting)
-    cancelAttempts(CancelReason::CallerGone);
+    return cancelAttempts(CancelReason::CallerGone);
+  // A response that is complete is written to its end: a caller that closed its
+  // sending side only may still read it.
+  if (!responsePending())
+    return;
+  cancelAttempts(CancelReason::CallerGone);
+  Link.reset();
+}
+
+bool Call::responsePending() const {
+  return std::any_of(ActiveAttempts.begin(), ActiveAttempts.end(),
+                     [](const AttemptPtr &Each) {
+                       return Each->Exchange && !Each->Exchange->complete();
+                     });
 }
 
 CloseStage Call::stage() const {
