Reset the connection of a cancelled request

Callers saw nothing of it; a request could reach a backend server long after its caller had left. Cause: the connection of an aborted exchange was closed, and the kernel goes on to deliver what is in its send buffer, followed by the end of the stream. A server that reads late gets the whole request. Change: Exchange::abort resets the connection, so the bytes that the server has not read are discarded at both ends and it learns at once that nobody waits.

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -303,7 +303,10 @@
     Pending->abort();
   if (!Connection)
     return;
+  // Without the reset, the kernel would still deliver what is in the send
+  // buffer, and a server that reads late would run a cancelled request.
   boost::system::error_code Ignored;
+  Connection->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
   Connection->Socket.close(Ignored);
   // A timeout after a short wait says little about the connection; without this
   // check a caller could empty the pool with deadlines of a few milliseconds.
