Bound every reader of responses that may have no end

Here a VM would have filled its memory until a deadline, and its other requests would have ended with it. Cause: Beast limits the head and the body of a message, not the buffer in which it waits for the end of a chunk extension or a trailer. The buffers of the store connections, of the VM list and of the health prober had no limit. jujubectl's client (cxxtools) read heads and bodies of any length, with a timeout for each wait only. A list of the store was read as long as the store said that it has more, also the same page again and again. Change: core::MaxHttpBufferBytes limits the three buffers. Certificates of tests moved to tests/common. Not a fault, shown by a test: a relayed response without end ends within 1 s of a deadline of 0.3 s.

--- a/apps/jujubecartd/http_health_prober.cpp
+++ b/apps/jujubecartd/http_health_prober.cpp
@@ -1,6 +1,7 @@
 #include "http_health_prober.hpp"
 
 #include <jujubecart/core/endpoint.hpp>
+#include <jujubecart/core/http_limits.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -60,7 +61,7 @@
       co_await http::async_write(Stream, Request, AsTuple);
   if (WriteCode)
     co_return decision::ProbeResult{};
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer(core::MaxHttpBufferBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(internal::MaxBodyBytes);
   const auto [ReadCode, Read] =
--- a/packages/inventory/src/fetch_vm_list.cpp
+++ b/packages/inventory/src/fetch_vm_list.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/core/log.hpp>
 
 #include <jujubecart/core/endpoint.hpp>
+#include <jujubecart/core/http_limits.hpp>
 #include <jujubecart/inventory/vm_list_reader.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -61,7 +62,7 @@
       co_await http::async_write(Stream, Message, AsTuple);
   if (WriteCode)
     co_return toError(WriteCode);
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer(core::MaxHttpBufferBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(MaxBodyBytes);
   const auto [ReadCode, Read] =
--- a/packages/store/include/jujubecart/store/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/core/awaitable.hpp>
 #include <jujubecart/core/clock.hpp>
+#include <jujubecart/core/http_limits.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -38,7 +39,7 @@
       : Stream(boost::asio::make_strand(Executor)) {}
 
   boost::beast::tcp_stream Stream;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{core::MaxHttpBufferBytes};
   /// Whether a response was received on this connection.
   bool Used = false;
 };
--- a/tests/callers/close_test.cpp
+++ b/tests/callers/close_test.cpp
@@ -11,7 +11,8 @@
 
 /// Time in which a close of the caller ends the work of a backend server.
 constexpr std::chrono::milliseconds CancelBound{500};
-// Fits into the receive buffer of a socket, so that the close arrives behind it.
+// Fits into the receive buffer of a socket, so that the close arrives behind
+// it.
 constexpr std::size_t BodyBytes = 65536;
 
 const std::string Get = "GET /tags/1 HTTP/1.1\r\nHost: a\r\n\r\n";
--- a/tests/callers/forward_test.cpp
+++ b/tests/callers/forward_test.cpp
@@ -103,3 +103,32 @@
   cr_assert(contains(Answer, "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"), "%s",
             Answer.c_str());
 }
+
+// Guards against a faulty backend server that sends a body without end: as long
+// as the caller reads, it would occupy a slot and the VM past the deadline.
+Test(Forward, response_without_end_ends_soon_after_the_deadline) {
+  constexpr std::size_t MaxSentBytes = std::size_t{4} << 30;
+  ScriptedBackend *Self = nullptr;
+  ScriptedBackend Backend([&](tcp::socket &Socket, int) {
+    Self->readRequest(Socket);
+    send(Socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string Chunk = "4000\r\n" + std::string(16384, 'x') + "\r\n";
+    boost::system::error_code Code;
+    for (std::size_t Sent = 0; !Code && Sent < MaxSentBytes;)
+      Sent += asio::write(Socket, asio::buffer(Chunk), Code);
+  });
+  // NOLINTNEXTLINE(clang-analyzer-deadcode.DeadStores): read by reference
+  Self = &Backend;
+  Harness Fixture({Backend.address()}, {.DeadlineMs = 300});
+  tcp::socket Caller = Fixture.connect();
+  const auto Start = std::chrono::steady_clock::now();
+  send(Caller, "GET /tags/1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  std::vector<char> Discarded(65536);
+  boost::system::error_code Code;
+  while (!Code)
+    Caller.read_some(asio::buffer(Discarded), Code);
+  cr_assert_lt(std::chrono::steady_clock::now() - Start, 1s);
+  cr_assert_eq(Fixture.Server->counters().TruncatedResponses, 1);
+  cr_assert(eventually([&] { return !Fixture.Broker.outcomes().empty(); }));
+  cr_assert(Fixture.Broker.outcomes().front() == core::CallOutcome::TimedOut);
+}
--- a/tests/inventory/vm_list_test.cpp
+++ b/tests/inventory/vm_list_test.cpp
@@ -1,3 +1,6 @@
+#include "../common/endless_server.hpp"
+#include "../store/run_awaitable.hpp"
+
 #include <fakes/http_server.hpp>
 #include <jujubecart/core.hpp>
 #include <jujubecart/inventory.hpp>
@@ -70,3 +73,19 @@
   cr_assert_eq(Notifications, 2);
   cr_assert_eq(Test.Requests, 3);
 }
+
+// Guards against what answers at the platform's address with bytes without end:
+// they would fill the memory of the VM until the timeout.
+Test(FetchVmList, response_without_end_is_rejected_at_a_limit) {
+  for (const tests::EndlessCase &Each : tests::endlessCases()) {
+    tests::EndlessServer Server(Each.Start, Each.Repeated);
+    boost::asio::io_context Context{1};
+    const auto List = tests::runAwaitable(
+        Context, inventory::fetchVmList(Server.address(),
+                                        std::chrono::steady_clock::now() +
+                                            std::chrono::seconds(20)));
+    cr_assert_not(List.has_value(), "%s", Each.Name);
+    // The largest list (4 MiB) and what the socket buffers of both sides take.
+    cr_assert_leq(Server.Sent, 16U << 20U, "%s", Each.Name);
+  }
+}
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -1,50 +1,14 @@
-#include <arpa/inet.h>
+#include "../common/endless_server.hpp"
+#include "fake_api.hpp"
+
 #include <criterion/criterion.h>
 #include <jujubecart/operators/client.hpp>
-#include <jujubecart/operators/server.hpp>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace jujubecart;
+using namespace jujubecart::test;
 
 namespace {
 
-class FakeApi final : public operators::Api {
-public:
-  operators::Response submitTicket(const std::string &Text) override {
-    return {.Status = 200, .Body = std::to_string(Text.size())};
-  }
-  operators::Response showTicket(std::uint64_t Number) override {
-    return {.Status = 200, .Body = std::to_string(Number)};
-  }
-  operators::Response services() override {
-    throw std::runtime_error("broken");
-  }
-  operators::Response status() override { return {.Body = "{}"}; }
-  operators::Response
-  timeline(const operators::TimelineQuery &Filter) override {
-    return {.Body = std::to_string(Filter.Since)};
-  }
-  operators::Response metrics() override {
-    return {.ContentType = "text/plain", .Body = "m 1\n"};
-  }
-  operators::Response readiness() override {
-    return {.Status = 503, .Body = "no configuration"};
-  }
-};
-
-std::uint16_t freePort() {
-  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  (void)bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length);
-  (void)getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-  (void)close(Socket);
-  return ntohs(Address.sin_port);
-}
-
 /// Runs a server on a free loopback port.
 class ServerFixture {
 public:
@@ -100,3 +64,16 @@
   cr_assert(Client.post("/tickets", "{}").error() ==
             core::make_error_code(core::Error::Unavailable));
 }
+
+// Guards against an operator's command that fills the memory, or never ends,
+// because what answers at the address sends bytes without end.
+Test(OperatorClient, response_without_end_is_rejected_at_a_limit) {
+  for (const tests::EndlessCase &Each : tests::endlessCases()) {
+    tests::EndlessServer Server(Each.Start, Each.Repeated);
+    const operators::Client Client(Server.address(), {},
+                                   std::chrono::seconds(20));
+    cr_assert_not(Client.fetch("/status").has_value(), "%s", Each.Name);
+    // Twice the largest response, which leaves room for the socket buffers.
+    cr_assert_leq(Server.Sent, 32U << 20U, "%s", Each.Name);
+  }
+}
--- a/tests/peers/link_test.cpp
+++ b/tests/peers/link_test.cpp
@@ -1,3 +1,4 @@
+#include "../common/certificates.hpp"
 #include "loop.hpp"
 #include <boost/asio/read.hpp>
 #include <boost/asio/ssl/stream.hpp>
@@ -6,7 +7,6 @@
 #include <fstream>
 #include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/peers/link_table.hpp>
-#include <unistd.h>
 
 using namespace jujubecart;
 using namespace jujubecart::peers;
@@ -66,63 +66,16 @@
   LinkNode Right;
 };
 
-/// @brief Temporary folder with certificates made by the openssl program:
-/// "good" is valid, "foreign" is signed by the CA "other", "expired" has
-/// expired.
-class Certificates {
-public:
-  Certificates() {
-    char Name[] = "/tmp/jujubecart-peers-XXXXXX";
-    Folder = mkdtemp(Name);
-    createCa("ca");
-    createCa("other");
-    createCertificate("good", "ca", 30);
-    createCertificate("foreign", "other", 30);
-    createCertificate("expired", "ca", -1);
-  }
-  ~Certificates() { runCommand("rm -r " + Folder); }
-
-  [[nodiscard]] std::shared_ptr<TlsContext>
-  context(const std::string &Name, const std::string &Ca = "ca") const {
-    auto Tls = std::make_shared<TlsContext>(
-        path(Name + ".pem"), path(Name + ".key"), path(Ca + ".pem"));
-    const std::string Problem = Tls->reload();
-    cr_assert(Problem.empty(), "%s", Problem.c_str());
-    return Tls;
-  }
-  [[nodiscard]] std::string path(const std::string &File) const {
-    return Folder + "/" + File;
-  }
-  void copy(const std::string &From, const std::string &To) const {
-    runCommand("cp " + path(From) + ".pem " + path(To) + ".pem && cp " +
-               path(From) + ".key " + path(To) + ".key");
-  }
-
-private:
-  static void runCommand(const std::string &Command) {
-    const int Code = std::system((Command + " >/dev/null 2>&1").c_str());
-    cr_assert_eq(Code, 0, "%s", Command.c_str());
-  }
-  void createCa(const std::string &Name) const {
-    runCommand(
-        "openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes"
-        " -days 30 -subj /CN=" +
-        Name + " -keyout " + path(Name + ".key") + " -out " +
-        path(Name + ".pem"));
-  }
-  void createCertificate(const std::string &Name, const std::string &Ca,
-                         int Days) const {
-    runCommand("openssl req -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes"
-               " -subj /CN=" +
-               Name + " -keyout " + path(Name + ".key") + " -out " +
-               path(Name + ".csr") + " && openssl x509 -req -in " +
-               path(Name + ".csr") + " -CA " + path(Ca + ".pem") + " -CAkey " +
-               path(Ca + ".key") + " -CAcreateserial -days " +
-               std::to_string(Days) + " -out " + path(Name + ".pem"));
-  }
-
-  std::string Folder;
-};
+std::shared_ptr<TlsContext> contextOf(const tests::Certificates &Files,
+                                      const std::string &Name,
+                                      const std::string &Ca = "ca") {
+  auto Tls = std::make_shared<TlsContext>(Files.path(Name + ".pem"),
+                                          Files.path(Name + ".key"),
+                                          Files.path(Ca + ".pem"));
+  const std::string Problem = Tls->reload();
+  cr_assert(Problem.empty(), "%s", Problem.c_str());
+  return Tls;
+}
 
 struct TlsPair {
   TlsPair(std::shared_ptr<TlsContext> First, std::shared_ptr<TlsContext> Second)
@@ -273,8 +226,8 @@
 
 // Guards against refusing a peer whose certificate is signed by the same CA.
 Test(Tls, certificates_of_same_ca_are_accepted) {
-  const Certificates Files;
-  TlsPair Nodes(Files.context("good"), Files.context("good"));
+  const tests::Certificates Files;
+  TlsPair Nodes(contextOf(Files, "good"), contextOf(Files, "good"));
   const LinkPtr Link = Nodes.Left.connect(Nodes.Context, Nodes.Right, "b");
   cr_assert_not_null(Link.get());
   for (std::uint32_t At = 0; At < 100; ++At)
@@ -284,38 +237,38 @@
 
 // Guards against accepting a client whose certificate another CA signed.
 Test(Tls, client_certificate_of_other_ca_is_refused) {
-  const Certificates Files;
-  TlsPair Nodes(Files.context("foreign"), Files.context("good"));
+  const tests::Certificates Files;
+  TlsPair Nodes(contextOf(Files, "foreign"), contextOf(Files, "good"));
   Nodes.expectRefused();
 }
 
 // Guards against connecting to a VM whose certificate another CA signed.
 Test(Tls, server_certificate_of_other_ca_is_refused) {
-  const Certificates Files;
-  TlsPair Nodes(Files.context("good"), Files.context("foreign"));
+  const tests::Certificates Files;
+  TlsPair Nodes(contextOf(Files, "good"), contextOf(Files, "foreign"));
   Nodes.expectRefused();
 }
 
 // Guards against accepting an expired certificate.
 Test(Tls, expired_certificate_is_refused) {
-  const Certificates Files;
-  TlsPair Nodes(Files.context("expired"), Files.context("good"));
+  const tests::Certificates Files;
+  TlsPair Nodes(contextOf(Files, "expired"), contextOf(Files, "good"));
   Nodes.expectRefused();
 }
 
 // Guards against accepting a peer without TLS, which has no certificate.
 Test(Tls, plain_peer_is_refused) {
-  const Certificates Files;
-  TlsPair Nodes(nullptr, Files.context("good"));
+  const tests::Certificates Files;
+  TlsPair Nodes(nullptr, contextOf(Files, "good"));
   Nodes.expectRefused();
 }
 
 // Guards against accepting a TLS client that presents no certificate.
 Test(Tls, client_without_certificate_is_refused) {
   namespace ssl = boost::asio::ssl;
-  const Certificates Files;
+  const tests::Certificates Files;
   IoThreads Context;
-  LinkNode Server(Context, "b", options(), Files.context("good"));
+  LinkNode Server(Context, "b", options(), contextOf(Files, "good"));
   boost::asio::io_context Io;
   ssl::context Bare(ssl::context::tls_client);
   ssl::stream<boost::asio::ip::tcp::socket> Client(Io, Bare);
@@ -335,10 +288,10 @@
 // Guards against renewed certificates that take effect only after a restart,
 // and against a broken file that replaces working certificates or closes links.
 Test(Tls, reload_affects_new_links_only) {
-  const Certificates Files;
+  const tests::Certificates Files;
   Files.copy("foreign", "used");
-  const auto Tls = Files.context("used");
-  TlsPair Nodes(Tls, Files.context("good"));
+  const auto Tls = contextOf(Files, "used");
+  TlsPair Nodes(Tls, contextOf(Files, "good"));
   Nodes.expectRefused();
   Files.copy("good", "used");
   cr_assert(Tls->reload().empty());
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -178,3 +178,14 @@
     cr_assert_eq(Changed->AsOf, 9);
   }
 }
+
+// Guards against a list whose pages never end: a store that repeats a page
+// would be read until the deadline, and the entries would fill the memory of
+// the VM.
+Test(StoreClient, list_whose_pages_do_not_advance_is_malformed) {
+  Fixture Setup(respondWith(
+      200, R"({"items":[{"key":"a","value":"eA==","revision":3}],"as-of":3,)"
+           R"("has-more":true})"));
+  cr_assert(Setup.list().error() == Error::Malformed);
+  cr_assert_leq(Setup.Store.Calls, 2);
+}
--- a/tests/store/http_key_value_store_test.cpp
+++ b/tests/store/http_key_value_store_test.cpp
@@ -1,3 +1,4 @@
+#include "../common/endless_server.hpp"
 #include "run_awaitable.hpp"
 
 #include <fakes/store_server.hpp>
@@ -155,3 +156,19 @@
   cr_assert_eq(Test.control(R"({"outtage":"close"})"), 400);
   cr_assert_eq(Test.control(R"({"lose_answer_probability":2})"), 400);
 }
+
+// Guards against a store, or what answers at its address, that sends bytes
+// without end: they would fill the memory of the VM until the deadline.
+Test(HttpKeyValueStore, response_without_end_is_rejected_at_a_limit) {
+  for (const tests::EndlessCase &Each : tests::endlessCases()) {
+    tests::EndlessServer Server(Each.Start, Each.Repeated);
+    boost::asio::io_context Context{1};
+    store::HttpKeyValueStore Store(Context.get_executor(), {Server.address()});
+    const auto Value = tests::runAwaitable(
+        Context, Store.get("a", Fixture::deadlineIn(20000)));
+    cr_assert_not(Value.has_value(), "%s", Each.Name);
+    // Two attempts, each of twice the largest response, which leaves room for
+    // the socket buffers.
+    cr_assert_leq(Server.Sent, 32U << 20U, "%s", Each.Name);
+  }
+}
