--- a/tests/store/run_awaitable.hpp
+++ b/tests/store/run_awaitable.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <exception>
 #include <optional>
+#include <utility>
 
 namespace jujubecart::tests {
 
@@ -19,7 +20,7 @@
   std::exception_ptr Failure;
   boost::asio::co_spawn(Context, std::move(Work),
                         [&](std::exception_ptr Exception, Value Finished) {
-                          Failure = Exception;
+                          Failure = std::move(Exception);
                           Result = std::move(Finished);
                         });
   while (!Result && Context.run_one() > 0) {
