Keep the grants of both dispatchers in one table

Cause: both dispatchers had their own map of grants with the same rules: ids, the time after which a holder has lost a grant, removal by holder. Change: internal::GrantTable has them once; what differs is kept with each grant. No behaviour changes.

--- a/packages/decision/src/group_dispatcher.cpp
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <jujubecart/decision/internal/adopted_calls.hpp>
 #include <jujubecart/decision/internal/call_queue.hpp>
+#include <jujubecart/decision/internal/grant_table.hpp>
 #include <jujubecart/decision/internal/probe_schedule.hpp>
 #include <jujubecart/decision/internal/server_table.hpp>
 #include <jujubecart/decision/internal/wait_estimate.hpp>
@@ -25,9 +26,6 @@
 constexpr auto RefreshPeriod = 20ms;
 // Interval at which lost grants are dropped.
 constexpr auto ExpiryScanPeriod = 100ms;
-// A grant that is not returned within this time after the deadline of its call
-// is considered lost by its holder and is dropped.
-constexpr auto LostGrantTimeout = 2s;
 // Slots that the servers are assumed to have at least, even if all of them
 // state low rate limits.
 constexpr double MinActiveSlots = 0.01;
@@ -35,12 +33,8 @@
 constexpr auto MinRetryAfter = 50ms;
 constexpr auto MaxRetryAfter = 5s;
 
-/// @brief An outstanding grant.
-struct Grant {
-  std::string Holder;
-  /// Index in the server table.
-  std::uint32_t Server = 0;
-  core::TimePoint Expires;
+/// @brief What is kept with a grant.
+struct GrantDetails {
   /// Whether the server had a free slot when the grant was made.
   bool SlotWasFree = false;
   /// Whether the call is a trial request to an ejected server.
@@ -55,7 +49,7 @@
                  core::TimePoint Now)
       : Group(std::move(Group)), Options(Options),
         Table(this->Group.Servers, Options), Probes(Options, Now),
-        Random(Options.Seed), NextGrant(Random() >> 1), LatestTime(Now) {}
+        Random(Options.Seed), Grants(Random() >> 1), LatestTime(Now) {}
 
   /// @brief Records the current time; called first by every operation.
   void advanceTime(core::TimePoint Now);
@@ -97,8 +91,7 @@
   internal::WaitEstimate Wait;
   internal::ProbeSchedule Probes;
   std::mt19937_64 Random;
-  std::uint64_t NextGrant;
-  std::unordered_map<std::uint64_t, Grant> Grants;
+  internal::GrantTable<GrantDetails> Grants;
   internal::AdoptedCalls Adopted;
   /// Scratch space of dispatch, kept to avoid allocations.
   std::vector<const internal::QueuedCall *> Candidates;
@@ -190,13 +183,10 @@
   if (!Index)
     return false;
   const internal::ServerRecord &Server = Table.at(*Index);
-  const std::uint64_t GrantId = NextGrant++;
-  Grants.emplace(GrantId,
-                 Grant{.Holder = Item.Call.Holder,
-                       .Server = *Index,
-                       .Expires = Item.Call.Deadline + LostGrantTimeout,
-                       .SlotWasFree = Server.inFlight() < Server.slots(),
-                       .Trial = Table.isTrialGrant(Server)});
+  const std::uint64_t GrantId =
+      Grants.add(Item.Call, *Index,
+                 {.SlotWasFree = Server.inFlight() < Server.slots(),
+                  .Trial = Table.isTrialGrant(Server)});
   Table.addGrant(*Index, GrantId, Now);
   Out.emplace_back(Granted{
       .Token = Item.Call.Token, .GrantId = GrantId, .Server = Server.Config});
@@ -237,13 +227,9 @@
 void GroupDispatcher::Implementation::release(std::uint64_t GrantId,
                                               const core::CallReport &Report,
                                               core::TimePoint Now) {
-  const auto Found = Grants.find(GrantId);
-  if (Found == Grants.end())
-    return;
-  const Grant Ended = std::move(Found->second);
-  Grants.erase(Found);
-  Table.finishGrant(Ended.Server, GrantId, Report, Ended.SlotWasFree,
-                    Ended.Trial, Now);
+  if (const auto Ended = Grants.take(GrantId))
+    Table.finishGrant(Ended->Server, GrantId, Report, Ended->Kept.SlotWasFree,
+                      Ended->Kept.Trial, Now);
 }
 
 void GroupDispatcher::Implementation::adopt(std::string Holder,
@@ -262,14 +248,9 @@
                                                  core::TimePoint Now) {
   for (const CallToken Token : Queue.heldBy(Holder))
     Queue.remove(Token);
-  for (auto Item = Grants.begin(); Item != Grants.end();) {
-    if (Item->second.Holder != Holder) {
-      ++Item;
-      continue;
-    }
-    Table.dropGrant(Item->second.Server, Item->first, Now);
-    Item = Grants.erase(Item);
-  }
+  Grants.dropHolder(Holder, [&](std::uint32_t Server, std::uint64_t GrantId) {
+    Table.dropGrant(Server, GrantId, Now);
+  });
   for (const auto &Part : Adopted.removeHolder(Holder)) {
     const std::uint32_t Index = *Table.find(Part.ServerId);
     Table.setAdopted(Index, Table.at(Index).Adopted - Part.Calls, Now);
@@ -277,14 +258,9 @@
 }
 
 void GroupDispatcher::Implementation::expireGrants(core::TimePoint Now) {
-  for (auto Item = Grants.begin(); Item != Grants.end();) {
-    if (Item->second.Expires > Now) {
-      ++Item;
-      continue;
-    }
-    Table.dropGrant(Item->second.Server, Item->first, Now);
-    Item = Grants.erase(Item);
-  }
+  Grants.dropLost(Now, [&](std::uint32_t Server, std::uint64_t GrantId) {
+    Table.dropGrant(Server, GrantId, Now);
+  });
 }
 
 internal::ServerRecord *
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <jujubecart/decision/group_dispatcher.hpp>
 #include <jujubecart/decision/internal/adopted_calls.hpp>
+#include <jujubecart/decision/internal/grant_table.hpp>
 #include <jujubecart/decision/internal/load_table.hpp>
 #include <jujubecart/decision/internal/objective_queue.hpp>
 #include <jujubecart/decision/internal/return_schedule.hpp>
@@ -9,7 +10,6 @@
 #include <jujubecart/core/hash.hpp>
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace jujubecart::decision {
 
@@ -20,9 +20,6 @@
 // Time between two ticks while calls wait, and otherwise.
 constexpr auto BusyTickInterval = 8ms;
 constexpr auto IdleTickInterval = 100ms;
-// A grant that its holder has not released this long after the deadline of the
-// call is treated as lost by the holder and removed.
-constexpr auto GrantGrace = 2s;
 constexpr auto MinRetryAfter = 50ms;
 constexpr auto MaxRetryAfter = 5s;
 constexpr double MaxJitter = 1.5;
@@ -56,7 +53,7 @@
                  core::TimePoint Now)
       : Group(std::move(Group)), Options(Options),
         Table(this->Group.Servers, Options), Random(Options.Seed),
-        NextGrant(Random() >> 1), LastTick(Now) {}
+        LastTick(Now), Grants(Random() >> 1) {}
 
   void enqueue(PendingCall Call, core::TimePoint Now, Decisions &Out);
   void dispatch(core::TimePoint Now, Decisions &Out);
@@ -78,18 +75,15 @@
   internal::ObjectiveQueue LateQueue;
   internal::AdoptedCalls Adopted;
   std::mt19937_64 Random;
-  std::uint64_t NextGrant;
   core::TimePoint LastTick;
   internal::ReturnSchedule Returns;
   /// Indices of servers to probe; taken from the back.
   std::vector<std::uint32_t> PendingProbes;
 
 private:
-  struct Grant {
-    std::string Holder;
-    std::uint32_t Server = 0;
+  /// @brief What is kept with a grant.
+  struct GrantDetails {
     std::uint64_t WorkClass = 0;
-    core::TimePoint Expires;
   };
 
   /// @brief Tries to grant a call of the on-time queue.
@@ -131,8 +125,7 @@
   [[nodiscard]] core::TimePoint latestStart(const PendingCall &Call,
                                             core::TimePoint Now) const;
 
-  /// Grants in use, by grant id.
-  std::unordered_map<std::uint64_t, Grant> Grants;
+  internal::GrantTable<GrantDetails> Grants;
 };
 
 void ObjectiveDispatcher::Implementation::reject(const PendingCall &Call,
@@ -239,16 +232,13 @@
 void ObjectiveDispatcher::Implementation::grant(
     const PendingCall &Call, const internal::Placement &Chosen,
     core::TimePoint Now, Decisions &Out) {
-  const std::uint64_t GrantId = NextGrant++;
   DecisionFacts Facts = factsOf(Table.at(Chosen.Index), Now);
   Facts.OnTimePercent =
       static_cast<std::uint32_t>(Chosen.InTimeProbability * PercentPerUnit);
   const std::uint32_t Server = Chosen.Index;
   const core::TimePoint HedgeAt = Table.hedgeTime(Call, Server, Now);
-  Grants.emplace(GrantId, Grant{.Holder = Call.Holder,
-                                .Server = Server,
-                                .WorkClass = Call.WorkClass,
-                                .Expires = Call.Deadline + GrantGrace});
+  const std::uint64_t GrantId =
+      Grants.add(Call, Server, {.WorkClass = Call.WorkClass});
   Table.startCall(
       Server, {.GrantId = GrantId,
                .Holder = core::hash64(Call.Holder),
@@ -329,12 +319,9 @@
 void ObjectiveDispatcher::Implementation::release(
     std::uint64_t GrantId, const core::CallReport &Report,
     core::TimePoint Now) {
-  const auto Found = Grants.find(GrantId);
-  if (Found == Grants.end())
-    return;
-  const Grant Ended = std::move(Found->second);
-  Grants.erase(Found);
-  Table.finishCall(Ended.Server, GrantId, Report, Ended.WorkClass, Now);
+  if (const auto Ended = Grants.take(GrantId))
+    Table.finishCall(Ended->Server, GrantId, Report, Ended->Kept.WorkClass,
+                     Now);
 }
 
 void ObjectiveDispatcher::Implementation::adopt(const std::string &Holder,
@@ -350,11 +337,8 @@
     for (const CallToken Token : Queue->tokens())
       if (Queue->at(Token).Holder == Holder)
         Queue->remove(Token);
-  std::erase_if(Grants, [&](const auto &Item) {
-    if (Item.second.Holder != Holder)
-      return false;
-    Table.removeCall(Item.second.Server, Item.first);
-    return true;
+  Grants.dropHolder(Holder, [&](std::uint32_t Server, std::uint64_t GrantId) {
+    Table.removeCall(Server, GrantId);
   });
   for (const auto &Removed : Adopted.removeHolder(Holder))
     if (const auto Index = Table.find(Removed.ServerId))
@@ -362,11 +346,8 @@
 }
 
 void ObjectiveDispatcher::Implementation::expireGrants(core::TimePoint Now) {
-  std::erase_if(Grants, [&](const auto &Item) {
-    if (Item.second.Expires > Now)
-      return false;
-    Table.removeCall(Item.second.Server, Item.first);
-    return true;
+  Grants.dropLost(Now, [&](std::uint32_t Server, std::uint64_t GrantId) {
+    Table.removeCall(Server, GrantId);
   });
 }
 
