--- a/packages/operators/src/client.cpp
+++ b/packages/operators/src/client.cpp
@@ -1,18 +1,17 @@
 #include <jujubecart/operators/client.hpp>
 
-#include <jujubecart/core/awaitable.hpp>
+#include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/core/http_limits.hpp>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <sstream>
 
 namespace jujubecart::operators {
 
@@ -21,9 +20,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
-using Request = http::request<http::string_body>;
 
-constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 // A timeline of 20,000 events, the default, has about 5 MB.
 constexpr std::uint64_t MaxResponseBytes = 16U << 20U;
 constexpr unsigned HttpVersion = 11;
@@ -34,81 +31,106 @@
   std::optional<Response> Reply;
 };
 
+// Starts an operation and waits for its end, at the latest until the deadline.
+// After a failure nothing more may be started on the context.
+template <typename Operation>
+boost::system::error_code complete(asio::io_context &Io,
+                                   core::TimePoint Deadline, Operation Start) {
+  std::optional<boost::system::error_code> Ended;
+  Start([&Ended](const boost::system::error_code &Code, std::size_t = 0) {
+    Ended = Code;
+  });
+  // The context stops whenever it has run out of work.
+  Io.restart();
+  while (!Ended && Io.run_one_until(Deadline) > 0) {
+  }
+  return Ended.value_or(asio::error::timed_out);
+}
+
 template <typename Stream>
-core::Awaitable<void> exchange(Stream &Connection, const Request &Message,
-                               Outcome &Out) {
+void exchange(Stream &Connection, asio::io_context &Io,
+              core::TimePoint Deadline, const std::string &Message,
+              Outcome &Out) {
   Out.Connected = true;
-  const auto [WriteCode, Written] =
-      co_await http::async_write(Connection, Message, AsTuple);
-  if (WriteCode)
-    co_return;
+  if (complete(Io, Deadline, [&](auto Handler) {
+        asio::async_write(Connection, asio::buffer(Message),
+                          std::move(Handler));
+      }))
+    return;
   boost::beast::flat_buffer Buffer(core::MaxHttpBufferBytes);
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(MaxResponseBytes);
-  const auto [ReadCode, Read] =
-      co_await http::async_read(Connection, Buffer, Parser, AsTuple);
-  if (!ReadCode)
-    Out.Reply = Response{.Status = Parser.get().result_int(),
-                         .ContentType = "",
-                         .Body = std::move(Parser.get().body())};
+  if (complete(Io, Deadline, [&](auto Handler) {
+        http::async_read(Connection, Buffer, Parser, std::move(Handler));
+      }))
+    return;
+  Out.Reply = Response{.Status = Parser.get().result_int(),
+                       .ContentType = "",
+                       .Body = std::move(Parser.get().body())};
 }
 
 // The server identifies the client by its certificate.
-asio::ssl::context makeContext(const TlsFiles &Files) {
-  asio::ssl::context Context(asio::ssl::context::tls_client);
-  Context.use_certificate_chain_file(Files.Certificate);
-  Context.use_private_key_file(Files.Key.empty() ? Files.Certificate
-                                                 : Files.Key,
-                               asio::ssl::context::pem);
-  if (!Files.Ca.empty()) {
-    Context.load_verify_file(Files.Ca);
-    Context.set_verify_mode(asio::ssl::verify_peer);
-  }
-  return Context;
+boost::system::error_code configure(asio::ssl::context &Context,
+                                    const TlsFiles &Files) {
+  boost::system::error_code Failed;
+  Context.use_certificate_chain_file(Files.Certificate, Failed);
+  if (!Failed)
+    Context.use_private_key_file(Files.Key.empty() ? Files.Certificate
+                                                   : Files.Key,
+                                 asio::ssl::context::pem, Failed);
+  if (Failed || Files.Ca.empty())
+    return Failed;
+  Context.load_verify_file(Files.Ca, Failed);
+  if (!Failed)
+    Context.set_verify_mode(asio::ssl::verify_peer, Failed);
+  return Failed;
 }
 
-core::Awaitable<void> execute(tcp::endpoint Target, const TlsFiles &Tls,
-                              const Request &Message, Outcome &Out) {
-  tcp::socket Socket(co_await asio::this_coro::executor);
-  const auto [ConnectCode] = co_await Socket.async_connect(Target, AsTuple);
-  if (ConnectCode)
-    co_return;
-  if (!Tls.enabled()) {
-    co_await exchange(Socket, Message, Out);
-    co_return;
-  }
-  asio::ssl::context Context = makeContext(Tls);
+void exchangeOverTls(tcp::socket &Socket, asio::io_context &Io,
+                     core::TimePoint Deadline, const TlsFiles &Tls,
+                     const std::string &Message, Outcome &Out) {
+  asio::ssl::context Context(asio::ssl::context::tls_client);
+  if (configure(Context, Tls))
+    return;
   asio::ssl::stream<tcp::socket &> Secured(Socket, Context);
-  const auto [HandshakeCode] =
-      co_await Secured.async_handshake(asio::ssl::stream_base::client, AsTuple);
-  if (!HandshakeCode)
-    co_await exchange(Secured, Message, Out);
+  if (!complete(Io, Deadline, [&](auto Handler) {
+        Secured.async_handshake(asio::ssl::stream_base::client,
+                                std::move(Handler));
+      }))
+    exchange(Secured, Io, Deadline, Message, Out);
 }
 
-// Ends at the timeout whatever the other side does; the context then destroys
-// what is pending.
+// Ends at the timeout whatever the other side does.
 Outcome run(const std::string &Endpoint, const TlsFiles &Tls,
-            const Request &Message, std::chrono::milliseconds Timeout) {
+            const std::string &Message, std::chrono::milliseconds Timeout) {
   Outcome Out;
   const auto Target = core::parseEndpoint(Endpoint);
   if (!Target)
     return Out;
+  const core::TimePoint Deadline = std::chrono::steady_clock::now() + Timeout;
   asio::io_context Io{1};
-  // A certificate that cannot be read throws; there is no connection then.
-  asio::co_spawn(Io, execute(*Target, Tls, Message, Out),
-                 [](const std::exception_ptr &) {});
-  Io.run_for(Timeout);
+  tcp::socket Socket(Io);
+  if (complete(Io, Deadline, [&](auto Handler) {
+        Socket.async_connect(*Target, std::move(Handler));
+      }))
+    return Out;
+  if (Tls.enabled())
+    exchangeOverTls(Socket, Io, Deadline, Tls, Message, Out);
+  else
+    exchange(Socket, Io, Deadline, Message, Out);
   return Out;
 }
 
-Request makeRequest(http::verb Method, const std::string &Endpoint,
-                    const std::string &Path, std::string Body) {
-  Request Message{Method, Path, HttpVersion};
+std::string makeRequest(http::verb Method, const std::string &Endpoint,
+                        const std::string &Path, std::string Body) {
+  http::request<http::string_body> Message{Method, Path, HttpVersion};
   Message.set(http::field::host, Endpoint);
   Message.keep_alive(false);
   Message.body() = std::move(Body);
   Message.prepare_payload();
-  return Message;
+  std::ostringstream Text;
+  Text << Message;
+  return Text.str();
 }
 
 } // namespace internal
--- a/tests/callers/close_test.cpp
+++ b/tests/callers/close_test.cpp
@@ -118,6 +118,7 @@
     Harness Fixture({Backend.address()}, longRequests(Idempotent));
     // Leaves idle connections, so that the late requests need no new ones.
     std::vector<std::future<int>> First;
+    First.reserve(Callers);
     for (int Count = 0; Count < Callers; ++Count)
       First.push_back(std::async(std::launch::async,
                                  [&] { return statusOf(Fixture.call(Get)); }));
