--- a/packages/callers/include/jujubecart/callers/server_counters.hpp
+++ b/packages/callers/include/jujubecart/callers/server_counters.hpp
@@ -77,7 +77,7 @@
   std::uint64_t TruncatedResponses = 0;
   /// Indexed by RejectReason.
   std::array<std::uint64_t, RejectReasonCount> Rejected{};
-  /// Closes of callers without a response, indexed by CloseStage.
+  /// Callers that closed before they had their response, indexed by CloseStage.
   std::array<std::uint64_t, CloseStageCount> Closes{};
   /// Current number of requests being received or served.
   std::uint64_t InFlight = 0;
