Stop the server of the test harness before its dependencies go

Cause: a test of caller_close ends as soon as the backend server has lost its connection. The daemon waits for Server::stop. Change: ~Harness stops the server first.

--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -203,6 +203,9 @@
 }
 
 Harness::~Harness() {
+  // Requests that are still ending use the broker and the pool, which are
+  // destroyed before the context that holds them.
+  stop(0ms).wait_for(3s);
   Io.stop();
   for (std::thread &Each : Threads)
     Each.join();
