--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.hpp"
 
+#include "build_info.hpp"
 #include "daemon_metrics.hpp"
 #include "daemon_options.hpp"
 #include "watch_rotation.hpp"
@@ -225,7 +226,9 @@
       .field("zone", Settings.Vm.Zone)
       .field("callers", Settings.Callers.Listen)
       .field("operators", Settings.Operators.Listen)
-      .field("policy", Settings.Policy);
+      .field("policy", Settings.Policy)
+      .field("version", productVersion())
+      .field("sources", sourceDigest());
   std::vector<std::thread> Workers;
   Workers.reserve(Settings.Workers);
   for (std::uint32_t Index = 0; Index < Settings.Workers; ++Index)
--- a/apps/jujubecartd/main.cpp
+++ b/apps/jujubecartd/main.cpp
@@ -1,3 +1,4 @@
+#include "build_info.hpp"
 #include "daemon.hpp"
 
 #include <jujubecart/operators/settings_reader.hpp>
@@ -49,11 +50,15 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  using namespace jujubecart;
   CLI::App App{"Load balancer process of one entry VM.", "jujubecartd"};
   std::string File;
   App.add_option("--settings", File, "JSON settings file")
       ->required()
       ->envname("JUJUBECART_SETTINGS");
+  App.set_version_flag("--version", std::string(daemon::productVersion()) +
+                                        ", sources " +
+                                        std::string(daemon::sourceDigest()));
   App.footer("SIGTERM or SIGINT stops gracefully. Exit codes: 0 stopped,\n"
              "1 failed, 2 invalid settings or arguments.");
   try {
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -5,6 +5,7 @@
 import os
 import re
 import signal
+import subprocess
 import threading
 import unittest
 
@@ -14,6 +15,7 @@
 # Time from the end of the last request to the end of the process; the rest of a
 # grace period of 6 s is for the requests.
 EXIT_TIMEOUT_S = 1
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 
 class OneVm(unittest.TestCase):
@@ -25,6 +27,15 @@
         self.addCleanup(self.fleet.__exit__)
         self.vm = self.fleet.vms[0]
 
+    def test_log_names_the_sources_of_the_program(self):
+        """Guards against a program of another work tree, as an old build folder
+        can have it, whose log does not tell that."""
+        script = os.path.join(ROOT, "cmake", "SourceDigest.cmake")
+        digest = subprocess.run(["cmake", "-P", script], check=True, text=True,
+                                stdout=subprocess.PIPE, stderr=subprocess.STDOUT).stdout.strip()
+        self.assertRegex(digest, "^[0-9a-f]{12}$")
+        self.wait_for_log(f"event=vm.started .*sources={digest}")
+
     def test_request_without_configuration_is_rejected_as_not_run(self):
         """Guards against a VM without configuration that forwards a request,
         gives it a wrong outcome or reports itself ready."""
