Decide in one place whether a response may deny that a request has run

Callers saw: an order that a server failed with 503, 429 or 408 ended 502 with a text of the VM; what the server said of its failure was lost. On-call saw: a status and a text in request.ended, not whether a server or the VM chose the status, nor what the VM knew of the execution.

Cause: the knowledge was two flags, combined anew at each place that ends a request, and a replaced response was replaced whole.

Change: ExecutionState holds what is known over all attempts. Log event response.status_replaced, field execution of request.ended, counter jujubecart_response_statuses_replaced_total.

--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -32,6 +32,8 @@
   AddCounter("jujubecart_hedges_total", &callers::ServerCounters::Hedges);
   AddCounter("jujubecart_responses_cut_total",
              &callers::ServerCounters::TruncatedResponses);
+  AddCounter("jujubecart_response_statuses_replaced_total",
+             &callers::ServerCounters::ReplacedStatuses);
   AddCounter("jujubecart_caller_connections_accepted_total",
              &callers::ServerCounters::AcceptedConnections);
   Registry.gauge("jujubecart_requests_in_flight", "", [&Callers] {
--- a/packages/callers/include/jujubecart/callers/server_counters.hpp
+++ b/packages/callers/include/jujubecart/callers/server_counters.hpp
@@ -75,6 +75,9 @@
   std::uint64_t Hedges = 0;
   /// Responses that ended early after relaying had begun.
   std::uint64_t TruncatedResponses = 0;
+  /// Responses relayed with another status, because that of the backend server
+  /// promises that the request has not run, without a statement of that.
+  std::uint64_t ReplacedStatuses = 0;
   /// Indexed by RejectReason.
   std::array<std::uint64_t, RejectReasonCount> Rejected{};
   /// Callers that closed before they had their response, indexed by CloseStage.
--- a/packages/callers/src/answer.cpp
+++ b/packages/callers/src/answer.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+std::string_view standardReason(unsigned Status) {
+  return boost::beast::http::obsolete_reason(
+      static_cast<boost::beast::http::status>(Status));
+}
+
 void appendStatus(std::string &Out, unsigned Status, std::string_view Reason) {
   Out.append("HTTP/1.1 ").append(std::to_string(Status));
   Out.append(" ").append(Reason).append("\r\n");
@@ -20,9 +25,7 @@
   const unsigned Status = Response.Refusal.Status;
   std::string Out;
   Out.reserve(256);
-  appendStatus(Out, Status,
-               boost::beast::http::obsolete_reason(
-                   static_cast<boost::beast::http::status>(Status)));
+  appendStatus(Out, Status, standardReason(Status));
   core::appendField(Out, "Content-Type", "text/plain");
   core::appendField(Out, "Content-Length",
                     std::to_string(Response.Text.size() + 1));
@@ -41,19 +44,25 @@
 }
 
 std::string serializeResponseHead(const core::BackendExchange::Head &Original,
-                                  core::RequestId Id,
+                                  unsigned Status, core::RequestId Id,
                                   const core::HttpProfile &Profile,
                                   const BodyFraming &Framing,
                                   std::string_view Connection) {
   constexpr std::size_t TypicalHead = 512;
   std::string Out;
   Out.reserve(TypicalHead);
-  appendStatus(Out, Original.result_int(), Original.reason());
+  const bool Replaced = Status != Original.result_int();
+  if (Replaced)
+    appendStatus(Out, Status, standardReason(Status));
+  else
+    appendStatus(Out, Status, Original.reason());
   const std::string Options = core::connectionOptions(Original);
   for (const auto &Field : Original) {
     const std::string_view Name = Field.name_string();
     if (!core::equalsIgnoreCase(Name, "content-length") &&
-        !Profile.removesFromResponse(Name) && !core::isHopByHop(Name, Options))
+        !Profile.removesFromResponse(Name) &&
+        !(Replaced && Profile.dependsOnStatus(Name)) &&
+        !core::isHopByHop(Name, Options))
       core::appendField(Out, Name, Field.value());
   }
   Profile.writeResponse(Out, Id);
--- a/packages/callers/src/answer.hpp
+++ b/packages/callers/src/answer.hpp
@@ -40,13 +40,16 @@
 
 /// @brief Serializes the head of a backend server's response for the caller.
 /// @param Original Head as received from the backend server.
+/// @param Status Status for the caller. If it is not that of the backend
+/// server, the fields that depend on the status are left out.
 /// @param Id Request id that the caller is told.
 /// @param Profile Decides which fields are removed or added.
 /// @param Framing Framing of the body sent to the caller.
 /// @param Connection Value of the field `Connection`; empty omits the field.
 [[nodiscard]] std::string
 serializeResponseHead(const core::BackendExchange::Head &Original,
-                      core::RequestId Id, const core::HttpProfile &Profile,
+                      unsigned Status, core::RequestId Id,
+                      const core::HttpProfile &Profile,
                       const BodyFraming &Framing, std::string_view Connection);
 
 } // namespace jujubecart::callers::internal
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -34,7 +34,7 @@
   if (!Problem)
     Problem = admit();
   if (Problem)
-    co_return co_await reject(*Problem, true);
+    co_return co_await reject(*Problem);
   State.recordEvent("call.received", Request.Id, {}, Service->Name,
                     Key ? Key->High : 0);
   Link.setInFlight(
@@ -48,21 +48,19 @@
   switch (Error) {
   case core::HeadError::Malformed:
     ++State.Counters.Received;
-    co_return co_await reject({.Text = Link.reader().malformedReason()}, true);
+    co_return co_await reject({.Text = Link.reader().malformedReason()});
   case core::HeadError::TooLarge:
     ++State.Counters.Received;
     co_return co_await reject({.Status = 431,
                                .Reason = RejectReason::TooLarge,
-                               .Text = "request head too large"},
-                              true);
+                               .Text = "request head too large"});
   default:
     if (CancelledBy != CancelReason::TimedOut)
       co_return false;
     ++State.Counters.Received;
     co_return co_await reject({.Status = 408,
                                .Reason = RejectReason::Slow,
-                               .Text = "request head not received in time"},
-                              true);
+                               .Text = "request head not received in time"});
   }
 }
 
@@ -158,7 +156,7 @@
     endWithoutResponse("");
     co_return false;
   }
-  static_cast<void>(co_await reject(rejectionFor(None), true));
+  static_cast<void>(co_await reject(rejectionFor(None)));
   co_return false;
 }
 
@@ -183,13 +181,25 @@
       .field("revision", Config->revision())
       .field("status", Status)
       .field("outcome", Outcome)
+      .field("execution", Execution.name())
       .field("server", Server)
       .field("attempts", AttemptsSent)
       .field("elapsed_ms", Elapsed)
       .field("left_ms", Left.count());
 }
 
-core::Awaitable<bool> Call::reject(Rejection Cause, bool NotRun) {
+// Each way to end a request without its server's response comes here, so that
+// one place decides whether the response may say that nothing has run.
+void Call::correctPromise(Rejection &Cause) const {
+  if (!promisesTooMuch(Cause.Status, idempotent(), Execution,
+                       State.Dependencies.Profile))
+    return;
+  Cause.Status = BadGateway;
+  Cause.Reason = RejectReason::BadResponse;
+}
+
+core::Awaitable<bool> Call::reject(Rejection Cause) {
+  correctPromise(Cause);
   CurrentPhase = Phase::Writing;
   logEnd(Cause.Status, Cause.Text,
          ExcludedServers.empty() ? "" : ExcludedServers.back());
@@ -206,7 +216,7 @@
   const std::string Response =
       serializeLocalResponse({.Refusal = {.Id = Request.Id,
                                           .Status = Cause.Status,
-                                          .NotRun = NotRun,
+                                          .NotRun = Execution.certainlyNotRun(),
                                           .RetryAfter = retryAfter(Cause)},
                               .Close = !Keep,
                               .IsHead = Request.isHead(),
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -4,6 +4,7 @@
 #include "answer.hpp"
 #include "attempt.hpp"
 #include "caller_link.hpp"
+#include "execution.hpp"
 #include "request.hpp"
 #include "request_body.hpp"
 
@@ -62,12 +63,14 @@
   [[nodiscard]] std::optional<Rejection> findService();
   [[nodiscard]] std::optional<Rejection> setDeadline();
   [[nodiscard]] core::Awaitable<bool> readBody();
-  /// Writes a local response; NotRun states in it that no backend server ran
-  /// the request.
-  [[nodiscard]] core::Awaitable<bool> reject(Rejection Cause, bool NotRun);
+  /// Writes a local response. Whether it states that no backend server ran the
+  /// request follows from what is known.
+  [[nodiscard]] core::Awaitable<bool> reject(Rejection Cause);
   [[nodiscard]] bool keepsConnection() const noexcept;
   void logEnd(unsigned Status, std::string_view Outcome,
               std::string_view Server) const;
+  /// Replaces a rejection whose status promises more than is known.
+  void correctPromise(Rejection &Cause) const;
 
   // call_close.cpp: callers that close before they have their response.
   /// Cancels the request if its caller has closed, whether or not the event
@@ -93,10 +96,6 @@
   /// Whether an attempt that has a slot may be sent now.
   [[nodiscard]] bool maySend(const Attempt &Current);
   [[nodiscard]] bool idempotent() const noexcept;
-  /// Whether the status of a response promises that the request has not run,
-  /// although it may have.
-  [[nodiscard]] bool promisesTooMuch(const Attempt &Current) const;
-  [[nodiscard]] core::Awaitable<bool> replaceResponse(AttemptPtr Current);
   [[nodiscard]] bool keepAsFallback(const AttemptPtr &Current);
   [[nodiscard]] core::Awaitable<AttemptPtr> runNextAttempt();
   [[nodiscard]] bool tryTakeRetry(core::CallOutcome Outcome);
@@ -143,6 +142,10 @@
                                                  bool Chunked);
   [[nodiscard]] BodyFraming responseFraming(const Attempt &Current) const;
   [[nodiscard]] std::string_view connectionField(const BodyFraming &Framing);
+  /// Status with which a response is relayed: that of the backend server, or
+  /// 502 if that one promises more than is known.
+  [[nodiscard]] unsigned relayedStatus(const Attempt &Current) const;
+  void recordReplaced(const Attempt &Current, unsigned Status) const;
   void abortResponse(const Attempt &Current);
 
   CallerLink &Link;
@@ -193,10 +196,7 @@
   bool FirstAttemptRecorded = false;
   /// Whether a slot was requested that claims the order key.
   bool ClaimRequested = false;
-  /// Whether another request holds the claim of the order key.
-  bool KeyAlreadyUsed = false;
-  /// Whether a backend server may have run the request.
-  bool MayHaveRun = false;
+  ExecutionState Execution;
   bool LingerNeeded = false;
   bool CloseAfterResponse = false;
 };
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -79,12 +79,10 @@
     const AttemptPtr Next = co_await runNextAttempt();
     const bool Ready =
         Next->hasUsableResponse() && CancelledBy == CancelReason::None;
-    if (Ready && promisesTooMuch(*Next))
-      co_return co_await replaceResponse(Next);
+    const core::CallOutcome Outcome = Next->report().Outcome;
+    Execution = Execution.afterAttempt(Outcome);
     if (Ready && !keepAsFallback(Next))
       co_return co_await relay(Next);
-    const core::CallOutcome Outcome = Next->report().Outcome;
-    MayHaveRun = MayHaveRun || !core::certainlyNotRun(Outcome);
     Next->release();
     if (!Next->Granted || (!Ready && !tryTakeRetry(Outcome)))
       co_return co_await answerFailure(Next);
@@ -101,22 +99,6 @@
   }
 }
 
-// A request that is not idempotent has most likely run, since its response does
-// not deny it; with such a status the caller would send it again.
-bool Call::promisesTooMuch(const Attempt &Current) const {
-  return !idempotent() && State.Dependencies.Profile.promisesNotRun(
-                              Current.Exchange->head().result_int());
-}
-
-core::Awaitable<bool> Call::replaceResponse(AttemptPtr Current) {
-  MayHaveRun = true;
-  Current->release();
-  co_return co_await reject(
-      {502, RejectReason::BadResponse,
-       "the backend server failed and may have run the request"},
-      false);
-}
-
 // Keeps a complete 5xx response as a fallback and allows another attempt, since
 // other backend servers may succeed. Takes a token from the retry budget.
 bool Call::keepAsFallback(const AttemptPtr &Current) {
@@ -149,8 +131,8 @@
   auto Grant = co_await State.Dependencies.Broker.acquire(slotRequest());
   if (!Grant) {
     Current->Failure = Grant.error();
-    KeyAlreadyUsed =
-        KeyAlreadyUsed || Current->Failure == core::Error::OrderRepeated;
+    if (Current->Failure == core::Error::OrderRepeated)
+      Execution = Execution.afterRepeatedKey();
     co_return;
   }
   Current->Grant = std::move(*Grant);
@@ -217,7 +199,7 @@
 bool Call::tryTakeRetry(core::CallOutcome Outcome) {
   if (Outcome == core::CallOutcome::Withheld)
     return mayAcquireAgain();
-  if (!allowsAnotherAttempt() || (!idempotent() && MayHaveRun))
+  if (!allowsAnotherAttempt() || !Execution.maySendAgain(idempotent()))
     return false;
   // Nothing arrived at a backend server, so no token is taken.
   if (Route != nullptr && Outcome == core::CallOutcome::NotSent)
@@ -277,7 +259,7 @@
 // Lets the caller repeat the idempotency key if the order certainly did not
 // run.
 void Call::releaseUnusedClaim() noexcept {
-  if (Key && ClaimRequested && !MayHaveRun && !KeyAlreadyUsed)
+  if (Key && ClaimRequested && Execution.certainlyNotRun())
     State.Dependencies.Broker.releaseClaim(Service->Name, *Key, Request.Id);
 }
 
@@ -295,8 +277,7 @@
     endWithoutResponse(Last->Grant.Server.Id);
     co_return false;
   }
-  co_return co_await reject(rejectionFor(*Last),
-                            !MayHaveRun && !KeyAlreadyUsed);
+  co_return co_await reject(rejectionFor(*Last));
 }
 
 Rejection Call::rejectionFor(const Attempt &Last) const {
@@ -307,26 +288,26 @@
     return {400, RejectReason::Malformed, "malformed request body"};
   const core::CallOutcome Outcome = Last.report().Outcome;
   if ((CancelledBy == CancelReason::Stopping || sendByPassed()) &&
-      !MayHaveRun && !KeyAlreadyUsed && core::certainlyNotRun(Outcome))
+      Execution.certainlyNotRun())
     return stopRejection();
   if (CancelledBy == CancelReason::TimedOut &&
       State.Dependencies.Time.now() < Deadline)
     return {408, RejectReason::Slow, "request body not received in time"};
   // 503 instead of 504 tells the caller of a routed request that was not run
   // that it may send the request again.
-  const bool NotRun = Route != nullptr && !MayHaveRun;
+  const bool NotRun = Route != nullptr && !Execution.mayHaveRun();
   if (CancelledBy == CancelReason::TimedOut || Last.Failure == DeadlineExceeded)
     return {NotRun ? 503U : 504U, RejectReason::DeadlineExceeded,
             "deadline exceeded"};
   if (Last.Failure == OrderRepeated)
     return {409, RejectReason::OrderRepeated, "Idempotency-Key already used"};
-  if (!Last.Granted && Route != nullptr && MayHaveRun)
-    return {502, RejectReason::BadResponse,
+  if (!Last.Granted && Route != nullptr && Execution.mayHaveRun())
+    return {BadGateway, RejectReason::BadResponse,
             "no backend server left for another attempt"};
   if (!Last.Granted && Last.Failure == Overloaded)
     return {503, RejectReason::Overloaded, "overloaded"};
-  if (MayHaveRun && core::certainlyNotRun(Outcome))
-    return {502, RejectReason::BadResponse,
+  if (Execution.mayHaveRun() && core::certainlyNotRun(Outcome))
+    return {BadGateway, RejectReason::BadResponse,
             "an earlier attempt may have been run"};
   if (Outcome == core::CallOutcome::Rejected)
     return {503, RejectReason::Overloaded, "rejected by the backend server"};
@@ -334,7 +315,7 @@
     return {503, RejectReason::Unavailable, "no backend server available"};
   if (Outcome == core::CallOutcome::TimedOut)
     return {504, RejectReason::DeadlineExceeded, "deadline exceeded"};
-  return {502, RejectReason::BadResponse,
+  return {BadGateway, RejectReason::BadResponse,
           "incomplete or invalid response from the backend server"};
 }
 
--- a/packages/callers/src/call_hedge.cpp
+++ b/packages/callers/src/call_hedge.cpp
@@ -114,7 +114,7 @@
     co_await Wake.async_wait(UseTuple);
   for (const AttemptPtr &Each : Started)
     if (Each != Winner)
-      MayHaveRun = MayHaveRun || !core::certainlyNotRun(Each->report().Outcome);
+      Execution = Execution.afterAttempt(Each->report().Outcome);
   ActiveAttempts.clear();
   GrantWake = nullptr;
   co_return Winner;
--- a/packages/callers/src/call_relay.cpp
+++ b/packages/callers/src/call_relay.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <charconv>
+#include <jujubecart/core/log.hpp>
 
 namespace jujubecart::callers::internal {
 
@@ -48,13 +49,35 @@
   return Request.Http10 ? "keep-alive" : "";
 }
 
+// The response itself goes on to the caller, since it may explain the failure.
+unsigned Call::relayedStatus(const Attempt &Current) const {
+  const unsigned Status = Current.Exchange->head().result_int();
+  return promisesTooMuch(Status, idempotent(), Execution,
+                         State.Dependencies.Profile)
+             ? BadGateway
+             : Status;
+}
+
+void Call::recordReplaced(const Attempt &Current, unsigned Status) const {
+  ++State.Counters.ReplacedStatuses;
+  core::LogLine(core::LogLevel::Warning, "response.status_replaced")
+      .field("request", toString(Request.Id))
+      .field("service", Service->Name)
+      .field("server", Current.Grant.Server.Id)
+      .field("server_status", Current.Exchange->head().result_int())
+      .field("status", Status);
+}
+
 core::Awaitable<bool> Call::relay(AttemptPtr Current) {
   ActiveAttempts.assign(1, Current);
   AttemptTimeoutAt = core::TimePoint::max();
   const core::BackendExchange &Exchange = *Current->Exchange;
   const BodyFraming Framing = responseFraming(*Current);
+  const unsigned Status = relayedStatus(*Current);
+  if (Status != Exchange.head().result_int())
+    recordReplaced(*Current, Status);
   const std::string Head = serializeResponseHead(
-      Exchange.head(), Request.Id, State.Dependencies.Profile, Framing,
+      Exchange.head(), Status, Request.Id, State.Dependencies.Profile, Framing,
       connectionField(Framing));
   const bool ResponseComplete = Exchange.complete();
   if (ResponseComplete)
@@ -76,10 +99,12 @@
   ++State.Counters.Completed;
   State.Times.record(workClass(), Current->report().Elapsed,
                      State.Dependencies.Time.now());
-  logEnd(Exchange.head().result_int(), "passed on", Current->Grant.Server.Id);
+  logEnd(Status,
+         Status == Exchange.head().result_int() ? "passed on"
+                                                : "status replaced",
+         Current->Grant.Server.Id);
   State.recordEvent("call.answered", Request.Id, Current->Grant.Server.Id,
-                    std::to_string(Exchange.head().result_int()),
-                    Key ? Key->High : 0);
+                    std::to_string(Status), Key ? Key->High : 0);
   const bool Keep = keepsConnection();
   LingerNeeded = !Keep;
   co_return Keep;
--- a/packages/callers/src/request.hpp
+++ b/packages/callers/src/request.hpp
@@ -16,6 +16,9 @@
 
 using Message = core::HttpReader<true>::Message;
 
+/// Status of a request that a backend server may have run; it promises nothing.
+constexpr unsigned BadGateway = 502;
+
 /// @brief Response of this server to a request that it does not forward or
 /// whose attempts all failed.
 struct Rejection {
--- a/packages/callers/src/server.cpp
+++ b/packages/callers/src/server.cpp
@@ -193,6 +193,7 @@
                      .Retries = From.Retries,
                      .Hedges = From.Hedges,
                      .TruncatedResponses = From.TruncatedResponses,
+                     .ReplacedStatuses = From.ReplacedStatuses,
                      .InFlight = From.InFlight,
                      .OpenConnections = From.OpenConnections};
   for (std::size_t Index = 0; Index < RejectReasonCount; ++Index)
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -36,6 +36,7 @@
   Counter Retries{0};
   Counter Hedges{0};
   Counter TruncatedResponses{0};
+  Counter ReplacedStatuses{0};
   Counter InFlight{0};
   Counter OpenConnections{0};
   std::array<Counter, RejectReasonCount> Rejected{};
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -119,6 +119,11 @@
   /// has not run and never will.
   [[nodiscard]] virtual bool promisesNotRun(unsigned Status) const noexcept = 0;
 
+  /// @brief Whether a field of the server's response holds only together with
+  /// the status of that response.
+  [[nodiscard]] virtual bool
+  dependsOnStatus(std::string_view Name) const noexcept = 0;
+
   /// @brief Whether the end of the connection may mark the end of a response
   /// body without Content-Length or chunked encoding.
   [[nodiscard]] virtual bool acceptsUnframedResponses() const noexcept = 0;
--- a/packages/core/src/native_http_profile.cpp
+++ b/packages/core/src/native_http_profile.cpp
@@ -115,6 +115,11 @@
     return false;
   }
 
+  [[nodiscard]] bool
+  dependsOnStatus(std::string_view Name) const noexcept override {
+    return equalsIgnoreCase(Name, "retry-after");
+  }
+
   // The end of such a response cannot be distinguished from a truncation.
   [[nodiscard]] bool acceptsUnframedResponses() const noexcept override {
     return false;
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -163,7 +163,8 @@
 Harness::Harness(const std::vector<std::string> &Backends,
                  const Settings &TestSettings)
     : Broker(Config), Pool(Io.get_executor(), TestSettings.Pool, Time),
-      Transport(Pool, Time), Work(asio::make_work_guard(Io)) {
+      Transport(Pool, Time, *TestSettings.Profile),
+      Work(asio::make_work_guard(Io)) {
   // Each first attempt adds a tenth of a token to the retry budget.
   for (int Count = 0; Count < 10 * TestSettings.RetryTokens; ++Count)
     Retries.recordFirstAttempt("tags");
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -85,6 +85,10 @@
   [[nodiscard]] bool promisesNotRun(unsigned Status) const noexcept override {
     return Status == 503;
   }
+  [[nodiscard]] bool
+  dependsOnStatus(std::string_view Name) const noexcept override {
+    return Native.dependsOnStatus(Name);
+  }
   [[nodiscard]] bool acceptsUnframedResponses() const noexcept override {
     return Native.acceptsUnframedResponses();
   }
