--- a/tests/platform/http_profile_test.cpp
+++ b/tests/platform/http_profile_test.cpp
@@ -110,6 +110,9 @@
   cr_assert(Setup.response(503, {{"Not-Executed", "1"}}).NotRun);
   cr_assert(Setup.response(421, {}).NotRun);
   cr_assert(Setup.response(421, {}).OtherInstance);
+  cr_assert(Setup.response(400, {{"Not-Executed", "1"}}).NotRun);
+  cr_assert_not(Setup.response(200, {{"Not-Executed", "1"}}).NotRun);
+  cr_assert_not(Setup.response(303, {{"Not-Executed", "1"}}).NotRun);
   cr_assert_not(Setup.response(503, {}).NotRun);
   cr_assert_not(Setup.response(504, {}).NotRun);
 }
--- a/tests/platform/refusal_test.cpp
+++ b/tests/platform/refusal_test.cpp
@@ -196,6 +196,16 @@
   }
 }
 
+// Guards against a server's statement beside a success: an order that has run
+// and was served would be sent to another server, or refused.
+Test(Refusal, statement_beside_a_success_does_not_repeat_the_order) {
+  const Reaction Contradiction{
+      .Bytes = response("200 OK", "done", IdField + Signature + Statement)};
+  const RequestEnd Request({Contradiction, served()}, false);
+  cr_assert_eq(Request.status(), 200);
+  cr_assert_eq(Request.runs(), 1);
+}
+
 // Guards against a caller that loses what the server says of its failure, and
 // against a signature or a time to come back that hold for another status.
 Test(Refusal, response_with_a_replaced_status_is_passed_on) {
