Count no refusal on a kept connection without the id of the request

Callers saw: an order sent without an id could be sent twice or answered 503 although its server runs it, when the server repeats an earlier refusal on the connection.

Cause: without an id of the caller each response on a kept connection counted as that of the request, with all that it states.

Evidence: PlatformExchange.refusal_on_a_kept_connection_needs_the_id_of_the_order fails before (Rejected) and passes. Found by a test, not seen in the field.

Change: a statement counts with the id of the request or on a new connection.

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -243,7 +243,9 @@
   Report.OtherInstance = Traits.OtherInstance;
   Connection->ReportsLoad = Traits.Load.has_value();
   Report.ServerError = Status >= FirstServerError;
-  Rejected = Traits.NotRun;
+  // On a kept connection it may be a repeated response to an earlier request;
+  // then the server may run this one.
+  Rejected = Traits.NotRun && !(Traits.Unattributed && Connection->Used);
   if (const auto Size = Parser.content_length())
     ResponseLength = *Size;
   else if (!Parser.chunked() && !Parser.need_eof())
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -50,6 +50,9 @@
   /// The response carries no id, although the request had one and servers
   /// repeat it.
   bool WithoutRequestId = false;
+  /// Servers repeat the id of a request, but nothing in the response shows that
+  /// it belongs to this one.
+  bool Unattributed = false;
   /// Required header fields are missing.
   bool Invalid = false;
   std::optional<LoadReport> Load;
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -47,6 +47,7 @@
     auto Request = std::make_shared<core::BackendRequest>();
     Request->Head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     Request->CallerRequestId = Id;
+    Request->IsOrder = IsOrder;
     const auto Exchange =
         Transport.prepare({.Id = "i-1", .Address = Backend.address()}, Request);
     const std::error_code Failed = co_await Exchange->open(nullptr);
@@ -73,6 +74,7 @@
   backends::ConnectionPool Pool{Io.get_executor(), {}, Time};
   backends::Transport Transport{Pool, Time, platform::httpProfile()};
   core::CallReport Report;
+  bool IsOrder = false;
 };
 
 } // namespace
@@ -146,10 +148,10 @@
       : Backend(std::move(Behave)),
         Pool(Io.get_executor(), {.OrderReuseWindow = ReuseWindow}, Time) {}
 
-  core::Awaitable<core::CallOutcome> order() {
+  core::Awaitable<core::CallOutcome> order(const std::string &RequestId) {
     auto Request = std::make_shared<core::BackendRequest>();
     Request->Head = "POST / HTTP/1.1\r\nHost: a\r\n\r\n";
-    Request->CallerRequestId = Id;
+    Request->CallerRequestId = RequestId;
     Request->IsOrder = true;
     const auto Exchange =
         Transport.prepare({.Id = "i-1", .Address = Backend.address()}, Request);
@@ -163,9 +165,9 @@
     co_return Exchange->report().Outcome;
   }
   core::Awaitable<void> both() {
-    First = co_await order();
+    First = co_await order(Id);
     std::this_thread::sleep_for(5ms);
-    Second = co_await order();
+    Second = co_await order(SecondId);
   }
   void run() {
     auto Result = asio::co_spawn(Io, both(), asio::use_future);
@@ -178,6 +180,8 @@
   core::SystemClock Time;
   backends::ConnectionPool Pool;
   backends::Transport Transport{Pool, Time, platform::httpProfile()};
+  /// Id that the caller of the second order sent.
+  std::string SecondId = Id;
   core::CallOutcome First = core::CallOutcome::NotSent;
   core::CallOutcome Second = core::CallOutcome::NotSent;
 };
@@ -310,6 +314,25 @@
   }
 }
 
+// Guards against an order without an id that is taken for not run, because an
+// earlier refusal is repeated in front of its own response on a kept
+// connection: no id shows to which of the two requests the refusal belongs.
+Test(PlatformExchange, refusal_on_a_kept_connection_needs_the_id_of_the_order) {
+  TwoOrders With(
+      [&](tcp::socket &Socket, int) {
+        readMethod(Socket);
+        send(Socket, orderResponse());
+        while (!readMethod(Socket).empty())
+          send(Socket, refusal("Request-Id: " + std::string(Id) + "\r\n") +
+                           response("200 OK", "x"));
+      },
+      10s);
+  With.SecondId = "";
+  With.run();
+  cr_assert(With.First == core::CallOutcome::Completed);
+  cr_assert_not(core::certainlyNotRun(With.Second), "%d", int(With.Second));
+}
+
 // Guards against a response whose head ends early with the connection and that
 // is taken for a complete one without a body.
 Test(PlatformExchange, head_that_ends_early_is_no_response) {
