Count orders that a server fails with 429 or 408 as its failures

Callers saw: one of eight servers that ran orders and failed 0.45 of them with 429 or 408 cost 32 of 640 orders (502); with 503 it cost 2.

Cause: only a status of 500 or above was an error of the server, so the dispatcher took the others for served calls.

PlatformExchange. order_failed_with_a_promise_is_an_error_of_the_server fails before and passes.

Change: to an order, a status that promises that it has not run, without the server's statement, counts like a 5xx.

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -242,10 +242,13 @@
   Report.Draining = Traits.Draining;
   Report.OtherInstance = Traits.OtherInstance;
   Connection->ReportsLoad = Traits.Load.has_value();
-  Report.ServerError = Status >= FirstServerError;
   // On a kept connection it may be a repeated response to an earlier request;
   // then the server may run this one.
   Rejected = Traits.NotRun && !(Traits.Unattributed && Connection->Used);
+  // Only a refusal may promise that an order has not run.
+  Report.ServerError =
+      Status >= FirstServerError ||
+      (Request->IsOrder && !Rejected && Profile.promisesNotRun(Status));
   if (const auto Size = Parser.content_length())
     ResponseLength = *Size;
   else if (!Parser.chunked() && !Parser.need_eof())
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -90,7 +90,8 @@
   std::optional<LoadReport> Load;
   /// The backend server reported that it is draining.
   bool Draining = false;
-  /// The response has an HTTP status of 500 or above.
+  /// The response has an HTTP status of 500 or above, or one to an order that
+  /// promises that the order has not run, without the server's statement.
   bool ServerError = false;
   /// Another server process than the expected one answered.
   bool OtherInstance = false;
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -333,6 +333,36 @@
   cr_assert_not(core::certainlyNotRun(With.Second), "%d", int(With.Second));
 }
 
+// Guards against a server that goes on getting orders although it fails them
+// with a status that promises that they have not run, which it does not state;
+// and against a server that is taken for faulty because it refuses properly.
+Test(PlatformExchange, order_failed_with_a_promise_is_an_error_of_the_server) {
+  struct Row {
+    const char *Status;
+    const char *Fields;
+    bool IsOrder;
+    bool ServerError;
+  };
+  const std::vector<Row> Rows{
+      {"429 Too Many Requests", "", true, true},
+      {"408 Request Timeout", "", true, true},
+      {"503 Service Unavailable", "", true, true},
+      {"404 Not Found", "", true, false},
+      {"429 Too Many Requests", "Not-Executed: 1\r\n", true, false},
+      {"421 Misdirected Request", "", true, false},
+      {"429 Too Many Requests", "", false, false},
+  };
+  for (const Row &Each : Rows) {
+    Fixture Setup(respondWith(
+        response(Each.Status, "",
+                 "Request-Id: " + std::string(Id) + "\r\n" + Each.Fields)));
+    Setup.IsOrder = Each.IsOrder;
+    Setup.run();
+    cr_assert_eq(Setup.Report.ServerError, Each.ServerError, "%s %s %d",
+                 Each.Status, Each.Fields, int(Each.IsOrder));
+  }
+}
+
 // Guards against a response whose head ends early with the connection and that
 // is taken for a complete one without a body.
 Test(PlatformExchange, head_that_ends_early_is_no_response) {
