Report a ticket as rejected only if the answer says so

Operators saw: nothing yet. jujubectl ends with 1, 'nothing was changed', for an answer with a state that it does not know.

Cause: 1 was the exit code of each state that is not named.

Evidence: end_to_end_test.ExitCodes fails at the state 'queued' before, and passes; the other 11 answers passed before.

Change: the rejecting states are named, any other ends with 4.

--- a/apps/jujubectl/ticket_command.cpp
+++ b/apps/jujubectl/ticket_command.cpp
@@ -19,11 +19,13 @@
     return Success;
   if (State == "invalid")
     return InvalidInput;
-  if (State == "unknown")
-    return OutcomeUnknown;
   if (State == "unavailable")
     return Unavailable;
-  return Rejected;
+  if (State == "beaten" || State == "number-reused" || State == "not-accepted")
+    return Rejected;
+  // Also a state that this version does not know: exit codes of a refusal
+  // promise that nothing was changed.
+  return OutcomeUnknown;
 }
 
 void printTicket(const nlohmann::json &Body, bool Json) {
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -5,11 +5,13 @@
 import os
 import re
 import signal
+import socket
 import subprocess
+import tempfile
 import threading
 import unittest
 
-from fleet import Fleet, wait_until
+from fleet import BUILD, Fleet, wait_until
 from fleet import http as http_call
 
 # Time from the end of the last request to the end of the process; the rest of a
@@ -116,6 +118,56 @@
         self.assertEqual(self.vm.process.wait(EXIT_TIMEOUT_S), 0)
 
 
+class ExitCodes(unittest.TestCase):
+    """Exit codes of jujubectl for what the operators' port answers."""
+
+    def submit(self, answer):
+        """Submits a ticket to a port that reads the request and sends bytes."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            def serve():
+                connection = listener.accept()[0]
+                with connection:
+                    connection.recv(65536)
+                    connection.sendall(answer)
+            server = threading.Thread(target=serve)
+            server.start()
+            with tempfile.NamedTemporaryFile("w", suffix=".json") as ticket:
+                ticket.write('{"number": 1}')
+                ticket.flush()
+                code = subprocess.run(
+                    [os.path.join(BUILD, "apps/jujubectl/jujubectl"), "--endpoint",
+                     f"127.0.0.1:{listener.getsockname()[1]}", "ticket", "submit", ticket.name],
+                    capture_output=True, timeout=30, check=False).returncode
+            server.join()
+        return code
+
+    def test_only_a_stated_refusal_means_that_nothing_was_changed(self):
+        """Guards against an exit code that says that a ticket was refused,
+        although the answer does not."""
+        def answer(status, body):
+            return (f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+                    f"{body}").encode()
+        rows = [
+            (200, '{"state": "accepted"}', 0),
+            (409, '{"state": "beaten"}', 1),
+            (409, '{"state": "number-reused"}', 1),
+            (400, '{"state": "invalid"}', 2),
+            (413, "too large", 2),
+            (503, '{"state": "unavailable"}', 3),
+            (504, '{"state": "unknown"}', 4),
+            (500, "error", 4),
+            (503, "busy", 4),
+            (202, '{"state": "queued"}', 4),
+        ]
+        for status, body, expected in rows:
+            with self.subTest(status=status, body=body):
+                self.assertEqual(self.submit(answer(status, body)), expected)
+        with self.subTest("cut"):
+            self.assertEqual(self.submit(answer(409, '{"state": "beaten"}')[:-4]), 4)
+        with self.subTest("closed"):
+            self.assertEqual(self.submit(b""), 4)
+
+
 class LogSinks(unittest.TestCase):
     """A VM whose log nobody can read any more."""
 
