--- a/tests/callers/orders_test.cpp
+++ b/tests/callers/orders_test.cpp
@@ -161,3 +161,44 @@
   cr_assert_eq(statusOf(Answer), 503);
   cr_assert_eq(Second.connections(), 0);
 }
+
+// Guards against an outcome that the system does not know: `not-run` for an
+// order that a backend server has run, or one that a server states beside
+// something else than a refusal.
+Test(Orders, outcome_not_run_is_stated_only_for_a_refusal) {
+  struct Row {
+    std::string Bytes;
+    int Status;
+    /// Empty if the response states no outcome.
+    std::string Outcome;
+  };
+  const std::string Statement = "X-Outcome: not-run\r\n";
+  const std::string Failure = response("503 Unavailable", "broken");
+  const std::vector<Row> Rows{
+      {response("503 Unavailable", "", Statement), 503, "not-run"},
+      {Failure, 503, ""},
+      {response("429 Too Many", "", Statement), 429, ""},
+      {response("500 Internal", "", Statement), 500, ""},
+      {response("200 OK", "done", Statement), 200, ""},
+      {"HTTP/1.1 103 Early Hints\r\n" + Statement + "\r\n" + Failure, 503, ""},
+      {"HTTP/1.1 503 Unavailable\r\nContent-Length: 9\r\n\r\nx", 502,
+       "unknown"},
+      {"", 502, "unknown"},
+  };
+  for (const Row &Each : Rows) {
+    ScriptedBackend *Self = nullptr;
+    ScriptedBackend Backend([&](tcp::socket &Socket, int) {
+      Self->readRequest(Socket);
+      send(Socket, Each.Bytes);
+    });
+    Self = &Backend;
+    Harness Fixture({Backend.address()}, {.RetryTokens = 0});
+    const std::string Answer = Fixture.call(orderRequest("k"));
+    cr_expect_eq(statusOf(Answer), Each.Status, "%s: %s", Each.Bytes.c_str(),
+                 Answer.c_str());
+    cr_expect_eq(contains(Answer, "X-Outcome: not-run"),
+                 Each.Outcome == "not-run", "%s", Each.Bytes.c_str());
+    cr_expect_eq(contains(Answer, "X-Outcome: unknown"),
+                 Each.Outcome == "unknown", "%s", Each.Bytes.c_str());
+  }
+}
--- a/tests/platform/refusal_test.cpp
+++ b/tests/platform/refusal_test.cpp
@@ -20,6 +20,8 @@
   bool Runs = true;
   /// Keeps the connection open and sends nothing.
   bool Silent = false;
+  /// Time from the request to the bytes.
+  std::chrono::milliseconds Work{0};
 };
 
 Reaction served() {
@@ -51,6 +53,7 @@
     if (Backend.readRequest(Socket).empty())
       return;
     Runs += Kind.Runs ? 1 : 0;
+    std::this_thread::sleep_for(Kind.Work);
     send(Socket, Kind.Bytes);
     boost::system::error_code Ignored;
     char Byte = 0;
@@ -65,10 +68,19 @@
   ScriptedBackend Backend;
 };
 
+/// @brief How one request is made.
+struct RequestOptions {
+  bool Idempotent = false;
+  std::uint32_t TimeoutMs = 400;
+  /// When the entry VM begins to stop, after the request was sent.
+  std::optional<std::chrono::milliseconds> StopAfter;
+};
+
 /// @brief One routed request to servers with given reactions.
 class RequestEnd {
 public:
-  RequestEnd(const std::vector<Reaction> &Reactions, bool Idempotent) {
+  explicit RequestEnd(const std::vector<Reaction> &Reactions,
+                      const RequestOptions &Request = {}) {
     std::vector<std::string> Addresses;
     for (const Reaction &Each : Reactions)
       Addresses.push_back(
@@ -78,17 +90,24 @@
     Out.Routes = {{.Name = "r",
                    .Host = "a",
                    .PathPrefix = "/tags/",
-                   .Idempotent = Idempotent,
+                   .Idempotent = Request.Idempotent,
                    .MaxAttempts = 2,
-                   .TimeoutMs = 400,
+                   .TimeoutMs = Request.TimeoutMs,
                    .ObjectiveMs = 200,
                    .Services = {{.Service = "tags", .Weight = 1}}}};
     Out.Profile = &platform::httpProfile();
     Out.Options.BufferResponsesWithoutLength = true;
     Out.RetryTokens = 5;
     Setup = std::make_unique<Harness>(Addresses, Out);
-    Answer = Setup->call("POST /tags/1 HTTP/1.1\r\nHost: a\r\n" + IdField +
-                         "Content-Length: 2\r\n\r\nhi");
+    auto Caller = Setup->connect();
+    send(Caller, "POST /tags/1 HTTP/1.1\r\nHost: a\r\n" + IdField +
+                     "Content-Length: 2\r\n\r\nhi");
+    std::future<callers::StopReport> Stopped;
+    if (Request.StopAfter) {
+      std::this_thread::sleep_for(*Request.StopAfter);
+      Stopped = Setup->stop(20ms);
+    }
+    Answer = Harness::readResponse(Caller);
   }
 
   int status() const { return statusOf(Answer); }
@@ -186,7 +205,7 @@
        1},
   };
   for (const Row &Each : Rows) {
-    const RequestEnd Request(Each.Servers, false);
+    const RequestEnd Request(Each.Servers);
     cr_expect_eq(Request.status(), Each.Status, "%s: status %d", Each.Name,
                  Request.status());
     cr_expect_eq(Request.runs(), Each.Runs, "%s: %d runs", Each.Name,
@@ -201,7 +220,7 @@
 Test(Refusal, statement_beside_a_success_does_not_repeat_the_order) {
   const Reaction Contradiction{
       .Bytes = response("200 OK", "done", IdField + Signature + Statement)};
-  const RequestEnd Request({Contradiction, served()}, false);
+  const RequestEnd Request({Contradiction, served()});
   cr_assert_eq(Request.status(), 200);
   cr_assert_eq(Request.runs(), 1);
 }
@@ -211,7 +230,7 @@
 Test(Refusal, response_with_a_replaced_status_is_passed_on) {
   for (const char *Status :
        {"503 Unavailable", "429 Too Many", "408 Request Timeout"}) {
-    const RequestEnd Request({failed(Status)}, false);
+    const RequestEnd Request({failed(Status)});
     cr_assert_eq(Request.status(), 502, "%s", Status);
     cr_assert(Request.has("HTTP/1.1 502 Bad Gateway\r\n"));
     cr_assert(Request.has(IdField));
@@ -226,10 +245,33 @@
 // its caller loses nothing by the status of the server.
 Test(Refusal, failure_of_an_idempotent_request_is_passed_on_unchanged) {
   for (const char *Status : {"503 Unavailable", "429 Too Many"}) {
-    const RequestEnd Request({failed(Status)}, true);
+    const RequestEnd Request({failed(Status)}, {.Idempotent = true});
     cr_assert_eq(Request.status(), std::stoi(Status), "%s", Status);
     cr_assert(Request.has("\r\n\r\nexplanation"));
     cr_assert(Request.has(Signature));
     cr_assert_eq(Request.replaced(), 0);
   }
 }
+
+// Guards against an order that is answered as not run because its response, the
+// deadline and a stop of the entry VM cross each other.
+Test(Refusal, order_whose_end_crosses_a_deadline_or_a_stop_is_not_denied) {
+  const std::vector<Reaction> Kinds{served(), failed("503 Unavailable"),
+                                    failed("429 Too Many"),
+                                    refused("503 Unavailable")};
+  for (Reaction First : Kinds)
+    for (Reaction Second : Kinds)
+      for (int AfterMs = 0; AfterMs <= 40; AfterMs += 8)
+        for (const bool Stop : {false, true}) {
+          First.Work = Second.Work = 18ms;
+          const RequestEnd Request(
+              {First, Second},
+              Stop ? RequestOptions{.StopAfter =
+                                        std::chrono::milliseconds(AfterMs)}
+                   : RequestOptions{.TimeoutMs = 1U + AfterMs});
+          cr_expect_not(promisesNotRun(Request.status()) && Request.runs() > 0,
+                        "stop %d after %d ms: status %d, %d runs", int(Stop),
+                        AfterMs, Request.status(), Request.runs());
+          cr_expect_leq(Request.runs(), 1);
+        }
+}
