--- a/tests/platform/refusal_test.cpp
+++ b/tests/platform/refusal_test.cpp
@@ -182,6 +182,13 @@
       {"closed", {{.Bytes = ""}, served()}, 502, 1},
       {"silent", {{.Bytes = "", .Silent = true}, served()}, 504, 1},
       {"cut 503", {{.Bytes = Cut}, served()}, 502, 1},
+      {"statement in a whole head, body cut",
+       {{.Bytes = "HTTP/1.1 503 Unavailable\r\nContent-Length: 9\r\n" +
+                  IdField + Statement + "\r\nx",
+         .Runs = false},
+        served()},
+       200,
+       1},
       {"statement in an interim response",
        {{.Bytes = "HTTP/1.1 103 Early Hints\r\n" + Statement + "\r\n" +
                   failed("503 Unavailable").Bytes},
@@ -275,3 +282,36 @@
           cr_expect_leq(Request.runs(), 1);
         }
 }
+
+// Guards against an upload whose server refuses it before it has read all of
+// it, and that is answered as if it had run, or waits for its deadline.
+Test(Refusal, upload_that_is_refused_early_has_not_run) {
+  constexpr std::size_t BodyBytes = 200000;
+  ScriptedBackend Refusing([](tcp::socket &Socket, int) {
+    std::string Head;
+    boost::system::error_code Ignored;
+    asio::read_until(Socket, asio::dynamic_buffer(Head), "\r\n\r\n", Ignored);
+    send(Socket, refused("503 Unavailable").Bytes);
+    std::this_thread::sleep_for(20ms);
+  });
+  Harness::Settings Out;
+  Out.Routes = {{.Name = "r",
+                 .Host = "a",
+                 .PathPrefix = "/tags/",
+                 .Idempotent = false,
+                 .MaxAttempts = 2,
+                 .TimeoutMs = 2000,
+                 .Services = {{.Service = "tags", .Weight = 1}}}};
+  Out.Profile = &platform::httpProfile();
+  Out.Options.MaxBufferedBodyBytes = 0;
+  Out.Options.MaxBufferedUploadBytes = 0;
+  Harness Setup({Refusing.address()}, Out);
+  auto Caller = Setup.connect();
+  send(Caller, "POST /tags/1 HTTP/1.1\r\nHost: a\r\n" + IdField +
+                   "Content-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" +
+                   std::string(BodyBytes, 'x'));
+  const std::string Answer = Harness::readResponse(Caller);
+  cr_assert_eq(statusOf(Answer), 503, "%s", Answer.c_str());
+  cr_assert_eq(Setup.Broker.outcomes().size(), 1);
+  cr_assert(Setup.Broker.outcomes()[0] == core::CallOutcome::Rejected);
+}
