--- a/tests/platform/refusal_test.cpp
+++ b/tests/platform/refusal_test.cpp
@@ -45,8 +45,8 @@
       : Kind(std::move(Kind)),
         Backend([this](tcp::socket &Socket, int) { react(Socket); }) {}
 
-  std::string address() const { return Backend.address(); }
-  int runs() const { return Runs; }
+  [[nodiscard]] std::string address() const { return Backend.address(); }
+  [[nodiscard]] int runs() const { return Runs; }
 
 private:
   void react(tcp::socket &Socket) {
@@ -93,6 +93,7 @@
   explicit RequestEnd(const std::vector<Reaction> &Reactions,
                       const RequestOptions &Request = {}) {
     std::vector<std::string> Addresses;
+    Addresses.reserve(Reactions.size());
     for (const Reaction &Each : Reactions)
       Addresses.push_back(
           Servers.emplace_back(std::make_unique<ReactingServer>(Each))
@@ -114,17 +115,17 @@
     Answer = Harness::readResponse(Caller);
   }
 
-  int status() const { return statusOf(Answer); }
-  int runs() const {
+  [[nodiscard]] int status() const { return statusOf(Answer); }
+  [[nodiscard]] int runs() const {
     int Out = 0;
     for (const auto &Each : Servers)
       Out += Each->runs();
     return Out;
   }
-  bool has(const std::string &Part) const {
+  [[nodiscard]] bool has(const std::string &Part) const {
     return Answer.find(Part) != std::string::npos;
   }
-  std::uint64_t replaced() const {
+  [[nodiscard]] std::uint64_t replaced() const {
     return Setup->Server->counters().ReplacedStatuses;
   }
 
