Show how old changes of the store are when they are applied

Frames with changes carry the uptime of the sender at which a VM got them from the store. TransitDelay finds from these how long they were under way, without a common clock: how much longer than the fastest frame of the last minutes. The uptime counts suspensions, so a machine that wakes does not make later frames look old. New: directory.applied_late, link.slow, jujubecart_directory_age_ms, jujubecart_peer_slow_writes_total. No decision uses the instant yet.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -159,18 +159,22 @@
           .Alone = [this] { return Peers.storeRelay().alone(); },
           .LostVms = [this] { return Peers.members().lostVms(); },
           .Broadcast =
-              [this](const core::EntryChanges &Changes) {
-                Peers.storeRelay().broadcast(Changes);
-              }},
+              [this](const core::EntryChanges &Changes,
+                     core::TimePoint ReadAt) {
+                Peers.storeRelay().broadcast(Changes, ReadAt);
+              },
+          .Ages = &Metrics.summary("jujubecart_directory_age_ms", "")},
       Peers.members().self(), Settings.Directory.Zones,
       store::DirectoryFeedOptions{});
   Feed->setMemberHandler([this](const std::vector<core::Member> &Vms) {
     Peers.members().update(Vms);
   });
   Peers.storeRelay().setChangeHandler(
-      [this, Strand](const core::EntryChanges &Changes) {
-        internal::asio::post(Strand,
-                             [this, Changes] { Feed->applyFromPeer(Changes); });
+      [this, Strand](const core::EntryChanges &Changes,
+                     core::TimePoint ReadAt) {
+        internal::asio::post(Strand, [this, Changes, ReadAt] {
+          Feed->applyFromPeer(Changes, ReadAt);
+        });
       });
   internal::asio::co_spawn(Strand, Feed->run(), internal::asio::detached);
   internal::asio::co_spawn(Strand, Feed->keepRegistered(),
--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -82,6 +82,7 @@
                      [&Value] { return static_cast<double>(Value.load()); });
   };
   AddCounter("jujubecart_peer_writes_total", Counters.Writes);
+  AddCounter("jujubecart_peer_slow_writes_total", Counters.SlowWrites);
   AddCounter("jujubecart_peer_frames_rejected_total", Counters.FramesRejected);
   AddCounter("jujubecart_dispatch_fallbacks_total", Counters.Fallbacks);
   AddCounter("jujubecart_dispatchers_suspected_total",
--- a/packages/core/include/jujubecart/core/clock.hpp
+++ b/packages/core/include/jujubecart/core/clock.hpp
@@ -19,6 +19,13 @@
   [[nodiscard]] virtual TimePoint now() const noexcept = 0;
 
   [[nodiscard]] virtual WallTime wallNow() const noexcept = 0;
+
+  /// @brief Time since an instant before the start of this process. Never set
+  /// and, unlike now(), not stopped while the machine is suspended.
+  [[nodiscard]] virtual std::chrono::milliseconds uptime() const noexcept {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        now().time_since_epoch());
+  }
 };
 
 /// @brief Reads the clocks of the operating system.
@@ -26,6 +33,7 @@
 public:
   [[nodiscard]] TimePoint now() const noexcept override;
   [[nodiscard]] WallTime wallNow() const noexcept override;
+  [[nodiscard]] std::chrono::milliseconds uptime() const noexcept override;
 };
 
 /// @brief Converts a time on the wall clock to the monotonic clock.
--- a/packages/peers/include/jujubecart/peers/fwd.hpp
+++ b/packages/peers/include/jujubecart/peers/fwd.hpp
@@ -15,7 +15,9 @@
 class PeerCounters;
 class PeerNode;
 class RemoteBroker;
+class StoreRelay;
 class TlsContext;
+class TransitDelay;
 
 struct Frame;
 struct PeerOptions;
--- a/packages/peers/include/jujubecart/peers/link.hpp
+++ b/packages/peers/include/jujubecart/peers/link.hpp
@@ -120,6 +120,7 @@
   void read();
   void onRead(std::size_t Size);
   void write();
+  void recordWrite();
   void finish(std::string_view Reason) noexcept;
 
   const std::uint64_t Number;
@@ -142,6 +143,11 @@
   std::vector<std::byte> WriteBuffer;
   std::uint64_t Sequence = 0;
   bool Writing = false;
+  // When the oldest byte of WriteQueue was queued.
+  core::TimePoint QueuedAt;
+  // The same of WriteBuffer; used on the strand only.
+  core::TimePoint WriteQueuedAt;
+  core::TimePoint NextSlowWriteLog;
   std::atomic<bool> Closed{false};
   // Time points as clock ticks; AwaitingReplySince is 0 if no reply is
   // expected.
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -34,6 +34,9 @@
   std::string Operators;
   /// Share of a processor core in thousandths.
   std::uint32_t ProcessorMilli = 1000;
+  /// Uptime of the sender when it sent the frame, in milliseconds; 0 from a
+  /// sender that does not state it. Only differences have a meaning here.
+  std::uint64_t SentAtMs = 0;
 };
 
 /// @brief Asks the dispatcher of a group for a slot.
@@ -203,6 +206,9 @@
 /// @brief Relays store changes that the sender received to a peer.
 struct StoreChanges {
   core::EntryChanges Changes;
+  /// Uptime of the sender when a VM got them from the store, in milliseconds;
+  /// 0 as in Hello::SentAtMs.
+  std::uint64_t ReadAtMs = 0;
 };
 
 /// @brief Any message. The first alternative stands for a type that this
--- a/packages/peers/include/jujubecart/peers/peer_counters.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_counters.hpp
@@ -29,6 +29,8 @@
   std::array<Traffic, MessageTypeCount> Out;
   /// Socket writes; one write may contain many frames.
   std::atomic<std::uint64_t> Writes{0};
+  /// Writes whose oldest byte waited for 250 ms or longer.
+  std::atomic<std::uint64_t> SlowWrites{0};
   std::atomic<std::int64_t> LinksOpen{0};
   /// Attempts to open a link that failed.
   std::atomic<std::uint64_t> DialsFailed{0};
--- a/packages/peers/include/jujubecart/peers/peer_node.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_node.hpp
@@ -64,6 +64,7 @@
 
   const std::shared_ptr<TlsContext> Tls;
   const std::shared_ptr<LinkTable> Links;
+  const core::Clock &Time;
   core::ConfigTable &Config;
   MemberTable Members;
   GroupDirectory Groups;
--- a/packages/peers/include/jujubecart/peers/store_relay.hpp
+++ b/packages/peers/include/jujubecart/peers/store_relay.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/entry_store.hpp>
 #include <jujubecart/core/member.hpp>
 #include <jujubecart/peers/link_table.hpp>
+#include <jujubecart/peers/transit_delay.hpp>
 
 #include <functional>
 #include <mutex>
@@ -16,10 +17,13 @@
 /// other VMs need not read them. Thread-safe.
 class StoreRelay : public LinkListener {
 public:
-  using ChangeHandler = std::function<void(const core::EntryChanges &)>;
+  /// Gets the changes and when a VM got them from the store.
+  using ChangeHandler =
+      std::function<void(const core::EntryChanges &, core::TimePoint)>;
 
-  StoreRelay(LinkTable &Links, const core::MemberSource &Members)
-      : Links(Links), Members(Members) {}
+  StoreRelay(LinkTable &Links, const core::MemberSource &Members,
+             const core::Clock &Time)
+      : Links(Links), Members(Members), Time(Time) {}
   StoreRelay(const StoreRelay &) = delete;
   StoreRelay &operator=(const StoreRelay &) = delete;
 
@@ -32,7 +36,8 @@
   /// @brief Sends changes read from the store to all other VMs, with earlier
   /// ones that a VM has missed. Without entries, tells them that nothing has
   /// changed up to List.AsOf.
-  void broadcast(const core::EntryChanges &Changes);
+  /// @param ReadAt When this VM got them from the store.
+  void broadcast(const core::EntryChanges &Changes, core::TimePoint ReadAt);
 
   /// @brief Rank of this VM among the members that may read the store on
   /// behalf of all; the VM with rank 0 is the regular reader.
@@ -41,17 +46,24 @@
   /// @brief Whether this VM knows no other live VM.
   [[nodiscard]] bool alone();
 
+  void onOpen(const LinkPtr &Source) override;
   void onFrame(const LinkPtr &Source, const Frame &Item) override;
   void onClose(const LinkPtr &Source) override;
 
 private:
+  /// @brief Converts an instant that a peer states to this VM's clock.
+  [[nodiscard]] core::TimePoint receivedInstant(const LinkPtr &Source,
+                                                std::uint64_t SentAtMs);
   /// @brief Ranks the members again if they have changed; call with Mutex held.
   void updateRank();
 
   LinkTable &Links;
   const core::MemberSource &Members;
+  const core::Clock &Time;
   ChangeHandler Handler;
   std::mutex Mutex;
+  /// By link number.
+  std::unordered_map<std::uint64_t, TransitDelay> Delays;
   /// Revision up to which all changes were sent, by link number.
   std::unordered_map<std::uint64_t, core::Revision> SentRevisions;
   /// Recent changes, kept for peers that missed a broadcast.
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -29,7 +29,8 @@
                .Revision = Source.revision(),
                .Leaving = Source.leaving(),
                .Operators = toString(Source.operators()),
-               .ProcessorMilli = Source.processor_milli()};
+               .ProcessorMilli = Source.processor_milli(),
+               .SentAtMs = Source.sent_at_ms()};
 }
 
 DecodedBody decode(const wire::Acquire &Source) {
@@ -190,6 +191,7 @@
   StoreChanges Item;
   Item.Changes.After = Source.after();
   Item.Changes.List.AsOf = Source.as_of();
+  Item.ReadAtMs = Source.read_at_ms();
   if (Source.entries() != nullptr)
     for (const wire::StoreEntry *Entry : *Source.entries())
       Item.Changes.List.Entries.push_back(toStoredEntry(*Entry));
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -25,7 +25,7 @@
   return makeBody<wire::Body::Hello>(wire::CreateHelloDirect(
       Out, Item.Sender.c_str(), Item.Incarnation, Item.Address.c_str(),
       Item.Zone.c_str(), Item.Region.c_str(), Item.Revision, Item.Leaving,
-      nullIfEmpty(Item.Operators), Item.ProcessorMilli));
+      nullIfEmpty(Item.Operators), Item.ProcessorMilli, Item.SentAtMs));
 }
 
 BodyOffset encode(Builder &Out, const Acquire &Item) {
@@ -160,7 +160,7 @@
   }
   return makeBody<wire::Body::StoreChanges>(wire::CreateStoreChangesDirect(
       Out, Item.Changes.After, Item.Changes.List.AsOf,
-      Entries.empty() ? nullptr : &Entries));
+      Entries.empty() ? nullptr : &Entries, Item.ReadAtMs));
 }
 
 } // namespace
--- a/packages/peers/src/link.cpp
+++ b/packages/peers/src/link.cpp
@@ -10,6 +10,10 @@
 
 namespace internal {
 
+// A write whose oldest byte waited longer is logged, once a second for a link.
+constexpr std::chrono::milliseconds SlowWrite{250};
+constexpr std::chrono::seconds SlowWriteLogInterval{1};
+
 core::TimePoint toTimePoint(core::TimePoint::rep Ticks) noexcept {
   return core::TimePoint(core::TimePoint::duration(Ticks));
 }
@@ -114,6 +118,7 @@
                    .Time = Env.Events.logicalNow(),
                    .Body = Body,
                    .Size = 0};
+  const bool WasEmpty = WriteQueue.empty();
   const auto Bytes = FrameCodec::encode(Item, WriteQueue);
   if (!Bytes) {
     core::LogLine(core::LogLevel::Error, "link.message_too_large")
@@ -122,7 +127,10 @@
     return false;
   }
   Env.Counters.Out[Body.index()].add(*Bytes);
-  LastSent = Env.Time.now().time_since_epoch().count();
+  const core::TimePoint Now = Env.Time.now();
+  LastSent = Now.time_since_epoch().count();
+  if (WasEmpty)
+    QueuedAt = Now;
   if (!Writing) {
     Writing = true;
     asio::post(Transport->executor(),
@@ -141,19 +149,39 @@
       return;
     }
     std::swap(WriteBuffer, WriteQueue);
+    WriteQueuedAt = QueuedAt;
   }
   ++Env.Counters.Writes;
   Transport->write(
       asio::buffer(WriteBuffer),
       [Self = shared_from_this()](const boost::system::error_code &Failed,
                                   std::size_t /*Size*/) {
-        if (Failed)
+        if (Failed) {
           Self->finish(Failed.message());
-        else
-          Self->write();
+          return;
+        }
+        Self->recordWrite();
+        Self->write();
       });
 }
 
+void Link::recordWrite() {
+  const core::TimePoint Now = Env.Time.now();
+  const auto Waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Now - WriteQueuedAt);
+  if (Waited < internal::SlowWrite)
+    return;
+  ++Env.Counters.SlowWrites;
+  if (Now < NextSlowWriteLog)
+    return;
+  NextSlowWriteLog = Now + internal::SlowWriteLogInterval;
+  core::LogLine(core::LogLevel::Info, "link.slow")
+      .field("peer", Peer.Sender)
+      .field("link", Number)
+      .field("waited_ms", Waited.count())
+      .field("bytes", WriteBuffer.size());
+}
+
 void Link::close(std::string_view Reason) noexcept {
   asio::post(Transport->executor(),
              [Self = shared_from_this(), Text = std::string(Reason)] {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -303,7 +303,8 @@
     VT_REVISION = 14,
     VT_LEAVING = 16,
     VT_OPERATORS = 18,
-    VT_PROCESSOR_MILLI = 20
+    VT_PROCESSOR_MILLI = 20,
+    VT_SENT_AT_MS = 22
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -332,6 +333,9 @@
   uint32_t processor_milli() const {
     return GetField<uint32_t>(VT_PROCESSOR_MILLI, 1000);
   }
+  uint64_t sent_at_ms() const {
+    return GetField<uint64_t>(VT_SENT_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -348,6 +352,7 @@
            VerifyOffset(verifier, VT_OPERATORS) &&
            verifier.VerifyString(operators()) &&
            VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLI, 4) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -383,6 +388,9 @@
   void add_processor_milli(uint32_t processor_milli) {
     fbb_.AddElement<uint32_t>(Hello::VT_PROCESSOR_MILLI, processor_milli, 1000);
   }
+  void add_sent_at_ms(uint64_t sent_at_ms) {
+    fbb_.AddElement<uint64_t>(Hello::VT_SENT_AT_MS, sent_at_ms, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -404,8 +412,10 @@
     uint64_t revision = 0,
     bool leaving = false,
     flatbuffers::Offset<flatbuffers::String> operators = 0,
-    uint32_t processor_milli = 1000) {
+    uint32_t processor_milli = 1000,
+    uint64_t sent_at_ms = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_sent_at_ms(sent_at_ms);
   builder_.add_revision(revision);
   builder_.add_incarnation(incarnation);
   builder_.add_processor_milli(processor_milli);
@@ -428,7 +438,8 @@
     uint64_t revision = 0,
     bool leaving = false,
     const char *operators = nullptr,
-    uint32_t processor_milli = 1000) {
+    uint32_t processor_milli = 1000,
+    uint64_t sent_at_ms = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
@@ -444,7 +455,8 @@
       revision,
       leaving,
       operators__,
-      processor_milli);
+      processor_milli,
+      sent_at_ms);
 }
 
 struct Acquire FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1873,7 +1885,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_AFTER = 4,
     VT_AS_OF = 6,
-    VT_ENTRIES = 8
+    VT_ENTRIES = 8,
+    VT_READ_AT_MS = 10
   };
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
@@ -1884,6 +1897,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *>(VT_ENTRIES);
   }
+  uint64_t read_at_ms() const {
+    return GetField<uint64_t>(VT_READ_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
@@ -1891,6 +1907,7 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_READ_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1908,6 +1925,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>> entries) {
     fbb_.AddOffset(StoreChanges::VT_ENTRIES, entries);
   }
+  void add_read_at_ms(uint64_t read_at_ms) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_READ_AT_MS, read_at_ms, 0);
+  }
   explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1923,8 +1943,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t after = 0,
     uint64_t as_of = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>> entries = 0,
+    uint64_t read_at_ms = 0) {
   StoreChangesBuilder builder_(_fbb);
+  builder_.add_read_at_ms(read_at_ms);
   builder_.add_as_of(as_of);
   builder_.add_after(after);
   builder_.add_entries(entries);
@@ -1935,13 +1957,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t after = 0,
     uint64_t as_of = 0,
-    const std::vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *entries = nullptr,
+    uint64_t read_at_ms = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>(*entries) : 0;
   return jujubecart::peers::wire::CreateStoreChanges(
       _fbb,
       after,
       as_of,
-      entries__);
+      entries__,
+      read_at_ms);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/peer_node.cpp
+++ b/packages/peers/src/peer_node.cpp
@@ -18,7 +18,7 @@
     : Tls(internal::makeTls(Options)),
       Links(std::make_shared<LinkTable>(Executor, Options, Dependencies.Time,
                                         Dependencies.Events, Tls)),
-      Config(Dependencies.Config),
+      Time(Dependencies.Time), Config(Dependencies.Config),
       Members(Options, Dependencies.Time, Dependencies.Events),
       Groups(Config, Options.RandomSeed),
       Dispatch(Executor,
@@ -29,7 +29,7 @@
               Dependencies.Claims, Dependencies.Time, Dependencies.Events}),
       Sync(Executor,
            {*Links, Members, Config, Dependencies.Time, Dependencies.Events}),
-      Relay(*Links, Members),
+      Relay(*Links, Members, Dependencies.Time),
       Gossiper(Executor, *Links, Members, Config, Sync) {
   // Gossip is first, so that the member table is up to date when the other
   // listeners handle a frame.
@@ -53,7 +53,8 @@
           .Revision = Config.current()->revision(),
           .Leaving = Self.State == core::MemberState::Leaving,
           .Operators = Self.OperatorsAddress,
-          .ProcessorMilli = Self.ProcessorMilli};
+          .ProcessorMilli = Self.ProcessorMilli,
+          .SentAtMs = static_cast<std::uint64_t>(Time.uptime().count())};
 }
 
 std::string PeerNode::start() {
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -41,7 +41,8 @@
 
 } // namespace internal
 
-void StoreRelay::broadcast(const core::EntryChanges &Changes) {
+void StoreRelay::broadcast(const core::EntryChanges &Changes,
+                           core::TimePoint ReadAt) {
   {
     const std::lock_guard Lock(Mutex);
     // After a gap in the revisions the history starts anew, because a receiver
@@ -59,6 +60,10 @@
       RecentChanges.List.Entries.erase(RecentChanges.List.Entries.begin());
     }
   }
+  const auto ReadAtMs = static_cast<std::uint64_t>(
+      (Time.uptime() - std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Time.now() - ReadAt))
+          .count());
   const std::string Self = Members.self().Id;
   std::size_t Sent = 0;
   std::size_t WithoutLink = 0;
@@ -77,7 +82,8 @@
       Unsent = internal::changesAfter(RecentChanges, SentRevision);
       SentRevision = RecentChanges.List.AsOf;
     }
-    Sent += OpenLink->send(StoreChanges{.Changes = std::move(Unsent)});
+    Sent += OpenLink->send(
+        StoreChanges{.Changes = std::move(Unsent), .ReadAtMs = ReadAtMs});
   }
   if (!Changes.List.Entries.empty())
     core::LogLine(core::LogLevel::Info, "store.broadcast")
@@ -111,15 +117,33 @@
   return LiveMembers <= 1;
 }
 
-void StoreRelay::onFrame(const LinkPtr & /*Source*/, const Frame &Item) {
+core::TimePoint StoreRelay::receivedInstant(const LinkPtr &Source,
+                                            std::uint64_t SentAtMs) {
+  const core::TimePoint Now = Time.now();
+  // A peer of an earlier version does not state it.
+  if (SentAtMs == 0)
+    return Now;
+  const std::lock_guard Lock(Mutex);
+  return Now - Delays[Source->number()].record(
+                   std::chrono::milliseconds(SentAtMs), Time.uptime());
+}
+
+// The first frame of a link finds it empty, so that it shows the difference of
+// the two clocks.
+void StoreRelay::onOpen(const LinkPtr &Source) {
+  (void)receivedInstant(Source, Source->peer().SentAtMs);
+}
+
+void StoreRelay::onFrame(const LinkPtr &Source, const Frame &Item) {
   const auto *Received = std::get_if<StoreChanges>(&Item.Body);
   if (Received != nullptr && Handler)
-    Handler(Received->Changes);
+    Handler(Received->Changes, receivedInstant(Source, Received->ReadAtMs));
 }
 
 void StoreRelay::onClose(const LinkPtr &Source) {
   const std::lock_guard Lock(Mutex);
   SentRevisions.erase(Source->number());
+  Delays.erase(Source->number());
 }
 
 } // namespace jujubecart::peers
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/core/config_table.hpp>
 #include <jujubecart/core/entry_store.hpp>
+#include <jujubecart/core/metrics.hpp>
 #include <jujubecart/core/sleeper.hpp>
 #include <jujubecart/store/directory.hpp>
 
@@ -118,8 +119,11 @@
     /// Ids of registered VMs that are lost, so that the reader removes their
     /// registrations.
     std::function<std::vector<std::string>()> LostVms;
-    /// Sends an answer of the store to the other VMs.
-    std::function<void(const core::EntryChanges &)> Broadcast;
+    /// Sends an answer of the store, and when this VM got it, to the other VMs.
+    std::function<void(const core::EntryChanges &, core::TimePoint)> Broadcast;
+    /// Gets the age in milliseconds of each change when it is applied; may be
+    /// null.
+    core::Summary *Ages = nullptr;
   };
 
   /// @brief Creates a feed that does nothing until run() is spawned.
@@ -140,9 +144,10 @@
   /// the first list of run().
   [[nodiscard]] core::Awaitable<void> keepRegistered();
 
-  /// @brief Applies changes that another VM has just read from the store; must
-  /// be called on the strand of run().
-  void applyFromPeer(const core::EntryChanges &Changes);
+  /// @brief Applies changes that another VM has read from the store; must be
+  /// called on the strand of run().
+  /// @param ReadAt When a VM got them from the store.
+  void applyFromPeer(const core::EntryChanges &Changes, core::TimePoint ReadAt);
 
   /// @brief Ends run() and keepRegistered() after their current operation; may
   /// be called from any thread.
@@ -172,6 +177,7 @@
   [[nodiscard]] std::chrono::milliseconds
   randomUpTo(std::chrono::milliseconds Max) const;
   void logTakeover();
+  void recordAge(core::TimePoint ReadAt);
   void recordConfirmation();
   void recordSuccess();
   void recordFailure(std::string_view Call, const std::error_code &Error);
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -21,6 +21,8 @@
 // Time that the answers of the store and the snapshots of the reader add to a
 // quiet time.
 constexpr std::chrono::milliseconds AnswerReserve{150};
+// Changes that are older when they are applied get a line in the log.
+constexpr std::chrono::milliseconds LoggedAge{500};
 
 // Otherwise a quiet fleet would take each watch for an outage, and would keep
 // servers that have left.
@@ -108,7 +110,19 @@
   LastConfirmed = Now;
 }
 
-void DirectoryFeed::applyFromPeer(const core::EntryChanges &Changes) {
+void DirectoryFeed::recordAge(core::TimePoint ReadAt) {
+  const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Env.Time.now() - ReadAt);
+  if (Env.Ages != nullptr)
+    Env.Ages->add(static_cast<double>(Age.count()));
+  if (Age >= internal::LoggedAge)
+    core::LogLine(core::LogLevel::Warning, "directory.applied_late")
+        .field("revision", Entries.asOf())
+        .field("age_ms", Age.count());
+}
+
+void DirectoryFeed::applyFromPeer(const core::EntryChanges &Changes,
+                                  core::TimePoint ReadAt) {
   if (!Loaded)
     return;
   if (Changes.After > Entries.asOf()) {
@@ -128,8 +142,10 @@
   if (Changes.List.AsOf == Entries.asOf())
     return;
   Entries.apply(Changes.List, Env.Time.now());
-  if (!Changes.List.Entries.empty())
-    publish();
+  if (Changes.List.Entries.empty())
+    return;
+  publish();
+  recordAge(ReadAt);
 }
 
 // A snapshot is a tenth of the size of a list. When all VMs start together, the
@@ -233,7 +249,7 @@
         .field("rank", Rank)
         .field("revision", Entries.asOf());
   }
-  Env.Broadcast(Changes);
+  Env.Broadcast(Changes, LastSuccess);
 }
 
 // After a failed call, a stale read shows at a tenth of the price whether the
--- a/tests/peers/fleet.hpp
+++ b/tests/peers/fleet.hpp
@@ -53,7 +53,9 @@
                    .Zone = Self.Zone,
                    .Region = Self.Region,
                    .Revision = Config.current()->revision(),
-                   .Leaving = Self.State == core::MemberState::Leaving};
+                   .Leaving = Self.State == core::MemberState::Leaving,
+                   .SentAtMs =
+                       static_cast<std::uint64_t>(Clock.uptime().count())};
     });
     Members.setAddress(Links->listen().value());
   }
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -116,6 +116,19 @@
   }
 }
 
+// Guards against changes that lose the instant at which the store said them, so
+// that the receiver takes old ones for new.
+Test(FrameCodec, instants_of_the_sender_reach_the_receiver) {
+  FrameCodec Codec;
+  Frame Item;
+  cr_assert(decode(Codec, encoded(1, Hello{.Sender = "a", .SentAtMs = 77}),
+                   Item) == DecodeStatus::Ready);
+  cr_assert_eq(std::get<Hello>(Item.Body).SentAtMs, 77);
+  cr_assert(decode(Codec, encoded(2, StoreChanges{.ReadAtMs = 88}), Item) ==
+            DecodeStatus::Ready);
+  cr_assert_eq(std::get<StoreChanges>(Item.Body).ReadAtMs, 88);
+}
+
 // Guards against a grant whose time of a second attempt is lost, or appears
 // although the dispatcher did not state one.
 Test(FrameCodec, grant_round_trip_keeps_every_field) {
--- a/tests/peers/store_relay_test.cpp
+++ b/tests/peers/store_relay_test.cpp
@@ -13,12 +13,15 @@
 /// @brief One VM that records the store changes it receives from others.
 struct RelayNode {
   RelayNode(IoThreads &Context, std::size_t At)
-      : Node(Context, fleetOptions(At)), Relay(*Node.Links, Node.Members) {
+      : Node(Context, fleetOptions(At)),
+        Relay(*Node.Links, Node.Members, Node.Clock) {
     Node.Links->subscribe(Relay);
-    Relay.setChangeHandler([this](const core::EntryChanges &Changes) {
-      const std::lock_guard Lock(Mutex);
-      Received.push_back(Changes);
-    });
+    Relay.setChangeHandler(
+        [this](const core::EntryChanges &Changes, core::TimePoint ReadAt) {
+          const std::lock_guard Lock(Mutex);
+          Received.push_back(Changes);
+          ReadTimes.push_back(ReadAt);
+        });
     Node.start();
   }
 
@@ -27,10 +30,21 @@
     return Received;
   }
 
+  std::vector<core::TimePoint> readTimes() {
+    const std::lock_guard Lock(Mutex);
+    return ReadTimes;
+  }
+
+  /// @brief Broadcasts what this VM has just got from the store.
+  void broadcast(const core::EntryChanges &Changes) {
+    Relay.broadcast(Changes, Node.Clock.now());
+  }
+
   ControlNode Node;
   StoreRelay Relay;
   std::mutex Mutex;
   std::vector<core::EntryChanges> Received;
+  std::vector<core::TimePoint> ReadTimes;
 };
 
 /// @brief Two VMs with an open link.
@@ -73,7 +87,7 @@
       {{.Key = "a", .Value = std::string("x\0y", 3), .Changed = 5},
        {.Key = "b", .Value = std::nullopt, .Changed = 6},
        {.Key = "c", .Value = "", .Changed = 7}});
-  Pair.First.Relay.broadcast(Sent);
+  Pair.First.broadcast(Sent);
   cr_assert(eventually([&] { return !Pair.Second.received().empty(); }));
   cr_assert(Pair.Second.received().front() == Sent);
 }
@@ -82,11 +96,11 @@
 // the sender does not record what the peer has received.
 Test(StoreRelay, later_broadcast_has_only_new_changes) {
   Fixture Pair;
-  Pair.First.Relay.broadcast(
+  Pair.First.broadcast(
       Fixture::changes(4, 5, {{.Key = "a", .Value = "1", .Changed = 5}}));
-  Pair.First.Relay.broadcast(
+  Pair.First.broadcast(
       Fixture::changes(5, 6, {{.Key = "b", .Value = "2", .Changed = 6}}));
-  Pair.First.Relay.broadcast(Fixture::changes(6, 6, {}));
+  Pair.First.broadcast(Fixture::changes(6, 6, {}));
   cr_assert(eventually([&] { return Pair.Second.received().size() >= 3; }));
   const auto Received = Pair.Second.received();
   cr_assert_eq(Received[1].After, 5);
@@ -99,9 +113,9 @@
 // between two reads of the sender are missing.
 Test(StoreRelay, history_with_a_gap_starts_after_the_gap) {
   Fixture Pair;
-  Pair.First.Relay.broadcast(
+  Pair.First.broadcast(
       Fixture::changes(4, 5, {{.Key = "a", .Value = "1", .Changed = 5}}));
-  Pair.First.Relay.broadcast(
+  Pair.First.broadcast(
       Fixture::changes(20, 21, {{.Key = "b", .Value = "2", .Changed = 21}}));
   cr_assert(eventually([&] { return Pair.Second.received().size() == 2; }));
   cr_assert_eq(Pair.Second.received()[1].After, 20);
@@ -114,3 +128,16 @@
   cr_assert_neq(Pair.First.Relay.readerRank(), Pair.Second.Relay.readerRank());
   cr_assert_lt(Pair.First.Relay.readerRank(), 2);
 }
+
+// Guards against a receiver that takes changes for as new as their arrival,
+// although they waited at the sender or on the way.
+Test(StoreRelay, receiver_knows_when_changes_were_read) {
+  Fixture Pair;
+  const core::TimePoint ReadAt = Pair.First.Node.Clock.now() - 700ms;
+  Pair.First.Relay.broadcast(Fixture::changes(4, 4, {}), ReadAt);
+  cr_assert(eventually([&] { return !Pair.Second.readTimes().empty(); }));
+  const auto Difference = Pair.Second.readTimes().front() - ReadAt;
+  // Both VMs are on one machine, so that their clocks agree.
+  cr_assert_lt(Difference, 100ms);
+  cr_assert_gt(Difference, -100ms);
+}
--- a/tests/store/directory_feed_test.cpp
+++ b/tests/store/directory_feed_test.cpp
@@ -135,6 +135,10 @@
       run(1ms);
     cr_assert_eq(servers(), 1);
   }
+  /// @brief Applies what another VM has just got from the store.
+  void receive(const core::EntryChanges &Changes) {
+    Feed.applyFromPeer(Changes, Time.now());
+  }
   std::size_t servers() {
     const auto *Service = Table.current()->find("tags");
     return Service == nullptr ? 0 : Service->Servers.size();
@@ -151,22 +155,22 @@
   std::chrono::milliseconds SnapshotInterval;
   std::vector<std::string> Lost;
   std::vector<core::EntryChanges> Shared;
-  store::DirectoryFeed Feed{{.Store = Store,
-                             .Codec = Codec,
-                             .Table = Table,
-                             .Time = Time,
-                             .Sleeper = Sleeper,
-                             .Random = [] { return std::uint64_t{1}; },
-                             .ReaderRank = [this] { return Rank; },
-                             .Alone = [this] { return Alone; },
-                             .LostVms = [this] { return Lost; },
-                             .Broadcast =
-                                 [this](const core::EntryChanges &Changes) {
-                                   Shared.push_back(Changes);
-                                 }},
-                            {.Id = "vm1", .Address = "1.2.3.4:5"},
-                            {},
-                            options()};
+  store::DirectoryFeed Feed{
+      {.Store = Store,
+       .Codec = Codec,
+       .Table = Table,
+       .Time = Time,
+       .Sleeper = Sleeper,
+       .Random = [] { return std::uint64_t{1}; },
+       .ReaderRank = [this] { return Rank; },
+       .Alone = [this] { return Alone; },
+       .LostVms = [this] { return Lost; },
+       .Broadcast =
+           [this](const core::EntryChanges &Changes,
+                  core::TimePoint /*ReadAt*/) { Shared.push_back(Changes); }},
+      {.Id = "vm1", .Address = "1.2.3.4:5"},
+      {},
+      options()};
 };
 
 core::EntryChanges makeChanges(core::Revision After, core::Revision AsOf,
@@ -204,11 +208,11 @@
   // The feed reads once at the start: the changes since its list.
   cr_assert_eq(Setup.Store.Watches, 1);
   for (int Round = 0; Round < 5; ++Round) {
-    Setup.Feed.applyFromPeer(makeChanges(2, 2, {}));
+    Setup.receive(makeChanges(2, 2, {}));
     Setup.run(60ms);
   }
   cr_assert_eq(Setup.Store.Watches, 1);
-  Setup.Feed.applyFromPeer(
+  Setup.receive(
       makeChanges(2, 3, {{.Key = "s/b", .Value = "active", .Changed = 3}}));
   cr_assert_eq(Setup.servers(), 2);
 }
@@ -234,7 +238,7 @@
       {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 8},
                    {.Key = "s/c", .Value = "active", .Changed = 9}},
        .AsOf = 9});
-  Setup.Feed.applyFromPeer(
+  Setup.receive(
       makeChanges(8, 9, {{.Key = "s/c", .Value = "active", .Changed = 9}}));
   cr_assert_eq(Setup.servers(), 1);
   Setup.run(400ms);
@@ -316,7 +320,7 @@
   Reader.run(100ms);
   cr_assert_eq(Reader.servers(), 2);
   for (const core::EntryChanges &Each : Reader.Shared)
-    Other.Feed.applyFromPeer(Each);
+    Other.receive(Each);
   Other.run(20ms);
   cr_assert_eq(Other.Table.current()->routing()->version(), 6);
   // The list has a server that was added after its AsOf; the next watch reports
@@ -362,7 +366,7 @@
        .AsOf = 4});
   Setup.run(50ms);
   cr_assert_eq(Setup.servers(), 3);
-  Setup.Feed.applyFromPeer(makeChanges(4, 4, {}));
+  Setup.receive(makeChanges(4, 4, {}));
   Setup.run(30ms);
   const int Watches = Setup.Store.Watches;
   Setup.run(60ms);
@@ -378,7 +382,7 @@
       {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 3}},
        .AsOf = 3});
   for (int Round = 0; Round < 5; ++Round) {
-    Setup.Feed.applyFromPeer(makeChanges(1, 1, {}));
+    Setup.receive(makeChanges(1, 1, {}));
     Setup.run(50ms);
   }
   cr_assert_eq(Setup.servers(), 2);
--- a/tests/store/directory_fleet.cpp
+++ b/tests/store/directory_fleet.cpp
@@ -72,9 +72,12 @@
                 },
             .LostVms = [] { return std::vector<std::string>(); },
             .Broadcast =
-                [this](const core::EntryChanges &Changes) {
+                [this](const core::EntryChanges &Changes,
+                       core::TimePoint ReadAt) {
                   ++Broadcasts;
-                  this->Fleet.broadcast(this->Number, Changes);
+                  this->Fleet.broadcast(this->Number, Changes,
+                                        this->Fleet.Run.now() -
+                                            (now() - ReadAt));
                 }},
            {.Id = vmName(Number), .Address = "1.2.3.4:5"}, {}, {}) {
   asio::co_spawn(Fleet.Run.context(), Feed.run(), asio::detached);
@@ -117,10 +120,11 @@
 }
 
 core::Awaitable<void> FleetVm::deliver(core::EntryChanges Changes,
+                                       core::TimePoint ReadAt,
                                        core::TimePoint At) {
   co_await Fleet.Run.sleepUntil(At);
   co_await whileFrozen();
-  Feed.applyFromPeer(Changes);
+  Feed.applyFromPeer(Changes, now() - (Fleet.Run.now() - ReadAt));
 }
 
 std::size_t FleetVm::rank() const {
@@ -259,7 +263,8 @@
 }
 
 void DirectoryFleet::broadcast(std::size_t Sender,
-                               const core::EntryChanges &Changes) {
+                               const core::EntryChanges &Changes,
+                               core::TimePoint ReadAt) {
   for (std::size_t Receiver = 0; Receiver < Vms.size(); ++Receiver) {
     if (Receiver == Sender || !Links[Sender][Receiver])
       continue;
@@ -267,7 +272,7 @@
     Last =
         std::max(Last, Run.now() + MinLinkDelay +
                            std::chrono::milliseconds(Run.below(LinkJitterMs)));
-    asio::co_spawn(Run.context(), Vms[Receiver]->deliver(Changes, Last),
+    asio::co_spawn(Run.context(), Vms[Receiver]->deliver(Changes, ReadAt, Last),
                    asio::detached);
   }
 }
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -68,7 +68,10 @@
   /// @brief Instant since which this VM could read the store without a pause.
   [[nodiscard]] core::TimePoint undisturbedSince() const;
   /// @brief Passes changes that another VM has broadcast to the feed.
+  /// @param ReadAt When a VM got them from the store.
+  /// @param At When they arrive. Both times are those of the simulation.
   [[nodiscard]] core::Awaitable<void> deliver(core::EntryChanges Changes,
+                                              core::TimePoint ReadAt,
                                               core::TimePoint At);
 
   [[nodiscard]] core::Awaitable<void>
@@ -138,7 +141,9 @@
 
   /// @brief Sends changes from one VM to all others to which its broadcasts are
   /// not lost.
-  void broadcast(std::size_t Sender, const core::EntryChanges &Changes);
+  /// @param ReadAt When a VM got them from the store.
+  void broadcast(std::size_t Sender, const core::EntryChanges &Changes,
+                 core::TimePoint ReadAt);
 
   /// @brief Sets whether the broadcasts of one VM to another are lost.
   void setLink(std::size_t Sender, std::size_t Receiver, bool Open) {
--- a/tests/store/directory_fleet_test.cpp
+++ b/tests/store/directory_fleet_test.cpp
@@ -145,9 +145,10 @@
                                     .List = {.Entries = {}, .AsOf = 1}};
   for (int Round = 0; Round < 16; ++Round) {
     for (const auto &Vm : Fleet.Vms)
-      boost::asio::co_spawn(Fleet.Run.context(),
-                            Vm->deliver(Outdated, Fleet.Run.now()),
-                            boost::asio::detached);
+      boost::asio::co_spawn(
+          Fleet.Run.context(),
+          Vm->deliver(Outdated, Fleet.Run.now(), Fleet.Run.now()),
+          boost::asio::detached);
     if (Round % 4 == 0)
       Fleet.changeConfig();
     Fleet.run(500ms);
