Place no group on a VM that is much smaller than those that can carry it

The VM that answered, one of 294 with a tenth of a core, was the dispatcher of a group; so was the only other one that trailed.

Cause: the rank of a VM grew with the cube of its capacity, but 294 small VMs together still got one group in nine. The work of a group cannot be divided, so any small VM that gets one is late.

With few large VMs left the rank is what it was.

--- a/packages/decision/include/jujubecart/decision/rendezvous.hpp
+++ b/packages/decision/include/jujubecart/decision/rendezvous.hpp
@@ -11,8 +11,10 @@
 namespace jujubecart::decision {
 
 /// @brief Ranks the live members as candidates for the dispatcher of a group,
-/// by rendezvous hashing weighted by processor capacity. The order of the
-/// others stays when a member leaves.
+/// by rendezvous hashing weighted by processor capacity. Members that are much
+/// smaller than those that can do the work of all groups rank last. The order
+/// of the others stays when a member leaves, unless that leaves too few of the
+/// larger ones.
 /// @param Group Name of the dispatch group.
 /// @param Region Region of the group; its members rank first.
 /// @param Members All known members; only live ones are ranked.
--- a/tests/decision/local_policy_test.cpp
+++ b/tests/decision/local_policy_test.cpp
@@ -140,6 +140,51 @@
   cr_assert_geq(OnLarge, Groups * 8 / 10, "%d", OnLarge);
 }
 
+// Guards against a group that falls to a VM that is too small for its work,
+// because there are many such VMs: its loop is late, other VMs close their
+// links to it, and it serves by an outdated configuration.
+Test(RankMembers, group_is_placed_on_a_vm_that_can_carry_it) {
+  constexpr int Groups = 200;
+  for (const auto &[Large, Small] : {std::pair(18, 294), std::pair(8, 92)}) {
+    std::vector<core::Member> Members;
+    for (int Index = 0; Index < Large + Small; ++Index)
+      Members.push_back({.Id = "vm" + std::to_string(Index),
+                         .Address = {},
+                         .Zone = {},
+                         .Region = "a",
+                         .ProcessorMilli = Index < Large ? 500U : 100U});
+    for (int Group = 0; Group < Groups; ++Group) {
+      const auto Ranked =
+          rankMembers("tags/a/" + std::to_string(Group), "a", Members);
+      for (int Rank = 0; Rank < Large; ++Rank)
+        cr_assert_lt(std::stoi(Ranked[Rank].substr(2)), Large,
+                     "group %d, rank %d: %s", Group, Rank,
+                     Ranked[Rank].c_str());
+    }
+  }
+}
+
+// Guards against the work of a whole fleet on the few large VMs that are left
+// of it.
+Test(RankMembers, few_large_vms_share_the_groups_with_the_others) {
+  std::vector<core::Member> Members;
+  constexpr int Vms = 100;
+  for (int Index = 0; Index < Vms; ++Index)
+    Members.push_back({.Id = "vm" + std::to_string(Index),
+                       .Address = {},
+                       .Zone = {},
+                       .Region = "a",
+                       .ProcessorMilli = Index < 2 ? 500U : 100U});
+  constexpr int Groups = 200;
+  int OnLarge = 0;
+  for (int Group = 0; Group < Groups; ++Group)
+    OnLarge +=
+        std::stoi(rankMembers("tags/a/" + std::to_string(Group), "a", Members)
+                      .front()
+                      .substr(2)) < 2;
+  cr_assert_leq(OnLarge, Groups * 8 / 10, "%d", OnLarge);
+}
+
 // Guards against the choice of a leaving member as dispatcher, and against a
 // change in the order of the other members when one leaves.
 Test(RankMembers, leaving_member_is_not_ranked_and_order_of_others_stays) {
