Confirm entries by when they were read, not by when news of them arrives

A VM reads the store itself if nothing has confirmed its entries for 1.1 to 1.6 s. Each broadcast confirmed them at the instant of its arrival, however long it had waited in the reader's link, so a reader that lags by seconds kept all others from reading while they served by old configurations.

Now a broadcast confirms the entries up to the instant at which a VM got it from the store. What is older than that confirms nothing, does not end the reading of a VM that took over, and does not put off a takeover. Silence of the store is judged by the same instants.

The model's links have a rate now.

--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -38,8 +38,8 @@
   std::chrono::milliseconds InitialBackoff{50};
   /// Upper bound of the doubled delay.
   std::chrono::milliseconds MaxBackoff{800};
-  /// A VM of reader rank 1 reads the store itself if neither the store nor
-  /// another VM has confirmed its entries for this time.
+  /// A VM of reader rank 1 reads the store itself if the newest answer of the
+  /// store that it knows is older than this.
   std::chrono::milliseconds TakeoverDelay{1100};
   /// Additional time for each further rank.
   std::chrono::milliseconds TakeoverDelayPerRank{130};
@@ -178,7 +178,7 @@
   randomUpTo(std::chrono::milliseconds Max) const;
   void logTakeover();
   void recordAge(core::TimePoint ReadAt);
-  void recordConfirmation();
+  void recordConfirmation(core::TimePoint ReadAt);
   void recordSuccess();
   void recordFailure(std::string_view Call, const std::error_code &Error);
   void publish();
@@ -202,8 +202,8 @@
   unsigned Failures = 0;
   /// Time of the last successful read of the store.
   core::TimePoint LastSuccess;
-  /// Time at which the store or another VM last confirmed or updated the
-  /// entries.
+  /// When this VM or another one got the newest answer of the store that this
+  /// VM knows; the entries have been confirmed up to then.
   core::TimePoint LastConfirmed;
   /// Whether another VM reported changes that follow changes unknown here; the
   /// missing ones must be read from the store.
@@ -214,8 +214,8 @@
   const std::chrono::milliseconds TakeoverOffset;
   /// Whether this VM has taken over and reads until it hears from another one.
   bool ReadsForAll = false;
-  /// Messages of other VMs that confirmed the entries, and their number at the
-  /// last logged takeover.
+  /// Messages of other VMs with newer answers of the store than this VM knew,
+  /// and their number at the last logged takeover.
   std::uint64_t PeerConfirmations = 1;
   std::uint64_t LoggedConfirmations = 0;
   core::TimePoint NextCleanup = core::TimePoint::min();
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -103,11 +103,10 @@
       .field("revision", Entries.asOf());
 }
 
-void DirectoryFeed::recordConfirmation() {
-  const core::TimePoint Now = Env.Time.now();
-  if (Now - LastConfirmed >= Options.MinLossyOutage)
-    Entries.deferDeletions(Now + Options.ReregistrationTime);
-  LastConfirmed = Now;
+void DirectoryFeed::recordConfirmation(core::TimePoint ReadAt) {
+  if (ReadAt - LastConfirmed >= Options.MinLossyOutage)
+    Entries.deferDeletions(Env.Time.now() + Options.ReregistrationTime);
+  LastConfirmed = ReadAt;
 }
 
 void DirectoryFeed::recordAge(core::TimePoint ReadAt) {
@@ -136,9 +135,14 @@
   // paused with an old answer.
   if (Changes.List.AsOf < Entries.asOf())
     return;
-  ++PeerConfirmations;
-  ReadsForAll = false;
-  recordConfirmation();
+  // What was under way for long proves nothing about the time since. If it put
+  // off the takeover, a reader whose link is full would keep all others from
+  // reading.
+  if (ReadAt > LastConfirmed) {
+    ++PeerConfirmations;
+    ReadsForAll = false;
+    recordConfirmation(ReadAt);
+  }
   if (Changes.List.AsOf == Entries.asOf())
     return;
   Entries.apply(Changes.List, Env.Time.now());
@@ -343,7 +347,7 @@
     core::LogLine(core::LogLevel::Info, "store.regained")
         .field("away_ms", Outage.count());
   }
-  recordConfirmation();
+  recordConfirmation(Now);
   Failures = 0;
   LastSuccess = Now;
 }
--- a/tests/store/directory_fleet.cpp
+++ b/tests/store/directory_fleet.cpp
@@ -22,6 +22,18 @@
 // lag counts.
 constexpr auto SettlingTime = 3s;
 constexpr std::uint64_t CurrentReadPrice = 10;
+// 1,000 Mbit/s.
+constexpr std::size_t DefaultBytesPerMs = 125000;
+// Frame and TCP headers of a message, and keys and revisions of an entry.
+constexpr std::size_t MessageOverhead = 100;
+constexpr std::size_t EntryOverhead = 60;
+
+std::size_t messageBytes(const core::EntryChanges &Changes) {
+  std::size_t Bytes = MessageOverhead;
+  for (const core::StoredEntry &Entry : Changes.List.Entries)
+    Bytes += EntryOverhead + (Entry.Value ? Entry.Value->size() : 0);
+  return Bytes;
+}
 
 std::string vmName(std::size_t Number) {
   return "vm" + std::to_string(1000 + Number);
@@ -235,15 +247,18 @@
 
 DirectoryFleet::DirectoryFleet(std::size_t Size, std::uint64_t Seed)
     : Links(Size, std::vector<bool>(Size, true)),
+      LinkRates(Size, DefaultBytesPerMs), LinkFreeAt(Size),
       LastArrival(Size, std::vector<core::TimePoint>(Size)), Run(Seed) {
   changeConfig();
   for (std::size_t Number = 0; Number < Size; ++Number)
     Vms.push_back(std::make_unique<FleetVm>(*this, Number));
 }
 
-void DirectoryFleet::changeConfig() {
+void DirectoryFleet::changeConfig(std::size_t Bytes) {
   Acknowledged.push_back(Run.now());
-  Store.write("config", std::to_string(Acknowledged.size()));
+  std::string Value = std::to_string(Acknowledged.size());
+  Value.resize(std::max(Bytes, Value.size()), ' ');
+  Store.write("config", std::move(Value));
 }
 
 void DirectoryFleet::addServer(const std::string &Id) {
@@ -268,9 +283,13 @@
   for (std::size_t Receiver = 0; Receiver < Vms.size(); ++Receiver) {
     if (Receiver == Sender || !Links[Sender][Receiver])
       continue;
+    core::TimePoint &FreeAt = LinkFreeAt[Sender];
+    FreeAt = std::max(FreeAt, Run.now()) +
+             std::chrono::microseconds(1000 * messageBytes(Changes) /
+                                       LinkRates[Sender]);
     core::TimePoint &Last = LastArrival[Sender][Receiver];
     Last =
-        std::max(Last, Run.now() + MinLinkDelay +
+        std::max(Last, FreeAt + MinLinkDelay +
                            std::chrono::milliseconds(Run.below(LinkJitterMs)));
     asio::co_spawn(Run.context(), Vms[Receiver]->deliver(Changes, ReadAt, Last),
                    asio::detached);
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -130,7 +130,8 @@
   void run(std::chrono::milliseconds Duration);
 
   /// @brief Writes the next version of the configuration.
-  void changeConfig();
+  /// @param Bytes Size of the value, at least.
+  void changeConfig(std::size_t Bytes = 0);
 
   /// @brief Registers a backend server, or removes its entry.
   void addServer(const std::string &Id);
@@ -150,6 +151,12 @@
     Links[Sender][Receiver] = Open;
   }
 
+  /// @brief Limits the rate at which a VM sends; what it sends then waits in
+  /// the order in which it was sent.
+  void setLinkRate(std::size_t Sender, std::size_t BytesPerMs) {
+    LinkRates[Sender] = BytesPerMs;
+  }
+
   [[nodiscard]] std::size_t size() const noexcept { return Links.size(); }
   [[nodiscard]] std::uint64_t callPrice() const;
   [[nodiscard]] std::uint64_t calls() const;
@@ -172,6 +179,9 @@
   void checkRemovals();
 
   std::vector<std::vector<bool>> Links;
+  /// Bytes that each VM sends in a millisecond, and when its link is free.
+  std::vector<std::size_t> LinkRates;
+  std::vector<core::TimePoint> LinkFreeAt;
   /// Last arrival of a broadcast, by sender and receiver.
   std::vector<std::vector<core::TimePoint>> LastArrival;
   /// When each version was acknowledged; the first one has the number 1.
--- a/tests/store/directory_fleet_test.cpp
+++ b/tests/store/directory_fleet_test.cpp
@@ -156,6 +156,28 @@
   expectTimely(Fleet, "lagging reader");
 }
 
+// Guards against changes that wait in the full link of the reader and, when
+// they arrive, count as news of that instant: they keep every VM from reading
+// the store although all of them are seconds behind.
+Test(DirectoryFleet, vms_are_up_to_date_while_the_link_of_the_reader_is_full) {
+  constexpr std::size_t SlowLink = 2500; // 20 Mbit/s.
+  constexpr std::size_t ConfigBytes = 8192;
+  constexpr int Servers = 156;
+  DirectoryFleet Fleet(300, 4);
+  for (int Number = 0; Number < Servers; ++Number)
+    Fleet.addServer("s" + std::to_string(Number));
+  Fleet.run(5s);
+  Fleet.setLinkRate(0, SlowLink);
+  for (int Number = 0; Number < Servers; ++Number) {
+    Fleet.removeServer("s" + std::to_string(Number));
+    if (Number % 22 == 0)
+      Fleet.changeConfig(ConfigBytes);
+    Fleet.run(32ms);
+  }
+  Fleet.run(5s);
+  expectTimely(Fleet, "full link");
+}
+
 // Guards against combinations of faults that leave a VM with an outdated
 // configuration although it can read the store.
 Test(DirectoryFleet, random_faults_delay_no_vm_that_reaches_the_store) {
