Send changes of the store through relays, and from small VMs to these only

A VM that heard nothing read the store and then sent each change to all others itself, whatever its size: with a tenth of a core and 311 links, most of them still to be opened, it applied nothing for seconds. So it served by an old configuration because it had read the store for the others. The regular reader paid for the fleet times the size of a change, too.

Now a fleet of 24 or more has relays: the first VMs in the order of the readers, as many as the square root of the fleet, and only VMs that are large enough. A reader that is a relay sends to the other relays and to its own part; the frame names the relays, so that all divide the fleet alike, and one without a link for 500 ms is left out. Any other VM that reads for all hands its answer to two relays, which send it on if it is news. What has no link yet is sent when the link opens. A VM whose relay fails reads the store within 1.6 s, as before. A VM of an earlier version does not relay; those it would serve read the store meanwhile.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -170,11 +170,9 @@
     Peers.members().update(Vms);
   });
   Peers.storeRelay().setChangeHandler(
-      [this, Strand](const core::EntryChanges &Changes,
-                     core::TimePoint ReadAt) {
-        internal::asio::post(Strand, [this, Changes, ReadAt] {
-          Feed->applyFromPeer(Changes, ReadAt);
-        });
+      [this, Strand](const core::ReportedChanges &Report) {
+        internal::asio::post(Strand,
+                             [this, Report] { Feed->applyFromPeer(Report); });
       });
   internal::asio::co_spawn(Strand, Feed->run(), internal::asio::detached);
   internal::asio::co_spawn(Strand, Feed->keepRegistered(),
--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -42,6 +42,15 @@
   friend auto operator<=>(const EntryChanges &, const EntryChanges &) = default;
 };
 
+/// @brief What the store said to one VM, as another VM hears of it.
+struct ReportedChanges {
+  EntryChanges Changes;
+  /// When a VM got it from the store, on the clock of the receiver.
+  TimePoint ReadAt;
+  /// Whether the receiver is asked to report it to all others.
+  bool PassOn = false;
+};
+
 /// @brief A key at one revision.
 struct EntryVersion {
   std::string Key;
--- a/packages/decision/include/jujubecart/decision/rendezvous.hpp
+++ b/packages/decision/include/jujubecart/decision/rendezvous.hpp
@@ -23,6 +23,10 @@
 rankMembers(std::string_view Group, std::string_view Region,
             std::span<const core::Member> Members);
 
+/// @brief Number of live members that rankMembers() does not rank last because
+/// of their size, whatever their region.
+[[nodiscard]] std::size_t countCarriers(std::span<const core::Member> Members);
+
 } // namespace jujubecart::decision
 
 #endif
--- a/packages/decision/src/rendezvous.cpp
+++ b/packages/decision/src/rendezvous.cpp
@@ -84,4 +84,15 @@
   return Ids;
 }
 
+std::size_t countCarriers(std::span<const core::Member> Members) {
+  std::vector<std::uint32_t> Capacities;
+  for (const core::Member &Candidate : Members)
+    if (Candidate.State == core::MemberState::Live)
+      Capacities.push_back(Candidate.ProcessorMilli);
+  const double Min = minCapacity(Capacities);
+  return static_cast<std::size_t>(
+      std::count_if(Capacities.begin(), Capacities.end(),
+                    [&](std::uint32_t Capacity) { return Capacity >= Min; }));
+}
+
 } // namespace jujubecart::decision
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -209,6 +209,11 @@
   /// Uptime of the sender when a VM got them from the store, in milliseconds;
   /// 0 as in Hello::SentAtMs.
   std::uint64_t ReadAtMs = 0;
+  /// Hashes of the ids of the relays. A receiver among them passes the changes
+  /// on to the VMs for which decision::relayOf() selects it.
+  std::vector<std::uint64_t> Relays;
+  /// Whether the receiver is asked to send them to all other VMs.
+  bool PassOn = false;
 };
 
 /// @brief Any message. The first alternative stands for a type that this
--- a/packages/peers/include/jujubecart/peers/store_relay.hpp
+++ b/packages/peers/include/jujubecart/peers/store_relay.hpp
@@ -3,23 +3,25 @@
 
 #include <jujubecart/core/entry_store.hpp>
 #include <jujubecart/core/member.hpp>
+#include <jujubecart/decision/relay_tree.hpp>
 #include <jujubecart/peers/link_table.hpp>
 #include <jujubecart/peers/transit_delay.hpp>
 
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace jujubecart::peers {
 
-/// @brief Broadcasts the changes that one VM reads from the store, so that the
-/// other VMs need not read them. Thread-safe.
+/// @brief Sends what one VM reads from the store to all others, so that they
+/// need not read it. In a large fleet the VM sends it to relays, each of which
+/// passes it on to its part of the others. Thread-safe.
 class StoreRelay : public LinkListener {
 public:
-  /// Gets the changes and when a VM got them from the store.
-  using ChangeHandler =
-      std::function<void(const core::EntryChanges &, core::TimePoint)>;
+  using ChangeHandler = std::function<void(const core::ReportedChanges &)>;
 
   StoreRelay(LinkTable &Links, const core::MemberSource &Members,
              const core::Clock &Time)
@@ -27,16 +29,16 @@
   StoreRelay(const StoreRelay &) = delete;
   StoreRelay &operator=(const StoreRelay &) = delete;
 
-  /// @brief Sets the handler of changes that other VMs broadcast; call before
+  /// @brief Sets the handler of changes that other VMs report; call before
   /// links open.
   void setChangeHandler(ChangeHandler NewHandler) {
     Handler = std::move(NewHandler);
   }
 
-  /// @brief Sends changes read from the store to all other VMs, with earlier
-  /// ones that a VM has missed. Without entries, tells them that nothing has
-  /// changed up to List.AsOf.
-  /// @param ReadAt When this VM got them from the store.
+  /// @brief Sends changes read from the store on their way to all other VMs,
+  /// with earlier ones that a receiver has missed. Without entries, tells them
+  /// that nothing has changed up to List.AsOf.
+  /// @param ReadAt When a VM got them from the store.
   void broadcast(const core::EntryChanges &Changes, core::TimePoint ReadAt);
 
   /// @brief Rank of this VM among the members that may read the store on
@@ -51,6 +53,38 @@
   void onClose(const LinkPtr &Source) override;
 
 private:
+  /// @brief What a frame states beside the changes.
+  struct Envelope {
+    core::TimePoint ReadAt;
+    std::vector<std::uint64_t> Relays;
+    bool PassOn = false;
+  };
+  /// @brief Numbers of receivers for the log.
+  struct Receivers {
+    std::size_t Sent = 0;
+    std::size_t WithoutLink = 0;
+  };
+
+  /// @brief Adds changes to those that are kept for VMs that missed them.
+  void remember(const core::EntryChanges &Changes);
+  /// @brief Sends a VM the changes that it was not sent yet; if there is no
+  /// link to it, as soon as one opens.
+  void send(const core::Member &Receiver, const Envelope &Item,
+            Receivers &Count);
+  [[nodiscard]] bool send(const LinkPtr &Open, const Envelope &Item);
+  void sendToAll(const Envelope &Item, Receivers &Count);
+  void sendToRelays(const decision::RelayTree &Tree, const Envelope &Item,
+                    Receivers &Count);
+  /// @brief Leaves it to a relay to send changes to all.
+  void handOver(const decision::RelayTree &Tree, Envelope Item,
+                Receivers &Count);
+  /// @brief Sends to the VMs for which this VM is the relay.
+  void sendToOwnPart(const std::vector<std::uint64_t> &Relays,
+                     core::TimePoint ReadAt, Receivers &Count);
+  /// @brief Hashes of the relays except those to which no link opens.
+  [[nodiscard]] std::vector<std::uint64_t>
+  usableRelays(const decision::RelayTree &Tree);
+  [[nodiscard]] decision::RelayTree currentTree();
   /// @brief Converts an instant that a peer states to this VM's clock.
   [[nodiscard]] core::TimePoint receivedInstant(const LinkPtr &Source,
                                                 std::uint64_t SentAtMs);
@@ -64,6 +98,10 @@
   std::mutex Mutex;
   /// By link number.
   std::unordered_map<std::uint64_t, TransitDelay> Delays;
+  /// What is sent when a link to a VM opens, by VM id.
+  std::unordered_map<std::string, Envelope> AwaitingLink;
+  /// Since when there has been no link to a relay, by VM id.
+  std::unordered_map<std::string, core::TimePoint> WithoutLinkSince;
   /// Revision up to which all changes were sent, by link number.
   std::unordered_map<std::uint64_t, core::Revision> SentRevisions;
   /// Recent changes, kept for peers that missed a broadcast.
@@ -71,6 +109,7 @@
   /// Member version for which Rank and LiveMembers were computed.
   std::optional<std::uint64_t> RankedMemberVersion;
   std::size_t Rank = 0;
+  decision::RelayTree Tree;
   /// Members that may read, with this VM.
   std::size_t LiveMembers = 0;
 };
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -192,6 +192,9 @@
   Item.Changes.After = Source.after();
   Item.Changes.List.AsOf = Source.as_of();
   Item.ReadAtMs = Source.read_at_ms();
+  Item.PassOn = Source.pass_on();
+  if (Source.relays() != nullptr)
+    Item.Relays.assign(Source.relays()->begin(), Source.relays()->end());
   if (Source.entries() != nullptr)
     for (const wire::StoreEntry *Entry : *Source.entries())
       Item.Changes.List.Entries.push_back(toStoredEntry(*Entry));
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -160,7 +160,8 @@
   }
   return makeBody<wire::Body::StoreChanges>(wire::CreateStoreChangesDirect(
       Out, Item.Changes.After, Item.Changes.List.AsOf,
-      Entries.empty() ? nullptr : &Entries, Item.ReadAtMs));
+      Entries.empty() ? nullptr : &Entries, Item.ReadAtMs,
+      Item.Relays.empty() ? nullptr : &Item.Relays, Item.PassOn));
 }
 
 } // namespace
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -1886,7 +1886,9 @@
     VT_AFTER = 4,
     VT_AS_OF = 6,
     VT_ENTRIES = 8,
-    VT_READ_AT_MS = 10
+    VT_READ_AT_MS = 10,
+    VT_RELAYS = 12,
+    VT_PASS_ON = 14
   };
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
@@ -1900,6 +1902,12 @@
   uint64_t read_at_ms() const {
     return GetField<uint64_t>(VT_READ_AT_MS, 0);
   }
+  const flatbuffers::Vector<uint64_t> *relays() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RELAYS);
+  }
+  bool pass_on() const {
+    return GetField<uint8_t>(VT_PASS_ON, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
@@ -1908,6 +1916,9 @@
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
            VerifyField<uint64_t>(verifier, VT_READ_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_RELAYS) &&
+           verifier.VerifyVector(relays()) &&
+           VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
            verifier.EndTable();
   }
 };
@@ -1928,6 +1939,12 @@
   void add_read_at_ms(uint64_t read_at_ms) {
     fbb_.AddElement<uint64_t>(StoreChanges::VT_READ_AT_MS, read_at_ms, 0);
   }
+  void add_relays(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relays) {
+    fbb_.AddOffset(StoreChanges::VT_RELAYS, relays);
+  }
+  void add_pass_on(bool pass_on) {
+    fbb_.AddElement<uint8_t>(StoreChanges::VT_PASS_ON, static_cast<uint8_t>(pass_on), 0);
+  }
   explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1944,12 +1961,16 @@
     uint64_t after = 0,
     uint64_t as_of = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>> entries = 0,
-    uint64_t read_at_ms = 0) {
+    uint64_t read_at_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relays = 0,
+    bool pass_on = false) {
   StoreChangesBuilder builder_(_fbb);
   builder_.add_read_at_ms(read_at_ms);
   builder_.add_as_of(as_of);
   builder_.add_after(after);
+  builder_.add_relays(relays);
   builder_.add_entries(entries);
+  builder_.add_pass_on(pass_on);
   return builder_.Finish();
 }
 
@@ -1958,14 +1979,19 @@
     uint64_t after = 0,
     uint64_t as_of = 0,
     const std::vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *entries = nullptr,
-    uint64_t read_at_ms = 0) {
+    uint64_t read_at_ms = 0,
+    const std::vector<uint64_t> *relays = nullptr,
+    bool pass_on = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>(*entries) : 0;
+  auto relays__ = relays ? _fbb.CreateVector<uint64_t>(*relays) : 0;
   return jujubecart::peers::wire::CreateStoreChanges(
       _fbb,
       after,
       as_of,
       entries__,
-      read_at_ms);
+      read_at_ms,
+      relays__,
+      pass_on);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -1,5 +1,6 @@
 #include <jujubecart/peers/store_relay.hpp>
 
+#include <jujubecart/core/hash.hpp>
 #include <jujubecart/core/log.hpp>
 #include <jujubecart/decision/rendezvous.hpp>
 
@@ -15,6 +16,16 @@
 // the store themselves.
 constexpr std::size_t MaxSharedBytes = std::size_t{512} * 1024;
 
+// A relay to which no link opens for longer is left out, and its part of the
+// VMs falls to the others.
+constexpr std::chrono::milliseconds MaxLinkWait{500};
+// Relays that are asked to send changes to all. The second one is for the case
+// that the first one is frozen or cut off.
+constexpr std::size_t HandoverReceivers = 2;
+// What waits for a link is not sent if it is older: a newer message has
+// followed it or is about to.
+constexpr std::chrono::seconds MaxWaitingAge{1};
+
 std::size_t valueBytes(const core::EntryChanges &Changes) {
   std::size_t Bytes = 0;
   for (const core::StoredEntry &Entry : Changes.List.Entries)
@@ -41,67 +52,158 @@
 
 } // namespace internal
 
-void StoreRelay::broadcast(const core::EntryChanges &Changes,
-                           core::TimePoint ReadAt) {
+void StoreRelay::remember(const core::EntryChanges &Changes) {
+  const std::lock_guard Lock(Mutex);
+  // After a gap in the revisions the history starts anew, because a receiver
+  // takes the entries after a revision for complete.
+  if (Changes.After > RecentChanges.List.AsOf || RecentChanges.List.AsOf == 0)
+    RecentChanges = {.After = Changes.After, .List = {}};
+  for (const core::StoredEntry &Entry : Changes.List.Entries)
+    if (Entry.Changed > RecentChanges.List.AsOf)
+      RecentChanges.List.Entries.push_back(Entry);
+  RecentChanges.List.AsOf =
+      std::max(RecentChanges.List.AsOf, Changes.List.AsOf);
+  while (RecentChanges.List.Entries.size() > internal::MaxRecentEntries ||
+         internal::valueBytes(RecentChanges) > internal::MaxSharedBytes) {
+    RecentChanges.After = RecentChanges.List.Entries.front().Changed;
+    RecentChanges.List.Entries.erase(RecentChanges.List.Entries.begin());
+  }
+}
+
+bool StoreRelay::send(const LinkPtr &Open, const Envelope &Item) {
+  const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Time.now() - Item.ReadAt);
+  StoreChanges Message{
+      .ReadAtMs = static_cast<std::uint64_t>((Time.uptime() - Age).count()),
+      .Relays = Item.Relays,
+      .PassOn = Item.PassOn};
+  {
+    const std::lock_guard Lock(Mutex);
+    core::Revision &SentRevision = SentRevisions[Open->number()];
+    Message.Changes = internal::changesAfter(RecentChanges, SentRevision);
+    SentRevision = RecentChanges.List.AsOf;
+  }
+  return Open->send(Message);
+}
+
+void StoreRelay::send(const core::Member &Receiver, const Envelope &Item,
+                      Receivers &Count) {
+  if (const LinkPtr Open = Links.find(Receiver.Id)) {
+    Count.Sent += send(Open, Item);
+    return;
+  }
+  ++Count.WithoutLink;
+  if (Receiver.State != core::MemberState::Live)
+    return;
   {
     const std::lock_guard Lock(Mutex);
-    // After a gap in the revisions the history starts anew, because a receiver
-    // takes the entries after a revision for complete.
-    if (Changes.After > RecentChanges.List.AsOf || RecentChanges.List.AsOf == 0)
-      RecentChanges = {.After = Changes.After, .List = {}};
-    for (const core::StoredEntry &Entry : Changes.List.Entries)
-      if (Entry.Changed > RecentChanges.List.AsOf)
-        RecentChanges.List.Entries.push_back(Entry);
-    RecentChanges.List.AsOf =
-        std::max(RecentChanges.List.AsOf, Changes.List.AsOf);
-    while (RecentChanges.List.Entries.size() > internal::MaxRecentEntries ||
-           internal::valueBytes(RecentChanges) > internal::MaxSharedBytes) {
-      RecentChanges.After = RecentChanges.List.Entries.front().Changed;
-      RecentChanges.List.Entries.erase(RecentChanges.List.Entries.begin());
+    AwaitingLink.insert_or_assign(Receiver.Id, Item);
+  }
+  Links.connectInBackground(Receiver.Id, Receiver.Address);
+}
+
+void StoreRelay::sendToAll(const Envelope &Item, Receivers &Count) {
+  const std::string Self = Members.self().Id;
+  for (const core::Member &Vm : Members.members())
+    if (Vm.Id != Self)
+      send(Vm, Item, Count);
+}
+
+std::vector<std::uint64_t>
+StoreRelay::usableRelays(const decision::RelayTree &Tree) {
+  const std::string Self = Members.self().Id;
+  const core::TimePoint Now = Time.now();
+  std::vector<std::uint64_t> Usable;
+  for (const std::string &Relay : Tree.relays()) {
+    const bool HasLink = Relay == Self || Links.find(Relay) != nullptr;
+    const std::lock_guard Lock(Mutex);
+    if (HasLink) {
+      WithoutLinkSince.erase(Relay);
+    } else {
+      const auto [Found, Added] = WithoutLinkSince.emplace(Relay, Now);
+      if (Now - Found->second > internal::MaxLinkWait)
+        continue;
     }
+    Usable.push_back(core::hash64(Relay));
   }
-  const auto ReadAtMs = static_cast<std::uint64_t>(
-      (Time.uptime() - std::chrono::duration_cast<std::chrono::milliseconds>(
-                           Time.now() - ReadAt))
-          .count());
+  return Usable;
+}
+
+// The sender names the relays, so that all of them divide the VMs in the same
+// way, whoever each of them takes for live.
+void StoreRelay::sendToRelays(const decision::RelayTree &Tree,
+                              const Envelope &Item, Receivers &Count) {
+  Envelope ToRelay = Item;
+  ToRelay.Relays = usableRelays(Tree);
+  const std::string Self = Members.self().Id;
+  for (const core::Member &Vm : Members.members())
+    if (Vm.Id != Self && Tree.isRelay(Vm.Id))
+      send(Vm, ToRelay, Count);
+  sendToOwnPart(ToRelay.Relays, Item.ReadAt, Count);
+}
+
+void StoreRelay::sendToOwnPart(const std::vector<std::uint64_t> &Relays,
+                               core::TimePoint ReadAt, Receivers &Count) {
   const std::string Self = Members.self().Id;
-  std::size_t Sent = 0;
-  std::size_t WithoutLink = 0;
+  const std::uint64_t Own = core::hash64(Self);
   for (const core::Member &Vm : Members.members()) {
-    const LinkPtr OpenLink = Links.find(Vm.Id);
-    if (!OpenLink) {
-      WithoutLink += Vm.Id != Self;
-      if (Vm.Id != Self && Vm.State == core::MemberState::Live)
-        Links.connectInBackground(Vm.Id, Vm.Address);
-      continue;
-    }
-    core::EntryChanges Unsent;
-    {
-      const std::lock_guard Lock(Mutex);
-      core::Revision &SentRevision = SentRevisions[OpenLink->number()];
-      Unsent = internal::changesAfter(RecentChanges, SentRevision);
-      SentRevision = RecentChanges.List.AsOf;
-    }
-    Sent += OpenLink->send(
-        StoreChanges{.Changes = std::move(Unsent), .ReadAtMs = ReadAtMs});
+    const bool IsRelay = std::find(Relays.begin(), Relays.end(),
+                                   core::hash64(Vm.Id)) != Relays.end();
+    if (Vm.Id != Self && !IsRelay && decision::relayOf(Vm.Id, Relays) == Own)
+      send(Vm, {.ReadAt = ReadAt}, Count);
+  }
+}
+
+// A VM that is too small to relay may be the only one that reaches the store.
+// Sending to all would keep it from its own work for seconds.
+void StoreRelay::handOver(const decision::RelayTree &Tree, Envelope Item,
+                          Receivers &Count) {
+  Item.PassOn = true;
+  const std::vector<core::Member> All = Members.members();
+  for (const std::string &Relay : Tree.relays()) {
+    if (Count.Sent == internal::HandoverReceivers ||
+        Count.WithoutLink == internal::HandoverReceivers)
+      break;
+    const auto Found =
+        std::find_if(All.begin(), All.end(),
+                     [&](const core::Member &Vm) { return Vm.Id == Relay; });
+    if (Found != All.end())
+      send(*Found, Item, Count);
   }
+}
+
+void StoreRelay::broadcast(const core::EntryChanges &Changes,
+                           core::TimePoint ReadAt) {
+  remember(Changes);
+  const decision::RelayTree Relays = currentTree();
+  const Envelope Item{.ReadAt = ReadAt};
+  Receivers Count;
+  if (Relays.relays().empty())
+    sendToAll(Item, Count);
+  else if (Relays.isRelay(Members.self().Id))
+    sendToRelays(Relays, Item, Count);
+  else
+    handOver(Relays, Item, Count);
   if (!Changes.List.Entries.empty())
     core::LogLine(core::LogLevel::Info, "store.broadcast")
         .field("revision", Changes.List.AsOf)
         .field("entries", Changes.List.Entries.size())
-        .field("sent", Sent)
-        .field("without_link", WithoutLink);
+        .field("relays", Relays.relays().size())
+        .field("sent", Count.Sent)
+        .field("without_link", Count.WithoutLink);
 }
 
 void StoreRelay::updateRank() {
   const std::uint64_t Version = Members.version();
   if (RankedMemberVersion == Version)
     return;
+  const std::vector<core::Member> All = Members.members();
   const std::vector<std::string> Ranked =
-      decision::rankMembers("store/reader", "", Members.members());
+      decision::rankMembers("store/reader", "", All);
   const auto Found = std::find(Ranked.begin(), Ranked.end(), Members.self().Id);
   Rank = static_cast<std::size_t>(Found - Ranked.begin());
   LiveMembers = Ranked.size();
+  Tree = decision::RelayTree(Ranked, decision::countCarriers(All));
   RankedMemberVersion = Version;
 }
 
@@ -111,6 +213,12 @@
   return Rank;
 }
 
+decision::RelayTree StoreRelay::currentTree() {
+  const std::lock_guard Lock(Mutex);
+  updateRank();
+  return Tree;
+}
+
 bool StoreRelay::alone() {
   const std::lock_guard Lock(Mutex);
   updateRank();
@@ -132,12 +240,36 @@
 // the two clocks.
 void StoreRelay::onOpen(const LinkPtr &Source) {
   (void)receivedInstant(Source, Source->peer().SentAtMs);
+  std::optional<Envelope> Waiting;
+  {
+    const std::lock_guard Lock(Mutex);
+    const auto Found = AwaitingLink.find(Source->peer().Sender);
+    if (Found == AwaitingLink.end())
+      return;
+    if (Time.now() - Found->second.ReadAt <= internal::MaxWaitingAge)
+      Waiting = std::move(Found->second);
+    AwaitingLink.erase(Found);
+  }
+  if (Waiting)
+    (void)send(Source, *Waiting);
 }
 
 void StoreRelay::onFrame(const LinkPtr &Source, const Frame &Item) {
   const auto *Received = std::get_if<StoreChanges>(&Item.Body);
-  if (Received != nullptr && Handler)
-    Handler(Received->Changes, receivedInstant(Source, Received->ReadAtMs));
+  if (Received == nullptr)
+    return;
+  const core::TimePoint ReadAt = receivedInstant(Source, Received->ReadAtMs);
+  const std::uint64_t Own = core::hash64(Members.self().Id);
+  if (std::find(Received->Relays.begin(), Received->Relays.end(), Own) !=
+      Received->Relays.end()) {
+    remember(Received->Changes);
+    Receivers Count;
+    sendToOwnPart(Received->Relays, ReadAt, Count);
+  }
+  if (Handler)
+    Handler({.Changes = Received->Changes,
+             .ReadAt = ReadAt,
+             .PassOn = Received->PassOn});
 }
 
 void StoreRelay::onClose(const LinkPtr &Source) {
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -53,6 +53,10 @@
   /// apply a change, this must be less than the time in which every VM must
   /// have a change.
   std::chrono::milliseconds TakeoverSpread{110};
+  /// By how much an instant that another VM states may be too late: the
+  /// shortest time in which a message arrives, once for each VM that passes it
+  /// on.
+  std::chrono::milliseconds MaxTransitError{100};
   /// Longest time that one of the others waits before it broadcasts, so that
   /// one that was faster spares the rest theirs.
   std::chrono::milliseconds MaxBroadcastDelay{200};
@@ -119,7 +123,7 @@
     /// Ids of registered VMs that are lost, so that the reader removes their
     /// registrations.
     std::function<std::vector<std::string>()> LostVms;
-    /// Sends an answer of the store, and when this VM got it, to the other VMs.
+    /// Sends an answer of the store, and when a VM got it, to the other VMs.
     std::function<void(const core::EntryChanges &, core::TimePoint)> Broadcast;
     /// Gets the age in milliseconds of each change when it is applied; may be
     /// null.
@@ -146,8 +150,7 @@
 
   /// @brief Applies changes that another VM has read from the store; must be
   /// called on the strand of run().
-  /// @param ReadAt When a VM got them from the store.
-  void applyFromPeer(const core::EntryChanges &Changes, core::TimePoint ReadAt);
+  void applyFromPeer(const core::ReportedChanges &Report);
 
   /// @brief Ends run() and keepRegistered() after their current operation; may
   /// be called from any thread.
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -120,10 +120,11 @@
         .field("age_ms", Age.count());
 }
 
-void DirectoryFeed::applyFromPeer(const core::EntryChanges &Changes,
-                                  core::TimePoint ReadAt) {
+void DirectoryFeed::applyFromPeer(const core::ReportedChanges &Report) {
   if (!Loaded)
     return;
+  const core::EntryChanges &Changes = Report.Changes;
+  const core::TimePoint ReadAt = Report.ReadAt;
   if (Changes.After > Entries.asOf()) {
     if (!std::exchange(MissedChanges, true))
       core::LogLine(core::LogLevel::Info, "directory.changes_missed")
@@ -138,11 +139,18 @@
   // What was under way for long proves nothing about the time since. If it put
   // off the takeover, a reader whose link is full would keep all others from
   // reading.
-  if (ReadAt > LastConfirmed) {
+  const core::TimePoint::duration Newer = ReadAt - LastConfirmed;
+  if (Newer > core::TimePoint::duration::zero())
+    recordConfirmation(ReadAt);
+  // What this VM has read itself comes back to it through the relays.
+  if (Newer > Options.MaxTransitError) {
     ++PeerConfirmations;
     ReadsForAll = false;
-    recordConfirmation(ReadAt);
   }
+  const bool IsNews =
+      Newer >= Options.WatchTimeout / 2 || Changes.List.AsOf > Entries.asOf();
+  if (Report.PassOn && IsNews)
+    Env.Broadcast(Changes, ReadAt);
   if (Changes.List.AsOf == Entries.asOf())
     return;
   Entries.apply(Changes.List, Env.Time.now());
--- a/tests/peers/store_relay_test.cpp
+++ b/tests/peers/store_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet.hpp"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <jujubecart/peers/store_relay.hpp>
 
@@ -12,19 +13,28 @@
 
 /// @brief One VM that records the store changes it receives from others.
 struct RelayNode {
-  RelayNode(IoThreads &Context, std::size_t At)
-      : Node(Context, fleetOptions(At)),
+  RelayNode(IoThreads &Context, std::size_t At, std::uint32_t Capacity = 1000)
+      : Node(Context, options(At, Capacity)),
         Relay(*Node.Links, Node.Members, Node.Clock) {
     Node.Links->subscribe(Relay);
-    Relay.setChangeHandler(
-        [this](const core::EntryChanges &Changes, core::TimePoint ReadAt) {
-          const std::lock_guard Lock(Mutex);
-          Received.push_back(Changes);
-          ReadTimes.push_back(ReadAt);
-        });
+    Relay.setChangeHandler([this](const core::ReportedChanges &Report) {
+      {
+        const std::lock_guard Lock(Mutex);
+        Received.push_back(Report.Changes);
+        ReadTimes.push_back(Report.ReadAt);
+      }
+      if (Report.PassOn)
+        Relay.broadcast(Report.Changes, Report.ReadAt);
+    });
     Node.start();
   }
 
+  static PeerOptions options(std::size_t At, std::uint32_t Capacity) {
+    PeerOptions Result = fleetOptions(At);
+    Result.Self.ProcessorMilli = Capacity;
+    return Result;
+  }
+
   std::vector<core::EntryChanges> received() {
     const std::lock_guard Lock(Mutex);
     return Received;
@@ -141,3 +151,84 @@
   cr_assert_lt(Difference, 100ms);
   cr_assert_gt(Difference, -100ms);
 }
+
+namespace {
+
+/// @brief Fleet that is large enough for relays, some of whose VMs are small.
+struct RelayedFleet {
+  static constexpr std::size_t Size = 30;
+  static constexpr std::size_t Large = 6;
+
+  RelayedFleet() {
+    std::vector<core::Member> All;
+    for (std::size_t At = 0; At < Size; ++At)
+      Nodes.push_back(
+          std::make_unique<RelayNode>(Context, At, At < Large ? 500U : 100U));
+    for (const auto &Item : Nodes)
+      All.push_back(Item->Node.Members.self());
+    for (const auto &Item : Nodes)
+      Item->Node.Members.update(All);
+    cr_assert(eventually([&] {
+      return std::all_of(Nodes.begin(), Nodes.end(), [](const auto &Item) {
+        return Item->Node.live() == Size;
+      });
+    }));
+  }
+  ~RelayedFleet() {
+    for (const auto &Item : Nodes)
+      Item->Node.stop();
+    std::this_thread::sleep_for(20ms);
+    Context.stop();
+  }
+
+  /// @brief Whether every VM but the sender has changes up to a revision.
+  [[nodiscard]] bool allHave(std::size_t Sender, core::Revision AsOf) {
+    for (std::size_t At = 0; At < Size; ++At) {
+      const auto Received = Nodes[At]->received();
+      if (At != Sender &&
+          std::none_of(Received.begin(), Received.end(), [&](const auto &Each) {
+            return Each.List.AsOf == AsOf;
+          }))
+        return false;
+    }
+    return true;
+  }
+
+  /// @brief Frames with changes that a VM has sent.
+  [[nodiscard]] std::uint64_t framesSent(std::size_t At) const {
+    return Nodes[At]
+        ->Node.Links->counters()
+        .Out[Message(StoreChanges()).index()]
+        .Frames;
+  }
+
+  IoThreads Context{2};
+  std::vector<std::unique_ptr<RelayNode>> Nodes;
+};
+
+} // namespace
+
+// Guards against a VM that sends each change to the whole fleet itself, so that
+// the time until the last VM has it grows with the fleet.
+Test(StoreRelay, changes_reach_a_large_fleet_through_relays) {
+  RelayedFleet Fleet;
+  constexpr std::size_t Reader = 0;
+  Fleet.Nodes[Reader]->broadcast(
+      Fixture::changes(4, 5, {{.Key = "a", .Value = "1", .Changed = 5}}));
+  cr_assert(eventually([&] { return Fleet.allHave(Reader, 5); }));
+  for (std::size_t At = 0; At < RelayedFleet::Size; ++At)
+    cr_assert_leq(Fleet.framesSent(At), 2 * RelayedFleet::Size / 3,
+                  "VM %zu sent %zu frames", At,
+                  static_cast<std::size_t>(Fleet.framesSent(At)));
+}
+
+// Guards against a small VM that is alone in reaching the store and spends
+// seconds on links to all others.
+Test(StoreRelay, changes_of_a_small_vm_are_sent_on_by_larger_ones) {
+  RelayedFleet Fleet;
+  constexpr std::size_t Reader = RelayedFleet::Size - 1;
+  Fleet.Nodes[Reader]->broadcast(
+      Fixture::changes(4, 5, {{.Key = "a", .Value = "1", .Changed = 5}}));
+  cr_assert(eventually([&] { return Fleet.allHave(Reader, 5); }));
+  cr_assert_leq(Fleet.framesSent(Reader), 2);
+}
--- a/tests/store/directory_fleet.cpp
+++ b/tests/store/directory_fleet.cpp
@@ -1,5 +1,7 @@
 #include "directory_fleet.hpp"
 
+#include <jujubecart/core/hash.hpp>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,6 +30,14 @@
 constexpr std::size_t MessageOverhead = 100;
 constexpr std::size_t EntryOverhead = 60;
 
+std::size_t vmNumber(const std::string &Name) {
+  return std::stoul(Name.substr(2)) - 1000;
+}
+
+bool contains(const std::vector<std::uint64_t> &Relays, std::uint64_t Hash) {
+  return std::find(Relays.begin(), Relays.end(), Hash) != Relays.end();
+}
+
 std::size_t messageBytes(const core::EntryChanges &Changes) {
   std::size_t Bytes = MessageOverhead;
   for (const core::StoredEntry &Entry : Changes.List.Entries)
@@ -131,12 +141,23 @@
   return std::max(PathSince, FreezeEnd);
 }
 
-core::Awaitable<void> FleetVm::deliver(core::EntryChanges Changes,
-                                       core::TimePoint ReadAt,
+core::Awaitable<void> FleetVm::deliver(core::ReportedChanges Message,
+                                       std::vector<std::uint64_t> Relays,
                                        core::TimePoint At) {
   co_await Fleet.Run.sleepUntil(At);
   co_await whileFrozen();
-  Feed.applyFromPeer(Changes, now() - (Fleet.Run.now() - ReadAt));
+  if (contains(Relays, core::hash64(vmName(Number))))
+    Fleet.sendToOwnPart(Number, {Message.Changes, Message.ReadAt}, Relays);
+  Message.ReadAt = now() - (Fleet.Run.now() - Message.ReadAt);
+  Feed.applyFromPeer(Message);
+}
+
+std::vector<std::string> FleetVm::trusted() const {
+  std::vector<std::string> Result;
+  for (std::size_t Other = 0; Other < Trusted.size(); ++Other)
+    if (Trusted[Other])
+      Result.push_back(vmName(Other));
+  return Result;
 }
 
 std::size_t FleetVm::rank() const {
@@ -161,8 +182,13 @@
 }
 
 core::Awaitable<void> FleetVm::whileFrozen() {
-  while (Fleet.Run.now() < FreezeEnd)
-    co_await Fleet.Run.sleepUntil(FreezeEnd);
+  while (Fleet.Run.now() < std::max(FreezeEnd, BusyUntil))
+    co_await Fleet.Run.sleepUntil(std::max(FreezeEnd, BusyUntil));
+}
+
+core::TimePoint FleetVm::prepareMessage() {
+  BusyUntil = std::max(BusyUntil, Fleet.Run.now()) + SendTime;
+  return BusyUntil;
 }
 
 core::Awaitable<void> FleetVm::sleepUntil(core::TimePoint Until) {
@@ -247,7 +273,7 @@
 
 DirectoryFleet::DirectoryFleet(std::size_t Size, std::uint64_t Seed)
     : Links(Size, std::vector<bool>(Size, true)),
-      LinkRates(Size, DefaultBytesPerMs), LinkFreeAt(Size),
+      LinkRates(Size, DefaultBytesPerMs), SentBytes(Size), LinkFreeAt(Size),
       LastArrival(Size, std::vector<core::TimePoint>(Size)), Run(Seed) {
   changeConfig();
   for (std::size_t Number = 0; Number < Size; ++Number)
@@ -277,22 +303,57 @@
     Vm->setTrust(Number, false);
 }
 
+void DirectoryFleet::transmit(std::size_t Sender, std::size_t Receiver,
+                              const core::ReportedChanges &Message,
+                              const std::vector<std::uint64_t> &Relays) {
+  if (Receiver == Sender)
+    return;
+  const std::size_t Bytes = messageBytes(Message.Changes);
+  SentBytes[Sender] += Bytes;
+  core::TimePoint &FreeAt = LinkFreeAt[Sender];
+  FreeAt = std::max(FreeAt, Vms[Sender]->prepareMessage()) +
+           std::chrono::microseconds(1000 * Bytes / LinkRates[Sender]);
+  if (!Links[Sender][Receiver])
+    return;
+  core::TimePoint &Last = LastArrival[Sender][Receiver];
+  Last = std::max(Last, FreeAt + MinLinkDelay +
+                            std::chrono::milliseconds(Run.below(LinkJitterMs)));
+  asio::co_spawn(Run.context(), Vms[Receiver]->deliver(Message, Relays, Last),
+                 asio::detached);
+}
+
+void DirectoryFleet::sendToOwnPart(std::size_t Relay,
+                                   const core::ReportedChanges &Message,
+                                   const std::vector<std::uint64_t> &Relays) {
+  const std::uint64_t Own = core::hash64(vmName(Relay));
+  for (std::size_t Vm = 0; Vm < size(); ++Vm)
+    if (!contains(Relays, core::hash64(vmName(Vm))) &&
+        decision::relayOf(vmName(Vm), Relays) == Own)
+      transmit(Relay, Vm, Message, {});
+}
+
+// As StoreRelay does, but links are open from the start.
 void DirectoryFleet::broadcast(std::size_t Sender,
                                const core::EntryChanges &Changes,
                                core::TimePoint ReadAt) {
-  for (std::size_t Receiver = 0; Receiver < Vms.size(); ++Receiver) {
-    if (Receiver == Sender || !Links[Sender][Receiver])
-      continue;
-    core::TimePoint &FreeAt = LinkFreeAt[Sender];
-    FreeAt = std::max(FreeAt, Run.now()) +
-             std::chrono::microseconds(1000 * messageBytes(Changes) /
-                                       LinkRates[Sender]);
-    core::TimePoint &Last = LastArrival[Sender][Receiver];
-    Last =
-        std::max(Last, FreeAt + MinLinkDelay +
-                           std::chrono::milliseconds(Run.below(LinkJitterMs)));
-    asio::co_spawn(Run.context(), Vms[Receiver]->deliver(Changes, ReadAt, Last),
-                   asio::detached);
+  constexpr std::size_t HandoverReceivers = 2;
+  const std::vector<std::string> Ranked = Vms[Sender]->trusted();
+  const decision::RelayTree Tree(Ranked, Ranked.size());
+  core::ReportedChanges Message{.Changes = Changes, .ReadAt = ReadAt};
+  std::vector<std::uint64_t> Relays;
+  for (const std::string &Relay : Tree.relays())
+    Relays.push_back(core::hash64(Relay));
+  if (Relays.empty()) {
+    for (std::size_t Receiver = 0; Receiver < size(); ++Receiver)
+      transmit(Sender, Receiver, Message, {});
+  } else if (Tree.isRelay(vmName(Sender))) {
+    for (const std::string &Relay : Tree.relays())
+      transmit(Sender, vmNumber(Relay), Message, Relays);
+    sendToOwnPart(Sender, Message, Relays);
+  } else {
+    Message.PassOn = true;
+    for (std::size_t At = 0; At < HandoverReceivers; ++At)
+      transmit(Sender, vmNumber(Tree.relays()[At]), Message, {});
   }
 }
 
@@ -337,6 +398,10 @@
   }
 }
 
+std::uint64_t DirectoryFleet::mostSentBytes() const {
+  return *std::max_element(SentBytes.begin(), SentBytes.end());
+}
+
 std::uint64_t DirectoryFleet::callPrice() const {
   std::uint64_t Sum = 0;
   for (const auto &Vm : Vms)
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -4,6 +4,7 @@
 #include "fakes/simulation.hpp"
 #include "plain_codec.hpp"
 
+#include <jujubecart/decision/relay_tree.hpp>
 #include <jujubecart/store/directory_feed.hpp>
 
 #include <map>
@@ -56,6 +57,11 @@
   /// @brief Stops the process for a time, which its monotonic clock does not
   /// count.
   void freeze(std::chrono::milliseconds Duration);
+  /// @brief Sets how long this VM is busy with each message that it sends.
+  void setSendTime(std::chrono::microseconds Time) { SendTime = Time; }
+  /// @brief Uses the processor for one message to send.
+  /// @return When the message is ready.
+  [[nodiscard]] core::TimePoint prepareMessage();
   /// @brief Changes the path to the store.
   void setPath(StorePath NewPath);
   /// @brief Makes this VM take another one for lost, or live again.
@@ -67,12 +73,17 @@
   [[nodiscard]] bool knowsServer(const std::string &Id) const;
   /// @brief Instant since which this VM could read the store without a pause.
   [[nodiscard]] core::TimePoint undisturbedSince() const;
-  /// @brief Passes changes that another VM has broadcast to the feed.
-  /// @param ReadAt When a VM got them from the store.
-  /// @param At When they arrive. Both times are those of the simulation.
-  [[nodiscard]] core::Awaitable<void> deliver(core::EntryChanges Changes,
-                                              core::TimePoint ReadAt,
+  /// @brief Receives a message: passes it on if this VM is one of its relays,
+  /// and to the feed.
+  /// @param Message With a ReadAt on the clock of the simulation.
+  /// @param Relays Hashes of the relays of the message.
+  /// @param At When it arrives, on the same clock.
+  [[nodiscard]] core::Awaitable<void> deliver(core::ReportedChanges Message,
+                                              std::vector<std::uint64_t> Relays,
                                               core::TimePoint At);
+  /// @brief Ids of the VMs that this one takes for live, in the order of their
+  /// ranks.
+  [[nodiscard]] std::vector<std::string> trusted() const;
 
   [[nodiscard]] core::Awaitable<void>
   sleepUntil(core::TimePoint Until) override;
@@ -98,6 +109,7 @@
 
 private:
   [[nodiscard]] std::size_t rank() const;
+  /// @brief Waits while the VM is frozen or busy.
   [[nodiscard]] core::Awaitable<void> whileFrozen();
   /// @brief Waits for the answer of the store.
   /// @return An error if there is none.
@@ -113,6 +125,8 @@
   core::TimePoint FreezeStart;
   core::TimePoint FreezeEnd;
   core::TimePoint::duration EarlierFreezes{0};
+  std::chrono::microseconds SendTime{0};
+  core::TimePoint BusyUntil;
   std::vector<bool> Trusted;
   core::ConfigTable Table;
   PlainCodec Codec;
@@ -140,17 +154,24 @@
   /// @brief Ends a VM for good; the others know that it is lost.
   void lose(std::size_t Number);
 
-  /// @brief Sends changes from one VM to all others to which its broadcasts are
-  /// not lost.
+  /// @brief Sends changes from one VM to all others, through the relays of a
+  /// large fleet, on links that are not cut.
   /// @param ReadAt When a VM got them from the store.
   void broadcast(std::size_t Sender, const core::EntryChanges &Changes,
                  core::TimePoint ReadAt);
 
+  /// @brief Sends a message from a relay to the VMs that it serves.
+  void sendToOwnPart(std::size_t Relay, const core::ReportedChanges &Message,
+                     const std::vector<std::uint64_t> &Relays);
+
   /// @brief Sets whether the broadcasts of one VM to another are lost.
   void setLink(std::size_t Sender, std::size_t Receiver, bool Open) {
     Links[Sender][Receiver] = Open;
   }
 
+  /// @brief Bytes sent by the VM that has sent the most.
+  [[nodiscard]] std::uint64_t mostSentBytes() const;
+
   /// @brief Limits the rate at which a VM sends; what it sends then waits in
   /// the order in which it was sent.
   void setLinkRate(std::size_t Sender, std::size_t BytesPerMs) {
@@ -175,12 +196,17 @@
   std::chrono::milliseconds StoreLatency{4};
 
 private:
+  void transmit(std::size_t Sender, std::size_t Receiver,
+                const core::ReportedChanges &Message,
+                const std::vector<std::uint64_t> &Relays);
   void checkVersions();
   void checkRemovals();
 
   std::vector<std::vector<bool>> Links;
   /// Bytes that each VM sends in a millisecond, and when its link is free.
   std::vector<std::size_t> LinkRates;
+  /// Bytes that each VM has sent.
+  std::vector<std::uint64_t> SentBytes;
   std::vector<core::TimePoint> LinkFreeAt;
   /// Last arrival of a broadcast, by sender and receiver.
   std::vector<std::vector<core::TimePoint>> LastArrival;
--- a/tests/store/directory_fleet_test.cpp
+++ b/tests/store/directory_fleet_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cmath>
 #include <criterion/criterion.h>
 #include <vector>
 
@@ -147,7 +148,7 @@
     for (const auto &Vm : Fleet.Vms)
       boost::asio::co_spawn(
           Fleet.Run.context(),
-          Vm->deliver(Outdated, Fleet.Run.now(), Fleet.Run.now()),
+          Vm->deliver({Outdated, Fleet.Run.now()}, {}, Fleet.Run.now()),
           boost::asio::detached);
     if (Round % 4 == 0)
       Fleet.changeConfig();
@@ -178,6 +179,25 @@
   expectTimely(Fleet, "full link");
 }
 
+// Guards against a small VM that hears nothing, makes itself the reader for the
+// whole fleet and is busy with sending for seconds, in which it applies no
+// change itself.
+Test(DirectoryFleet, small_vm_that_hears_nothing_is_up_to_date) {
+  constexpr std::size_t Small = 283;
+  // A tenth of a core, and a link that has to be opened for most messages.
+  constexpr auto SendTime = 10ms;
+  DirectoryFleet Fleet(300, 6);
+  Fleet.run(5s);
+  Fleet.Vms[Small]->setSendTime(SendTime);
+  for (std::size_t Sender = 0; Sender < Fleet.size(); ++Sender)
+    Fleet.setLink(Sender, Small, false);
+  for (int Change = 0; Change < 40; ++Change) {
+    Fleet.changeConfig();
+    Fleet.run(300ms);
+  }
+  expectTimely(Fleet, "small reader");
+}
+
 // Guards against combinations of faults that leave a VM with an outdated
 // configuration although it can read the store.
 Test(DirectoryFleet, random_faults_delay_no_vm_that_reaches_the_store) {
@@ -299,3 +319,30 @@
     cr_assert(Fleet.Vms[0]->knowsServer("a"));
   }
 }
+
+// Guards against a VM whose messages grow with the fleet, so that it falls
+// behind at the size of two years.
+Test(DirectoryFleet, bytes_of_the_busiest_vm_grow_slower_than_the_fleet) {
+  std::uint64_t Smallest = 0;
+  for (const std::size_t Size : {30U, 100U, 300U, 900U}) {
+    DirectoryFleet Fleet(Size, 9);
+    Fleet.run(5s);
+    const std::uint64_t Before = Fleet.mostSentBytes();
+    for (int Change = 0; Change < 10; ++Change) {
+      Fleet.changeConfig(8192);
+      Fleet.run(500ms);
+    }
+    expectTimely(Fleet, "growing fleet");
+    const std::uint64_t Sent = Fleet.mostSentBytes() - Before;
+    cr_log_info("%zu VMs: the busiest sent %zu bytes in 5 s, worst lag %lld ms",
+                Size, static_cast<std::size_t>(Sent),
+                static_cast<long long>(Fleet.WorstLag.count()));
+    if (Smallest == 0)
+      Smallest = Sent;
+    // Twice the square root, since the parts of the relays differ in size.
+    const double MaxGrowth = 2 * std::sqrt(static_cast<double>(Size) / 30);
+    cr_expect_leq(static_cast<double>(Sent),
+                  MaxGrowth * static_cast<double>(Smallest), "%zu VMs: %zu",
+                  Size, static_cast<std::size_t>(Sent));
+  }
+}
--- /dev/null
+++ b/tests/store/directory_reports_test.cpp
@@ -0,0 +1,153 @@
+#include "directory_feed_fixture.hpp"
+
+using namespace jujubecart;
+using namespace std::chrono_literals;
+using tests::FeedFixture;
+using tests::makeChanges;
+
+// Guards against a store that is overloaded because every VM watches it,
+// although one of them passes its answers on.
+Test(DirectoryFeed, vm_that_receives_changes_does_not_watch_the_store) {
+  FeedFixture Setup(1);
+  Setup.start();
+  // The feed reads once at the start: the changes since its list.
+  cr_assert_eq(Setup.Store.Watches, 1);
+  for (int Round = 0; Round < 5; ++Round) {
+    Setup.receive(makeChanges(2, 2, {}));
+    Setup.run(60ms);
+  }
+  cr_assert_eq(Setup.Store.Watches, 1);
+  Setup.receive(
+      makeChanges(2, 3, {{.Key = "s/b", .Value = "active", .Changed = 3}}));
+  cr_assert_eq(Setup.servers(), 2);
+}
+
+// Guards against a VM that misses a change because no other VM passes it on.
+Test(DirectoryFeed, vm_that_receives_nothing_reads_the_store) {
+  FeedFixture Setup(3);
+  Setup.start();
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/a", .Value = std::nullopt, .Changed = 5}},
+       .AsOf = 5});
+  Setup.run(500ms);
+  cr_assert_gt(Setup.Store.Watches, 0);
+  cr_assert_eq(Setup.servers(), 0);
+}
+
+// Guards against changes from another VM that are applied although this VM has
+// missed earlier ones.
+Test(DirectoryFeed, changes_missing_from_other_vms_are_read_from_the_store) {
+  FeedFixture Setup(1);
+  Setup.start();
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 8},
+                   {.Key = "s/c", .Value = "active", .Changed = 9}},
+       .AsOf = 9});
+  Setup.receive(
+      makeChanges(8, 9, {{.Key = "s/c", .Value = "active", .Changed = 9}}));
+  cr_assert_eq(Setup.servers(), 1);
+  Setup.run(400ms);
+  cr_assert_eq(Setup.servers(), 3);
+}
+
+// Guards against a list of all entries by every VM of the fleet after the store
+// has dropped its history, since the changes of the reader would not follow
+// those that they know.
+Test(DirectoryFeed, changes_in_lost_history_are_passed_on_to_the_others) {
+  FeedFixture Reader(0);
+  FeedFixture Other(1);
+  Reader.start();
+  Other.start();
+  Reader.Store.All = {
+      .Entries = {{.Key = "config", .Value = "6", .Changed = 20},
+                  {.Key = "snapshot", .Value = "", .Changed = 18},
+                  {.Key = "s/c", .Value = "active", .Changed = 22},
+                  {.Key = "s/b", .Value = "active", .Changed = 12}},
+      .AsOf = 20};
+  Reader.Store.HistoryLost = true;
+  Reader.run(100ms);
+  cr_assert_eq(Reader.servers(), 2);
+  for (const core::EntryChanges &Each : Reader.Shared)
+    Other.receive(Each);
+  Other.run(20ms);
+  cr_assert_eq(Other.Table.current()->routing()->version(), 6);
+  // The list has a server that was added after its AsOf; the next watch reports
+  // it.
+  cr_assert_eq(Other.servers(), 1);
+  cr_assert_eq(Other.Store.Lists, 1);
+  cr_assert_eq(Other.Store.Watches, 1);
+}
+
+// Guards against a VM that waits for its turn although all VMs that rank before
+// it cannot read the store, and against others that are not told what it read.
+Test(DirectoryFeed, vm_of_a_high_rank_takes_over_and_reads_for_all) {
+  FeedFixture Setup(90);
+  Setup.start();
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 3}},
+       .AsOf = 3});
+  Setup.run(250ms);
+  cr_assert_eq(Setup.servers(), 2);
+  cr_assert_not(Setup.Shared.empty());
+  cr_assert_eq(Setup.Shared.front().List.AsOf, 3);
+  // It reads on until another VM does.
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/c", .Value = "active", .Changed = 4}},
+       .AsOf = 4});
+  Setup.run(50ms);
+  cr_assert_eq(Setup.servers(), 3);
+  Setup.receive(makeChanges(4, 4, {}));
+  Setup.run(30ms);
+  const int Watches = Setup.Store.Watches;
+  Setup.run(60ms);
+  cr_assert_eq(Setup.Store.Watches, Watches);
+}
+
+// Guards against a VM that is kept from reading the store by another one that
+// knows less, because it was paused or has not caught up.
+Test(DirectoryFeed, sender_that_knows_less_confirms_nothing) {
+  FeedFixture Setup(1);
+  Setup.start();
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 3}},
+       .AsOf = 3});
+  for (int Round = 0; Round < 5; ++Round) {
+    Setup.receive(makeChanges(1, 1, {}));
+    Setup.run(50ms);
+  }
+  cr_assert_eq(Setup.servers(), 2);
+}
+
+// Guards against a change that only a small VM has read, and that nobody sends
+// to the others, or that is sent around without end.
+Test(DirectoryFeed, vm_that_is_asked_to_pass_news_on_does_so_once) {
+  FeedFixture Setup(1);
+  Setup.start();
+  const core::ReportedChanges Report{
+      .Changes =
+          makeChanges(2, 3, {{.Key = "s/b", .Value = "active", .Changed = 3}}),
+      .ReadAt = Setup.Time.now(),
+      .PassOn = true};
+  Setup.Feed.applyFromPeer(Report);
+  Setup.Feed.applyFromPeer(Report);
+  cr_assert_eq(Setup.Shared.size(), 1);
+  cr_assert(Setup.Shared.front() == Report.Changes);
+  cr_assert_eq(Setup.servers(), 2);
+}
+
+// Guards against old news that ends the reading of a VM that took over, or puts
+// off its takeover, because it counts as news of the instant of its arrival.
+Test(DirectoryFeed, report_confirms_nothing_after_it_was_read) {
+  FeedFixture Setup(1);
+  Setup.start();
+  const core::TimePoint Loaded = Setup.Time.now();
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 3}},
+       .AsOf = 3});
+  for (int Round = 0; Round < 5; ++Round) {
+    Setup.Feed.applyFromPeer(
+        {.Changes = makeChanges(2, 2, {}), .ReadAt = Loaded});
+    Setup.run(60ms);
+  }
+  cr_assert_eq(Setup.servers(), 2);
+}
