--- a/packages/peers/include/jujubecart/peers/store_relay.hpp
+++ b/packages/peers/include/jujubecart/peers/store_relay.hpp
@@ -8,6 +8,7 @@
 #include <jujubecart/peers/transit_delay.hpp>
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -23,9 +24,9 @@
 public:
   using ChangeHandler = std::function<void(const core::ReportedChanges &)>;
 
+  /// @param Members Must name this VM from the start.
   StoreRelay(LinkTable &Links, const core::MemberSource &Members,
-             const core::Clock &Time)
-      : Links(Links), Members(Members), Time(Time) {}
+             const core::Clock &Time);
   StoreRelay(const StoreRelay &) = delete;
   StoreRelay &operator=(const StoreRelay &) = delete;
 
@@ -59,6 +60,12 @@
     std::vector<std::uint64_t> Relays;
     bool PassOn = false;
   };
+  /// @brief VMs to which this VM passes changes on as one of some relays.
+  struct Part {
+    std::uint64_t MemberVersion = 0;
+    std::vector<std::uint64_t> Relays;
+    std::vector<core::Member> Receivers;
+  };
   /// @brief Numbers of receivers for the log.
   struct Receivers {
     std::size_t Sent = 0;
@@ -81,6 +88,8 @@
   /// @brief Sends to the VMs for which this VM is the relay.
   void sendToOwnPart(const std::vector<std::uint64_t> &Relays,
                      core::TimePoint ReadAt, Receivers &Count);
+  [[nodiscard]] std::shared_ptr<const Part>
+  ownPart(const std::vector<std::uint64_t> &Relays);
   /// @brief Hashes of the relays except those to which no link opens.
   [[nodiscard]] std::vector<std::uint64_t>
   usableRelays(const decision::RelayTree &Tree);
@@ -94,12 +103,16 @@
   LinkTable &Links;
   const core::MemberSource &Members;
   const core::Clock &Time;
+  const std::string SelfId;
+  const std::uint64_t SelfHash;
   ChangeHandler Handler;
   std::mutex Mutex;
   /// By link number.
   std::unordered_map<std::uint64_t, TransitDelay> Delays;
   /// What is sent when a link to a VM opens, by VM id.
   std::unordered_map<std::string, Envelope> AwaitingLink;
+  /// The part of this VM that was computed last.
+  std::shared_ptr<const Part> LastPart;
   /// Since when there has been no link to a relay, by VM id.
   std::unordered_map<std::string, core::TimePoint> WithoutLinkSince;
   /// Revision up to which all changes were sent, by link number.
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -52,6 +52,11 @@
 
 } // namespace internal
 
+StoreRelay::StoreRelay(LinkTable &Links, const core::MemberSource &Members,
+                       const core::Clock &Time)
+    : Links(Links), Members(Members), Time(Time), SelfId(Members.self().Id),
+      SelfHash(core::hash64(SelfId)) {}
+
 void StoreRelay::remember(const core::EntryChanges &Changes) {
   const std::lock_guard Lock(Mutex);
   // After a gap in the revisions the history starts anew, because a receiver
@@ -103,19 +108,17 @@
 }
 
 void StoreRelay::sendToAll(const Envelope &Item, Receivers &Count) {
-  const std::string Self = Members.self().Id;
   for (const core::Member &Vm : Members.members())
-    if (Vm.Id != Self)
+    if (Vm.Id != SelfId)
       send(Vm, Item, Count);
 }
 
 std::vector<std::uint64_t>
 StoreRelay::usableRelays(const decision::RelayTree &Tree) {
-  const std::string Self = Members.self().Id;
   const core::TimePoint Now = Time.now();
   std::vector<std::uint64_t> Usable;
   for (const std::string &Relay : Tree.relays()) {
-    const bool HasLink = Relay == Self || Links.find(Relay) != nullptr;
+    const bool HasLink = Relay == SelfId || Links.find(Relay) != nullptr;
     const std::lock_guard Lock(Mutex);
     if (HasLink) {
       WithoutLinkSince.erase(Relay);
@@ -135,23 +138,41 @@
                               const Envelope &Item, Receivers &Count) {
   Envelope ToRelay = Item;
   ToRelay.Relays = usableRelays(Tree);
-  const std::string Self = Members.self().Id;
   for (const core::Member &Vm : Members.members())
-    if (Vm.Id != Self && Tree.isRelay(Vm.Id))
+    if (Vm.Id != SelfId && Tree.isRelay(Vm.Id))
       send(Vm, ToRelay, Count);
   sendToOwnPart(ToRelay.Relays, Item.ReadAt, Count);
 }
 
-void StoreRelay::sendToOwnPart(const std::vector<std::uint64_t> &Relays,
-                               core::TimePoint ReadAt, Receivers &Count) {
-  const std::string Self = Members.self().Id;
-  const std::uint64_t Own = core::hash64(Self);
-  for (const core::Member &Vm : Members.members()) {
+// Kept until the members or the relays change: a hash for each VM and relay
+// would cost a relay more than its messages.
+std::shared_ptr<const StoreRelay::Part>
+StoreRelay::ownPart(const std::vector<std::uint64_t> &Relays) {
+  const std::uint64_t Version = Members.version();
+  {
+    const std::lock_guard Lock(Mutex);
+    if (LastPart && LastPart->MemberVersion == Version &&
+        LastPart->Relays == Relays)
+      return LastPart;
+  }
+  Part Computed{.MemberVersion = Version, .Relays = Relays, .Receivers = {}};
+  for (core::Member &Vm : Members.members()) {
     const bool IsRelay = std::find(Relays.begin(), Relays.end(),
                                    core::hash64(Vm.Id)) != Relays.end();
-    if (Vm.Id != Self && !IsRelay && decision::relayOf(Vm.Id, Relays) == Own)
-      send(Vm, {.ReadAt = ReadAt}, Count);
+    if (Vm.Id != SelfId && !IsRelay &&
+        decision::relayOf(Vm.Id, Relays) == SelfHash)
+      Computed.Receivers.push_back(std::move(Vm));
   }
+  auto Shared = std::make_shared<const Part>(std::move(Computed));
+  const std::lock_guard Lock(Mutex);
+  LastPart = Shared;
+  return Shared;
+}
+
+void StoreRelay::sendToOwnPart(const std::vector<std::uint64_t> &Relays,
+                               core::TimePoint ReadAt, Receivers &Count) {
+  for (const core::Member &Vm : ownPart(Relays)->Receivers)
+    send(Vm, {.ReadAt = ReadAt}, Count);
 }
 
 // A VM that is too small to relay may be the only one that reaches the store.
@@ -175,12 +196,19 @@
 void StoreRelay::broadcast(const core::EntryChanges &Changes,
                            core::TimePoint ReadAt) {
   remember(Changes);
+  {
+    // What waited for a link in vain is not kept for a VM that is gone.
+    const std::lock_guard Lock(Mutex);
+    std::erase_if(AwaitingLink, [&](const auto &Waiting) {
+      return ReadAt - Waiting.second.ReadAt > internal::MaxWaitingAge;
+    });
+  }
   const decision::RelayTree Relays = currentTree();
   const Envelope Item{.ReadAt = ReadAt};
   Receivers Count;
   if (Relays.relays().empty())
     sendToAll(Item, Count);
-  else if (Relays.isRelay(Members.self().Id))
+  else if (Relays.isRelay(SelfId))
     sendToRelays(Relays, Item, Count);
   else
     handOver(Relays, Item, Count);
@@ -200,7 +228,7 @@
   const std::vector<core::Member> All = Members.members();
   const std::vector<std::string> Ranked =
       decision::rankMembers("store/reader", "", All);
-  const auto Found = std::find(Ranked.begin(), Ranked.end(), Members.self().Id);
+  const auto Found = std::find(Ranked.begin(), Ranked.end(), SelfId);
   Rank = static_cast<std::size_t>(Found - Ranked.begin());
   LiveMembers = Ranked.size();
   Tree = decision::RelayTree(Ranked, decision::countCarriers(All));
@@ -259,8 +287,7 @@
   if (Received == nullptr)
     return;
   const core::TimePoint ReadAt = receivedInstant(Source, Received->ReadAtMs);
-  const std::uint64_t Own = core::hash64(Members.self().Id);
-  if (std::find(Received->Relays.begin(), Received->Relays.end(), Own) !=
+  if (std::find(Received->Relays.begin(), Received->Relays.end(), SelfHash) !=
       Received->Relays.end()) {
     remember(Received->Changes);
     Receivers Count;
