--- a/tests/decision/local_policy_test.cpp
+++ b/tests/decision/local_policy_test.cpp
@@ -147,6 +147,7 @@
   constexpr int Groups = 200;
   for (const auto &[Large, Small] : {std::pair(18, 294), std::pair(8, 92)}) {
     std::vector<core::Member> Members;
+    Members.reserve(static_cast<std::size_t>(Large + Small));
     for (int Index = 0; Index < Large + Small; ++Index)
       Members.push_back({.Id = "vm" + std::to_string(Index),
                          .Address = {},
@@ -169,6 +170,7 @@
 Test(RankMembers, few_large_vms_share_the_groups_with_the_others) {
   std::vector<core::Member> Members;
   constexpr int Vms = 100;
+  Members.reserve(Vms);
   for (int Index = 0; Index < Vms; ++Index)
     Members.push_back({.Id = "vm" + std::to_string(Index),
                        .Address = {},
--- a/tests/decision/relay_tree_test.cpp
+++ b/tests/decision/relay_tree_test.cpp
@@ -20,6 +20,7 @@
 
 std::vector<std::uint64_t> hashes(const std::vector<std::string> &Ids) {
   std::vector<std::uint64_t> Result;
+  Result.reserve(Ids.size());
   for (const std::string &Id : Ids)
     Result.push_back(core::hash64(Id));
   return Result;
--- a/tests/peers/store_relay_test.cpp
+++ b/tests/peers/store_relay_test.cpp
@@ -161,6 +161,7 @@
 
   RelayedFleet() {
     std::vector<core::Member> All;
+    All.reserve(Size);
     for (std::size_t At = 0; At < Size; ++At)
       Nodes.push_back(
           std::make_unique<RelayNode>(Context, At, At < Large ? 500U : 100U));
