--- a/packages/decision/include/jujubecart/decision/relay_tree.hpp
+++ b/packages/decision/include/jujubecart/decision/relay_tree.hpp
@@ -18,8 +18,8 @@
   RelayTree() = default;
 
   /// @param Ranked Ids of the live VMs, the best candidates first.
-  /// @param Carriers Number of the first ones that are large enough to relay.
-  RelayTree(std::span<const std::string> Ranked, std::size_t Carriers);
+  /// @param Eligible Number of the first ones that are large enough to relay.
+  RelayTree(std::span<const std::string> Ranked, std::size_t Eligible);
 
   /// @brief VMs that pass messages on; empty in a small fleet.
   [[nodiscard]] const std::vector<std::string> &relays() const noexcept {
--- a/packages/decision/include/jujubecart/decision/rendezvous.hpp
+++ b/packages/decision/include/jujubecart/decision/rendezvous.hpp
@@ -25,7 +25,7 @@
 
 /// @brief Number of live members that rankMembers() does not rank last because
 /// of their size, whatever their region.
-[[nodiscard]] std::size_t countCarriers(std::span<const core::Member> Members);
+[[nodiscard]] std::size_t countEligible(std::span<const core::Member> Members);
 
 } // namespace jujubecart::decision
 
--- a/packages/decision/src/relay_tree.cpp
+++ b/packages/decision/src/relay_tree.cpp
@@ -16,12 +16,12 @@
 } // namespace
 
 RelayTree::RelayTree(std::span<const std::string> Ranked,
-                     std::size_t Carriers) {
+                     std::size_t Eligible) {
   if (Ranked.size() < MinRelayedFleet)
     return;
   const auto Root = static_cast<std::size_t>(
       std::ceil(std::sqrt(static_cast<double>(Ranked.size()))));
-  const std::size_t Count = std::max<std::size_t>(1, std::min(Root, Carriers));
+  const std::size_t Count = std::max<std::size_t>(1, std::min(Root, Eligible));
   const auto Chosen = Ranked.first(Count);
   Relays.assign(Chosen.begin(), Chosen.end());
 }
--- a/packages/decision/src/rendezvous.cpp
+++ b/packages/decision/src/rendezvous.cpp
@@ -20,23 +20,23 @@
 constexpr double MilliPerCore = 1000;
 // The work for others takes about 3% of the processor time of a fleet, so VMs
 // with this share of its capacity can do all of it.
-constexpr double CarrierShare = 0.125;
+constexpr double EligibleShare = 0.125;
 // A VM that has less than this part of the capacity of the smallest of them
 // ranks behind.
-constexpr double MinCarrierCapacity = 0.5;
+constexpr double MinEligibleCapacity = 0.5;
 
 // Capacity below which a VM ranks behind the others. The work of a group cannot
 // be divided: on a VM that is too small for it, every call of the group waits,
 // however few groups fall to such VMs.
 double minCapacity(std::vector<std::uint32_t> Capacities) {
   std::sort(Capacities.begin(), Capacities.end(), std::greater<>());
-  const double Enough =
-      CarrierShare * std::accumulate(Capacities.begin(), Capacities.end(), 0.0);
+  const double Enough = EligibleShare * std::accumulate(Capacities.begin(),
+                                                        Capacities.end(), 0.0);
   double Sum = 0;
   for (const std::uint32_t Capacity : Capacities) {
     Sum += Capacity;
     if (Sum >= Enough)
-      return MinCarrierCapacity * Capacity;
+      return MinEligibleCapacity * Capacity;
   }
   return 0;
 }
@@ -84,7 +84,7 @@
   return Ids;
 }
 
-std::size_t countCarriers(std::span<const core::Member> Members) {
+std::size_t countEligible(std::span<const core::Member> Members) {
   std::vector<std::uint32_t> Capacities;
   for (const core::Member &Candidate : Members)
     if (Candidate.State == core::MemberState::Live)
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -231,7 +231,7 @@
   const auto Found = std::find(Ranked.begin(), Ranked.end(), SelfId);
   Rank = static_cast<std::size_t>(Found - Ranked.begin());
   LiveMembers = Ranked.size();
-  Tree = decision::RelayTree(Ranked, decision::countCarriers(All));
+  Tree = decision::RelayTree(Ranked, decision::countEligible(All));
   RankedMemberVersion = Version;
 }
 
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -147,9 +147,9 @@
     ++PeerConfirmations;
     ReadsForAll = false;
   }
-  const bool IsNews =
+  const bool IsNewer =
       Newer >= Options.WatchTimeout / 2 || Changes.List.AsOf > Entries.asOf();
-  if (Report.PassOn && IsNews)
+  if (Report.PassOn && IsNewer)
     Env.Broadcast(Changes, ReadAt);
   if (Changes.List.AsOf == Entries.asOf())
     return;
--- a/tests/store/directory_fleet_test.cpp
+++ b/tests/store/directory_fleet_test.cpp
@@ -158,7 +158,7 @@
 }
 
 // Guards against changes that wait in the full link of the reader and, when
-// they arrive, count as news of that instant: they keep every VM from reading
+// they arrive, count as read at that instant: they keep every VM from reading
 // the store although all of them are seconds behind.
 Test(DirectoryFleet, vms_are_up_to_date_while_the_link_of_the_reader_is_full) {
   constexpr std::size_t SlowLink = 2500; // 20 Mbit/s.
--- a/tests/store/directory_reports_test.cpp
+++ b/tests/store/directory_reports_test.cpp
@@ -135,8 +135,8 @@
   cr_assert_eq(Setup.servers(), 2);
 }
 
-// Guards against old news that ends the reading of a VM that took over, or puts
-// off its takeover, because it counts as news of the instant of its arrival.
+// Guards against an outdated report that ends the reading of a VM that took
+// over, or puts off its takeover, because it counts as read when it arrives.
 Test(DirectoryFeed, report_confirms_nothing_after_it_was_read) {
   FeedFixture Setup(1);
   Setup.start();
