--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -46,6 +46,9 @@
 
 class DirectoryFleet;
 
+/// @brief Id of a VM of the fleet.
+[[nodiscard]] std::string vmName(std::size_t Number);
+
 /// @brief One entry VM: its feed and its view of the time, the store and the
 /// other VMs.
 class FleetVm final : public core::EntryStore,
