--- a/tests/decision/local_policy_test.cpp
+++ b/tests/decision/local_policy_test.cpp
@@ -32,6 +32,21 @@
   return Service;
 }
 
+/// @brief VMs of half a core, whose numbers come first, and of a tenth.
+std::vector<core::Member> largeAndSmallVms(std::size_t Large,
+                                           std::size_t Small) {
+  std::vector<core::Member> Members;
+  const std::size_t Count = Large + Small;
+  Members.reserve(Count);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Members.push_back({.Id = "vm" + std::to_string(Index),
+                       .Address = {},
+                       .Zone = {},
+                       .Region = "a",
+                       .ProcessorMilli = Index < Large ? 500U : 100U});
+  return Members;
+}
+
 } // namespace
 
 // Guards against a retry on the server that failed it, and against calls to a
@@ -120,16 +135,7 @@
 // Guards against small VMs that become dispatcher of many groups and cannot
 // keep up.
 Test(RankMembers, vms_with_more_processor_capacity_get_most_groups) {
-  constexpr std::uint32_t Large = 500;
-  constexpr int Vms = 100;
-  std::vector<core::Member> Members;
-  Members.reserve(Vms);
-  for (int Index = 0; Index < Vms; ++Index)
-    Members.push_back({.Id = "vm" + std::to_string(Index),
-                       .Address = {},
-                       .Zone = {},
-                       .Region = "a",
-                       .ProcessorMilli = Index < 8 ? Large : 100U});
+  const auto Members = largeAndSmallVms(8, 92);
   int OnLarge = 0;
   constexpr int Groups = 200;
   for (int Group = 0; Group < Groups; ++Group) {
@@ -145,21 +151,16 @@
 // links to it, and it serves by an outdated configuration.
 Test(RankMembers, group_is_placed_on_a_vm_that_can_carry_it) {
   constexpr int Groups = 200;
-  for (const auto &[Large, Small] : {std::pair(18, 294), std::pair(8, 92)}) {
-    std::vector<core::Member> Members;
-    Members.reserve(static_cast<std::size_t>(Large + Small));
-    for (int Index = 0; Index < Large + Small; ++Index)
-      Members.push_back({.Id = "vm" + std::to_string(Index),
-                         .Address = {},
-                         .Zone = {},
-                         .Region = "a",
-                         .ProcessorMilli = Index < Large ? 500U : 100U});
+  for (const auto &[Large, Small] :
+       {std::pair<std::size_t, std::size_t>(18, 294),
+        std::pair<std::size_t, std::size_t>(8, 92)}) {
+    const auto Members = largeAndSmallVms(Large, Small);
     for (int Group = 0; Group < Groups; ++Group) {
       const auto Ranked =
           rankMembers("tags/a/" + std::to_string(Group), "a", Members);
-      for (int Rank = 0; Rank < Large; ++Rank)
-        cr_assert_lt(std::stoi(Ranked[Rank].substr(2)), Large,
-                     "group %d, rank %d: %s", Group, Rank,
+      for (std::size_t Rank = 0; Rank < Large; ++Rank)
+        cr_assert_lt(std::stoul(Ranked[Rank].substr(2)), Large,
+                     "group %d, rank %zu: %s", Group, Rank,
                      Ranked[Rank].c_str());
     }
   }
@@ -168,22 +169,15 @@
 // Guards against the work of a whole fleet on the few large VMs that are left
 // of it.
 Test(RankMembers, few_large_vms_share_the_groups_with_the_others) {
-  std::vector<core::Member> Members;
-  constexpr int Vms = 100;
-  Members.reserve(Vms);
-  for (int Index = 0; Index < Vms; ++Index)
-    Members.push_back({.Id = "vm" + std::to_string(Index),
-                       .Address = {},
-                       .Zone = {},
-                       .Region = "a",
-                       .ProcessorMilli = Index < 2 ? 500U : 100U});
+  constexpr std::size_t Large = 2;
+  const auto Members = largeAndSmallVms(Large, 98);
   constexpr int Groups = 200;
   int OnLarge = 0;
   for (int Group = 0; Group < Groups; ++Group)
     OnLarge +=
-        std::stoi(rankMembers("tags/a/" + std::to_string(Group), "a", Members)
-                      .front()
-                      .substr(2)) < 2;
+        std::stoul(rankMembers("tags/a/" + std::to_string(Group), "a", Members)
+                       .front()
+                       .substr(2)) < Large;
   cr_assert_leq(OnLarge, Groups * 8 / 10, "%d", OnLarge);
 }
 
