Interfaces for workspaces, quotas, evacuated zones and cold servers

Cause: several parts of the product are built side by side and need types in common: what a request carries, what a server's entry says and how old what a VM knows may be. Change: WorkspaceTable (API keys as digests) in the routing table, the workspace of a request in slot requests and Acquire frames, the end and the rate limit of a server's cold start, entries of evacuated zones, and the instant up to which reported store changes are complete.

--- a/packages/core/include/jujubecart/core/config.hpp
+++ b/packages/core/include/jujubecart/core/config.hpp
@@ -1,6 +1,9 @@
 #ifndef JUJUBECART_CORE_CONFIG_HPP
 #define JUJUBECART_CORE_CONFIG_HPP
 
+#include <jujubecart/core/clock.hpp>
+#include <jujubecart/core/rate_limit.hpp>
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -31,6 +34,11 @@
   /// Start time of the server process in Unix milliseconds; 0 if unknown.
   std::uint64_t Incarnation = 0;
   std::string HealthPath = "/health";
+  /// Until when the server is cold and accepts only ColdLimit.
+  TimePoint ColdUntil = TimePoint::min();
+  /// Requests that the server accepts while it is cold, from all VMs together;
+  /// MilliPerS is 0 if there is no such limit.
+  RateLimit ColdLimit;
 
   friend auto operator<=>(const BackendServer &,
                           const BackendServer &) = default;
--- a/packages/core/include/jujubecart/core/directory_codec.hpp
+++ b/packages/core/include/jujubecart/core/directory_codec.hpp
@@ -22,6 +22,8 @@
   std::string HealthPath;
   /// Limit for the connections of all entry VMs together to one server.
   std::uint32_t Connections = 100;
+  /// Requests that a cold server accepts; MilliPerS is 0 without a limit.
+  RateLimit ColdLimit;
 
   friend auto operator<=>(const ServiceSettings &,
                           const ServiceSettings &) = default;
@@ -37,13 +39,17 @@
 struct RegisteredServer {
   std::string Service;
   BackendServer Server;
+  /// Grows with each report of the same server process.
+  std::uint64_t Sequence = 0;
+  /// How long the server stayed cold when it wrote the entry.
+  std::uint32_t ColdMs = 0;
 
   friend auto operator<=>(const RegisteredServer &,
                           const RegisteredServer &) = default;
 };
 
 /// @brief Type of a directory entry; entries of type Other are ignored.
-enum class EntryKind : std::uint8_t { Routing, Server, Vm, Other };
+enum class EntryKind : std::uint8_t { Routing, Server, Vm, Evacuation, Other };
 
 /// @brief Decodes and encodes the keys and values of the directory.
 class DirectoryCodec {
@@ -69,6 +75,10 @@
   decodeVm(std::string_view Key, std::string_view Value,
            Findings &Report) const = 0;
 
+  /// @brief Availability zone that an entry of kind Evacuation names.
+  [[nodiscard]] virtual std::string
+  evacuatedZone(std::string_view Key) const = 0;
+
   /// @brief Key under which the reader of the store keeps a snapshot of the
   /// entries; its entry kind is Other.
   [[nodiscard]] virtual std::string snapshotKey() const = 0;
--- a/packages/core/include/jujubecart/core/error.hpp
+++ b/packages/core/include/jujubecart/core/error.hpp
@@ -26,6 +26,8 @@
   NotReady,
   /// The store no longer has all of the requested changes.
   HistoryLost,
+  /// The workspace has used its quota; the request was not executed.
+  QuotaExceeded,
 };
 
 /// @brief The `std::error_category` of @ref Error, a singleton.
--- a/packages/core/include/jujubecart/core/fwd.hpp
+++ b/packages/core/include/jujubecart/core/fwd.hpp
@@ -26,6 +26,7 @@
 class SlotBroker;
 class SystemClock;
 class SystemSleeper;
+class WorkspaceTable;
 
 struct BackendRequest;
 struct BackendServer;
@@ -45,6 +46,8 @@
 struct SlotGrant;
 struct SlotRequest;
 struct VersionedValue;
+struct Workspace;
+struct WorkspaceQuota;
 
 } // namespace jujubecart::core
 
--- a/packages/core/include/jujubecart/core/routing_table.hpp
+++ b/packages/core/include/jujubecart/core/routing_table.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBECART_CORE_ROUTING_TABLE_HPP
 #define JUJUBECART_CORE_ROUTING_TABLE_HPP
 
+#include <jujubecart/core/workspace_table.hpp>
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -37,6 +39,8 @@
   std::uint32_t TimeoutMs = 0;
   /// Latency objective in milliseconds; 0 if there is none.
   std::uint32_t ObjectiveMs = 0;
+  /// Whether requests need no API key although there are workspaces.
+  bool Public = false;
   /// At least one; if there are more, requests are split by weight.
   std::vector<WeightedService> Services;
 
@@ -64,14 +68,18 @@
 class RoutingTable {
 public:
   /// @param Version Version number set by the operators.
+  /// @param Workspaces Empty if requests need no API key.
   RoutingTable(std::uint64_t Version, std::vector<Route> Routes,
-               CallerLimits Limits);
+               CallerLimits Limits, WorkspaceTable Workspaces = {});
 
   [[nodiscard]] std::uint64_t version() const noexcept { return Version; }
   [[nodiscard]] const CallerLimits &limits() const noexcept { return Limits; }
   [[nodiscard]] const std::vector<Route> &routes() const noexcept {
     return Routes;
   }
+  [[nodiscard]] const WorkspaceTable &workspaces() const noexcept {
+    return Workspaces;
+  }
 
   /// @brief Finds the route of a host with the longest matching path prefix.
   /// @param Host Lower case, without port.
@@ -82,13 +90,14 @@
 
   friend bool operator==(const RoutingTable &Left, const RoutingTable &Right) {
     return Left.Version == Right.Version && Left.Routes == Right.Routes &&
-           Left.Limits == Right.Limits;
+           Left.Limits == Right.Limits && Left.Workspaces == Right.Workspaces;
   }
 
 private:
   std::uint64_t Version;
   std::vector<Route> Routes;
   CallerLimits Limits;
+  WorkspaceTable Workspaces;
   /// For each host, indices into Routes, longest path prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> ByHost;
 };
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -45,6 +45,11 @@
   TimePoint Objective = TimePoint::max();
   /// Identifies a class of requests with similar service times; 0 if unknown.
   std::uint64_t WorkClass = 0;
+  /// Workspace::hash() of the caller's workspace; 0 without one.
+  std::uint64_t Workspace = 0;
+  /// Whether the request has had no slot yet, so that it counts against the
+  /// quota of its workspace.
+  bool CountsAgainstQuota = false;
   /// Filled in if the request is rejected; may be nullptr.
   std::shared_ptr<RetryHint> Hint;
 };
--- /dev/null
+++ b/packages/core/include/jujubecart/core/workspace_table.hpp
@@ -0,0 +1,79 @@
+#ifndef JUJUBECART_CORE_WORKSPACE_TABLE_HPP
+#define JUJUBECART_CORE_WORKSPACE_TABLE_HPP
+
+#include <jujubecart/core/workspace.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace jujubecart::core {
+
+/// @brief SHA-256 digest of an API key. Only digests are kept, so that the keys
+/// themselves cannot appear in logs or memory dumps.
+struct ApiKeyDigest {
+  std::array<std::uint8_t, 32> Bytes{};
+
+  /// @brief First bytes in hexadecimal, for logs and operators.
+  [[nodiscard]] std::string shortText() const;
+
+  friend auto operator<=>(const ApiKeyDigest &, const ApiKeyDigest &) = default;
+};
+
+/// @brief Computes the digest of an API key.
+[[nodiscard]] ApiKeyDigest digestOf(std::string_view Key);
+
+/// @brief Immutable workspaces of one configuration version, by API key.
+class WorkspaceTable {
+public:
+  /// @brief A workspace with the digests of its API keys.
+  struct Entry {
+    Workspace Item;
+    std::vector<ApiKeyDigest> Keys;
+
+    friend auto operator<=>(const Entry &, const Entry &) = default;
+  };
+
+  WorkspaceTable() = default;
+
+  /// @param Entries No two of them may share a key or a name.
+  explicit WorkspaceTable(std::vector<Entry> Entries);
+
+  /// @brief Whether requests need no API key, because there is no workspace.
+  [[nodiscard]] bool empty() const noexcept { return Entries.empty(); }
+
+  [[nodiscard]] const std::vector<Entry> &entries() const noexcept {
+    return Entries;
+  }
+
+  /// @brief Finds the workspace that holds a key, in constant time.
+  /// @return The workspace, or nullptr if no workspace holds the key.
+  [[nodiscard]] const Workspace *find(std::string_view Key) const;
+
+  /// @brief Finds a workspace by Workspace::hash().
+  [[nodiscard]] const Workspace *findByHash(std::uint64_t Hash) const noexcept;
+
+  friend bool operator==(const WorkspaceTable &Left,
+                         const WorkspaceTable &Right) {
+    return Left.Entries == Right.Entries;
+  }
+
+private:
+  struct DigestHash {
+    [[nodiscard]] std::size_t
+    operator()(const ApiKeyDigest &Digest) const noexcept;
+  };
+
+  std::vector<Entry> Entries;
+  /// Indices into Entries.
+  std::unordered_map<ApiKeyDigest, std::size_t, DigestHash> ByKey;
+  std::unordered_map<std::uint64_t, std::size_t> ByHash;
+};
+
+} // namespace jujubecart::core
+
+#endif
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -38,6 +38,8 @@
       return "not ready";
     case Error::HistoryLost:
       return "history no longer available";
+    case Error::QuotaExceeded:
+      return "quota exceeded";
     }
     return "unrecognized error";
   }
--- a/packages/core/src/routing_table.cpp
+++ b/packages/core/src/routing_table.cpp
@@ -23,8 +23,9 @@
 }
 
 RoutingTable::RoutingTable(std::uint64_t Version, std::vector<Route> RouteList,
-                           CallerLimits Limits)
-    : Version(Version), Routes(std::move(RouteList)), Limits(Limits) {
+                           CallerLimits Limits, WorkspaceTable Workspaces)
+    : Version(Version), Routes(std::move(RouteList)), Limits(Limits),
+      Workspaces(std::move(Workspaces)) {
   for (std::size_t Index = 0; Index < Routes.size(); ++Index)
     ByHost[Routes[Index].Host].push_back(Index);
   for (auto &[Host, Indices] : ByHost)
--- a/packages/decision/include/jujubecart/decision/pending_call.hpp
+++ b/packages/decision/include/jujubecart/decision/pending_call.hpp
@@ -50,6 +50,8 @@
   std::uint64_t WorkClass = 0;
   /// Rate limits known to the holder, for a dispatcher that does not know them.
   std::vector<StatedLimit> Limits;
+  /// core::Workspace::hash() of the caller's workspace; 0 without one.
+  std::uint64_t Workspace = 0;
 
   /// @brief Whether the server is listed in Excluded.
   [[nodiscard]] bool excludes(std::string_view ServerId) const noexcept {
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -46,6 +46,8 @@
   std::uint64_t WorkClass = 0;
   /// Rate limits that servers of the group have stated to this VM.
   std::vector<decision::StatedLimit> Limits;
+  std::uint64_t Workspace = 0;
+  bool CountsAgainstQuota = false;
 };
 
 /// @brief Runs the dispatchers of this VM, one per dispatch group, and serves
@@ -126,6 +128,7 @@
     std::vector<std::string> Excluded;
     std::uint64_t CallerHash = 0;
     std::vector<decision::StatedLimit> Limits;
+    bool CountsAgainstQuota = false;
   };
   struct Call;
   using GroupState = std::shared_ptr<Group>;
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -69,6 +69,10 @@
   };
   /// Rate limits of servers of the group that the sender knows.
   std::vector<ServerLimit> Limits;
+  /// As in core::SlotRequest.
+  std::uint64_t Workspace = 0;
+  /// As in core::SlotRequest.
+  bool CountsAgainstQuota = false;
 };
 
 /// @brief Heartbeat while calls of the receiver wait in the sender's queues, so
@@ -209,6 +213,9 @@
   /// Uptime of the sender when a VM got them from the store, in milliseconds;
   /// 0 as in Hello::SentAtMs.
   std::uint64_t ReadAtMs = 0;
+  /// Uptime of the sender up to which the changes are complete; 0 if that is
+  /// not known. See core::ReportedChanges.
+  std::uint64_t CompleteUntilMs = 0;
   /// Hashes of the ids of the relays. A receiver among them passes the changes
   /// on to the VMs for which decision::relayOf() selects it.
   std::vector<std::uint64_t> Relays;
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -60,6 +60,7 @@
     NewCall.Objective =
         internal::deadlineAfter(Now, *Item.ObjectiveRemainingMs);
   NewCall.WorkClass = Item.WorkClass;
+  NewCall.Workspace = Item.Workspace;
   NewCall.Priority = Item.Priority;
   NewCall.Key = Item.Key;
   NewCall.Requester = findOrCreateClient(Source);
@@ -92,7 +93,8 @@
   enqueue(Target, std::move(NewCall),
           {.Excluded = std::move(Excluded),
            .CallerHash = Item.CallerHash,
-           .Limits = std::move(Limits)});
+           .Limits = std::move(Limits),
+           .CountsAgainstQuota = Item.CountsAgainstQuota});
 }
 
 void DispatchService::onRelease(const LinkPtr &Source, const Release &Item) {
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -96,11 +96,13 @@
   Item.Key = Call.Key;
   Item.Objective = Call.Objective;
   Item.WorkClass = Call.WorkClass;
+  Item.Workspace = Call.Workspace;
   Item.OnComplete = std::move(OnComplete);
   enqueue(findOrCreateGroup(Group), std::move(Item),
           {.Excluded = std::move(Call.Excluded),
            .CallerHash = Call.CallerHash,
-           .Limits = std::move(Call.Limits)});
+           .Limits = std::move(Call.Limits),
+           .CountsAgainstQuota = Call.CountsAgainstQuota});
 }
 
 // The order key is claimed while the call waits for a slot; the grant is
@@ -124,7 +126,8 @@
       .Zone = Item.Requester ? Item.Requester->Zone : Env.Members.self().Zone,
       .Objective = Item.Objective,
       .WorkClass = Item.WorkClass,
-      .Limits = std::move(Facts.Limits)};
+      .Limits = std::move(Facts.Limits),
+      .Workspace = Item.Workspace};
   bool StillWaiting = false;
   {
     const std::lock_guard Lock(Target->Mutex);
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -30,6 +30,7 @@
   core::TimePoint Deadline;
   core::TimePoint Objective = core::TimePoint::max();
   std::uint64_t WorkClass = 0;
+  std::uint64_t Workspace = 0;
   std::uint8_t Priority = 5;
   std::optional<core::OrderKey> Key;
   /// The VM that asked; nullptr for a call of this VM.
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -43,7 +43,9 @@
                .Priority = Source.priority(),
                .Key = std::nullopt,
                .Excluded = toVector(Source.excluded()),
-               .WorkClass = Source.work_class()};
+               .WorkClass = Source.work_class(),
+               .Workspace = Source.workspace(),
+               .CountsAgainstQuota = Source.counts_against_quota()};
   if (Source.objective_left_ms() != UINT32_MAX)
     Item.ObjectiveRemainingMs = Source.objective_left_ms();
   if (Source.order_key() != nullptr)
@@ -193,6 +195,7 @@
   Item.Changes.List.AsOf = Source.as_of();
   Item.ReadAtMs = Source.read_at_ms();
   Item.PassOn = Source.pass_on();
+  Item.CompleteUntilMs = Source.complete_until_ms();
   if (Source.relays() != nullptr)
     Item.Relays.assign(Source.relays()->begin(), Source.relays()->end());
   if (Source.entries() != nullptr)
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -41,7 +41,8 @@
       Item.Revision, Item.Priority, Key ? &*Key : nullptr,
       Item.Excluded.empty() ? nullptr : &Item.Excluded, Item.RemainingMs,
       Item.ObjectiveRemainingMs.value_or(UINT32_MAX), Item.WorkClass,
-      Limits.empty() ? nullptr : &Limits));
+      Limits.empty() ? nullptr : &Limits, Item.Workspace,
+      Item.CountsAgainstQuota));
 }
 
 BodyOffset encode(Builder &Out, const Queued &Item) {
@@ -161,7 +162,8 @@
   return makeBody<wire::Body::StoreChanges>(wire::CreateStoreChangesDirect(
       Out, Item.Changes.After, Item.Changes.List.AsOf,
       Entries.empty() ? nullptr : &Entries, Item.ReadAtMs,
-      Item.Relays.empty() ? nullptr : &Item.Relays, Item.PassOn));
+      Item.Relays.empty() ? nullptr : &Item.Relays, Item.PassOn,
+      Item.CompleteUntilMs));
 }
 
 } // namespace
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -473,7 +473,9 @@
     VT_LEFT_MS = 22,
     VT_OBJECTIVE_LEFT_MS = 24,
     VT_WORK_CLASS = 26,
-    VT_LIMITS = 28
+    VT_LIMITS = 28,
+    VT_WORKSPACE = 30,
+    VT_COUNTS_AGAINST_QUOTA = 32
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -511,6 +513,12 @@
   const flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *> *>(VT_LIMITS);
   }
+  uint64_t workspace() const {
+    return GetField<uint64_t>(VT_WORKSPACE, 0);
+  }
+  bool counts_against_quota() const {
+    return GetField<uint8_t>(VT_COUNTS_AGAINST_QUOTA, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
@@ -527,6 +535,8 @@
            VerifyField<uint64_t>(verifier, VT_WORK_CLASS, 8) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyField<uint64_t>(verifier, VT_WORKSPACE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COUNTS_AGAINST_QUOTA, 1) &&
            verifier.EndTable();
   }
 };
@@ -571,6 +581,12 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *>> limits) {
     fbb_.AddOffset(Acquire::VT_LIMITS, limits);
   }
+  void add_workspace(uint64_t workspace) {
+    fbb_.AddElement<uint64_t>(Acquire::VT_WORKSPACE, workspace, 0);
+  }
+  void add_counts_against_quota(bool counts_against_quota) {
+    fbb_.AddElement<uint8_t>(Acquire::VT_COUNTS_AGAINST_QUOTA, static_cast<uint8_t>(counts_against_quota), 0);
+  }
   explicit AcquireBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -595,8 +611,11 @@
     uint32_t left_ms = 0,
     uint32_t objective_left_ms = 4294967295,
     uint64_t work_class = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::ServerLimit *>> limits = 0,
+    uint64_t workspace = 0,
+    bool counts_against_quota = false) {
   AcquireBuilder builder_(_fbb);
+  builder_.add_workspace(workspace);
   builder_.add_work_class(work_class);
   builder_.add_revision(revision);
   builder_.add_caller(caller);
@@ -608,6 +627,7 @@
   builder_.add_excluded(excluded);
   builder_.add_order_key(order_key);
   builder_.add_call(call);
+  builder_.add_counts_against_quota(counts_against_quota);
   builder_.add_priority(priority);
   return builder_.Finish();
 }
@@ -625,7 +645,9 @@
     uint32_t left_ms = 0,
     uint32_t objective_left_ms = 4294967295,
     uint64_t work_class = 0,
-    const std::vector<jujubecart::peers::wire::ServerLimit> *limits = nullptr) {
+    const std::vector<jujubecart::peers::wire::ServerLimit> *limits = nullptr,
+    uint64_t workspace = 0,
+    bool counts_against_quota = false) {
   auto excluded__ = excluded ? _fbb.CreateVector<uint64_t>(*excluded) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<jujubecart::peers::wire::ServerLimit>(*limits) : 0;
   return jujubecart::peers::wire::CreateAcquire(
@@ -641,7 +663,9 @@
       left_ms,
       objective_left_ms,
       work_class,
-      limits__);
+      limits__,
+      workspace,
+      counts_against_quota);
 }
 
 struct Queued FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1888,7 +1912,8 @@
     VT_ENTRIES = 8,
     VT_READ_AT_MS = 10,
     VT_RELAYS = 12,
-    VT_PASS_ON = 14
+    VT_PASS_ON = 14,
+    VT_COMPLETE_UNTIL_MS = 16
   };
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
@@ -1908,6 +1933,9 @@
   bool pass_on() const {
     return GetField<uint8_t>(VT_PASS_ON, 0) != 0;
   }
+  uint64_t complete_until_ms() const {
+    return GetField<uint64_t>(VT_COMPLETE_UNTIL_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
@@ -1919,6 +1947,7 @@
            VerifyOffset(verifier, VT_RELAYS) &&
            verifier.VerifyVector(relays()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
+           VerifyField<uint64_t>(verifier, VT_COMPLETE_UNTIL_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1945,6 +1974,9 @@
   void add_pass_on(bool pass_on) {
     fbb_.AddElement<uint8_t>(StoreChanges::VT_PASS_ON, static_cast<uint8_t>(pass_on), 0);
   }
+  void add_complete_until_ms(uint64_t complete_until_ms) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_COMPLETE_UNTIL_MS, complete_until_ms, 0);
+  }
   explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1963,8 +1995,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>> entries = 0,
     uint64_t read_at_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relays = 0,
-    bool pass_on = false) {
+    bool pass_on = false,
+    uint64_t complete_until_ms = 0) {
   StoreChangesBuilder builder_(_fbb);
+  builder_.add_complete_until_ms(complete_until_ms);
   builder_.add_read_at_ms(read_at_ms);
   builder_.add_as_of(as_of);
   builder_.add_after(after);
@@ -1981,7 +2015,8 @@
     const std::vector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>> *entries = nullptr,
     uint64_t read_at_ms = 0,
     const std::vector<uint64_t> *relays = nullptr,
-    bool pass_on = false) {
+    bool pass_on = false,
+    uint64_t complete_until_ms = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>(*entries) : 0;
   auto relays__ = relays ? _fbb.CreateVector<uint64_t>(*relays) : 0;
   return jujubecart::peers::wire::CreateStoreChanges(
@@ -1991,7 +2026,8 @@
       entries__,
       read_at_ms,
       relays__,
-      pass_on);
+      pass_on,
+      complete_until_ms);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -170,7 +170,9 @@
        .Excluded = std::move(Request.Excluded),
        .Objective = Request.Objective,
        .WorkClass = Request.WorkClass,
-       .Limits = statedLimits(*Entry)},
+       .Limits = statedLimits(*Entry),
+       .Workspace = Request.Workspace,
+       .CountsAgainstQuota = Request.CountsAgainstQuota},
       [this, Call, Entry, Token](const DispatchResult &Dispatched) {
         AcquireResult Result{.Outcome = AcquireResult::Kind::Refused,
                              .Reason = Dispatched.Reason,
@@ -222,7 +224,9 @@
                   .Priority = Request.Priority,
                   .Key = Request.Key,
                   .Excluded = {},
-                  .WorkClass = Request.WorkClass};
+                  .WorkClass = Request.WorkClass,
+                  .Workspace = Request.Workspace,
+                  .CountsAgainstQuota = Request.CountsAgainstQuota};
   if (Request.Objective != core::TimePoint::max())
     Message.ObjectiveRemainingMs =
         internal::millisecondsLeft(Env.Time.now(), Request.Objective);
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -106,6 +106,7 @@
   case core::EntryKind::Vm:
     applyVm(Entry);
     break;
+  case core::EntryKind::Evacuation:
   case core::EntryKind::Other:
     break;
   }
--- a/tests/store/plain_codec.hpp
+++ b/tests/store/plain_codec.hpp
@@ -15,6 +15,8 @@
       return core::EntryKind::Routing;
     if (Key.starts_with("s/"))
       return core::EntryKind::Server;
+    if (Key.starts_with("e/"))
+      return core::EntryKind::Evacuation;
     return Key.starts_with("v/") ? core::EntryKind::Vm : core::EntryKind::Other;
   }
   [[nodiscard]] std::optional<core::RoutingConfig>
@@ -50,6 +52,10 @@
     return core::Member{.Id = std::string(Key.substr(2)),
                         .Address = std::string(Value)};
   }
+  [[nodiscard]] std::string
+  evacuatedZone(std::string_view Key) const override {
+    return std::string(Key.substr(2));
+  }
   [[nodiscard]] std::string snapshotKey() const override { return "snapshot"; }
   [[nodiscard]] std::string vmKey(std::string_view Id) const override {
     return std::string("v/").append(Id);
