Take no reset for the orderly end of an unframed body

Cause: the kernel reports a reset once, to the first operation that meets it. If that is the write of a request body, the next read returns a plain end of stream, and HttpReader took the part of the body that had arrived for the whole one. Change: a body that ends with its connection is complete only if the connection is in CLOSE_WAIT, the state after the remote side's FIN. After a reset or a timeout it is CLOSE, also if a FIN came before; then nobody knows, and the body counts as incomplete.

--- a/packages/core/include/jujubecart/core/http_reader.hpp
+++ b/packages/core/include/jujubecart/core/http_reader.hpp
@@ -102,14 +102,14 @@
                                      std::size_t Size);
   /// @brief Validates and parses the first Size bytes of the buffer.
   [[nodiscard]] HeadError parseHead(std::size_t Size, bool NoBody);
-  [[nodiscard]] bool finishAtEndOfStream();
+  [[nodiscard]] bool finishAtEndOfStream(boost::asio::ip::tcp::socket &From);
 
   HttpLimits Limits;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Current;
   std::string_view MalformedReason;
   bool LimitExceeded = false;
-  /// Whether the last read found an orderly close by the remote side.
+  /// Whether the last read returned an end of stream, orderly or not.
   bool EndOfStream = false;
 };
 
--- a/packages/core/src/http_reader.cpp
+++ b/packages/core/src/http_reader.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/core/http_reader.hpp>
 
 #include <jujubecart/core/http_rules.hpp>
+#include <jujubecart/core/stream_end.hpp>
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -112,9 +113,11 @@
 }
 
 // Ends a body that is delimited by the end of the connection. It is complete
-// only after an orderly close, not after a reset.
-template <bool IsRequest> bool HttpReader<IsRequest>::finishAtEndOfStream() {
-  if (!EndOfStream || !Current->need_eof())
+// only if that was an orderly close.
+template <bool IsRequest>
+bool HttpReader<IsRequest>::finishAtEndOfStream(
+    boost::asio::ip::tcp::socket &From) {
+  if (!EndOfStream || !Current->need_eof() || !endedInOrder(From))
     return false;
   boost::system::error_code Code;
   Current->put_eof(Code);
@@ -133,7 +136,7 @@
   while (!Current->is_done() && Body.size == Into.size()) {
     boost::system::error_code Code;
     if (Buffer.size() == 0 && !co_await fill(From, internal::ReadSize * 4)) {
-      if (finishAtEndOfStream())
+      if (finishAtEndOfStream(From))
         break;
       co_return make_error_code(Error::OutcomeUnknown);
     }
