One rule for the heads of responses

Cause: validateHead() did not look at the status line; Beast's parser accepts the status codes 000 to 099 and 600 to 999.

--- a/packages/core/include/jujubecart/core/http_rules.hpp
+++ b/packages/core/include/jujubecart/core/http_rules.hpp
@@ -21,6 +21,11 @@
 /// @return Error message, or nullptr if the head is valid.
 [[nodiscard]] const char *validateHead(std::string_view Head) noexcept;
 
+/// @brief Validates the raw bytes of the head of a response: in addition to
+/// validateHead(), its version and its status code (100 to 599).
+/// @return Error message, or nullptr if the head is valid.
+[[nodiscard]] const char *validateResponseHead(std::string_view Head) noexcept;
+
 /// @brief Whether a header field is hop-by-hop and must not be forwarded.
 /// @param Name Name of the field.
 /// @param Connection Value of the `Connection` field, whose options are
--- a/packages/core/src/http_reader.cpp
+++ b/packages/core/src/http_reader.cpp
@@ -82,8 +82,10 @@
 HeadError HttpReader<IsRequest>::parseHead(std::size_t Size, bool NoBody) {
   if (Size > Limits.MaxHeadBytes)
     return HeadError::TooLarge;
-  if (const char *Problem =
-          validateHead(internal::text(Buffer).substr(0, Size))) {
+  const std::string_view Head = internal::text(Buffer).substr(0, Size);
+  const char *Problem =
+      IsRequest ? validateHead(Head) : validateResponseHead(Head);
+  if (Problem != nullptr) {
     MalformedReason = Problem;
     return HeadError::Malformed;
   }
--- a/packages/core/src/http_rules.cpp
+++ b/packages/core/src/http_rules.cpp
@@ -75,6 +75,21 @@
              : nullptr;
 }
 
+// RFC 9112, 4: version, a space, three digits, a space, a reason phrase, which
+// may be empty.
+bool isStatusLine(std::string_view Line) noexcept {
+  constexpr std::string_view Version11 = "HTTP/1.1 ";
+  constexpr std::string_view Version10 = "HTTP/1.0 ";
+  constexpr std::size_t CodeDigits = 3;
+  if (!Line.starts_with(Version11) && !Line.starts_with(Version10))
+    return false;
+  Line.remove_prefix(Version11.size());
+  if (Line.size() <= CodeDigits || Line[CodeDigits] != ' ')
+    return false;
+  const auto Code = parseDecimal(Line.substr(0, CodeDigits));
+  return Code && *Code >= 100 && *Code <= 599;
+}
+
 } // namespace internal
 
 std::string_view trim(std::string_view Text) noexcept {
@@ -115,6 +130,12 @@
   return "message head does not end with an empty line";
 }
 
+const char *validateResponseHead(std::string_view Head) noexcept {
+  const std::string_view Line = Head.substr(0, Head.find(internal::LineEnd));
+  return internal::isStatusLine(Line) ? validateHead(Head)
+                                      : "invalid status line";
+}
+
 bool isHopByHop(std::string_view Name, std::string_view Connection) noexcept {
   static constexpr std::array<std::string_view, 9> Names{"connection",
                                                          "keep-alive",
