Require API keys of workspaces on routes that are not public

Cause: the configuration may name workspaces with API keys; requests without one must not run, and servers must be told the workspace instead of the key. Change: the platform's codec reads workspaces, quotas and public routes and refuses the whole configuration if one is invalid, naming the place of a key but never the key. A call finds its workspace after its route: 401 without a known key, 503 if the known keys are too old (core::ConfigFreshness, not yet connected). The profile removes the caller's key and workspace and adds the name. Slot requests carry workspace, its priority and whether they count against the quota; QuotaExceeded is answered 429.

--- a/packages/callers/include/jujubecart/callers/server.hpp
+++ b/packages/callers/include/jujubecart/callers/server.hpp
@@ -6,6 +6,7 @@
 #include <jujubecart/callers/stop_schedule.hpp>
 #include <jujubecart/core/awaitable.hpp>
 #include <jujubecart/core/clock.hpp>
+#include <jujubecart/core/config_freshness.hpp>
 #include <jujubecart/core/fwd.hpp>
 #include <jujubecart/core/http_profile.hpp>
 #include <jujubecart/core/request_id.hpp>
@@ -36,6 +37,8 @@
   /// that send such attempts.
   decision::RetryBudget &Retries;
   const core::HttpProfile &Profile = core::nativeHttpProfile();
+  /// How old the known API keys may be. Nullptr if they count at any age.
+  const core::ConfigFreshness *Freshness = nullptr;
 };
 
 /// @brief A request that was still in flight at the deadline of a stop.
--- a/packages/callers/include/jujubecart/callers/server_counters.hpp
+++ b/packages/callers/include/jujubecart/callers/server_counters.hpp
@@ -32,10 +32,16 @@
   ConnectionLimit,
   /// The server stops before the request could be answered.
   Stopping,
+  /// The request has no API key of a workspace.
+  Unauthorized,
+  /// This VM does not know whether its API keys are still valid.
+  KeysOutdated,
+  /// The workspace has used its quota.
+  QuotaExceeded,
 };
 
 /// Number of RejectReason values.
-constexpr std::size_t RejectReasonCount = 13;
+constexpr std::size_t RejectReasonCount = 16;
 
 /// @brief Name of a reason in metric labels and timeline events.
 [[nodiscard]] std::string_view toString(RejectReason Reason) noexcept;
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -65,12 +65,14 @@
 }
 
 std::optional<Rejection> Call::admit() {
+  // Before the configuration, which may be replaced in between.
+  const bool KeysCount = apiKeysCount();
   Config = State.Dependencies.Config.current();
   if (Config->revision() == 0)
     return Rejection{.Status = 503,
                      .Reason = RejectReason::NotReady,
                      .Text = "no configuration available"};
-  if (const auto Problem = findService())
+  if (const auto Problem = findService(KeysCount))
     return Problem;
   if (Request.Traits.Depth > State.Options.MaxCallDepth)
     return Rejection{.Text = "call depth above the limit"};
@@ -87,7 +89,7 @@
   return setDeadline();
 }
 
-std::optional<Rejection> Call::findService() {
+std::optional<Rejection> Call::findService(bool KeysCount) {
   const Rejection NoRule{.Status = 404,
                          .Reason = RejectReason::NoRule,
                          .Text = "no rule matches host and path"};
@@ -100,6 +102,8 @@
   Route = Routing->find(Request.Host, Request.Target);
   if (Route == nullptr)
     return NoRule;
+  if (const auto Problem = findWorkspace(KeysCount))
+    return Problem;
   MaxAttempts = Route->MaxAttempts;
   Service = Config->find(Route->service(
       core::hash64(Request.Traits.CallerRequestId, Request.Id.Value)));
@@ -110,6 +114,51 @@
   return std::nullopt;
 }
 
+bool Call::hasWorkspaces() const noexcept {
+  const core::RoutingTable *Routing = Config->routing();
+  return Routing != nullptr && !Routing->workspaces().empty();
+}
+
+std::string_view Call::workspaceName() const noexcept {
+  return Workspace == nullptr ? std::string_view() : Workspace->Name;
+}
+
+// The caller has sent the request before now, so that a key which was removed
+// long before that is not in the configuration. It does not matter how long the
+// request waits afterwards.
+bool Call::apiKeysCount() const {
+  const core::ConfigFreshness *Freshness = State.Dependencies.Freshness;
+  if (Freshness == nullptr)
+    return true;
+  const auto CompleteUntil = Freshness->completeUntil();
+  return CompleteUntil && State.Dependencies.Time.uptime() - *CompleteUntil <=
+                              State.Options.MaxKeyAge;
+}
+
+std::optional<Rejection> Call::findWorkspace(bool KeysCount) {
+  if (!hasWorkspaces())
+    return std::nullopt;
+  // A key that is unknown here may have been added meanwhile.
+  if (!KeysCount && !Route->Public)
+    return Rejection{.Status = 503,
+                     .Reason = RejectReason::KeysOutdated,
+                     .Text = "API keys cannot be verified at the moment"};
+  const std::string ApiKey = KeysCount ? Request.Traits.ApiKey : "";
+  if (!ApiKey.empty())
+    Workspace = Config->routing()->workspaces().find(ApiKey);
+  if (Workspace != nullptr || Route->Public)
+    return std::nullopt;
+  core::LogLine(core::LogLevel::Info, "request.unauthorized")
+      .field("request", toString(Request.Id))
+      .field("route", Route->Name)
+      .field("key_digest",
+             ApiKey.empty() ? "" : core::digestOf(ApiKey).shortText());
+  return Rejection{.Status = 401,
+                   .Reason = RejectReason::Unauthorized,
+                   .Text = ApiKey.empty() ? "no API key, or more than one"
+                                          : "unknown API key"};
+}
+
 std::optional<Rejection> Call::setDeadline() {
   Deadline = Arrival + State.Options.MaxDeadline;
   if (Request.Traits.Deadline)
@@ -173,8 +222,10 @@
   const auto Elapsed =
       std::chrono::duration_cast<milliseconds>(Now - Arrival).count();
   const auto Left = std::chrono::duration_cast<milliseconds>(Deadline - Now);
-  core::LogLine(core::LogLevel::Info, "request.ended")
-      .field("request", toString(Request.Id))
+  core::LogLine Line(core::LogLevel::Info, "request.ended");
+  if (hasWorkspaces())
+    Line.field("workspace", workspaceName());
+  Line.field("request", toString(Request.Id))
       .field("route", Route->Name)
       .field("service", Service == nullptr ? "" : Service->Name)
       .field("config", Config->routing()->version())
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -60,7 +60,13 @@
   /// Checks all that is known before the body is read: configuration, route,
   /// limits, order key and deadline.
   [[nodiscard]] std::optional<Rejection> admit();
-  [[nodiscard]] std::optional<Rejection> findService();
+  [[nodiscard]] std::optional<Rejection> findService(bool KeysCount);
+  /// Whether the API keys that this VM knows are recent enough.
+  [[nodiscard]] bool apiKeysCount() const;
+  /// Finds the workspace of the caller by its API key.
+  [[nodiscard]] std::optional<Rejection> findWorkspace(bool KeysCount);
+  [[nodiscard]] bool hasWorkspaces() const noexcept;
+  [[nodiscard]] std::string_view workspaceName() const noexcept;
   [[nodiscard]] std::optional<Rejection> setDeadline();
   [[nodiscard]] core::Awaitable<bool> readBody();
   /// Writes a local response. Whether it states that no backend server ran the
@@ -154,12 +160,15 @@
   RequestBody Body;
   Phase CurrentPhase = Phase::Reading;
   CancelReason CancelledBy = CancelReason::None;
-  /// Configuration in force when the request arrived; owns Service and Route.
+  /// Configuration in force when the request arrived; owns Service, Route and
+  /// Workspace.
   core::ConfigSource::Snapshot Config;
   const core::ServiceConfig *Service = nullptr;
   /// Nullptr if there is no routing table, so that the rules of the services
   /// apply.
   const core::Route *Route = nullptr;
+  /// Workspace of the caller; nullptr without a known API key.
+  const core::Workspace *Workspace = nullptr;
   /// Set if the request is an order, which must not run twice.
   std::optional<core::OrderKey> Key;
   core::TimePoint Arrival;
@@ -196,6 +205,8 @@
   bool FirstAttemptRecorded = false;
   /// Whether a slot was requested that claims the order key.
   bool ClaimRequested = false;
+  /// Whether a slot was requested before.
+  bool SlotRequested = false;
   ExecutionState Execution;
   bool LingerNeeded = false;
   bool CloseAfterResponse = false;
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -35,6 +35,11 @@
     Out.Priority = Route->Priority;
     Out.WorkClass = workClass();
   }
+  if (Workspace != nullptr) {
+    Out.Priority = Workspace->Priority.value_or(Out.Priority);
+    Out.Workspace = Workspace->hash();
+    Out.CountsAgainstQuota = !SlotRequested;
+  }
   return Out;
 }
 
@@ -51,7 +56,8 @@
                                           {.Id = Request.Id,
                                            .Traits = Request.Traits,
                                            .Deadline = Deadline,
-                                           .Server = Current.Grant.Server},
+                                           .Server = Current.Grant.Server,
+                                           .Workspace = workspaceName()},
                                           State.Dependencies.Time);
   Out->Head.append("\r\n");
   return Out;
@@ -70,8 +76,9 @@
 
 core::Awaitable<bool> Call::forward() {
   Hint = std::make_shared<core::RetryHint>();
-  ForwardedHead = serializeForwardedHead(Link.reader().message(), Request,
-                                         State.Dependencies.Profile);
+  ForwardedHead =
+      serializeForwardedHead(Link.reader().message(), Request,
+                             State.Dependencies.Profile, hasWorkspaces());
   CurrentPhase = Phase::Attempting;
   armTimeout();
   Link.watchForClose();
@@ -128,7 +135,9 @@
   }
   armTimeout();
   ClaimRequested = Key.has_value();
-  auto Grant = co_await State.Dependencies.Broker.acquire(slotRequest());
+  core::SlotRequest Needed = slotRequest();
+  SlotRequested = true;
+  auto Grant = co_await State.Dependencies.Broker.acquire(std::move(Needed));
   if (!Grant) {
     Current->Failure = Grant.error();
     if (Current->Failure == core::Error::OrderRepeated)
@@ -304,6 +313,9 @@
   if (!Last.Granted && Route != nullptr && Execution.mayHaveRun())
     return {BadGateway, RejectReason::BadResponse,
             "no backend server left for another attempt"};
+  if (!Last.Granted && Last.Failure == QuotaExceeded)
+    return {429, RejectReason::QuotaExceeded,
+            "quota of the workspace exceeded"};
   if (!Last.Granted && Last.Failure == Overloaded)
     return {503, RejectReason::Overloaded, "overloaded"};
   if (Execution.mayHaveRun() && core::certainlyNotRun(Outcome))
--- a/packages/callers/src/request.cpp
+++ b/packages/callers/src/request.cpp
@@ -209,7 +209,8 @@
 
 std::string serializeForwardedHead(const Message &Original,
                                    const ParsedRequest &Request,
-                                   const core::HttpProfile &Profile) {
+                                   const core::HttpProfile &Profile,
+                                   bool HasWorkspaces) {
   constexpr std::size_t TypicalHead = 512;
   std::string Out;
   Out.reserve(TypicalHead);
@@ -220,7 +221,8 @@
   const std::string Connection = core::connectionOptions(Original);
   for (const auto &Field : Original) {
     const std::string_view Name = Field.name_string();
-    if (!isSetByBalancer(Name) && !Profile.removesFromRequest(Name) &&
+    if (!isSetByBalancer(Name) &&
+        !Profile.removesFromRequest(Name, HasWorkspaces) &&
         !core::isHopByHop(Name, Connection))
       core::appendField(Out, Name, Field.value());
   }
--- a/packages/callers/src/request.hpp
+++ b/packages/callers/src/request.hpp
@@ -71,9 +71,10 @@
 /// @param Original Head as received from the caller.
 /// @param Request Parsed form of the head.
 /// @param Profile Decides which fields are not forwarded.
+/// @param HasWorkspaces Whether the configuration has workspaces.
 [[nodiscard]] std::string
 serializeForwardedHead(const Message &Original, const ParsedRequest &Request,
-                       const core::HttpProfile &Profile);
+                       const core::HttpProfile &Profile, bool HasWorkspaces);
 
 } // namespace jujubecart::callers::internal
 
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -26,6 +26,8 @@
   std::optional<TimePoint> Deadline;
   std::string IdempotencyKey;
   std::string CallerId;
+  /// API key as the caller sent it; empty if there is none or more than one.
+  std::string ApiKey;
   /// Number of nested calls that led to this request.
   std::uint32_t Depth = 0;
 };
@@ -36,6 +38,8 @@
   const RequestTraits &Traits;
   TimePoint Deadline;
   const BackendServer &Server;
+  /// Name of the caller's workspace; empty without one.
+  std::string_view Workspace = {};
 };
 
 /// @brief Values read from the head of a backend server's response.
@@ -90,8 +94,11 @@
               RequestTraits &Out) const = 0;
 
   /// @brief Whether a field of the caller's request is not forwarded.
+  /// @param HasWorkspaces Whether the configuration has workspaces, so that
+  /// their API keys and names are not forwarded either.
   [[nodiscard]] virtual bool
-  removesFromRequest(std::string_view Name) const noexcept = 0;
+  removesFromRequest(std::string_view Name,
+                     bool HasWorkspaces) const noexcept = 0;
 
   /// @brief Appends the header fields that the profile adds to a request to a
   /// backend server.
--- a/packages/core/src/native_http_profile.cpp
+++ b/packages/core/src/native_http_profile.cpp
@@ -60,7 +60,8 @@
   }
 
   [[nodiscard]] bool
-  removesFromRequest(std::string_view Name) const noexcept override {
+  removesFromRequest(std::string_view Name,
+                     bool /*HasWorkspaces*/) const noexcept override {
     static constexpr std::array<std::string_view, 3> Names{
         "x-request-id", "x-deadline", "x-call-depth"};
     return isOneOf(Name, Names);
--- a/tests/callers/harness.cpp
+++ b/tests/callers/harness.cpp
@@ -21,6 +21,11 @@
     co_return core::make_error_code(core::Error::Cancelled);
   }
   const std::lock_guard Lock(Mutex);
+  Received.push_back(Request);
+  if (QuotaUsed) {
+    Request.Hint->RetryAt = core::SystemClock().now() + 1500ms;
+    co_return core::make_error_code(core::Error::QuotaExceeded);
+  }
   if (Request.Key) {
     const auto [Claim, New] = Claims.emplace(*Request.Key, Request.Request);
     if (!New && Claim->second != Request.Request)
@@ -77,6 +82,11 @@
   ++ClaimsReleased;
 }
 
+std::vector<core::SlotRequest> FirstServerBroker::slotRequests() {
+  const std::lock_guard Lock(Mutex);
+  return Received;
+}
+
 std::vector<core::CallOutcome> FirstServerBroker::outcomes() {
   const std::lock_guard Lock(Mutex);
   return Outcomes;
@@ -186,7 +196,8 @@
         TestSettings.Routes.empty()
             ? nullptr
             : std::make_shared<core::RoutingTable>(1, TestSettings.Routes,
-                                                   TestSettings.Limits)));
+                                                   TestSettings.Limits,
+                                                   TestSettings.Workspaces)));
   }
   Server = std::make_unique<callers::Server>(
       Io.get_executor(), TestSettings.Options,
@@ -196,7 +207,8 @@
                                   .Backends = Transport,
                                   .Events = Events,
                                   .Retries = Retries,
-                                  .Profile = *TestSettings.Profile});
+                                  .Profile = *TestSettings.Profile,
+                                  .Freshness = TestSettings.Freshness});
   if (Server->listen({asio::ip::address_v4::loopback(), 0}))
     throw std::runtime_error("cannot listen on the loopback");
   for (int Count = 0; Count < 2; ++Count)
--- a/tests/callers/harness.hpp
+++ b/tests/callers/harness.hpp
@@ -47,6 +47,9 @@
   /// @brief Outcomes of the released slots, in order of release.
   std::vector<core::CallOutcome> outcomes();
 
+  /// @brief Requests for a slot, in the order of their arrival.
+  std::vector<core::SlotRequest> slotRequests();
+
   /// @brief Sets after which time grants allow a second attempt.
   void setHedgeDelay(std::chrono::milliseconds Delay) { HedgeDelay = Delay; }
 
@@ -57,6 +60,8 @@
   std::atomic<int> Waiting{0};
   std::atomic<int> Cancels{0};
   std::atomic<int> ClaimsReleased{0};
+  /// Refuses each request because of its quota, with a retry after 1.5 s.
+  std::atomic<bool> QuotaUsed{false};
 
 private:
   const core::ConfigSource &Config;
@@ -66,6 +71,7 @@
   /// The request that holds each claimed key.
   std::map<core::OrderKey, core::RequestId> Claims;
   std::vector<core::CallOutcome> Outcomes;
+  std::vector<core::SlotRequest> Received;
   /// Timers of the requests that wait, by request id.
   std::multimap<std::uint64_t, std::shared_ptr<asio::steady_timer>> Waits;
 };
@@ -143,6 +149,9 @@
     const core::HttpProfile *Profile = &core::nativeHttpProfile();
     /// Limits of the routing table.
     core::CallerLimits Limits;
+    /// Workspaces of the routing table.
+    core::WorkspaceTable Workspaces = {};
+    const core::ConfigFreshness *Freshness = nullptr;
   };
 
   /// @brief Starts the server.
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -60,8 +60,9 @@
     return Native.readRequest(Head, Time, Out);
   }
   [[nodiscard]] bool
-  removesFromRequest(std::string_view Name) const noexcept override {
-    return Native.removesFromRequest(Name);
+  removesFromRequest(std::string_view Name,
+                     bool HasWorkspaces) const noexcept override {
+    return Native.removesFromRequest(Name, HasWorkspaces);
   }
   void writeRequest(std::string &Out, const core::OutgoingRequest &Request,
                     const core::Clock &Time) const override {
--- a/tests/platform/entry_codec_test.cpp
+++ b/tests/platform/entry_codec_test.cpp
@@ -230,3 +230,94 @@
                   "%s", Address);
   }
 }
+
+namespace {
+
+std::string withWorkspaces(const std::string &Workspaces) {
+  return replaced(Config, "\"new-field\"",
+                  "\"tenants\":" + Workspaces + ",\"new-field\"");
+}
+
+} // namespace
+
+// Guards against keys, quotas or priorities that are read as those of another
+// workspace or in another unit.
+Test(EntryCodec, every_field_of_a_workspace_is_decoded) {
+  Fixture Setup;
+  const auto Decoded = Setup.Codec.decodeRouting(
+      replaced(withWorkspaces(R"({
+        "one":{"api-keys":["k1","k2"],"priority":3,"rate-per-s":0.25,
+               "burst":7},
+        "two":{"api-keys":["k3"]}, "three":{"api-keys":[],"rate-per-s":0}})"),
+               "\"kind\":\"safe\"", "\"kind\":\"safe\",\"public\":true"),
+      Setup.Report);
+  cr_assert(Decoded && Setup.Report.empty(), "%s", Setup.Report.text().c_str());
+  const core::WorkspaceTable &Table = Decoded->Routing->workspaces();
+  cr_assert_eq(Table.entries().size(), 3);
+  const core::Workspace *One = Table.find("k2");
+  cr_assert(One != nullptr && One == Table.find("k1"));
+  cr_assert(*One == (core::Workspace{.Name = "one",
+                                     .Priority = 3,
+                                     .Quota = {.MilliPerS = 250, .Burst = 7}}));
+  cr_assert_eq(Table.find("k3")->Name, "two");
+  cr_assert_not(Table.find("k3")->Priority.has_value());
+  cr_assert_not(Table.find("k3")->Quota.limited());
+  cr_assert_null(Table.find("k4"));
+  cr_assert_null(Table.find(""));
+  cr_assert(Decoded->Routing->find("jepu9.example", "/lepu/1")->Public);
+  cr_assert_not(Decoded->Routing->find("hulo84.example", "/xapu/1")->Public);
+}
+
+// Guards against refused callers where no workspaces are configured.
+Test(EntryCodec, configuration_without_workspaces_needs_no_keys) {
+  for (const std::string &Text : {std::string(Config), withWorkspaces("{}")}) {
+    Fixture Setup;
+    const auto Decoded = Setup.Codec.decodeRouting(Text, Setup.Report);
+    cr_assert(Decoded && Setup.Report.empty());
+    cr_assert(Decoded->Routing->workspaces().empty());
+  }
+}
+
+// Guards against a configuration that lets a caller in as another workspace,
+// refuses a workspace or has no limit, because one of its fields is wrong.
+Test(EntryCodec, configuration_with_an_invalid_workspace_is_rejected) {
+  const std::vector<std::pair<std::string, std::string>> Invalid{
+      {R"({"a":{"api-keys":["same"]},"b":{"api-keys":["x","same"]}})",
+       "/tenants/b/api-keys/1"},
+      {R"({"a":{"api-keys":["x",7]}})", "/tenants/a/api-keys/1"},
+      {R"({"a":{"api-keys":[""]}})", "/tenants/a/api-keys/0"},
+      {R"({"a":{"api-keys":["se\u000acret"]}})", "/tenants/a/api-keys/0"},
+      {R"({"a":{"api-keys":"secret"}})", "/tenants/a/api-keys"},
+      {R"({"a":{}})", "/tenants/a/api-keys"},
+      {R"({"a":[]})", "/tenants/a"},
+      {R"({"":{"api-keys":["x"]}})", "/tenants/"},
+      {R"({"a\u000d\u000aHost: b":{"api-keys":["x"]}})", "/tenants/a"},
+      {R"([])", "/tenants"},
+      {R"({"a":{"api-keys":["x"],"rate-per-s":-1}})", "/tenants/a/rate-per-s"},
+      {R"({"a":{"api-keys":["x"],"rate-per-s":1e12}})",
+       "/tenants/a/rate-per-s"},
+      {R"({"a":{"api-keys":["x"],"rate-per-s":"9"}})", "/tenants/a/rate-per-s"},
+      {R"({"a":{"api-keys":["x"],"burst":-0.5}})", "/tenants/a/burst"},
+      {R"({"a":{"api-keys":["x"],"burst":null}})", "/tenants/a/burst"},
+      {R"({"a":{"api-keys":["x"],"priority":256}})", "/tenants/a/priority"},
+      {R"({"a":{"api-keys":["x"],"priority":-1}})", "/tenants/a/priority"}};
+  for (const auto &[Text, Pointer] : Invalid) {
+    Fixture Setup;
+    cr_assert_not(Setup.Codec.decodeRouting(withWorkspaces(Text), Setup.Report),
+                  "%s", Text.c_str());
+    const std::string Report = Setup.Report.text();
+    cr_assert_neq(Report.find(Pointer), std::string::npos, "%s: %s",
+                  Text.c_str(), Report.c_str());
+    for (const char *Key : {"same", "secret", "cret"})
+      cr_assert_eq(Report.find(Key), std::string::npos, "%s", Report.c_str());
+  }
+}
+
+// Guards against a small limit that is read as none.
+Test(EntryCodec, smallest_rate_is_a_limit) {
+  Fixture Setup;
+  const auto Decoded = Setup.Codec.decodeRouting(
+      withWorkspaces(R"({"a":{"api-keys":["x"],"rate-per-s":0.0001}})"),
+      Setup.Report);
+  cr_assert(Decoded->Routing->workspaces().find("x")->Quota.limited());
+}
--- a/tests/platform/http_profile_test.cpp
+++ b/tests/platform/http_profile_test.cpp
@@ -76,9 +76,30 @@
                              Setup.Time);
   cr_assert_neq(Out.find("Expected-Instance: i-7\r\n"), std::string::npos);
   cr_assert_neq(Out.find("Request-Deadline: 7"), std::string::npos);
-  cr_assert(Setup.Profile.removesFromRequest("request-deadline"));
-  cr_assert(Setup.Profile.removesFromRequest("expected-instance"));
-  cr_assert_not(Setup.Profile.removesFromRequest("request-id"));
+  cr_assert(Setup.Profile.removesFromRequest("request-deadline", false));
+  cr_assert(Setup.Profile.removesFromRequest("expected-instance", false));
+  cr_assert_not(Setup.Profile.removesFromRequest("request-id", false));
+}
+
+// Guards against an API key that is read in another way than callers send it,
+// and against one of several fields that counts by chance.
+Test(PlatformHttpProfile, api_key_is_read_from_one_valid_field) {
+  Fixture Setup;
+  const auto KeyOf = [&](const std::vector<std::string> &Values) {
+    core::HttpProfile::Fields Head;
+    for (const std::string &Value : Values)
+      Head.insert("Authorization", Value);
+    core::RequestTraits Traits;
+    cr_assert_not(Setup.Profile.readRequest(Head, Setup.Time, Traits));
+    return Traits.ApiKey;
+  };
+  cr_assert_eq(KeyOf({"Token k1"}), "k1");
+  cr_assert_eq(KeyOf({"tOKEN   k1 "}), "k1");
+  cr_assert_eq(KeyOf({}), "");
+  cr_assert_eq(KeyOf({"Basic k1"}), "");
+  cr_assert_eq(KeyOf({"Tokenk1"}), "");
+  cr_assert_eq(KeyOf({"Token"}), "");
+  cr_assert_eq(KeyOf({"Token k1", "Token k1"}), "");
 }
 
 // Guards against passing a late response to another request to the caller.
