Keep workspaces within their quotas across the fleet

Cause: a workspace's rate and burst hold over all VMs together, and no VM sees more than a part of its requests. Change: decision::WorkspaceQuotas keeps a copy of each workspace's token bucket on the VMs that dispatch groups; they report demand and admissions to each other every 200 ms (new message QuotaReport) and use shares of the tokens between two reports. The part of VMs that are not heard stays unused. Dispatchers refuse what lies beyond with QuotaExceeded and a time of retry; requests that got no slot give their token back. Nothing is sent and nothing counted without workspaces.

--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -89,6 +89,12 @@
              Counters.DispatchersSuspected);
   AddCounter("jujubecart_dispatch_grants_total", Counters.Grants);
   AddCounter("jujubecart_probes_total", Counters.Probes);
+  AddCounter("jujubecart_quota_requests_total", Counters.QuotaRequests);
+  AddCounter("jujubecart_quota_refusals_total", Counters.QuotaRefusals);
+  AddCounter("jujubecart_quota_returns_total", Counters.QuotaReturns);
+  Registry.gauge("jujubecart_quota_workspaces", "", [&Peers] {
+    return static_cast<double>(Peers.dispatch().quotaWorkspaces());
+  });
   Registry.gauge("jujubecart_peer_links_open", "", [&Counters] {
     return static_cast<double>(Counters.LinksOpen.load());
   });
--- a/packages/decision/include/jujubecart/decision.hpp
+++ b/packages/decision/include/jujubecart/decision.hpp
@@ -17,5 +17,6 @@
 #include <jujubecart/decision/round_robin.hpp>
 #include <jujubecart/decision/server_status.hpp>
 #include <jujubecart/decision/token_bucket.hpp>
+#include <jujubecart/decision/workspace_quotas.hpp>
 
 #endif
--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -20,6 +20,7 @@
 class RetryBudget;
 class RoundRobin;
 class TokenBucket;
+class WorkspaceQuotas;
 
 struct DispatchGroup;
 struct DispatcherOptions;
--- /dev/null
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -0,0 +1,176 @@
+#ifndef JUJUBECART_DECISION_WORKSPACE_QUOTAS_HPP
+#define JUJUBECART_DECISION_WORKSPACE_QUOTAS_HPP
+
+#include <jujubecart/core/clock.hpp>
+#include <jujubecart/core/workspace.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace jujubecart::decision {
+
+/// @brief Requests of one workspace at one VM since the VM's last report.
+struct WorkspaceUse {
+  /// core::Workspace::hash().
+  std::uint64_t Workspace = 0;
+  /// Requests that counted against the quota, whether admitted or not.
+  std::uint32_t Demanded = 0;
+  /// Requests admitted, less those given back; negative if more were given
+  /// back.
+  std::int32_t Admitted = 0;
+
+  friend auto operator<=>(const WorkspaceUse &, const WorkspaceUse &) = default;
+};
+
+/// @brief VMs among which quotas are divided.
+struct QuotaFleet {
+  /// Ids of the VMs that dispatch a group or replace its dispatcher first; they
+  /// send each other reports.
+  std::set<std::string, std::less<>> Reporters;
+  /// VMs taken for live, this one included.
+  std::size_t Live = 1;
+  /// Live and suspected VMs.
+  std::size_t Known = 1;
+
+  friend bool operator==(const QuotaFleet &, const QuotaFleet &) = default;
+};
+
+/// @brief Whether a request is within its workspace's quota, with the facts
+/// for the log.
+struct QuotaDecision {
+  bool Admitted = true;
+  /// When the workspace has room again; set if the request is refused.
+  std::chrono::milliseconds RetryAfter{0};
+  /// Part of the quota that this VM may use now, in thousandths.
+  std::uint32_t ShareMilli = 0;
+  /// Requests per second of the workspace at all VMs, as last reported.
+  std::uint32_t DemandPerS = 0;
+  /// Age of the newest report of another VM; empty if there is none.
+  std::optional<std::chrono::milliseconds> ReportAge;
+};
+
+/// @brief Keeps the requests of each workspace within its quota together with
+/// the same object on other VMs. Does no I/O. Thread-safe.
+///
+/// Each VM keeps a copy of the workspace's token bucket. Its own requests use
+/// it at once and those of other VMs when they are reported. Between two
+/// reports a VM uses only its share of the tokens, so that the VMs together
+/// stay within the quota.
+class WorkspaceQuotas {
+public:
+  /// @brief Quota in force; one without limit for an unknown workspace.
+  using QuotaSource = std::function<core::WorkspaceQuota(std::uint64_t)>;
+
+  /// @param Self Id of this VM.
+  /// @param Source Called with the mutex held; must not call this object.
+  WorkspaceQuotas(std::string Self, QuotaSource Source, core::TimePoint Now);
+
+  /// @brief Replaces the VMs among which quotas are divided.
+  void setFleet(QuotaFleet Fleet, core::TimePoint Now);
+
+  /// @brief Counts a request that has had no slot yet.
+  /// @param Alone Whether this VM decides without a dispatcher; it then has a
+  /// fixed share.
+  [[nodiscard]] QuotaDecision request(std::uint64_t Workspace,
+                                      core::TimePoint Now, bool Alone = false);
+
+  /// @brief Gives back an admitted request that got no slot.
+  void giveBack(std::uint64_t Workspace, core::TimePoint Now);
+
+  /// @brief Adds the report of another VM.
+  void recordReport(std::string_view Sender,
+                    const std::vector<WorkspaceUse> &Items,
+                    core::TimePoint Now);
+
+  /// @brief Takes the report that is due, for all other reporters.
+  /// @return Nothing if none is due. An empty report says only that this VM is
+  /// in reach.
+  [[nodiscard]] std::optional<std::vector<WorkspaceUse>>
+  takeReport(core::TimePoint Now);
+
+  /// @brief When the next report is due; max if there is nothing to report.
+  [[nodiscard]] core::TimePoint nextReport() const;
+
+  /// @brief Workspaces that are remembered.
+  [[nodiscard]] std::size_t size() const;
+
+private:
+  /// @brief Requests per second, forgotten exponentially.
+  struct Rate {
+    double PerS = 0;
+    core::TimePoint At;
+
+    void add(double Requests, core::TimePoint Now);
+    [[nodiscard]] double at(core::TimePoint Now) const;
+  };
+  struct Entry {
+    core::WorkspaceQuota Quota;
+    /// Tokens of the fleet's bucket as this VM knows them; negative after more
+    /// was used than there was.
+    double Level = 0;
+    /// Part of the refill that this VM has not used, in tokens.
+    double Refill = 0;
+    /// When Level and Refill were computed.
+    core::TimePoint At;
+    /// Reported demand of all VMs and of this one.
+    Rate Demand;
+    Rate OwnDemand;
+    /// Not yet reported.
+    std::uint32_t Demanded = 0;
+    std::int32_t Admitted = 0;
+    /// Until when tokens are promised to refused requests by RetryAfter.
+    core::TimePoint PromisedUntil;
+    core::TimePoint LastUsed;
+  };
+
+  [[nodiscard]] bool reports() const;
+  [[nodiscard]] double reachablePart(core::TimePoint Now) const;
+  [[nodiscard]] Entry &entry(std::uint64_t Workspace, core::TimePoint Now);
+  [[nodiscard]] double capacity(const core::WorkspaceQuota &Quota,
+                                double Part) const;
+  [[nodiscard]] double share(const Entry &Item, core::TimePoint Now) const;
+  void advance(Entry &Item, core::TimePoint Now) const;
+  [[nodiscard]] double firstLevel(const core::WorkspaceQuota &Quota,
+                                  core::TimePoint Now) const;
+  [[nodiscard]] bool admit(Entry &Item, double Share,
+                           core::TimePoint Now) const;
+  [[nodiscard]] std::chrono::milliseconds promise(Entry &Item, double PerS,
+                                                  core::TimePoint Now) const;
+  [[nodiscard]] QuotaDecision decide(Entry &Item, core::TimePoint Now,
+                                     bool Alone);
+  void forgetIdle(core::TimePoint Now);
+
+  const std::string Self;
+  const QuotaSource Source;
+
+  mutable std::mutex Mutex;
+  QuotaFleet Fleet;
+  /// When this VM began to receive reports.
+  core::TimePoint JoinedAt;
+  /// When each other reporter was last heard.
+  std::map<std::string, core::TimePoint, std::less<>> HeardAt;
+  std::optional<core::TimePoint> LastHeard;
+  std::unordered_map<std::uint64_t, Entry> Entries;
+  /// Workspaces with something to report.
+  std::set<std::uint64_t> Unreported;
+  /// Whether a report should not wait for the regular interval.
+  bool Urgent = false;
+  core::TimePoint ReportedAt;
+  /// When any VM last had demand.
+  core::TimePoint ActiveAt;
+  core::TimePoint ForgottenAt;
+};
+
+} // namespace jujubecart::decision
+
+#endif
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -6,6 +6,7 @@
 #include <jujubecart/decision/decision.hpp>
 #include <jujubecart/decision/pending_call.hpp>
 #include <jujubecart/decision/server_status.hpp>
+#include <jujubecart/decision/workspace_quotas.hpp>
 #include <jujubecart/peers/group_directory.hpp>
 #include <jujubecart/peers/health_prober.hpp>
 #include <jujubecart/peers/link_table.hpp>
@@ -61,6 +62,7 @@
     LinkTable &Links;
     const core::MemberSource &Members;
     GroupDirectory &Groups;
+    core::ConfigSource &Config;
     core::OrderClaims &Claims;
     const core::Clock &Time;
     core::EventSink &Events;
@@ -112,6 +114,15 @@
   void releaseClaim(const std::string &Service, core::OrderKey Key,
                     core::RequestId Request);
 
+  /// @brief Counts a request that this VM decides without a dispatcher against
+  /// the quota of its workspace.
+  /// @return Whether it is within the quota.
+  [[nodiscard]] decision::QuotaDecision countAlone(std::uint64_t Workspace,
+                                                   core::RequestId Request);
+
+  /// @brief Workspaces whose quotas this VM keeps.
+  [[nodiscard]] std::size_t quotaWorkspaces() const { return Quotas.size(); }
+
   /// @brief Server states by group name, for the groups in which this VM ranks
   /// first or has calls.
   [[nodiscard]] std::map<std::string, std::vector<decision::ServerStatus>>
@@ -135,7 +146,7 @@
   using ClientPtr = std::shared_ptr<Client>;
 
   void onAcquire(const LinkPtr &Source, const Acquire &Item);
-  void onRelease(const LinkPtr &Source, const Release &Item);
+  void onRelease(const LinkPtr &Source, const Release &Item, bool Sent = true);
   void onCancel(const LinkPtr &Source, const Cancel &Item);
   void onInFlight(const LinkPtr &Source, const InFlight &Item);
 
@@ -143,8 +154,9 @@
   [[nodiscard]] GroupState findGroup(std::uint64_t Hash) const;
   [[nodiscard]] ClientPtr findOrCreateClient(const LinkPtr &Source);
   void enqueue(const GroupState &Target, Call Item, QueueingFacts Facts);
+  /// @param Sent Whether the call was sent if it was granted a slot.
   void finishCall(const GroupState &Target, decision::CallToken Token,
-                  const core::CallReport &Report);
+                  const core::CallReport &Report, bool Sent);
   core::Awaitable<void> claimOrderKey(GroupState Target,
                                       decision::CallToken Token,
                                       core::OrderKey Key,
@@ -159,6 +171,16 @@
               std::uint8_t SlotPricePercent);
   void onGroupsChanged(const GroupDirectory::Index &Index);
 
+  [[nodiscard]] decision::QuotaDecision
+  countRequest(std::uint64_t Workspace, core::RequestId Request, bool Alone);
+  /// @brief Gives the token of a call that got no slot back to its workspace.
+  /// Called once for a call, when it is removed.
+  void giveBackQuota(const Call &Item);
+  void onQuotaReport(const LinkPtr &Source, const QuotaReport &Item);
+  void updateQuotaFleet(std::set<std::string, std::less<>> Reporters,
+                        const std::vector<core::Member> &Members);
+  void sendQuotaReport(core::TimePoint Now);
+
   core::Awaitable<void> runLoop();
   /// @return When the next tick is due.
   [[nodiscard]] core::TimePoint tickGroups(core::TimePoint Now);
@@ -179,6 +201,11 @@
   std::uint64_t RankedMemberVersion = 0;
   core::Revision RankedConfigRevision = 0;
 
+  /// Locked after the mutex of a group.
+  decision::WorkspaceQuotas Quotas;
+  /// VMs to which quota reports are sent; used by the loop only.
+  std::vector<core::Member> QuotaReceivers;
+
   // Guards Groups and Clients. Held only for lookups; never held while the
   // mutex of a group is being locked.
   mutable std::mutex Mutex;
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -8,6 +8,7 @@
 #include <jujubecart/core/rate_limit.hpp>
 #include <jujubecart/core/request_id.hpp>
 #include <jujubecart/core/slot_broker.hpp>
+#include <jujubecart/decision/workspace_quotas.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -223,12 +224,18 @@
   bool PassOn = false;
 };
 
+/// @brief Requests of workspaces at the sender since its last report, for the
+/// other VMs that dispatch groups.
+struct QuotaReport {
+  std::vector<decision::WorkspaceUse> Items;
+};
+
 /// @brief Any message. The first alternative stands for a type that this
 /// version does not know.
 using Message =
     std::variant<std::monostate, Hello, Acquire, Queued, Grant, Refuse, Release,
                  Cancel, GossipMessage, ConfigRequest, ConfigDelta, Bye,
-                 InFlight, ClaimRelease, StoreChanges>;
+                 InFlight, ClaimRelease, StoreChanges, QuotaReport>;
 
 /// @brief Number of message types, the unknown type included.
 inline constexpr std::size_t MessageTypeCount = std::variant_size_v<Message>;
--- a/packages/peers/include/jujubecart/peers/peer_counters.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_counters.hpp
@@ -41,6 +41,11 @@
   std::atomic<std::uint64_t> DispatchersSuspected{0};
   std::atomic<std::uint64_t> Grants{0};
   std::atomic<std::uint64_t> Probes{0};
+  /// Requests that counted against the quota of a workspace, and those refused.
+  std::atomic<std::uint64_t> QuotaRequests{0};
+  std::atomic<std::uint64_t> QuotaRefusals{0};
+  /// Admitted requests that got no slot and did not use the quota.
+  std::atomic<std::uint64_t> QuotaReturns{0};
 
   /// @brief Whether the number of messages of a type grows with the calls.
   [[nodiscard]] static bool isPerCall(std::size_t Type) noexcept;
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -40,6 +40,8 @@
   else if (const auto *ClaimMessage = std::get_if<ClaimRelease>(&Item.Body))
     releaseClaim(ClaimMessage->Service, ClaimMessage->Key,
                  ClaimMessage->Request);
+  else if (const auto *ReportMessage = std::get_if<QuotaReport>(&Item.Body))
+    onQuotaReport(Source, *ReportMessage);
 }
 
 void DispatchService::onAcquire(const LinkPtr &Source, const Acquire &Item) {
@@ -97,7 +99,8 @@
            .CountsAgainstQuota = Item.CountsAgainstQuota});
 }
 
-void DispatchService::onRelease(const LinkPtr &Source, const Release &Item) {
+void DispatchService::onRelease(const LinkPtr &Source, const Release &Item,
+                                bool Sent) {
   const ClientPtr Sender = findOrCreateClient(Source);
   if (Item.Group != 0) {
     const GroupState Target = findGroup(Item.Group);
@@ -123,7 +126,7 @@
     Sender->Calls.erase(Found);
   }
   Source->adjustUseCount(-1);
-  finishCall(Ended.first, Ended.second, Item.Report);
+  finishCall(Ended.first, Ended.second, Item.Report, Sent);
 }
 
 // A grant may already be on its way to the requester, which will ignore it, so
@@ -132,7 +135,7 @@
   Release CancelledRelease{
       .Call = Item.Call, .Report = {}, .Group = 0, .Server = 0};
   CancelledRelease.Report.Outcome = core::CallOutcome::Cancelled;
-  onRelease(Source, CancelledRelease);
+  onRelease(Source, CancelledRelease, false);
 }
 
 void DispatchService::onInFlight(const LinkPtr &Source, const InFlight &Item) {
@@ -175,7 +178,11 @@
   for (const GroupState &Target : AffectedGroups) {
     const std::lock_guard Lock(Target->Mutex);
     std::erase_if(Target->Calls, [&](const auto &Item) {
-      return Item.second.Requester == Sender;
+      if (Item.second.Requester != Sender)
+        return false;
+      if (!Item.second.Answered)
+        giveBackQuota(Item.second);
+      return true;
     });
     decision::Decisions Out;
     Target->Dispatcher->dropHolder(Sender->Holder, Env.Time.now(), Out);
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -20,6 +20,9 @@
 // without calls: other VMs may send it calls shortly before it learns of its
 // rank.
 constexpr std::chrono::seconds MinIdleBeforeReset{2};
+// VMs of each group that take part in quotas: its dispatcher and the one that
+// replaces it first, which so knows the demand when it has to.
+constexpr std::size_t QuotaReportersPerGroup = 2;
 
 } // namespace internal
 
@@ -48,10 +51,12 @@
     Sleeping = true;
     const core::TimePoint Now = Env.Time.now();
     const core::TimePoint Due = tickGroups(Now);
-    const core::TimePoint MaxDue = Now + internal::MaxIdleSleep;
+    sendQuotaReport(Now);
+    const core::TimePoint MaxDue =
+        std::min(Now + internal::MaxIdleSleep, Quotas.nextReport());
     if (sendHeartbeats(Now)) {
       Sleeping = false;
-      Timer.expires_at(std::min(Due, Now + BusyInterval));
+      Timer.expires_at(std::min({Due, MaxDue, Now + BusyInterval}));
     } else {
       Timer.expires_at(std::min(Due, MaxDue));
     }
@@ -152,9 +157,13 @@
   RankedConfigRevision = Index->Revision;
   const std::vector<core::Member> Members = Env.Members.members();
   const std::string Self = Env.Members.self().Id;
+  std::set<std::string, std::less<>> QuotaReporters;
   for (const auto &[Hash, Entry] : Index->ByHash) {
     const auto Rank =
         decision::rankMembers(Entry->Group.Name, Entry->Group.Region, Members);
+    for (std::size_t At = 0;
+         At < std::min(Rank.size(), internal::QuotaReportersPerGroup); ++At)
+      QuotaReporters.insert(Rank[At]);
     const bool IsFirst = !Rank.empty() && Rank.front() == Self;
     const GroupState Target =
         IsFirst ? findOrCreateGroup(Entry) : findGroup(Hash);
@@ -170,6 +179,7 @@
     Target->RanksFirst = IsFirst;
     Target->Dispatcher->setRegular(IsFirst, Now);
   }
+  updateQuotaFleet(std::move(QuotaReporters), Members);
 }
 
 } // namespace jujubecart::peers
--- /dev/null
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -0,0 +1,82 @@
+#include "dispatch_state.hpp"
+
+#include <jujubecart/core/log.hpp>
+
+namespace jujubecart::peers {
+
+decision::QuotaDecision DispatchService::countRequest(std::uint64_t Workspace,
+                                                      core::RequestId Request,
+                                                      bool Alone) {
+  const decision::QuotaDecision Out =
+      Quotas.request(Workspace, Env.Time.now(), Alone);
+  ++Env.Links.counters().QuotaRequests;
+  if (Out.Admitted)
+    return Out;
+  ++Env.Links.counters().QuotaRefusals;
+  const core::ConfigSource::Snapshot Current = Env.Config.current();
+  const core::RoutingTable *Routing = Current->routing();
+  const core::Workspace *Found =
+      Routing == nullptr ? nullptr
+                         : Routing->workspaces().findByHash(Workspace);
+  core::LogLine Line(core::LogLevel::Info, "quota.refused");
+  Line.field("request", toString(Request))
+      .field("workspace", Found == nullptr ? std::string() : Found->Name)
+      .field("retry_after_ms", Out.RetryAfter.count())
+      .field("share_permille", Out.ShareMilli)
+      .field("demand_per_s", Out.DemandPerS)
+      .field("alone", Alone ? 1 : 0);
+  if (Out.ReportAge)
+    Line.field("report_age_ms", Out.ReportAge->count());
+  return Out;
+}
+
+decision::QuotaDecision DispatchService::countAlone(std::uint64_t Workspace,
+                                                    core::RequestId Request) {
+  return countRequest(Workspace, Request, true);
+}
+
+void DispatchService::giveBackQuota(const Call &Item) {
+  if (!Item.UsesQuota)
+    return;
+  ++Env.Links.counters().QuotaReturns;
+  Quotas.giveBack(Item.Workspace, Env.Time.now());
+}
+
+void DispatchService::onQuotaReport(const LinkPtr &Source,
+                                    const QuotaReport &Item) {
+  Quotas.recordReport(Source->peer().Sender, Item.Items, Env.Time.now());
+}
+
+void DispatchService::updateQuotaFleet(
+    std::set<std::string, std::less<>> Reporters,
+    const std::vector<core::Member> &Members) {
+  decision::QuotaFleet Fleet;
+  Fleet.Reporters = std::move(Reporters);
+  Fleet.Live = 0;
+  Fleet.Known = 0;
+  for (const core::Member &Vm : Members) {
+    Fleet.Live += Vm.State == core::MemberState::Live ? 1 : 0;
+    Fleet.Known += Vm.State != core::MemberState::Leaving ? 1 : 0;
+  }
+  const std::string Self = Env.Members.self().Id;
+  QuotaReceivers.clear();
+  for (const core::Member &Vm : Members)
+    if (Vm.Id != Self && Fleet.Reporters.contains(Vm.Id))
+      QuotaReceivers.push_back(Vm);
+  Quotas.setFleet(std::move(Fleet), Env.Time.now());
+}
+
+void DispatchService::sendQuotaReport(core::TimePoint Now) {
+  auto Items = Quotas.takeReport(Now);
+  if (!Items)
+    return;
+  const QuotaReport Report{.Items = std::move(*Items)};
+  for (const core::Member &Vm : QuotaReceivers) {
+    if (const LinkPtr Open = Env.Links.find(Vm.Id))
+      Open->send(Report);
+    else
+      Env.Links.connectInBackground(Vm.Id, Vm.Address);
+  }
+}
+
+} // namespace jujubecart::peers
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -50,12 +50,24 @@
         .field("in_flight", Facts.InFlight);
 }
 
+decision::WorkspaceQuotas::QuotaSource quotaSource(core::ConfigSource &Config) {
+  return [&Config](std::uint64_t Hash) {
+    const core::ConfigSource::Snapshot Current = Config.current();
+    const core::RoutingTable *Routing = Current->routing();
+    const core::Workspace *Found =
+        Routing == nullptr ? nullptr : Routing->workspaces().findByHash(Hash);
+    return Found == nullptr ? core::WorkspaceQuota{} : Found->Quota;
+  };
+}
+
 } // namespace internal
 
 DispatchService::DispatchService(const asio::any_io_executor &Executor,
                                  const Environment &Dependencies)
     : Executor(Executor), Env(Dependencies),
-      Timer(internal::makeSerialTimer(Executor)) {
+      Timer(internal::makeSerialTimer(Executor)),
+      Quotas(Env.Members.self().Id, internal::quotaSource(Env.Config),
+             Env.Time.now()) {
   Env.Groups.subscribe([this](const auto &Index) { onGroupsChanged(Index); });
 }
 
@@ -114,6 +126,11 @@
   const core::TimePoint Deadline = Item.Deadline;
   const decision::CallToken Token = Item.Token;
   Item.Claimed = !Key;
+  decision::QuotaDecision Quota;
+  if (Item.Workspace != 0 && Facts.CountsAgainstQuota) {
+    Quota = countRequest(Item.Workspace, Request, false);
+    Item.UsesQuota = Quota.Admitted;
+  }
   if (Item.Requester)
     ++Item.Requester->WaitingCalls;
   decision::PendingCall Pending{
@@ -133,6 +150,9 @@
     const std::lock_guard Lock(Target->Mutex);
     Target->LastUsed = Env.Time.now();
     Target->Calls.emplace(Token, std::move(Item));
+    if (!Quota.Admitted)
+      return refuse(*Target, Token, core::Error::QuotaExceeded,
+                    Quota.RetryAfter, 0);
     decision::Decisions Out;
     Target->Dispatcher->enqueue(std::move(Pending), Env.Time.now(), Out);
     applyDecisions(*Target, Out);
@@ -290,6 +310,7 @@
     return;
   const Call Item = std::move(Found->second);
   Target.Calls.erase(Found);
+  giveBackQuota(Item);
   if (!Item.Requester) {
     Item.OnComplete({.Server = std::nullopt,
                      .Reason = Reason,
@@ -313,7 +334,7 @@
 // Ends a call that waits, is granted but not yet claimed, or holds a grant.
 void DispatchService::finishCall(const GroupState &Target,
                                  decision::CallToken Token,
-                                 const core::CallReport &Report) {
+                                 const core::CallReport &Report, bool Sent) {
   {
     const std::lock_guard Lock(Target->Mutex);
     const auto Found = Target->Calls.find(Token);
@@ -321,6 +342,8 @@
       return;
     const Call Item = std::move(Found->second);
     Target->Calls.erase(Found);
+    if (!Item.Answered || !Sent)
+      giveBackQuota(Item);
     decision::Decisions Out;
     const core::TimePoint Now = Env.Time.now();
     if (Item.Answered)
@@ -338,13 +361,14 @@
 }
 
 void DispatchService::withdraw(std::uint64_t Group, decision::CallToken Token) {
-  release(Group, Token, internal::cancelledReport());
+  if (const GroupState Target = findGroup(Group))
+    finishCall(Target, Token, internal::cancelledReport(), false);
 }
 
 void DispatchService::release(std::uint64_t Group, decision::CallToken Token,
                               const core::CallReport &Report) {
   if (const GroupState Target = findGroup(Group))
-    finishCall(Target, Token, Report);
+    finishCall(Target, Token, Report, true);
 }
 
 void DispatchService::adopt(const GroupPtr &Group, const std::string &ServerId,
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -42,6 +42,8 @@
   /// Empty for a call of another VM.
   CompletionHandler OnComplete;
 
+  /// Whether the call used a token of its workspace's quota.
+  bool UsesQuota = false;
   /// Whether the order key is claimed; also true without a key.
   bool Claimed = false;
   /// Whether the grant was delivered.
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -81,7 +81,7 @@
 
 DecodedBody decode(const wire::Refuse &Source) {
   if (Source.reason() == 0 ||
-      Source.reason() > static_cast<std::uint8_t>(core::Error::NotReady))
+      Source.reason() > static_cast<std::uint8_t>(core::Error::QuotaExceeded))
     return std::nullopt;
   return Refuse{.Call = Source.call(),
                 .Reason = static_cast<core::Error>(Source.reason()),
@@ -204,6 +204,16 @@
   return Item;
 }
 
+DecodedBody decode(const wire::QuotaReport &Source) {
+  QuotaReport Item;
+  if (Source.items() != nullptr)
+    for (const wire::WorkspaceUse *Use : *Source.items())
+      Item.Items.push_back({.Workspace = Use->workspace(),
+                            .Demanded = Use->demanded(),
+                            .Admitted = Use->admitted()});
+  return Item;
+}
+
 // The FlatBuffers verifier accepts a union type whose table is absent, so the
 // pointer may be null.
 template <typename Table> DecodedBody decodeTable(const Table *Source) {
@@ -242,6 +252,8 @@
     return decodeTable(Source.body_as_ClaimRelease());
   case wire::Body::StoreChanges:
     return decodeTable(Source.body_as_StoreChanges());
+  case wire::Body::QuotaReport:
+    return decodeTable(Source.body_as_QuotaReport());
   case wire::Body::NONE:
     break;
   }
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -166,6 +166,15 @@
       Item.CompleteUntilMs));
 }
 
+BodyOffset encode(Builder &Out, const QuotaReport &Item) {
+  std::vector<wire::WorkspaceUse> Items;
+  Items.reserve(Item.Items.size());
+  for (const decision::WorkspaceUse &Use : Item.Items)
+    Items.emplace_back(Use.Workspace, Use.Demanded, Use.Admitted);
+  return makeBody<wire::Body::QuotaReport>(
+      wire::CreateQuotaReportDirect(Out, Items.empty() ? nullptr : &Items));
+}
+
 } // namespace
 
 BodyOffset encodeBody(Builder &Out, const Message &Body) {
--- a/packages/peers/src/message.cpp
+++ b/packages/peers/src/message.cpp
@@ -6,9 +6,10 @@
 
 std::string_view messageName(std::size_t Type) noexcept {
   static constexpr std::array<std::string_view, MessageTypeCount> Names{
-      "unknown",      "hello",   "acquire",   "queued",        "grant",
-      "refuse",       "release", "cancel",    "gossip",        "config_request",
-      "config_delta", "bye",     "in_flight", "claim_release", "store_changes"};
+      "unknown",   "hello",          "acquire",       "queued",
+      "grant",     "refuse",         "release",       "cancel",
+      "gossip",    "config_request", "config_delta",  "bye",
+      "in_flight", "claim_release",  "store_changes", "quota_report"};
   return Type < Names.size() ? Names[Type] : Names[0];
 }
 
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -77,6 +77,11 @@
 struct StoreChanges;
 struct StoreChangesBuilder;
 
+struct WorkspaceUse;
+
+struct QuotaReport;
+struct QuotaReportBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -96,11 +101,12 @@
   InFlight = 12,
   ClaimRelease = 13,
   StoreChanges = 14,
+  QuotaReport = 15,
   MIN = NONE,
-  MAX = StoreChanges
+  MAX = QuotaReport
 };
 
-inline const Body (&EnumValuesBody())[15] {
+inline const Body (&EnumValuesBody())[16] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -116,13 +122,14 @@
     Body::Bye,
     Body::InFlight,
     Body::ClaimRelease,
-    Body::StoreChanges
+    Body::StoreChanges,
+    Body::QuotaReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[16] = {
+  static const char * const names[17] = {
     "NONE",
     "Hello",
     "Acquire",
@@ -138,13 +145,14 @@
     "InFlight",
     "ClaimRelease",
     "StoreChanges",
+    "QuotaReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreChanges)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuotaReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -209,6 +217,10 @@
   static const Body enum_value = Body::StoreChanges;
 };
 
+template<> struct BodyTraits<jujubecart::peers::wire::QuotaReport> {
+  static const Body enum_value = Body::QuotaReport;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -292,6 +304,35 @@
 };
 FLATBUFFERS_STRUCT_END(ServerCount, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) WorkspaceUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t workspace_;
+  uint32_t demanded_;
+  int32_t admitted_;
+
+ public:
+  WorkspaceUse()
+      : workspace_(0),
+        demanded_(0),
+        admitted_(0) {
+  }
+  WorkspaceUse(uint64_t _workspace, uint32_t _demanded, int32_t _admitted)
+      : workspace_(flatbuffers::EndianScalar(_workspace)),
+        demanded_(flatbuffers::EndianScalar(_demanded)),
+        admitted_(flatbuffers::EndianScalar(_admitted)) {
+  }
+  uint64_t workspace() const {
+    return flatbuffers::EndianScalar(workspace_);
+  }
+  uint32_t demanded() const {
+    return flatbuffers::EndianScalar(demanded_);
+  }
+  int32_t admitted() const {
+    return flatbuffers::EndianScalar(admitted_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WorkspaceUse, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2030,6 +2071,57 @@
       complete_until_ms);
 }
 
+struct QuotaReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ITEMS = 4
+  };
+  const flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *> *items() const {
+    return GetPointer<const flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *> *>(VT_ITEMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ITEMS) &&
+           verifier.VerifyVector(items()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaReportBuilder {
+  typedef QuotaReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_items(flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *>> items) {
+    fbb_.AddOffset(QuotaReport::VT_ITEMS, items);
+  }
+  explicit QuotaReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaReport> CreateQuotaReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *>> items = 0) {
+  QuotaReportBuilder builder_(_fbb);
+  builder_.add_items(items);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaReport> CreateQuotaReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<jujubecart::peers::wire::WorkspaceUse> *items = nullptr) {
+  auto items__ = items ? _fbb.CreateVectorOfStructs<jujubecart::peers::wire::WorkspaceUse>(*items) : 0;
+  return jujubecart::peers::wire::CreateQuotaReport(
+      _fbb,
+      items__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2097,6 +2189,9 @@
   const jujubecart::peers::wire::StoreChanges *body_as_StoreChanges() const {
     return body_type() == jujubecart::peers::wire::Body::StoreChanges ? static_cast<const jujubecart::peers::wire::StoreChanges *>(body()) : nullptr;
   }
+  const jujubecart::peers::wire::QuotaReport *body_as_QuotaReport() const {
+    return body_type() == jujubecart::peers::wire::Body::QuotaReport ? static_cast<const jujubecart::peers::wire::QuotaReport *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -2165,6 +2260,10 @@
   return body_as_StoreChanges();
 }
 
+template<> inline const jujubecart::peers::wire::QuotaReport *Envelope::body_as<jujubecart::peers::wire::QuotaReport>() const {
+  return body_as_QuotaReport();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2272,6 +2371,10 @@
       auto ptr = reinterpret_cast<const jujubecart::peers::wire::StoreChanges *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::QuotaReport: {
+      auto ptr = reinterpret_cast<const jujubecart::peers::wire::QuotaReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -50,6 +50,8 @@
         .field("server", Granted->Server.Id)
         .field("dispatcher", Granted->Dispatcher);
     release(*Granted, {.Outcome = core::CallOutcome::Withheld});
+    // The dispatcher has counted it.
+    Request.CountsAgainstQuota = false;
     // A dispatcher that grants an excluded server would do so again.
     if (std::find(Request.Excluded.begin(), Request.Excluded.end(),
                   Granted->Server.Id) != Request.Excluded.end()) {
@@ -269,6 +271,15 @@
 core::Result<core::SlotGrant> RemoteBroker::acquireFromFallback(
     const GroupEntry &Entry, const core::SlotRequest &Request,
     std::string_view Dispatcher, std::string_view Reason) {
+  if (Request.Workspace != 0 && Request.CountsAgainstQuota) {
+    const decision::QuotaDecision Quota =
+        Env.Dispatch.countAlone(Request.Workspace, Request.Request);
+    if (!Quota.Admitted) {
+      if (Request.Hint)
+        Request.Hint->RetryAt = Env.Time.now() + Quota.RetryAfter;
+      return core::make_error_code(core::Error::QuotaExceeded);
+    }
+  }
   ++Env.Links.counters().Fallbacks;
   Env.Events.record({.Kind = "dispatch.fallback",
                      .Request = Request.Request,
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -129,6 +129,31 @@
   cr_assert_eq(std::get<StoreChanges>(Item.Body).ReadAtMs, 88);
 }
 
+// Guards against reports of quota use that lose a field or the sign of what was
+// given back.
+Test(FrameCodec, quota_report_round_trip_keeps_every_field) {
+  FrameCodec Codec;
+  Frame Item;
+  const QuotaReport Report{
+      .Items = {{.Workspace = 0x1122334455667789, .Demanded = 7, .Admitted = 3},
+                {.Workspace = 1, .Demanded = 0, .Admitted = -2}}};
+  cr_assert(decode(Codec, encoded(1, Report), Item) == DecodeStatus::Ready);
+  cr_assert(std::get<QuotaReport>(Item.Body).Items == Report.Items);
+}
+
+// Guards against a dispatcher whose link is closed because it refuses a request
+// that is beyond its workspace's quota.
+Test(FrameCodec, refusal_beyond_quota_reaches_the_receiver) {
+  FrameCodec Codec;
+  Frame Item;
+  cr_assert(decode(Codec,
+                   encoded(1, Refuse{.Call = 7,
+                                     .Reason = core::Error::QuotaExceeded,
+                                     .RetryAfterMs = 250}),
+                   Item) == DecodeStatus::Ready);
+  cr_assert(std::get<Refuse>(Item.Body).Reason == core::Error::QuotaExceeded);
+}
+
 // Guards against a grant whose time of a second attempt is lost, or appears
 // although the dispatcher did not state one.
 Test(FrameCodec, grant_round_trip_keeps_every_field) {
--- /dev/null
+++ b/tests/peers/quota_test.cpp
@@ -0,0 +1,95 @@
+#include "cluster.hpp"
+
+using namespace jujubecart;
+using namespace jujubecart::peers;
+using namespace jujubecart::peers::test;
+
+namespace {
+
+const core::Workspace Club{
+    .Name = "club", .Priority = {}, .Quota = {.MilliPerS = 100, .Burst = 10}};
+
+/// @brief A fleet whose only service has many slots and whose configuration has
+/// one workspace.
+struct QuotaFleet : Cluster {
+  explicit QuotaFleet(std::size_t Servers = 20) : Cluster(Servers) {
+    const auto Services = snapshot(2, Servers)->entries();
+    const auto Routing = std::make_shared<core::RoutingTable>(
+        1, std::vector<core::Route>{}, core::CallerLimits{},
+        core::WorkspaceTable({{.Item = Club, .Keys = {}}}));
+    for (const auto &Item : Vms)
+      cr_assert(Item->Config.apply(
+          std::make_shared<core::ConfigSnapshot>(2, Services, Routing)));
+    // Until then the dispatcher takes itself for a VM that decides alone.
+    cr_assert(eventually(
+        [&] { return !dispatcher().Node.dispatch().status().empty(); }));
+  }
+
+  [[nodiscard]] static core::SlotRequest counted() {
+    core::SlotRequest Item = request();
+    Item.Workspace = Club.hash();
+    Item.CountsAgainstQuota = true;
+    Item.Hint = std::make_shared<core::RetryHint>();
+    return Item;
+  }
+};
+
+} // namespace
+
+// Guards against requests beyond the quota that get a slot because they came
+// through different VMs, and against refusals without the time of a retry.
+Test(Quota, requests_of_all_vms_use_one_quota) {
+  QuotaFleet Fleet;
+  std::size_t Granted = 0;
+  std::size_t Refused = 0;
+  for (int At = 0; At < 60; ++At) {
+    core::SlotRequest Request = QuotaFleet::counted();
+    const auto Hint = Request.Hint;
+    const auto Result =
+        Fleet.Vms[At % Fleet.Vms.size()]->acquire(std::move(Request));
+    if (Result) {
+      ++Granted;
+      continue;
+    }
+    ++Refused;
+    cr_assert_eq(Result.error(), core::Error::QuotaExceeded);
+    cr_assert_gt(Hint->RetryAt, std::chrono::steady_clock::now());
+  }
+  // A dispatcher that has just started has its share of the burst, a half.
+  cr_assert_geq(Granted, 5, "%zu granted", Granted);
+  cr_assert_leq(Granted, 14, "%zu granted", Granted);
+  cr_assert_eq(Fleet.dispatcher().Node.links().counters().QuotaRefusals,
+               Refused);
+}
+
+// Guards against attempts of one request that use its quota more than once.
+Test(Quota, later_attempts_do_not_count) {
+  QuotaFleet Fleet;
+  for (int At = 0; At < 60; ++At) {
+    core::SlotRequest Request = QuotaFleet::counted();
+    Request.CountsAgainstQuota = false;
+    cr_assert(Fleet.second().acquire(std::move(Request)).has_value());
+  }
+}
+
+// Guards against requests that use the quota although they got no slot.
+Test(Quota, requests_that_end_without_slot_do_not_count) {
+  QuotaFleet Fleet(1);
+  const auto Held = Fleet.acquireSlots(Fleet.second(), MaxGrants);
+  for (int At = 0; At < 40; ++At) {
+    core::SlotRequest Request = QuotaFleet::counted();
+    Request.Deadline = std::chrono::steady_clock::now() + 20ms;
+    const auto Result = Fleet.second().acquire(std::move(Request));
+    cr_assert(!Result);
+    cr_assert(Result.error() != core::Error::QuotaExceeded);
+  }
+}
+
+// Guards against a second dispatcher that knows nothing of what the first one
+// admitted.
+Test(Quota, use_is_reported_to_the_next_dispatcher) {
+  QuotaFleet Fleet;
+  cr_assert(Fleet.second().acquire(QuotaFleet::counted()).has_value());
+  cr_assert(eventually(
+      [&] { return Fleet.second().Node.dispatch().quotaWorkspaces() == 1; }));
+}
