--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -63,7 +63,7 @@
       LocalBroker(Config, Time, localPolicyName(Settings.Policy),
                   internal::randomNumber(), &Claims),
       PooledProber(Transport),
-      Peers(Io.get_executor(), peerOptions(Settings, Incarnation),
+      Peers(Io.get_executor(), peerOptions(Settings, Incarnation, Time),
             {.Time = Time,
              .Events = Events,
              .Config = Config,
@@ -82,7 +82,8 @@
                .Backends = Transport,
                .Events = Events,
                .Retries = Retries,
-               .Profile = profile()}),
+               .Profile = profile(),
+               .Freshness = freshness()}),
       Endpoints(ApiEnvironment{.Settings = Settings,
                                .Io = Io,
                                .Time = Time,
@@ -98,7 +99,9 @@
                             .Pool = Pool,
                             .Peers = Peers,
                             .Config = Config,
-                            .Events = Events});
+                            .Events = Events,
+                            .Time = Time,
+                            .Freshness = freshness()});
   if (!Settings.PlatformEndpoint.empty())
     VmListPoller = std::make_unique<inventory::VmListReader>(
         Io.get_executor(), Sleeper, internal::randomNumber,
@@ -116,6 +119,10 @@
                                     : core::nativeHttpProfile();
 }
 
+store::FreshnessRecord *Daemon::freshness() noexcept {
+  return Settings.Directory.RevokeMs == 0 ? nullptr : &Freshness;
+}
+
 core::SlotBroker &Daemon::broker() noexcept {
   if (Settings.Policy == "dispatcher")
     return Peers.broker();
@@ -159,11 +166,12 @@
           .Alone = [this] { return Peers.storeRelay().alone(); },
           .LostVms = [this] { return Peers.members().lostVms(); },
           .Broadcast =
-              [this](const core::EntryChanges &Changes,
-                     core::TimePoint ReadAt) {
-                Peers.storeRelay().broadcast(Changes, ReadAt);
+              [this](const core::EntryChanges &Changes, core::TimePoint ReadAt,
+                     std::optional<std::chrono::milliseconds> CompleteUntil) {
+                Peers.storeRelay().broadcast(Changes, ReadAt, CompleteUntil);
               },
-          .Ages = &Metrics.summary("jujubecart_directory_age_ms", "")},
+          .Ages = &Metrics.summary("jujubecart_directory_age_ms", ""),
+          .Freshness = freshness()},
       Peers.members().self(), Settings.Directory.Zones,
       store::DirectoryFeedOptions{});
   Feed->setMemberHandler([this](const std::vector<core::Member> &Vms) {
--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -58,6 +58,8 @@
   void validateSettings() const;
   void startConfiguration();
   [[nodiscard]] const core::HttpProfile &profile() const noexcept;
+  /// @brief The record of Freshness; nullptr if API keys count at any age.
+  [[nodiscard]] store::FreshnessRecord *freshness() noexcept;
 
   const operators::Settings Settings;
   operators::SettingsFile File;
@@ -75,6 +77,7 @@
   LoopDelayMonitor LoopDelays;
   store::HttpKeyValueStore Store;
   store::TicketProcessor Tickets;
+  store::FreshnessRecord Freshness;
   store::ConfigReader ConfigReader;
   store::ClaimLog Claims;
   decision::LocalBroker LocalBroker;
--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -1,5 +1,6 @@
 #include "daemon_metrics.hpp"
 
+#include <limits>
 #include <sys/resource.h>
 
 namespace jujubecart::daemon {
@@ -121,6 +122,15 @@
   Registry.gauge("jujubecart_config_revision", "", [&Config = Sources.Config] {
     return static_cast<double>(Config.current()->revision());
   });
+  if (Sources.Freshness != nullptr)
+    Registry.gauge("jujubecart_config_complete_age_ms", "",
+                   [&Time = Sources.Time, &Freshness = *Sources.Freshness] {
+                     const auto CompleteUntil = Freshness.completeUntil();
+                     return CompleteUntil
+                                ? static_cast<double>(
+                                      (Time.uptime() - *CompleteUntil).count())
+                                : std::numeric_limits<double>::infinity();
+                   });
   Registry.counter("jujubecart_timeline_events_dropped_total", "",
                    [&Events = Sources.Events] {
                      return static_cast<double>(Events.dropped());
--- a/apps/jujubecartd/daemon_metrics.hpp
+++ b/apps/jujubecartd/daemon_metrics.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/backends/connection_pool.hpp>
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core.hpp>
+#include <jujubecart/core/config_freshness.hpp>
 #include <jujubecart/peers/peer_node.hpp>
 
 namespace jujubecart::daemon {
@@ -15,6 +16,9 @@
   peers::PeerNode &Peers;
   const core::ConfigSource &Config;
   const core::EventRing &Events;
+  const core::Clock &Time;
+  /// Nullptr if API keys count at any age.
+  const core::ConfigFreshness *Freshness = nullptr;
 };
 
 /// @brief Registers all metrics of the process; docs/operators.md lists them.
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -19,6 +19,10 @@
 // callers before SIGKILL.
 constexpr std::uint32_t ShutdownReserveMs = 400;
 constexpr std::size_t MaxBufferedResponseBytes = 65536;
+// Part of the time for a revocation that is kept for what a VM cannot know: a
+// watch of the store may miss changes of the last second, and an answer without
+// changes may have been given a little before its time.
+constexpr std::chrono::milliseconds RevocationMargin{1600};
 // Must be shorter than the idle timeout of the backend servers.
 constexpr std::chrono::milliseconds DirectoryIdleTimeout{8000};
 
@@ -77,6 +81,10 @@
   if (Settings.Directory.Enabled) {
     Options.BufferResponsesWithoutLength = true;
     Options.MaxBufferedResponseBytes = MaxBufferedResponseBytes;
+    if (Settings.Directory.RevokeMs != 0)
+      Options.MaxKeyAge =
+          std::chrono::milliseconds(Settings.Directory.RevokeMs) -
+          RevocationMargin;
   }
   return Options;
 }
@@ -90,7 +98,8 @@
 }
 
 peers::PeerOptions peerOptions(const operators::Settings &Settings,
-                               std::uint64_t Incarnation) {
+                               std::uint64_t Incarnation,
+                               const core::Clock &Time) {
   peers::PeerOptions Options;
   Options.Self = {.Id = Settings.Vm.Id,
                   .Address = Settings.Peers.Advertise.empty()
@@ -113,6 +122,8 @@
   Options.RandomSeed = core::hash64(Settings.Vm.Id, Incarnation);
   if (Settings.Directory.Enabled) {
     Options.AskNextDispatcher = true;
+    if (Settings.Directory.RevokeMs != 0)
+      Options.StatedClock = &Time;
     Options.SyncConfig = false;
     Options.FastFirstRounds = false;
     Options.HeartbeatInterval = DirectoryHeartbeatInterval;
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -38,7 +38,8 @@
 /// @param Incarnation Start time of the process in Unix milliseconds; it tells
 /// a restarted VM from its predecessor.
 [[nodiscard]] peers::PeerOptions
-peerOptions(const operators::Settings &Settings, std::uint64_t Incarnation);
+peerOptions(const operators::Settings &Settings, std::uint64_t Incarnation,
+            const core::Clock &Time);
 
 /// @brief Maps the policy setting to the name of a local policy. With
 /// `dispatcher` this is the fallback, power of two choices.
--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -47,9 +47,9 @@
   EntryChanges Changes;
   /// When a VM got it from the store, on the clock of the receiver.
   TimePoint ReadAt;
-  /// The changes include all that the store accepted before this instant, which
-  /// is not later than ReadAt; TimePoint::min() if that is not known.
-  TimePoint CompleteUntil = TimePoint::min();
+  /// With the changes, all are known that the store accepted before this
+  /// instant on Clock::uptime() of the receiver; nothing if that is not known.
+  std::optional<std::chrono::milliseconds> CompleteUntil = std::nullopt;
   /// Whether the receiver is asked to report it to all others.
   bool PassOn = false;
 };
--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -94,6 +94,9 @@
   /// How long new connections are still accepted after SIGTERM, until the
   /// platform's load balancer has noticed that this VM is not ready.
   std::uint32_t LeaveMs = 2300;
+  /// Time after which no request runs with an API key that was removed; 0 if
+  /// VMs without news from the store go on with the keys that they know.
+  std::uint32_t RevokeMs = 0;
 
   friend auto operator<=>(const DirectorySettings &,
                           const DirectorySettings &) = default;
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -201,6 +201,11 @@
   return Default;
 }
 
+// A VM that hears from the store all the time knows what it accepted 1.7 s ago
+// (see docs/design/workspaces.md); with the margin for the store's delays it
+// would refuse callers with a shorter bound.
+constexpr std::uint32_t MinRevokeMs = 4000;
+
 DirectorySettings readDirectory(JsonReader &Root, Findings &Report) {
   DirectorySettings Directory;
   const json *Value = Root.object("directory", false);
@@ -219,6 +224,11 @@
                                    Directory.GraceMs, Report);
   Directory.LeaveMs = readDuration(Reader.value("leave"), "/directory/leave",
                                    Directory.LeaveMs, Report);
+  const json &Revoke = Reader.value("revoke");
+  Directory.RevokeMs =
+      readDuration(Revoke, "/directory/revoke", Directory.RevokeMs, Report);
+  if (Directory.RevokeMs != 0 && Directory.RevokeMs < MinRevokeMs)
+    Report.add("/directory/revoke", Revoke.dump(), "at least 4000 ms");
   Reader.rejectUnknownKeys();
   return Directory;
 }
--- a/packages/peers/include/jujubecart/peers/gossip.hpp
+++ b/packages/peers/include/jujubecart/peers/gossip.hpp
@@ -29,6 +29,7 @@
   void onFrame(const LinkPtr &Source, const Frame &Item) override;
 
 private:
+  [[nodiscard]] std::uint64_t sentAtMs() const noexcept;
   core::Awaitable<void> roundLoop();
   void runRound();
   void sendDigest(const LinkPtr &To, bool Reply,
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -158,6 +158,8 @@
   /// MemberEntry::Age of each member, ordered by bucket and id.
   std::vector<std::uint8_t> Ages;
   std::vector<MemberEntry> Members;
+  /// As Hello::SentAtMs.
+  std::uint64_t SentAtMs = 0;
 };
 
 /// @brief Requests the configuration changes after a revision.
@@ -213,8 +215,8 @@
   /// Uptime of the sender when a VM got them from the store, in milliseconds;
   /// 0 as in Hello::SentAtMs.
   std::uint64_t ReadAtMs = 0;
-  /// Uptime of the sender up to which the changes are complete; 0 if that is
-  /// not known. See core::ReportedChanges.
+  /// Uptime of the receiver up to which the changes are complete; 0 if that is
+  /// not known. See core::ReportedChanges and PeerClock.
   std::uint64_t CompleteUntilMs = 0;
   /// Hashes of the ids of the relays. A receiver among them passes the changes
   /// on to the VMs for which decision::relayOf() selects it.
--- a/packages/peers/include/jujubecart/peers/peer_options.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_options.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_PEERS_PEER_OPTIONS_HPP
 #define JUJUBECART_PEERS_PEER_OPTIONS_HPP
 
+#include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/member.hpp>
 
 #include <chrono>
@@ -53,6 +54,9 @@
   /// otherwise this VM decides at once. Worthwhile if a call takes far longer
   /// than a network round trip.
   bool AskNextDispatcher = false;
+  /// Clock that this VM states in gossip, so that its peers can tell it
+  /// instants; nullptr if it states none.
+  const core::Clock *StatedClock = nullptr;
   /// Whether the VMs send each other configuration changes.
   bool SyncConfig = true;
 
--- a/packages/peers/include/jujubecart/peers/store_relay.hpp
+++ b/packages/peers/include/jujubecart/peers/store_relay.hpp
@@ -5,6 +5,7 @@
 #include <jujubecart/core/member.hpp>
 #include <jujubecart/decision/relay_tree.hpp>
 #include <jujubecart/peers/link_table.hpp>
+#include <jujubecart/peers/peer_clock.hpp>
 #include <jujubecart/peers/transit_delay.hpp>
 
 #include <functional>
@@ -40,7 +41,10 @@
   /// with earlier ones that a receiver has missed. Without entries, tells them
   /// that nothing has changed up to List.AsOf.
   /// @param ReadAt When a VM got them from the store.
-  void broadcast(const core::EntryChanges &Changes, core::TimePoint ReadAt);
+  /// @param CompleteUntil As in core::ReportedChanges, on the clock of this VM.
+  void broadcast(
+      const core::EntryChanges &Changes, core::TimePoint ReadAt,
+      std::optional<std::chrono::milliseconds> CompleteUntil = std::nullopt);
 
   /// @brief Rank of this VM among the members that may read the store on
   /// behalf of all; the VM with rank 0 is the regular reader.
@@ -57,6 +61,8 @@
   /// @brief What a frame states beside the changes.
   struct Envelope {
     core::TimePoint ReadAt;
+    /// On Clock::uptime() of this VM.
+    std::optional<std::chrono::milliseconds> CompleteUntil;
     std::vector<std::uint64_t> Relays;
     bool PassOn = false;
   };
@@ -86,8 +92,7 @@
   void handOver(const decision::RelayTree &Tree, Envelope Item,
                 Receivers &Count);
   /// @brief Sends to the VMs for which this VM is the relay.
-  void sendToOwnPart(const std::vector<std::uint64_t> &Relays,
-                     core::TimePoint ReadAt, Receivers &Count);
+  void sendToOwnPart(const Envelope &Item, Receivers &Count);
   [[nodiscard]] std::shared_ptr<const Part>
   ownPart(const std::vector<std::uint64_t> &Relays);
   /// @brief Hashes of the relays except those to which no link opens.
@@ -97,6 +102,8 @@
   /// @brief Converts an instant that a peer states to this VM's clock.
   [[nodiscard]] core::TimePoint receivedInstant(const LinkPtr &Source,
                                                 std::uint64_t SentAtMs);
+  /// @brief Records what a peer states of its clock.
+  void recordClock(const LinkPtr &Source, std::uint64_t SentAtMs);
   /// @brief Ranks the members again if they have changed; call with Mutex held.
   void updateRank();
 
@@ -109,6 +116,8 @@
   std::mutex Mutex;
   /// By link number.
   std::unordered_map<std::uint64_t, TransitDelay> Delays;
+  /// By link number.
+  std::unordered_map<std::uint64_t, PeerClock> Clocks;
   /// What is sent when a link to a VM opens, by VM id.
   std::unordered_map<std::string, Envelope> AwaitingLink;
   /// The part of this VM that was computed last.
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -123,7 +123,8 @@
                      .Digests = toVector(Source.digests()),
                      .Counts = toVector(Source.counts()),
                      .Ages = toVector(Source.ages()),
-                     .Members = {}};
+                     .Members = {},
+                     .SentAtMs = Source.sent_at_ms()};
   if (Source.members() == nullptr)
     return Item;
   Item.Members.reserve(Source.members()->size());
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -108,7 +108,7 @@
         nullIfEmpty(Entry.Operators), Entry.ProcessorMilli));
   return makeBody<wire::Body::Gossip>(wire::CreateGossipDirect(
       Out, Item.Revision, Item.Reply, &Item.Digests, &Item.Counts, &Item.Ages,
-      Entries.empty() ? nullptr : &Entries));
+      Entries.empty() ? nullptr : &Entries, Item.SentAtMs));
 }
 
 BodyOffset encode(Builder &Out, const ConfigRequest &Item) {
--- a/packages/peers/src/gossip.cpp
+++ b/packages/peers/src/gossip.cpp
@@ -76,12 +76,20 @@
     sendDigest(Open, false, {});
 }
 
+std::uint64_t Gossip::sentAtMs() const noexcept {
+  const core::Clock *Stated = Links.options().StatedClock;
+  return Stated == nullptr
+             ? 0
+             : static_cast<std::uint64_t>(Stated->uptime().count());
+}
+
 void Gossip::sendDigest(const LinkPtr &To, bool Reply,
                         std::vector<MemberEntry> Differing) {
   GossipMessage Message = Members.digest();
   Message.Revision = Config.current()->revision();
   Message.Reply = Reply;
   Message.Members = std::move(Differing);
+  Message.SentAtMs = sentAtMs();
   To->send(Message);
 }
 
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -1322,7 +1322,8 @@
     VT_DIGESTS = 8,
     VT_COUNTS = 10,
     VT_AGES = 12,
-    VT_MEMBERS = 14
+    VT_MEMBERS = 14,
+    VT_SENT_AT_MS = 16
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
@@ -1342,6 +1343,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::MemberEntry>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::MemberEntry>> *>(VT_MEMBERS);
   }
+  uint64_t sent_at_ms() const {
+    return GetField<uint64_t>(VT_SENT_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
@@ -1355,6 +1359,7 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1381,6 +1386,9 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::MemberEntry>>> members) {
     fbb_.AddOffset(Gossip::VT_MEMBERS, members);
   }
+  void add_sent_at_ms(uint64_t sent_at_ms) {
+    fbb_.AddElement<uint64_t>(Gossip::VT_SENT_AT_MS, sent_at_ms, 0);
+  }
   explicit GossipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1399,8 +1407,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> digests = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> counts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> ages = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::MemberEntry>>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<jujubecart::peers::wire::MemberEntry>>> members = 0,
+    uint64_t sent_at_ms = 0) {
   GossipBuilder builder_(_fbb);
+  builder_.add_sent_at_ms(sent_at_ms);
   builder_.add_revision(revision);
   builder_.add_members(members);
   builder_.add_ages(ages);
@@ -1417,7 +1427,8 @@
     const std::vector<uint32_t> *digests = nullptr,
     const std::vector<uint16_t> *counts = nullptr,
     const std::vector<uint8_t> *ages = nullptr,
-    const std::vector<flatbuffers::Offset<jujubecart::peers::wire::MemberEntry>> *members = nullptr) {
+    const std::vector<flatbuffers::Offset<jujubecart::peers::wire::MemberEntry>> *members = nullptr,
+    uint64_t sent_at_ms = 0) {
   auto digests__ = digests ? _fbb.CreateVector<uint32_t>(*digests) : 0;
   auto counts__ = counts ? _fbb.CreateVector<uint16_t>(*counts) : 0;
   auto ages__ = ages ? _fbb.CreateVector<uint8_t>(*ages) : 0;
@@ -1429,7 +1440,8 @@
       digests__,
       counts__,
       ages__,
-      members__);
+      members__,
+      sent_at_ms);
 }
 
 struct ConfigRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -84,6 +84,11 @@
       .PassOn = Item.PassOn};
   {
     const std::lock_guard Lock(Mutex);
+    if (Item.CompleteUntil)
+      if (const auto Converted =
+              Clocks[Open->number()].toPeer(*Item.CompleteUntil, Time.uptime()))
+        Message.CompleteUntilMs = static_cast<std::uint64_t>(
+            std::max<std::int64_t>(Converted->count(), 0));
     core::Revision &SentRevision = SentRevisions[Open->number()];
     Message.Changes = internal::changesAfter(RecentChanges, SentRevision);
     SentRevision = RecentChanges.List.AsOf;
@@ -141,7 +146,7 @@
   for (const core::Member &Vm : Members.members())
     if (Vm.Id != SelfId && Tree.isRelay(Vm.Id))
       send(Vm, ToRelay, Count);
-  sendToOwnPart(ToRelay.Relays, Item.ReadAt, Count);
+  sendToOwnPart(ToRelay, Count);
 }
 
 // Kept until the members or the relays change: a hash for each VM and relay
@@ -169,10 +174,11 @@
   return Shared;
 }
 
-void StoreRelay::sendToOwnPart(const std::vector<std::uint64_t> &Relays,
-                               core::TimePoint ReadAt, Receivers &Count) {
-  for (const core::Member &Vm : ownPart(Relays)->Receivers)
-    send(Vm, {.ReadAt = ReadAt}, Count);
+void StoreRelay::sendToOwnPart(const Envelope &Item, Receivers &Count) {
+  const Envelope ToReceiver{
+      .ReadAt = Item.ReadAt, .CompleteUntil = Item.CompleteUntil, .Relays = {}};
+  for (const core::Member &Vm : ownPart(Item.Relays)->Receivers)
+    send(Vm, ToReceiver, Count);
 }
 
 // A VM that is too small to relay may be the only one that reaches the store.
@@ -193,8 +199,9 @@
   }
 }
 
-void StoreRelay::broadcast(const core::EntryChanges &Changes,
-                           core::TimePoint ReadAt) {
+void StoreRelay::broadcast(
+    const core::EntryChanges &Changes, core::TimePoint ReadAt,
+    std::optional<std::chrono::milliseconds> CompleteUntil) {
   remember(Changes);
   {
     // What waited for a link in vain is not kept for a VM that is gone.
@@ -204,7 +211,8 @@
     });
   }
   const decision::RelayTree Relays = currentTree();
-  const Envelope Item{.ReadAt = ReadAt};
+  const Envelope Item{
+      .ReadAt = ReadAt, .CompleteUntil = CompleteUntil, .Relays = {}};
   Receivers Count;
   if (Relays.relays().empty())
     sendToAll(Item, Count);
@@ -264,10 +272,19 @@
                    std::chrono::milliseconds(SentAtMs), Time.uptime());
 }
 
+void StoreRelay::recordClock(const LinkPtr &Source, std::uint64_t SentAtMs) {
+  if (SentAtMs == 0)
+    return;
+  const std::lock_guard Lock(Mutex);
+  Clocks[Source->number()].record(std::chrono::milliseconds(SentAtMs),
+                                  Time.uptime());
+}
+
 // The first frame of a link finds it empty, so that it shows the difference of
 // the two clocks.
 void StoreRelay::onOpen(const LinkPtr &Source) {
   (void)receivedInstant(Source, Source->peer().SentAtMs);
+  recordClock(Source, Source->peer().SentAtMs);
   std::optional<Envelope> Waiting;
   {
     const std::lock_guard Lock(Mutex);
@@ -283,19 +300,28 @@
 }
 
 void StoreRelay::onFrame(const LinkPtr &Source, const Frame &Item) {
+  if (const auto *Digest = std::get_if<GossipMessage>(&Item.Body))
+    recordClock(Source, Digest->SentAtMs);
   const auto *Received = std::get_if<StoreChanges>(&Item.Body);
   if (Received == nullptr)
     return;
   const core::TimePoint ReadAt = receivedInstant(Source, Received->ReadAtMs);
+  std::optional<std::chrono::milliseconds> CompleteUntil;
+  if (Received->CompleteUntilMs != 0)
+    CompleteUntil = std::chrono::milliseconds(Received->CompleteUntilMs);
   if (std::find(Received->Relays.begin(), Received->Relays.end(), SelfHash) !=
       Received->Relays.end()) {
     remember(Received->Changes);
     Receivers Count;
-    sendToOwnPart(Received->Relays, ReadAt, Count);
+    sendToOwnPart({.ReadAt = ReadAt,
+                   .CompleteUntil = CompleteUntil,
+                   .Relays = Received->Relays},
+                  Count);
   }
   if (Handler)
     Handler({.Changes = Received->Changes,
              .ReadAt = ReadAt,
+             .CompleteUntil = CompleteUntil,
              .PassOn = Received->PassOn});
 }
 
@@ -303,6 +329,7 @@
   const std::lock_guard Lock(Mutex);
   SentRevisions.erase(Source->number());
   Delays.erase(Source->number());
+  Clocks.erase(Source->number());
 }
 
 } // namespace jujubecart::peers
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -6,6 +6,7 @@
 #include <jujubecart/core/metrics.hpp>
 #include <jujubecart/core/sleeper.hpp>
 #include <jujubecart/store/directory.hpp>
+#include <jujubecart/store/freshness.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -76,6 +77,10 @@
   /// the store's history (20 s).
   std::chrono::milliseconds SnapshotInterval{5000};
   std::chrono::milliseconds MaxSnapshotInterval{10000};
+  /// A VM whose entries are complete up to an instant longer ago reads the
+  /// store itself, if Environment::Freshness is set. Longer than the usual
+  /// takeover of a lost reader.
+  std::chrono::milliseconds MaxFreshnessAge{2400};
   /// How often the reader removes the registrations of lost VMs.
   std::chrono::milliseconds CleanupInterval{5000};
 };
@@ -123,11 +128,18 @@
     /// Ids of registered VMs that are lost, so that the reader removes their
     /// registrations.
     std::function<std::vector<std::string>()> LostVms;
-    /// Sends an answer of the store, and when a VM got it, to the other VMs.
-    std::function<void(const core::EntryChanges &, core::TimePoint)> Broadcast;
+    /// Sends an answer of the store, when a VM got it, and up to when the
+    /// entries are complete with it (see core::ReportedChanges) to the other
+    /// VMs.
+    std::function<void(const core::EntryChanges &, core::TimePoint,
+                       std::optional<std::chrono::milliseconds>)>
+        Broadcast;
     /// Gets the age in milliseconds of each change when it is applied; may be
     /// null.
     core::Summary *Ages = nullptr;
+    /// Gets the instant up to which the published entries are complete; null if
+    /// nobody needs it, in which case the other VMs are not told it either.
+    FreshnessRecord *Freshness = nullptr;
   };
 
   /// @brief Creates a feed that does nothing until run() is spawned.
@@ -167,8 +179,9 @@
                                              std::uint64_t ConfirmationsBefore);
   /// @brief Broadcasts an answer of the store unless another VM has done so.
   /// @param ConfirmationsBefore PeerConfirmations before the store was called.
-  [[nodiscard]] core::Awaitable<void> passOn(core::EntryChanges Changes,
-                                             std::uint64_t ConfirmationsBefore);
+  [[nodiscard]] core::Awaitable<void>
+  passOn(core::EntryChanges Changes, std::uint64_t ConfirmationsBefore,
+         std::chrono::milliseconds CompleteUntil);
   [[nodiscard]] core::Awaitable<void> backOff(core::TimePoint Started);
   [[nodiscard]] core::Awaitable<bool> ensureRegistered();
   [[nodiscard]] core::Awaitable<void> removeLostVms();
@@ -181,6 +194,11 @@
   randomUpTo(std::chrono::milliseconds Max) const;
   void logTakeover();
   void recordAge(core::TimePoint ReadAt);
+  /// @brief Whether the entries are complete up to an instant that is too long
+  /// ago, although other VMs confirm them.
+  [[nodiscard]] bool lacksFreshness() const;
+  /// @brief Records up to when the published entries are complete.
+  void recordFreshness(std::optional<std::chrono::milliseconds> CompleteUntil);
   void recordConfirmation(core::TimePoint ReadAt);
   void recordSuccess();
   void recordFailure(std::string_view Call, const std::error_code &Error);
@@ -208,6 +226,8 @@
   /// When this VM or another one got the newest answer of the store that this
   /// VM knows; the entries have been confirmed up to then.
   core::TimePoint LastConfirmed;
+  /// Up to when the entries that load() reads are complete.
+  std::chrono::milliseconds LoadedUntil{0};
   /// Whether another VM reported changes that follow changes unknown here; the
   /// missing ones must be read from the store.
   bool MissedChanges = false;
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -68,7 +68,7 @@
 // end, soon enough to have a change in time: nobody else knows whether it can
 // reach the store. A VM that missed changes reads them itself.
 bool DirectoryFeed::mustReadStore() {
-  if (Env.ReaderRank() == 0 || MissedChanges || ReadsForAll)
+  if (Env.ReaderRank() == 0 || MissedChanges || ReadsForAll || lacksFreshness())
     return true;
   TakeoverAt = takeoverTime();
   return Env.Time.now() >= TakeoverAt;
@@ -109,6 +109,22 @@
   LastConfirmed = ReadAt;
 }
 
+// That other VMs have an answer does not show how long ago the question was
+// asked, which is what callers with an API key depend on.
+bool DirectoryFeed::lacksFreshness() const {
+  if (Env.Freshness == nullptr)
+    return false;
+  const auto CompleteUntil = Env.Freshness->completeUntil();
+  return !CompleteUntil ||
+         Env.Time.uptime() - *CompleteUntil >= Options.MaxFreshnessAge;
+}
+
+void DirectoryFeed::recordFreshness(
+    std::optional<std::chrono::milliseconds> CompleteUntil) {
+  if (Env.Freshness != nullptr && CompleteUntil)
+    Env.Freshness->raise(*CompleteUntil);
+}
+
 void DirectoryFeed::recordAge(core::TimePoint ReadAt) {
   const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
       Env.Time.now() - ReadAt);
@@ -150,13 +166,14 @@
   const bool IsNewer =
       Newer >= Options.WatchTimeout / 2 || Changes.List.AsOf > Entries.asOf();
   if (Report.PassOn && IsNewer)
-    Env.Broadcast(Changes, ReadAt);
+    Env.Broadcast(Changes, ReadAt, Report.CompleteUntil);
   if (Changes.List.AsOf == Entries.asOf())
-    return;
+    return recordFreshness(Report.CompleteUntil);
   Entries.apply(Changes.List, Env.Time.now());
   if (Changes.List.Entries.empty())
-    return;
+    return recordFreshness(Report.CompleteUntil);
   publish();
+  recordFreshness(Report.CompleteUntil);
   recordAge(ReadAt);
 }
 
@@ -182,6 +199,7 @@
 // Snapshots and stale reads, which cost a tenth, may be outdated. The changes
 // since then are read before any entry is used.
 core::Awaitable<bool> DirectoryFeed::load() {
+  LoadedUntil = Env.Time.uptime();
   const auto All = co_await readAll();
   if (!All) {
     recordFailure("list", All.error());
@@ -197,6 +215,7 @@
   recordSuccess();
   Loaded = true;
   publish();
+  recordFreshness(LoadedUntil);
   co_return true;
 }
 
@@ -205,6 +224,7 @@
   // registered before it.
   if (!Entries.isRegistered(Self))
     co_await Env.Sleeper.sleepUntil(Env.Time.now() + Options.JoinDelay);
+  LoadedUntil = Env.Time.uptime();
   const auto Changed = co_await Env.Store.waitForChanges(
       Entries.asOf(), Env.Time.now() + internal::CatchUpTimeout);
   if (!Changed) {
@@ -226,6 +246,7 @@
                                             std::uint64_t ConfirmationsBefore) {
   core::LogLine(core::LogLevel::Warning, "store.history_lost")
       .field("after", Entries.asOf());
+  const std::chrono::milliseconds AskedAt = Env.Time.uptime();
   const auto All = co_await Env.Store.list(
       core::ReadMode::Latest, Env.Time.now() + Options.CallTimeout);
   if (!All) {
@@ -238,8 +259,9 @@
   const core::EntryChanges Changes = Entries.changesTo(*All);
   Entries.replace(*All, Env.Time.now());
   publish();
+  recordFreshness(AskedAt);
   if (!CatchesUp)
-    co_await passOn(Changes, ConfirmationsBefore);
+    co_await passOn(Changes, ConfirmationsBefore, AskedAt);
   co_return true;
 }
 
@@ -247,8 +269,10 @@
 // all of them would open links between all VMs. Those of the first ranks
 // broadcast at once; the others wait for a random time and leave it to one that
 // was faster. From then on this VM reads until it hears from another one.
-core::Awaitable<void> DirectoryFeed::passOn(core::EntryChanges Changes,
-                                            std::uint64_t ConfirmationsBefore) {
+core::Awaitable<void>
+DirectoryFeed::passOn(core::EntryChanges Changes,
+                      std::uint64_t ConfirmationsBefore,
+                      std::chrono::milliseconds CompleteUntil) {
   const std::size_t Rank = Env.ReaderRank();
   if (Rank != 0 && !ReadsForAll) {
     if (!isPrompt(Rank))
@@ -261,7 +285,9 @@
         .field("rank", Rank)
         .field("revision", Entries.asOf());
   }
-  Env.Broadcast(Changes, LastSuccess);
+  Env.Broadcast(Changes, LastSuccess,
+                Env.Freshness == nullptr ? std::nullopt
+                                         : std::optional(CompleteUntil));
 }
 
 // After a failed call, a stale read shows at a tenth of the price whether the
@@ -282,7 +308,7 @@
 core::TimePoint DirectoryFeed::watchEnd() const {
   const core::TimePoint Now = Env.Time.now();
   // The others wait for a confirmation that is overdue.
-  if (Now - LastConfirmed >= Options.TakeoverDelay)
+  if (Now - LastConfirmed >= Options.TakeoverDelay || lacksFreshness())
     return Now + internal::CatchUpTimeout;
   const auto Timeout =
       Env.Alone() ? Options.LoneWatchTimeout : Options.WatchTimeout;
@@ -291,17 +317,23 @@
 
 core::Awaitable<bool> DirectoryFeed::watchStore() {
   const core::Revision After = Entries.asOf();
-  // A VM that catches up on changes that it missed has nothing new for the
-  // others.
-  const bool CatchesUp = MissedChanges && !ReadsForAll && Env.ReaderRank() != 0;
+  // A VM that catches up on changes that it missed, or that only wants to know
+  // up to when its entries are complete, has nothing new for the others.
+  const bool CatchesUp = Env.ReaderRank() != 0 && !ReadsForAll &&
+                         (MissedChanges || (Env.Freshness != nullptr &&
+                                            Env.Time.now() < takeoverTime()));
   const std::uint64_t ConfirmationsBefore = PeerConfirmations;
-  auto Changed = co_await Env.Store.waitForChanges(After, watchEnd());
+  const core::TimePoint WaitUntil = watchEnd();
+  const StoreQuestion Question(Env.Time, WaitUntil);
+  auto Changed = co_await Env.Store.waitForChanges(After, WaitUntil);
   if (!Changed) {
     if (Changed.error() == core::Error::HistoryLost)
       co_return co_await relist(CatchesUp, ConfirmationsBefore);
     recordFailure("watch", Changed.error());
     co_return false;
   }
+  const std::chrono::milliseconds CompleteUntil =
+      Question.completeUntil(!Changed->Entries.empty());
   recordSuccess();
   MissedChanges = false;
   *Changed = internal::withoutOther(std::move(*Changed), Env.Codec);
@@ -311,9 +343,10 @@
   const bool Removed = Entries.removeExpired(Env.Time.now());
   if (!Unchanged || Removed)
     publish();
+  recordFreshness(CompleteUntil);
   core::EntryChanges Answer{.After = After, .List = std::move(*Changed)};
   if (!CatchesUp)
-    co_await passOn(std::move(Answer), ConfirmationsBefore);
+    co_await passOn(std::move(Answer), ConfirmationsBefore, CompleteUntil);
   if (!Unchanged || Removed)
     co_await Env.Sleeper.sleepUntil(Env.Time.now() + Options.BatchDelay);
   co_return true;
--- a/tests/operators/settings_test.cpp
+++ b/tests/operators/settings_test.cpp
@@ -184,3 +184,30 @@
     cr_assert_not(Problems.empty(), "%s", Wrong);
   }
 }
+
+// Guards against a revocation that is off although the settings ask for it, on
+// by default, or shorter than the VMs can keep.
+Test(Settings, time_for_revocations_is_read_and_off_by_default) {
+  const std::string Whole = R"({
+    "vm": {"id": "a", "zone": "z", "region": "r"},
+    "callers": {"listen": "127.0.0.1:1"},
+    "operators": {"listen": "127.0.0.1:2"},
+    "peers": {"listen": "127.0.0.1:3"},
+    "store": {"endpoints": ["127.0.0.1:4"]},
+    "directory": {"zones": {"z": "r"}, "revoke": "5000ms"}})";
+  const auto Read = [&](const std::string &Revoke, core::Findings &Report) {
+    std::string Text = Whole;
+    Text.replace(Text.find(", \"revoke\": \"5000ms\""), 20, Revoke);
+    return operators::readSettings(Text, Report).Directory.RevokeMs;
+  };
+  core::Findings Valid("test");
+  cr_assert_eq(Read(", \"revoke\": \"5s\"", Valid), 5000);
+  cr_assert_eq(Read("", Valid), 0);
+  cr_assert(Valid.empty(), "%s", Valid.text().c_str());
+  for (const char *Wrong : {"true", "\"soon\"", "0", "\"3900ms\""}) {
+    core::Findings Problems("test");
+    (void)Read(std::string(", \"revoke\": ") + Wrong, Problems);
+    cr_assert_neq(Problems.text().find("/directory/revoke"), std::string::npos,
+                  "%s", Wrong);
+  }
+}
--- a/tests/peers/store_relay_test.cpp
+++ b/tests/peers/store_relay_test.cpp
@@ -22,9 +22,10 @@
         const std::lock_guard Lock(Mutex);
         Received.push_back(Report.Changes);
         ReadTimes.push_back(Report.ReadAt);
+        CompleteTimes.push_back(Report.CompleteUntil);
       }
       if (Report.PassOn)
-        Relay.broadcast(Report.Changes, Report.ReadAt);
+        Relay.broadcast(Report.Changes, Report.ReadAt, Report.CompleteUntil);
     });
     Node.start();
   }
@@ -45,6 +46,11 @@
     return ReadTimes;
   }
 
+  std::vector<std::optional<std::chrono::milliseconds>> completeTimes() {
+    const std::lock_guard Lock(Mutex);
+    return CompleteTimes;
+  }
+
   /// @brief Broadcasts what this VM has just got from the store.
   void broadcast(const core::EntryChanges &Changes) {
     Relay.broadcast(Changes, Node.Clock.now());
@@ -55,6 +61,7 @@
   std::mutex Mutex;
   std::vector<core::EntryChanges> Received;
   std::vector<core::TimePoint> ReadTimes;
+  std::vector<std::optional<std::chrono::milliseconds>> CompleteTimes;
 };
 
 /// @brief Two VMs with an open link.
@@ -152,6 +159,23 @@
   cr_assert_gt(Difference, -100ms);
 }
 
+// Guards against entries that count as complete up to a later instant than the
+// sender knows, and against a statement where none was made.
+Test(StoreRelay, receiver_knows_up_to_when_changes_are_complete) {
+  Fixture Pair;
+  const core::TimePoint Now = Pair.First.Node.Clock.now();
+  const auto Until = Pair.First.Node.Clock.uptime() - 3s;
+  Pair.First.Relay.broadcast(Fixture::changes(4, 4, {}), Now, Until);
+  Pair.First.Relay.broadcast(Fixture::changes(4, 4, {}), Now);
+  cr_assert(
+      eventually([&] { return Pair.Second.completeTimes().size() == 2; }));
+  const auto Received = Pair.Second.completeTimes();
+  // Both VMs are on one machine, so that their clocks agree.
+  cr_assert_leq(Received[0]->count(), Until.count() + 1);
+  cr_assert_geq(Received[0]->count(), (Until - 500ms).count());
+  cr_assert_not(Received[1].has_value());
+}
+
 namespace {
 
 /// @brief Fleet that is large enough for relays, some of whose VMs are small.
@@ -223,6 +247,25 @@
                   static_cast<std::size_t>(Fleet.framesSent(At)));
 }
 
+// Guards against relays that leave out or raise the instant up to which changes
+// are complete.
+Test(StoreRelay, relays_pass_on_up_to_when_changes_are_complete) {
+  for (const std::size_t Reader : {std::size_t{0}, RelayedFleet::Size - 1}) {
+    RelayedFleet Fleet;
+    RelayNode &Sender = *Fleet.Nodes[Reader];
+    const auto Until = Sender.Node.Clock.uptime() - 3s;
+    Sender.Relay.broadcast(Fixture::changes(4, 5, {}), Sender.Node.Clock.now(),
+                           Until);
+    cr_assert(eventually([&] { return Fleet.allHave(Reader, 5); }));
+    for (std::size_t At = 0; At < RelayedFleet::Size; ++At)
+      for (const auto &Received : Fleet.Nodes[At]->completeTimes()) {
+        cr_assert(Received.has_value(), "VM %zu", At);
+        cr_assert_leq(Received->count(), Until.count() + 3);
+        cr_assert_geq(Received->count(), (Until - 2s).count());
+      }
+  }
+}
+
 // Guards against a small VM that is alone in reaching the store and spends
 // seconds on links to all others.
 Test(StoreRelay, changes_of_a_small_vm_are_sent_on_by_larger_ones) {
--- a/tests/store/directory_feed_fixture.hpp
+++ b/tests/store/directory_feed_fixture.hpp
@@ -167,8 +167,10 @@
        .Alone = [this] { return Alone; },
        .LostVms = [this] { return Lost; },
        .Broadcast =
-           [this](const core::EntryChanges &Changes,
-                  core::TimePoint /*ReadAt*/) { Shared.push_back(Changes); }},
+           [this](const core::EntryChanges &Changes, core::TimePoint /*ReadAt*/,
+                  std::optional<std::chrono::milliseconds> /*CompleteUntil*/) {
+             Shared.push_back(Changes);
+           }},
       {.Id = "vm1", .Address = "1.2.3.4:5"},
       {},
       options()};
--- a/tests/store/directory_fleet.cpp
+++ b/tests/store/directory_fleet.cpp
@@ -46,6 +46,7 @@
     : Links(Size, std::vector<bool>(Size, true)),
       LinkRates(Size, DefaultBytesPerMs), SentBytes(Size), LinkFreeAt(Size),
       LastArrival(Size, std::vector<core::TimePoint>(Size)), Run(Seed) {
+  Store.Now = [this] { return Run.now(); };
   changeConfig();
   for (std::size_t Number = 0; Number < Size; ++Number)
     Vms.push_back(std::make_unique<FleetVm>(*this, Number));
@@ -68,6 +69,13 @@
   Removed[Id] = Run.now();
 }
 
+void DirectoryFleet::reopenLink(std::size_t Sender, std::size_t Receiver,
+                                std::chrono::milliseconds HelloDelay) {
+  peers::PeerClock &Clock = Vms[Sender]->Clocks[Receiver];
+  Clock = {};
+  Clock.record(Vms[Receiver]->uptime() - HelloDelay, Vms[Sender]->uptime());
+}
+
 void DirectoryFleet::lose(std::size_t Number) {
   Vms[Number]->freeze(std::chrono::hours(24));
   for (const auto &Vm : Vms)
@@ -86,10 +94,18 @@
            std::chrono::microseconds(1000 * Bytes / LinkRates[Sender]);
   if (!Links[Sender][Receiver])
     return;
+  core::ReportedChanges Sent = Message;
+  if (Sent.CompleteUntil) {
+    if (!Vms[Sender]->Clocks.contains(Receiver))
+      reopenLink(Sender, Receiver,
+                 std::chrono::milliseconds((7 * Sender + 13 * Receiver) % 50));
+    Sent.CompleteUntil = Vms[Sender]->Clocks[Receiver].toPeer(
+        *Sent.CompleteUntil, Vms[Sender]->uptime());
+  }
   core::TimePoint &Last = LastArrival[Sender][Receiver];
   Last = std::max(Last, FreeAt + MinLinkDelay +
                             std::chrono::milliseconds(Run.below(LinkJitterMs)));
-  asio::co_spawn(Run.context(), Vms[Receiver]->deliver(Message, Relays, Last),
+  asio::co_spawn(Run.context(), Vms[Receiver]->deliver(Sent, Relays, Last),
                  asio::detached);
 }
 
@@ -104,13 +120,15 @@
 }
 
 // As StoreRelay does, but links are open from the start.
-void DirectoryFleet::broadcast(std::size_t Sender,
-                               const core::EntryChanges &Changes,
-                               core::TimePoint ReadAt) {
+void DirectoryFleet::broadcast(
+    std::size_t Sender, const core::EntryChanges &Changes,
+    core::TimePoint ReadAt,
+    std::optional<std::chrono::milliseconds> CompleteUntil) {
   constexpr std::size_t HandoverReceivers = 2;
   const std::vector<std::string> Ranked = Vms[Sender]->trusted();
   const decision::RelayTree Tree(Ranked, Ranked.size());
-  core::ReportedChanges Message{.Changes = Changes, .ReadAt = ReadAt};
+  core::ReportedChanges Message{
+      .Changes = Changes, .ReadAt = ReadAt, .CompleteUntil = CompleteUntil};
   std::vector<std::uint64_t> Relays;
   for (const std::string &Relay : Tree.relays())
     Relays.push_back(core::hash64(Relay));
@@ -146,6 +164,24 @@
   }
 }
 
+// Each version of the configuration takes an API key away that the one before
+// had, so that a VM with an older version lets requests with a removed key in.
+void DirectoryFleet::checkRevocations() {
+  const core::TimePoint Now = Run.now();
+  for (const auto &Vm : Vms) {
+    const bool Admits = Vm->admitsKeys();
+    const core::TimePoint Since = Vm->undisturbedSince();
+    if (Since != core::TimePoint::max() && Now - Since >= SettlingTime)
+      ++(Admits ? AdmittedSamples : RefusedSamples);
+    const std::uint64_t Version = Vm->configVersion();
+    if (Admits && Version < Acknowledged.size())
+      WorstRevocation =
+          std::max(WorstRevocation,
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       Now - Acknowledged[Version]));
+  }
+}
+
 void DirectoryFleet::checkRemovals() {
   const core::TimePoint Now = Run.now();
   for (const auto &Vm : Vms) {
@@ -166,6 +202,7 @@
     Run.runUntil(std::min(End, Run.now() + CheckInterval));
     checkVersions();
     checkRemovals();
+    checkRevocations();
   }
 }
 
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -5,6 +5,7 @@
 #include "plain_codec.hpp"
 
 #include <jujubecart/decision/relay_tree.hpp>
+#include <jujubecart/peers/peer_clock.hpp>
 #include <jujubecart/store/directory_feed.hpp>
 
 #include <map>
@@ -34,6 +35,8 @@
   /// @brief Drops the history: older watches get HistoryLost.
   void dropHistory() noexcept { OldestRevision = AsOf; }
 
+  /// @brief Revision of the last change that a watch shows.
+  [[nodiscard]] core::Revision watchableRevision() const;
   [[nodiscard]] core::EntryList changesAfter(core::Revision After) const;
   [[nodiscard]] core::EntryList list() const;
 
@@ -42,6 +45,11 @@
   core::Revision OldestRevision = 0;
   std::map<std::string, core::StoredEntry> Items;
   std::vector<core::StoredEntry> History;
+  /// When each change of History was acknowledged.
+  std::vector<core::TimePoint> WrittenAt;
+  /// Watches show changes that are at least as old.
+  std::chrono::milliseconds WatchLag{0};
+  std::function<core::TimePoint()> Now;
 };
 
 class DirectoryFleet;
@@ -69,6 +77,9 @@
   void setPath(StorePath NewPath);
   /// @brief Makes this VM take another one for lost, or live again.
   void setTrust(std::size_t Other, bool Live) { Trusted[Other] = Live; }
+  /// @brief Whether this VM runs and lets requests with an API key in that its
+  /// callers send now.
+  [[nodiscard]] bool admitsKeys() const;
 
   /// @brief Version of the configuration in force; 0 without one.
   [[nodiscard]] std::uint64_t configVersion() const;
@@ -92,6 +103,8 @@
   sleepUntil(core::TimePoint Until) override;
   [[nodiscard]] core::TimePoint now() const noexcept override;
   [[nodiscard]] core::WallTime wallNow() const noexcept override;
+  /// @brief Differs from that of the other VMs by hours.
+  [[nodiscard]] std::chrono::milliseconds uptime() const noexcept override;
 
   [[nodiscard]] core::Awaitable<core::Result<core::EntryList>>
   list(core::ReadMode Mode, core::TimePoint Deadline) override;
@@ -109,6 +122,8 @@
   std::uint64_t CallPrice = 0;
   std::uint64_t Calls = 0;
   std::uint64_t Broadcasts = 0;
+  /// Clocks of the VMs to which this one sends, by their numbers.
+  std::map<std::size_t, peers::PeerClock> Clocks;
 
 private:
   [[nodiscard]] std::size_t rank() const;
@@ -131,6 +146,8 @@
   std::chrono::microseconds SendTime{0};
   core::TimePoint BusyUntil;
   std::vector<bool> Trusted;
+  const std::chrono::milliseconds UptimeOffset;
+  store::FreshnessRecord Freshness;
   core::ConfigTable Table;
   PlainCodec Codec;
   store::DirectoryFeed Feed;
@@ -161,7 +178,8 @@
   /// large fleet, on links that are not cut.
   /// @param ReadAt When a VM got them from the store.
   void broadcast(std::size_t Sender, const core::EntryChanges &Changes,
-                 core::TimePoint ReadAt);
+                 core::TimePoint ReadAt,
+                 std::optional<std::chrono::milliseconds> CompleteUntil);
 
   /// @brief Sends a message from a relay to the VMs that it serves.
   void sendToOwnPart(std::size_t Relay, const core::ReportedChanges &Message,
@@ -172,6 +190,12 @@
     Links[Sender][Receiver] = Open;
   }
 
+  /// @brief Opens a new link from one VM to another.
+  /// @param HelloDelay Time for which the receiver's first message was under
+  /// way.
+  void reopenLink(std::size_t Sender, std::size_t Receiver,
+                  std::chrono::milliseconds HelloDelay);
+
   /// @brief Bytes sent by the VM that has sent the most.
   [[nodiscard]] std::uint64_t mostSentBytes() const;
 
@@ -195,6 +219,17 @@
   /// Longest time for which a VM that could read the store still used a server
   /// whose entry had been removed.
   std::chrono::milliseconds WorstRemovalLag{0};
+  /// Longest time after the removal of an API key at which a VM let a request
+  /// in that was sent then, and the samples in which VMs that could read the
+  /// store let requests in and refused them.
+  std::chrono::milliseconds WorstRevocation{0};
+  std::uint64_t AdmittedSamples = 0;
+  std::uint64_t RefusedSamples = 0;
+  /// Age up to which API keys count.
+  std::chrono::milliseconds MaxKeyAge{3400};
+  /// Whether the store answers a watch of a frozen VM, which gets the answer
+  /// later. Otherwise the watch waits as well.
+  bool AnswersWhileFrozen = false;
   /// Time in which the store answers a call.
   std::chrono::milliseconds StoreLatency{4};
 
@@ -203,6 +238,7 @@
                 const core::ReportedChanges &Message,
                 const std::vector<std::uint64_t> &Relays);
   void checkVersions();
+  void checkRevocations();
   void checkRemovals();
 
   std::vector<std::vector<bool>> Links;
--- a/tests/store/directory_fleet_vm.cpp
+++ b/tests/store/directory_fleet_vm.cpp
@@ -30,17 +30,28 @@
       .Key = Key, .Value = std::move(Value), .Changed = ++AsOf};
   Items[Key] = Entry;
   History.push_back(Entry);
+  WrittenAt.push_back(Now());
 }
 
 void FleetStore::erase(const std::string &Key) {
   Items.erase(Key);
   History.push_back({.Key = Key, .Value = {}, .Changed = ++AsOf});
+  WrittenAt.push_back(Now());
+}
+
+core::Revision FleetStore::watchableRevision() const {
+  core::Revision Result = 0;
+  for (std::size_t At = 0; At < History.size(); ++At)
+    if (Now() - WrittenAt[At] >= WatchLag)
+      Result = History[At].Changed;
+  return Result;
 }
 
 core::EntryList FleetStore::changesAfter(core::Revision After) const {
-  core::EntryList Result{.Entries = {}, .AsOf = AsOf};
+  const core::Revision Last = watchableRevision();
+  core::EntryList Result{.Entries = {}, .AsOf = std::max(After, Last)};
   for (const core::StoredEntry &Entry : History)
-    if (Entry.Changed > After)
+    if (Entry.Changed > After && Entry.Changed <= Last)
       Result.Entries.push_back(Entry);
   return Result;
 }
@@ -55,27 +66,30 @@
 FleetVm::FleetVm(DirectoryFleet &Fleet, std::size_t Number)
     : Fleet(Fleet), Number(Number), PathSince(Fleet.Run.now()),
       FreezeStart(PathSince), FreezeEnd(PathSince), Trusted(Fleet.size(), true),
-      Feed({.Store = *this,
-            .Codec = Codec,
-            .Table = Table,
-            .Time = *this,
-            .Sleeper = *this,
-            .Random = [&Fleet] { return Fleet.Run.random(); },
-            .ReaderRank = [this] { return rank(); },
-            .Alone =
-                [this] {
-                  return std::count(Trusted.begin(), Trusted.end(), true) <= 1;
-                },
-            .LostVms = [] { return std::vector<std::string>(); },
-            .Broadcast =
-                [this](const core::EntryChanges &Changes,
-                       core::TimePoint ReadAt) {
-                  ++Broadcasts;
-                  this->Fleet.broadcast(this->Number, Changes,
-                                        this->Fleet.Run.now() -
-                                            (now() - ReadAt));
-                }},
-           {.Id = vmName(Number), .Address = "1.2.3.4:5"}, {}, {}) {
+      UptimeOffset(std::chrono::hours(Number * 7 % 100)),
+      Feed(
+          {.Store = *this,
+           .Codec = Codec,
+           .Table = Table,
+           .Time = *this,
+           .Sleeper = *this,
+           .Random = [&Fleet] { return Fleet.Run.random(); },
+           .ReaderRank = [this] { return rank(); },
+           .Alone =
+               [this] {
+                 return std::count(Trusted.begin(), Trusted.end(), true) <= 1;
+               },
+           .LostVms = [] { return std::vector<std::string>(); },
+           .Broadcast =
+               [this](const core::EntryChanges &Changes, core::TimePoint ReadAt,
+                      std::optional<std::chrono::milliseconds> Until) {
+                 ++Broadcasts;
+                 this->Fleet.broadcast(this->Number, Changes,
+                                       this->Fleet.Run.now() - (now() - ReadAt),
+                                       Until);
+               },
+           .Freshness = &Freshness},
+          {.Id = vmName(Number), .Address = "1.2.3.4:5"}, {}, {}) {
   asio::co_spawn(Fleet.Run.context(), Feed.run(), asio::detached);
 }
 
@@ -122,7 +136,9 @@
   co_await whileFrozen();
   if (std::find(Relays.begin(), Relays.end(), core::hash64(vmName(Number))) !=
       Relays.end())
-    Fleet.sendToOwnPart(Number, {Message.Changes, Message.ReadAt}, Relays);
+    Fleet.sendToOwnPart(
+        Number, {Message.Changes, Message.ReadAt, Message.CompleteUntil},
+        Relays);
   Message.ReadAt = now() - (Fleet.Run.now() - Message.ReadAt);
   Feed.applyFromPeer(Message);
 }
@@ -152,6 +168,17 @@
   return Fleet.Run.now() - frozenTime(Fleet.Run.now());
 }
 
+std::chrono::milliseconds FleetVm::uptime() const noexcept {
+  return UptimeOffset + std::chrono::duration_cast<std::chrono::milliseconds>(
+                            Fleet.Run.now().time_since_epoch());
+}
+
+bool FleetVm::admitsKeys() const {
+  const auto CompleteUntil = Freshness.completeUntil();
+  return Fleet.Run.now() >= FreezeEnd && CompleteUntil &&
+         uptime() - *CompleteUntil <= Fleet.MaxKeyAge;
+}
+
 core::WallTime FleetVm::wallNow() const noexcept {
   return Fleet.Run.clock().wallNow();
 }
@@ -216,7 +243,14 @@
   const std::error_code Refused = co_await awaitAnswer(Until + WatchMargin);
   if (Refused)
     co_return Refused;
-  while (Fleet.Store.AsOf <= After && now() < Until &&
+  if (Fleet.AnswersWhileFrozen) {
+    const core::TimePoint End = Fleet.Run.now() + (Until - now());
+    while (Fleet.Store.watchableRevision() <= After && Fleet.Run.now() < End &&
+           Path != StorePath::Rejecting)
+      co_await Fleet.Run.sleepUntil(std::min(End, Fleet.Run.now() + WatchPoll));
+  }
+  while (!Fleet.AnswersWhileFrozen &&
+         Fleet.Store.watchableRevision() <= After && now() < Until &&
          Path != StorePath::Rejecting)
     co_await sleepUntil(std::min(Until, now() + WatchPoll));
   if (After < Fleet.Store.OldestRevision)
