Decide when leaving a zone pays; tell rejections by chance from full servers

Cause: a constant of 0.04 stood for every call to another zone, whatever its bytes and the delay. With all servers rejecting calls by chance, calls waited for the server that was lucky lately, and refused callers were told to return after a second. Change: ZoneCosts measures the extra round trip between zones from probes and the bytes of each work class; with a price of bytes, LoadTable weighs both, and waiting for the own zone against leaving it. Servers of a zone go to its own waiting calls first. CommonFailures takes differences between the failure rates of servers for chance unless they exceed it. A call that a server with a free slot rejected is repeated only before its objective, and its caller returns within a sixteenth of the time left. Result: without a price, zones are weighed as before. The decision, callers, peers, backends and operators tests pass.

--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -1,7 +1,10 @@
 #include "call.hpp"
 
 #include <algorithm>
+#include <jujubecart/core/hash.hpp>
 #include <jujubecart/core/log.hpp>
+#include <jujubecart/decision/rejected_call.hpp>
+#include <limits>
 #include <utility>
 
 namespace jujubecart::callers::internal {
@@ -13,6 +16,19 @@
 // They reached no backend server, so they use no retry budget.
 constexpr std::size_t MaxUnsentAttempts = 4;
 
+decision::RejectedCall rejectedCall(const Attempt &Last,
+                                    core::TimePoint Objective) {
+  return {.Load = Last.report().Load,
+          .Slots = Last.Grant.Server.Slots,
+          .Objective = Objective};
+}
+
+// Number from 0 to 1 that is the same for each response to a request.
+double spreadOf(core::RequestId Id) {
+  return double(core::hash64(toString(Id))) /
+         double(std::numeric_limits<std::uint64_t>::max());
+}
+
 } // namespace
 
 core::SlotRequest Call::slotRequest() const {
@@ -84,8 +100,15 @@
     if (Ready && !keepAsFallback(Next))
       co_return co_await relay(Next);
     Next->release();
-    if (!Next->Granted || (!Ready && !tryTakeRetry(Outcome)))
+    if (!Next->Granted || (!Ready && !tryTakeRetry(Outcome))) {
+      // Otherwise the hint of a dispatcher applies, which expects full servers.
+      if (Outcome == core::CallOutcome::Rejected && Route != nullptr)
+        if (const auto At = decision::returnTime(rejectedCall(*Next, Objective),
+                                                 State.Dependencies.Time.now(),
+                                                 spreadOf(Request.Id)))
+          Hint->RetryAt = *At;
       co_return co_await answerFailure(Next);
+    }
     ExcludedServers.push_back(Next->Grant.Server.Id);
     ++State.Counters.Retries;
     if (Route != nullptr)
@@ -201,6 +224,10 @@
     return mayAcquireAgain();
   if (!allowsAnotherAttempt() || !Execution.maySendAgain(idempotent()))
     return false;
+  if (Route != nullptr && Outcome == core::CallOutcome::Rejected &&
+      !decision::worthRepeat({.Objective = Objective},
+                             State.Dependencies.Time.now()))
+    return false;
   // Nothing arrived at a backend server, so no token is taken.
   if (Route != nullptr && Outcome == core::CallOutcome::NotSent)
     return ExcludedServers.size() < MaxUnsentAttempts;
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -106,6 +106,8 @@
   /// The server wants no requests of this VM before this time. Not passed on to
   /// the dispatcher.
   std::optional<TimePoint> QuietUntil;
+  /// Bytes of the request and the response; 0 if unknown.
+  std::uint64_t Bytes = 0;
 
   friend bool operator==(const CallReport &, const CallReport &) = default;
 };
--- a/packages/decision/include/jujubecart/decision/dispatcher_options.hpp
+++ b/packages/decision/include/jujubecart/decision/dispatcher_options.hpp
@@ -6,11 +6,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string>
 
 namespace jujubecart::decision {
 
 /// @brief Settings of a dispatcher. An ObjectiveDispatcher uses only MaxQueued,
-/// RampTime, the ejection times, Profile and Seed.
+/// RampTime, the ejection times, Profile, Seed, Zone and ZonePricePerGb.
 struct DispatcherOptions {
   /// Maximum number of outstanding grants per backend server beyond its slots.
   /// With a mean service time of 10 ms and a one-way delay of 1.5 ms between
@@ -56,6 +58,11 @@
   core::PolicyProfile Profile = core::PolicyProfile::Tail;
   /// Seed of the random numbers for jitter and the first grant id.
   std::uint64_t Seed = 1;
+  /// Availability zone of this VM; empty if unknown.
+  std::string Zone;
+  /// Price of a gigabyte between zones, in calls that meet their objective.
+  /// Without one, each call to another zone has the same price.
+  std::optional<double> ZonePricePerGb;
 };
 
 /// @brief Derives the options that apply to each dispatch group of a service.
--- a/packages/decision/include/jujubecart/decision/internal/failure_rate.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/failure_rate.hpp
@@ -20,6 +20,30 @@
   core::TimePoint LastResult;
 };
 
+/// @brief Failure rates of the servers of a group together. Tells servers that
+/// fail more than others from ones that all fail by chance, whose rates differ
+/// only because each is known from few calls.
+class CommonFailures {
+public:
+  /// @brief Adds the failure rate of one server.
+  void add(double Rate) noexcept;
+
+  /// @brief Part of the difference between the servers that is not chance,
+  /// between 0 and 1.
+  [[nodiscard]] double trust() const noexcept;
+
+  /// @brief Failure rate to expect of a server.
+  /// @param Rate Its own rate.
+  [[nodiscard]] double expected(double Rate) const noexcept;
+
+private:
+  [[nodiscard]] double mean() const noexcept;
+
+  double Count = 0;
+  double Sum = 0;
+  double SumOfSquares = 0;
+};
+
 } // namespace jujubecart::decision::internal
 
 #endif
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -6,6 +6,7 @@
 #include <jujubecart/decision/internal/slot_demand.hpp>
 #include <jujubecart/decision/internal/string_map.hpp>
 #include <jujubecart/decision/internal/work_model.hpp>
+#include <jujubecart/decision/internal/zone_costs.hpp>
 #include <jujubecart/decision/pending_call.hpp>
 #include <jujubecart/decision/probe_result.hpp>
 
@@ -81,6 +82,19 @@
                                                   std::size_t Ahead,
                                                   core::TimePoint Now) const;
 
+  /// @brief Expected gain of a call that stays queued, in calls that meet their
+  /// objective: on the next free server of any zone or of its own zone,
+  /// whichever is better.
+  /// @param Ahead Number of calls that are served before it.
+  [[nodiscard]] double gainAfterWait(const PendingCall &Call, std::size_t Ahead,
+                                     core::TimePoint Now) const;
+
+  /// @brief Whether bytes between zones have a price.
+  [[nodiscard]] bool zonesPriced() const noexcept { return Zones.priced(); }
+
+  /// @brief Share of the usable capacity that is in a zone.
+  [[nodiscard]] double zoneShare(std::string_view Zone) const;
+
   /// @brief Records that a call arrived which can meet its objective.
   void recordArrival(const PendingCall &Call, core::TimePoint Now);
 
@@ -198,6 +212,25 @@
   void updateEjection(ServerLoad &Server, bool Failed, core::TimePoint Now);
   /// @brief Mean service time in microseconds, an assumed one at first.
   [[nodiscard]] double meanServiceUs() const;
+  /// @brief Share of its calls that a server most likely fails or rejects.
+  [[nodiscard]] static double failureRate(const ServerLoad &Server,
+                                          core::TimePoint Now);
+  /// @brief Failure rates of all usable servers.
+  [[nodiscard]] CommonFailures commonFailures(core::TimePoint Now) const;
+  /// @brief Deducted from the score of a server: a new connection and the bytes
+  /// between zones.
+  [[nodiscard]] double transferCost(const PendingCall &Call,
+                                    const ServerLoad &Server, double Value,
+                                    core::TimePoint Now) const;
+  /// @brief Latest end at a server with which a response is at the entry VM at
+  /// a given time.
+  [[nodiscard]] core::TimePoint endAtServer(const PendingCall &Call,
+                                            const ServerLoad &Server,
+                                            core::TimePoint End) const;
+  /// @brief Probability that a call meets its objective if it starts then.
+  [[nodiscard]] double onTimeProbabilityFrom(const PendingCall &Call,
+                                             core::TimePoint Start,
+                                             core::TimePoint Now) const;
   /// @brief Slots of a server as they count for the capacity of the group.
   [[nodiscard]] double capacitySlots(const ServerLoad &Server) const;
   /// @brief Recomputes the totals over all servers.
@@ -213,6 +246,7 @@
   /// further call, which is affected for all of its time.
   SaturationModel RunningSlowdown{1.2};
   SlotDemand Demand;
+  ZoneCosts Zones;
   std::mt19937_64 Random;
   /// Number of active servers, and how many of them are ejected or unhealthy.
   std::uint32_t ActiveServers = 0;
@@ -221,6 +255,8 @@
   /// Preferred slots of all servers that are not ejected, each divided by the
   /// service time factor of its server.
   double UsableSlots = 0;
+  /// The same by zone.
+  StringMap<double> UsableSlotsByZone;
   /// Whether any active server states a rate limit.
   bool AnyLimited = false;
   /// Part of the servers' rate limits that may be used.
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -59,6 +59,9 @@
   /// When the last probe was requested, and whether its result is pending.
   core::TimePoint LastProbe = core::TimePoint::min();
   bool ProbePending = false;
+  /// Whether it left a probe unanswered and has not reported its pace since;
+  /// false without a price of bytes between zones.
+  bool Silent = false;
 
   [[nodiscard]] std::uint32_t inFlight() const noexcept {
     return static_cast<std::uint32_t>(Calls.size()) + Adopted;
--- a/packages/decision/include/jujubecart/decision/probe_result.hpp
+++ b/packages/decision/include/jujubecart/decision/probe_result.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/core/load_report.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -18,6 +19,8 @@
   ProbeState State = ProbeState::Unreachable;
   /// Load that the server reported in its response headers, if any.
   std::optional<core::LoadReport> Load;
+  /// Time from the request to the response; 0 if unknown.
+  std::chrono::microseconds RoundTrip{0};
 };
 
 } // namespace jujubecart::decision
--- a/packages/decision/src/failure_rate.cpp
+++ b/packages/decision/src/failure_rate.cpp
@@ -29,4 +29,32 @@
   return Average * std::exp(-Age / DecayUs);
 }
 
+void CommonFailures::add(double Rate) noexcept {
+  ++Count;
+  Sum += Rate;
+  SumOfSquares += Rate * Rate;
+}
+
+double CommonFailures::mean() const noexcept {
+  return Count > 0 ? Sum / Count : 0;
+}
+
+// A moving average of independent results with probability p has the variance
+// p (1 - p) w / (2 - w). The decay of servers with few calls adds as much
+// again, so a difference counts from twice that variance on.
+double CommonFailures::trust() const noexcept {
+  if (Count < 2)
+    return 1;
+  const double Mean = mean();
+  const double Variance = std::max(SumOfSquares / Count - Mean * Mean, 0.0);
+  const double ByChance = Mean * (1 - Mean) * CallWeight / (2 - CallWeight);
+  if (ByChance <= 0)
+    return 1;
+  return std::clamp(Variance / (2 * ByChance) - 1, 0.0, 1.0);
+}
+
+double CommonFailures::expected(double Rate) const noexcept {
+  return mean() + trust() * (Rate - mean());
+}
+
 } // namespace jujubecart::decision::internal
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -14,11 +14,9 @@
 
 using namespace std::chrono_literals;
 
-// Deducted from the score of a server in another zone, because operators pay
-// for traffic between zones; relative to the value of a call that ends on time.
-constexpr double CrossZoneCost = 0.04;
 // Deducted if the entry VM most likely has to open a connection, which delays
-// the call and may hold a slot; above CrossZoneCost, since it costs more.
+// the call and may hold a slot; more than a call to another zone costs without
+// a price of bytes (ZoneCosts).
 constexpr double NewConnectionCost = 0.06;
 // Price of a slot above which calls are not hedged. Under overload, hedges of
 // calls that are only slow would keep the servers overloaded.
@@ -30,6 +28,10 @@
 // the call waits for the results.
 constexpr std::size_t MaxProbesPerCall = 3;
 constexpr auto ProbeWait = 12ms;
+// Failure rate that is assumed of a server that did not answer its last probe,
+// and the time after which it is probed again although others are better.
+constexpr double SilentFailureRate = 0.5;
+constexpr auto SilentProbeInterval = 1s;
 // Mean service time that is assumed for the capacity until a call has ended.
 constexpr double UnknownServiceTimeUs = 1e5;
 constexpr double MicrosecondsPerSecond = 1e6;
@@ -48,18 +50,12 @@
   return !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
 }
 
-double transferCost(const PendingCall &Call, const ServerLoad &Server,
-                    core::TimePoint Now) {
-  const bool Connected = Server.Connections.has(core::hash64(Call.Holder), Now);
-  return (isCrossZone(Call, Server) ? CrossZoneCost : 0) +
-         (Connected ? 0 : NewConnectionCost);
-}
-
 } // namespace
 
 LoadTable::LoadTable(const std::vector<core::BackendServer> &Configured,
                      DispatcherOptions Options)
-    : Options(Options), Random(Options.Seed) {
+    : Options(Options), Zones(Options.Zone, Options.ZonePricePerGb),
+      Random(Options.Seed) {
   configure(Configured);
 }
 
@@ -97,14 +93,20 @@
 void LoadTable::updateTotals() {
   ActiveServers = EjectedServers = UnhealthyServers = 0;
   UsableSlots = 0;
+  for (auto &[Zone, Slots] : UsableSlotsByZone)
+    Slots = 0;
   AnyLimited = false;
   for (const ServerLoad &Server : Servers) {
     if (!Server.active())
       continue;
     ++ActiveServers;
     AnyLimited = AnyLimited || Server.Limiter.limited();
-    if (!Server.Health.ejected())
-      UsableSlots += capacitySlots(Server);
+    if (!Server.Health.ejected()) {
+      const double Slots = capacitySlots(Server);
+      UsableSlots += Slots;
+      if (Zones.priced())
+        UsableSlotsByZone[Server.Config.Zone] += Slots;
+    }
     EjectedServers += Server.Health.ejected();
     UnhealthyServers += Server.Health.unhealthy();
   }
@@ -118,6 +120,26 @@
                              MicrosecondsPerSecond);
 }
 
+// The price of bytes is money, so it is not lower for a call that is worth
+// less; the fixed price of a call without it is a part of its value.
+double LoadTable::transferCost(const PendingCall &Call,
+                               const ServerLoad &Server, double Value,
+                               core::TimePoint Now) const {
+  const bool Connected = Server.Connections.has(core::hash64(Call.Holder), Now);
+  const double Zone =
+      isCrossZone(Call, Server)
+          ? Zones.price(Call.WorkClass) * (Zones.priced() ? 1 : Value)
+          : 0;
+  return Zone + (Connected ? 0 : Value * NewConnectionCost);
+}
+
+double LoadTable::zoneShare(std::string_view Zone) const {
+  const auto Found = UsableSlotsByZone.find(Zone);
+  return Found == UsableSlotsByZone.end() || UsableSlots <= 0
+             ? 0
+             : Found->second / UsableSlots;
+}
+
 double LoadTable::meanServiceUs() const {
   return Work.meanServiceTimeUs() > 0 ? Work.meanServiceTimeUs()
                                       : UnknownServiceTimeUs;
@@ -227,6 +249,16 @@
             .FailureRate = Server.Failures.value(Now)});
 }
 
+// The response of a server in another zone arrives later, by the extra time of
+// the round trip.
+core::TimePoint LoadTable::endAtServer(const PendingCall &Call,
+                                       const ServerLoad &Server,
+                                       core::TimePoint End) const {
+  if (End == core::TimePoint::max() || !isCrossZone(Call, Server))
+    return End;
+  return End - Zones.extraRoundTrip(Call.Zone, Server.Config.Zone);
+}
+
 std::optional<Placement> LoadTable::findBest(const PendingCall &Call, Goal Aim,
                                              bool Saturate,
                                              core::TimePoint Now) {
@@ -234,6 +266,7 @@
   const double ExpectedUs = Work.expectedServiceTimeUs(Call, Now);
   const double Value = Aim == Goal::Objective ? 1 : LateCallValue;
   const core::TimePoint LatestEnd = latestEnd(Call, Aim);
+  const CommonFailures Common = commonFailures(Now);
   // Servers that leave are excluded from first attempts, too.
   const bool Retry = std::any_of(
       Call.Excluded.begin(), Call.Excluded.end(), [&](const std::string &Id) {
@@ -248,12 +281,14 @@
     const bool Trial =
         (Server.Health.ejected() && UnhealthyServers != ActiveServers) ||
         Server.Limiter.checkDue(Now);
-    const double InTime = onTimeProbability(Server, ExpectedUs, LatestEnd, Now);
-    const double Transfer = transferCost(Call, Server, Now);
-    double Score = Value * InTime * (1 - Server.Failures.value(Now)) *
+    const double InTime = onTimeProbability(
+        Server, ExpectedUs, endAtServer(Call, Server, LatestEnd), Now);
+    const double Transfer = transferCost(Call, Server, Value, Now);
+    double Score = Value * InTime *
+                   (1 - Common.expected(failureRate(Server, Now))) *
                    (1 - overdueShare(Server, Now));
     Score -= saturationCost(Server, Now) + wasteCost(Server, ExpectedUs, Now) +
-             Value * Transfer;
+             Transfer;
     // An ejected server must get a trial call at some time, and one with a rate
     // limit a call that shows whether it still applies. It should not be a
     // retry, so the score is reduced for calls with excluded servers.
@@ -286,6 +321,7 @@
   const double MaxTransferCost = Found && Found->KnownFast
                                      ? Found->TransferCost
                                      : std::numeric_limits<double>::max();
+  const CommonFailures Common = commonFailures(Now);
   std::vector<std::pair<double, std::uint32_t>> Candidates;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
@@ -293,9 +329,18 @@
         Call.excludes(Server.Config.Id) ||
         Server.inFlight() >= Server.preferredLimit())
       continue;
-    const double Transfer = transferCost(Call, Server, Now);
+    const double Transfer = transferCost(Call, Server, 1, Now);
     if (Transfer >= MaxTransferCost)
       continue;
+    // With a price of bytes, the servers of the own zone are always cheaper. If
+    // they fail or do not answer, probes would hold the call again and again.
+    const double HighestScore =
+        (1 - Common.expected(failureRate(Server, Now))) *
+            (1 - overdueShare(Server, Now)) -
+        Transfer;
+    if (Zones.priced() && Found && HighestScore <= Found->Score &&
+        Now - Server.LastProbe < SilentProbeInterval)
+      continue;
     if (Server.ProbePending && Now - Server.LastProbe < ProbeWait)
       return true;
     const bool PaceKnown = Server.Pace && Server.Pace->fresh(Now);
@@ -323,17 +368,38 @@
   Demand.recordArrival(Work.expectedServiceTimeUs(Call, Now), Now);
 }
 
+double LoadTable::failureRate(const ServerLoad &Server, core::TimePoint Now) {
+  return std::max(Server.Failures.value(Now),
+                  Server.Silent ? SilentFailureRate : 0);
+}
+
+CommonFailures LoadTable::commonFailures(core::TimePoint Now) const {
+  CommonFailures Common;
+  for (const ServerLoad &Server : Servers)
+    if (usable(Server, Now))
+      Common.add(failureRate(Server, Now));
+  return Common;
+}
+
+// If all servers reject calls by chance, the one with the fewest rejections was
+// only lucky; calls that waited for it would be held for nothing.
 double LoadTable::bestSuccessRate(core::TimePoint Now) const {
   double LowestFailures = 1;
   for (const ServerLoad &Server : Servers)
     if (usable(Server, Now))
-      LowestFailures = std::min(LowestFailures, Server.Failures.value(Now));
-  return 1 - LowestFailures;
+      LowestFailures = std::min(LowestFailures, failureRate(Server, Now));
+  return 1 - commonFailures(Now).expected(LowestFailures);
 }
 
 void LoadTable::recordProbe(std::uint32_t Index, const ProbeResult &Result,
                             core::TimePoint Now) {
   Servers[Index].ProbePending = false;
+  if (Result.State != ProbeState::Unreachable)
+    Zones.recordRoundTrip(Servers[Index].Config.Zone, Result.RoundTrip, Now);
+  else if (Zones.priced())
+    // Otherwise the servers of a zone that is cut would look as good as others
+    // until their calls reach their deadline, and the price keeps calls there.
+    Servers[Index].Silent = true;
   if (Result.Load)
     recordPace(Index, Result.Load->PacePercent, Now);
 }
@@ -367,7 +433,12 @@
 double LoadTable::onTimeProbabilityAfterWait(const PendingCall &Call,
                                              std::size_t Ahead,
                                              core::TimePoint Now) const {
-  const core::TimePoint Start = Now + expectedWait(Ahead + 1, Now);
+  return onTimeProbabilityFrom(Call, Now + expectedWait(Ahead + 1, Now), Now);
+}
+
+double LoadTable::onTimeProbabilityFrom(const PendingCall &Call,
+                                        core::TimePoint Start,
+                                        core::TimePoint Now) const {
   const double AvailableUs =
       microseconds(Call.Objective - CallerNetworkTime - Start);
   // The pace is not considered: most servers that become free are fast, since
@@ -376,6 +447,23 @@
                                           AvailableUs);
 }
 
+// A call that waits for its own zone waits longer than for any server, but pays
+// nothing. If its zone has no capacity, waiting saves no bytes, so a server of
+// another zone must not look worse than waiting because of its price.
+double LoadTable::gainAfterWait(const PendingCall &Call, std::size_t Ahead,
+                                core::TimePoint Now) const {
+  const double Anywhere = onTimeProbabilityAfterWait(Call, Ahead, Now);
+  if (!Zones.priced() || Call.Zone.empty())
+    return Anywhere;
+  const double Share = zoneShare(Call.Zone);
+  const double Gain = Anywhere - (1 - Share) * Zones.price(Call.WorkClass);
+  if (Share <= 0)
+    return Gain;
+  const auto OwnWait = std::chrono::microseconds(static_cast<std::int64_t>(
+      (double(Ahead) + 1 / Share) * MicrosecondsPerSecond / capacityPerS(Now)));
+  return std::max(Gain, onTimeProbabilityFrom(Call, Now + OwnWait, Now));
+}
+
 std::optional<std::uint32_t> LoadTable::find(std::string_view Id) const {
   const auto Found = ById.find(Id);
   if (Found == ById.end())
--- a/packages/decision/src/load_table_results.cpp
+++ b/packages/decision/src/load_table_results.cpp
@@ -55,6 +55,8 @@
       Report.Outcome == core::CallOutcome::Completed && !Report.ServerError;
   if (Succeeded)
     Server.Connections.put(Call.Holder, Now);
+  if (Succeeded)
+    Zones.recordBytes(WorkClass, Report.Bytes);
   if (Succeeded && Call.PacePercent)
     learnServiceTime(Server, Call, Report.Elapsed, WorkClass);
   core::CallReport Counted = Report;
@@ -155,6 +157,7 @@
 
 void LoadTable::recordPace(std::uint32_t Index, std::uint32_t Percent,
                            core::TimePoint Now) {
+  Servers[Index].Silent = false;
   Servers[Index].Pace = PaceSample{.Percent = Percent, .At = Now};
   Pace.record(Percent, Now);
 }
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -86,17 +86,24 @@
     std::uint64_t WorkClass = 0;
   };
 
+  /// @brief Which servers a pass over the queue uses.
+  struct Pass {
+    /// Whether servers may be used above their preferred limit.
+    bool Saturate = false;
+    /// Whether a call gets only servers of its own zone.
+    bool OwnZone = false;
+  };
+
   /// @brief Tries to grant a call of the on-time queue.
-  /// @param Saturate Whether servers may be used above their preferred limit.
   /// @return Whether a call was granted.
-  [[nodiscard]] bool placeAnyOnTime(bool Saturate, core::TimePoint Now,
+  [[nodiscard]] bool placeAnyOnTime(Pass Allowed, core::TimePoint Now,
                                     Decisions &Out);
   /// @brief Tries to grant one call of the on-time queue; requests probes first
   /// if their results could improve the choice of the server.
   /// @param Position Position of the call in the queue.
   /// @return Whether it was granted; if not, it keeps waiting.
   [[nodiscard]] bool placeOnTime(CallToken Token, std::size_t Position,
-                                 bool Saturate, core::TimePoint Now,
+                                 Pass Allowed, core::TimePoint Now,
                                  Decisions &Out);
   /// @brief Tries to grant the first placeable call of the late queue.
   /// @return Whether a call was granted.
@@ -255,34 +262,49 @@
 // Calls at the front of the queue wait for a slot below the preferred limits,
 // which comes free soon. Calls further back, which would miss their objective
 // by then, may take the last slots of the servers, on which they run longer.
-bool ObjectiveDispatcher::Implementation::placeAnyOnTime(bool Saturate,
+//
+// In the pass for own zones, a call that could be served by its own zone leaves
+// a server of another zone to the calls of that zone. Otherwise two zones that
+// are both overloaded would exchange their calls, which only costs. Calls whose
+// zone has no capacity are not held back.
+bool ObjectiveDispatcher::Implementation::placeAnyOnTime(Pass Allowed,
                                                          core::TimePoint Now,
                                                          Decisions &Out) {
   const std::vector<CallToken> Tokens = OnTimeQueue.tokens();
-  const std::size_t Count = std::min(
-      Tokens.size(), Saturate ? MaxSaturatingCandidates : MaxCandidates);
-  for (std::size_t Position = 0; Position < Count; ++Position)
-    if (placeOnTime(Tokens[Position], Position, Saturate, Now, Out))
+  const std::size_t Count =
+      std::min(Tokens.size(),
+               Allowed.Saturate ? MaxSaturatingCandidates : MaxCandidates);
+  for (std::size_t Position = 0; Position < Count; ++Position) {
+    const PendingCall &Call = OnTimeQueue.at(Tokens[Position]);
+    if (Allowed.OwnZone &&
+        (Call.Priority != OnTimeQueue.at(Tokens.front()).Priority ||
+         Table.zoneShare(Call.Zone) <= 0))
+      return false;
+    if (placeOnTime(Tokens[Position], Position, Allowed, Now, Out))
       return true;
+  }
   return false;
 }
 
 bool ObjectiveDispatcher::Implementation::placeOnTime(CallToken Token,
                                                       std::size_t Position,
-                                                      bool Saturate,
+                                                      Pass Allowed,
                                                       core::TimePoint Now,
                                                       Decisions &Out) {
   const PendingCall &Call = OnTimeQueue.at(Token);
-  const double OnTimeIfWaiting =
-      Table.onTimeProbabilityAfterWait(Call, Position, Now);
-  if (Saturate && OnTimeIfWaiting >= SafeOnTimeProbability)
+  if (Allowed.Saturate && Table.onTimeProbabilityAfterWait(
+                              Call, Position, Now) >= SafeOnTimeProbability)
+    return false;
+  const auto Found =
+      Table.findBest(Call, Goal::Objective, Allowed.Saturate, Now);
+  if (Found && Allowed.OwnZone &&
+      Table.at(Found->Index).Config.Zone != Call.Zone)
     return false;
-  const auto Found = Table.findBest(Call, Goal::Objective, Saturate, Now);
   if (Found && Table.requestProbes(Call, Found, Now, PendingProbes))
     return false;
-  const double MinScore =
-      OnTimeIfWaiting * Table.bestSuccessRate(Now) * WaitDiscount -
-      (Saturate ? 0 : UnsaturatedAllowance);
+  const double MinScore = Table.gainAfterWait(Call, Position, Now) *
+                              Table.bestSuccessRate(Now) * WaitDiscount -
+                          (Allowed.Saturate ? 0 : UnsaturatedAllowance);
   if (!Found || Found->InTimeProbability < MinOnTimeProbability ||
       Found->Score < MinScore)
     return false;
@@ -309,7 +331,10 @@
 
 void ObjectiveDispatcher::Implementation::dispatch(core::TimePoint Now,
                                                    Decisions &Out) {
-  while (placeAnyOnTime(false, Now, Out) || placeAnyOnTime(true, Now, Out)) {
+  const bool OwnZoneFirst = Table.zonesPriced();
+  while ((OwnZoneFirst && placeAnyOnTime({.OwnZone = true}, Now, Out)) ||
+         placeAnyOnTime({}, Now, Out) ||
+         placeAnyOnTime({.Saturate = true}, Now, Out)) {
   }
   demoteLateCalls(Now, Out);
   while (placeLate(Now, Out)) {
--- /dev/null
+++ b/packages/decision/src/rejected_call.cpp
@@ -0,0 +1,40 @@
+#include <jujubecart/decision/rejected_call.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace jujubecart::decision {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Part of the time left until its objective for which a caller waits at most.
+// The servers have room, so nothing is gained by a longer wait.
+constexpr int LongestWaitShare = 16;
+constexpr std::chrono::microseconds MinLongestWait = 10ms;
+constexpr std::chrono::microseconds MaxLongestWait = 100ms;
+
+} // namespace
+
+bool rejectedWithFreeSlot(const RejectedCall &Call) noexcept {
+  return Call.Load && Call.Load->InFlight < Call.Slots;
+}
+
+bool worthRepeat(const RejectedCall &Call, core::TimePoint Now) noexcept {
+  return Now < Call.Objective;
+}
+
+std::optional<core::TimePoint> returnTime(const RejectedCall &Call,
+                                          core::TimePoint Now, double Spread) {
+  if (!rejectedWithFreeSlot(Call) || Call.Objective == core::TimePoint::max())
+    return std::nullopt;
+  const auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
+      Call.Objective - Now);
+  const auto Longest =
+      std::clamp(Left / LongestWaitShare, MinLongestWait, MaxLongestWait);
+  return Now + std::chrono::duration_cast<std::chrono::microseconds>(
+                   Longest * (0.5 + std::clamp(Spread, 0.0, 1.0) / 2));
+}
+
+} // namespace jujubecart::decision
--- a/tests/decision/objective_simulation.cpp
+++ b/tests/decision/objective_simulation.cpp
@@ -1,8 +1,11 @@
 #include "objective_simulation.hpp"
 
+#include <jujubecart/decision/rejected_call.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace objective_simulation {
 
@@ -102,11 +105,11 @@
   return Factor;
 }
 
-double Simulation::shedShare() const {
+double Simulation::shedShare(unsigned Server) const {
   double Share = 0;
   for (const Disturbance &Each : Load.Disturbances)
     if (Now >= Start + fromSeconds(Each.FromS) &&
-        Now < Start + fromSeconds(Each.ToS))
+        Now < Start + fromSeconds(Each.ToS) && Server < Each.SheddingServers)
       Share = std::max(Share, Each.ShedShare);
   return Share;
 }
@@ -259,7 +262,12 @@
 }
 
 void Simulation::startCall(const decision::Granted &Grant) {
-  if (std::uniform_real_distribution<>(0, 1)(ServiceRandom) < shedShare()) {
+  CallState &Granted = Calls.at(Grant.Token);
+  if (!std::exchange(Granted.Tried, true) && !Granted.IsHedge &&
+      Now - Granted.Arrival > Load.Classes[Granted.Class].Objective / 8)
+    ++Result.HeldLong;
+  if (std::uniform_real_distribution<>(0, 1)(ServiceRandom) <
+      shedShare(indexOf(Grant.Server.Id))) {
     schedule(Now + ServerRoundTrip, [this, Grant] { rejectAtServer(Grant); });
     return;
   }
@@ -347,10 +355,34 @@
   apply(Out);
   ++Call.Attempts;
   Call.Excluded.push_back(Grant.Server.Id);
-  if (Call.Attempts >= Load.Classes[Call.Class].MaxAttempts || RetryTokens < 1)
+  const CallClass &Class = Load.Classes[Call.Class];
+  const decision::RejectedCall Rejection{.Load = Report.Load,
+                                         .Slots = Load.Slots,
+                                         .Objective =
+                                             Call.Arrival + Class.Objective};
+  if (Call.Attempts < Class.MaxAttempts && RetryTokens >= 1 &&
+      decision::worthRepeat(Rejection, Now)) {
+    RetryTokens -= 1;
+    enqueue(std::move(Call));
     return;
-  RetryTokens -= 1;
-  enqueue(std::move(Call));
+  }
+  const TimePoint GivesUp = Call.FirstArrival + Class.Patience;
+  if (Call.Returned || GivesUp <= Now)
+    return;
+  const double Spread = std::uniform_real_distribution<>(0, 1)(ServiceRandom);
+  const TimePoint Return =
+      decision::returnTime(Rejection, Now, Spread)
+          .value_or(Now + std::min<microseconds>(
+                              1000ms, std::chrono::duration_cast<microseconds>(
+                                          GivesUp - Now) /
+                                          3));
+  schedule(Return, [this, Call] {
+    RetryTokens = std::min(RetryTokens + RetryRatio, MaxRetryTokens);
+    enqueue({.Class = Call.Class,
+             .FirstArrival = Call.FirstArrival,
+             .Arrival = Now,
+             .Returned = true});
+  });
 }
 
 void Simulation::sendProbes() {
--- a/tests/decision/objective_simulation.hpp
+++ b/tests/decision/objective_simulation.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/decision/objective_dispatcher.hpp>
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <random>
 #include <vector>
@@ -41,6 +42,8 @@
   double ArrivalFactor = 1;
   /// Share of the calls that every server rejects without running them.
   double ShedShare = 0;
+  /// Number of servers that do so.
+  unsigned SheddingServers = std::numeric_limits<unsigned>::max();
   /// Servers that leave when the disturbance begins and return at its end.
   unsigned RemovedServers = 0;
 };
@@ -87,6 +90,8 @@
   /// Longest time between the arrival of a call and its rejection.
   milliseconds MaxRejectionTime{0};
   unsigned MaxInFlight = 0;
+  /// Calls that got no attempt within an eighth of their objective.
+  unsigned HeldLong = 0;
   /// Worth of the calls, and what was earned of it, by second of arrival.
   std::vector<double> Owed;
   std::vector<double> Earned;
@@ -118,6 +123,7 @@
     /// Arrival of this request; later than FirstArrival after a return.
     TimePoint Arrival;
     std::uint32_t Attempts = 0;
+    bool Tried = false;
     std::vector<std::string> Excluded;
     bool Returned = false;
     /// Server that runs the call, and the end of its work there.
@@ -148,7 +154,7 @@
   void rejectAtServer(const jujubecart::decision::Granted &Grant);
   void sendProbes();
   void configure(unsigned RemovedServers);
-  [[nodiscard]] double shedShare() const;
+  [[nodiscard]] double shedShare(unsigned Server) const;
   [[nodiscard]] double arrivalFactor() const;
   [[nodiscard]] bool answers(unsigned Server) const;
   [[nodiscard]] bool drawHang(unsigned Server);
