Setting for the price of bytes between zones, and a metric of them by cause

Cause: no metric said what crosses zones, and dispatchers knew neither the price nor the bytes of calls. Change: zones.price_per_gb; Release.bytes, sent only with a price; jujubecart_zone_bytes_total by cause.

--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -72,6 +72,14 @@
   Registry.counter("jujubecart_backend_connects_failed_total", "", [&Pool] {
     return static_cast<double>(Pool.counters().FailedConnects);
   });
+  Registry.counter(
+      "jujubecart_zone_bytes_total", "cause=\"requests\"", [&Pool] {
+        return static_cast<double>(Pool.counters().BytesToOtherZones);
+      });
+  Registry.counter(
+      "jujubecart_zone_bytes_total", "cause=\"responses\"", [&Pool] {
+        return static_cast<double>(Pool.counters().BytesFromOtherZones);
+      });
 }
 
 void registerPeerMetrics(core::MetricsRegistry &Registry,
@@ -109,6 +117,12 @@
         "jujubecart_peer_bytes_sent_total", Label, [&Counters, Type] {
           return static_cast<double>(Counters.Out[Type].Bytes.load());
         });
+    Registry.counter("jujubecart_zone_bytes_total",
+                     "cause=\"" + std::string(peers::messageName(Type)) + "\"",
+                     [&Counters, Type] {
+                       return static_cast<double>(
+                           Counters.OutToOtherZones[Type].Bytes.load());
+                     });
   }
 }
 
--- a/packages/backends/include/jujubecart/backends/connection_pool.hpp
+++ b/packages/backends/include/jujubecart/backends/connection_pool.hpp
@@ -28,6 +28,10 @@
   /// Idle connections that could not be reused, because the server had closed
   /// them or had sent unexpected bytes.
   std::uint64_t Stale = 0;
+  /// Bytes of requests to and responses from servers in other availability
+  /// zones, without those of probes.
+  std::uint64_t BytesToOtherZones = 0;
+  std::uint64_t BytesFromOtherZones = 0;
 };
 
 /// @brief Pool of connections to backend servers, by address; limits the open
@@ -85,6 +89,10 @@
   /// once per second.
   void prune() noexcept;
 
+  /// @brief Counts the bytes of a call if the server is in another zone.
+  void recordBytes(const core::BackendServer &Server, std::uint64_t Sent,
+                   std::uint64_t Received) noexcept;
+
   [[nodiscard]] PoolCounters counters() const;
   [[nodiscard]] const PoolOptions &options() const noexcept { return Options; }
 
@@ -129,6 +137,8 @@
   std::atomic<std::uint64_t> FailedConnects{0};
   std::atomic<std::uint64_t> Reused{0};
   std::atomic<std::uint64_t> Stale{0};
+  std::atomic<std::uint64_t> BytesToOtherZones{0};
+  std::atomic<std::uint64_t> BytesFromOtherZones{0};
   mutable std::mutex Mutex;
   std::unordered_map<std::string, ServerPool> Servers;
 };
--- a/packages/backends/include/jujubecart/backends/pool_options.hpp
+++ b/packages/backends/include/jujubecart/backends/pool_options.hpp
@@ -37,6 +37,9 @@
   std::size_t MaxHeadBytes = 32768;
   /// Source IP of the connections; if empty, the operating system chooses it.
   std::string SourceAddress;
+  /// Availability zone of this VM; without one, no bytes between zones are
+  /// counted.
+  std::string Zone;
 };
 
 } // namespace jujubecart::backends
--- a/packages/backends/src/connection_pool.cpp
+++ b/packages/backends/src/connection_pool.cpp
@@ -256,11 +256,22 @@
   });
 }
 
+void ConnectionPool::recordBytes(const core::BackendServer &Server,
+                                 std::uint64_t Sent,
+                                 std::uint64_t Received) noexcept {
+  if (Options.Zone.empty() || Server.Zone == Options.Zone)
+    return;
+  BytesToOtherZones += Sent;
+  BytesFromOtherZones += Received;
+}
+
 PoolCounters ConnectionPool::counters() const {
   PoolCounters Out{.Connects = Connects,
                    .FailedConnects = FailedConnects,
                    .Reused = Reused,
-                   .Stale = Stale};
+                   .Stale = Stale,
+                   .BytesToOtherZones = BytesToOtherZones,
+                   .BytesFromOtherZones = BytesFromOtherZones};
   const std::lock_guard Lock(Mutex);
   for (const auto &[Address, Pool] : Servers) {
     Out.Open += Pool.Open;
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -32,9 +32,21 @@
   return std::string(Text.data(), End) + "\r\n";
 }
 
+// Size of a head on the network, up to the spelling of its status line.
+std::size_t headSize(const core::BackendExchange::Head &Item) {
+  constexpr std::string_view StatusLine = "HTTP/1.1 200 OK\r\n\r\n";
+  constexpr std::string_view Separators = ": \r\n";
+  std::size_t Size = StatusLine.size();
+  for (const auto &Field : Item)
+    Size +=
+        Field.name_string().size() + Field.value().size() + Separators.size();
+  return Size;
+}
+
 } // namespace
 
 Exchange::~Exchange() {
+  Pool.recordBytes(Server, BytesSent, BytesRead);
   if (Connection)
     Pool.close(std::move(Connection));
 }
@@ -136,6 +148,7 @@
   MaybeSent = true;
   const auto [Code, Count] =
       co_await asio::async_write(Connection->Socket, Buffers, UseTuple);
+  BytesSent += Count;
   if (Code && Count == 0 && !Aborted)
     MaybeSent = SentBefore;
   co_return !Code;
@@ -254,6 +267,7 @@
   else if (!Parser.chunked() && !Parser.need_eof())
     ResponseLength = 0;
   Response = Connection->Reader.releaseHead();
+  BytesRead += headSize(Response);
   if (Connection->Reader.complete())
     finish();
   return {};
@@ -271,6 +285,7 @@
     co_return fail(static_cast<core::Error>(Count.error().value()));
   if (Aborted)
     co_return fail(core::Error::Cancelled);
+  BytesRead += *Count;
   if (Connection->Reader.complete())
     finish();
   co_return *Count;
@@ -322,6 +337,7 @@
 
 core::CallReport Exchange::report() const noexcept {
   core::CallReport Out = Report;
+  Out.Bytes = BytesSent + BytesRead;
   if (Rejected)
     Out.Outcome = core::CallOutcome::Rejected;
   else if (Complete)
--- a/packages/backends/src/exchange.hpp
+++ b/packages/backends/src/exchange.hpp
@@ -83,6 +83,9 @@
   core::TimePoint Started;
   core::CallReport Report;
   std::optional<core::AbortReason> Aborted;
+  /// Bytes of the request that were sent and of the response that were read.
+  std::uint64_t BytesSent = 0;
+  std::uint64_t BytesRead = 0;
   /// Bytes of the request may have reached the server.
   bool MaybeSent = false;
   /// Nothing was sent because Request->MaySend forbade it.
--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,15 @@
                           const DirectorySettings &) = default;
 };
 
+/// @brief What traffic between availability zones costs.
+struct ZoneSettings {
+  /// Price of a gigabyte between zones, in calls that meet their objective;
+  /// without one, each call to another zone has the same small price.
+  std::optional<double> PricePerGb;
+
+  friend auto operator<=>(const ZoneSettings &, const ZoneSettings &) = default;
+};
+
 /// @brief Limits on the retries to each service.
 struct RetrySettings {
   /// Retries per first attempt.
@@ -120,6 +130,7 @@
   StoreSettings Store;
   DirectorySettings Directory;
   RetrySettings Retries;
+  ZoneSettings Zones;
   /// `IP:port` that serves the platform's VM list; empty if there is none.
   std::string PlatformEndpoint;
   /// `dispatcher`, or a baseline policy that each VM applies on its own:
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -234,6 +234,17 @@
   return Retries;
 }
 
+ZoneSettings readZones(JsonReader &Root, Findings &Report) {
+  // A higher price than this a call of a kilobyte would never be worth.
+  constexpr double MaxPricePerGb = 1e6;
+  ZoneSettings Zones;
+  JsonReader Reader(objectOrEmpty(Root, "zones", false), "/zones", Report);
+  if (!Reader.value("price_per_gb").is_null())
+    Zones.PricePerGb = Reader.numberOr("price_per_gb", 0, MaxPricePerGb, 0);
+  Reader.rejectUnknownKeys();
+  return Zones;
+}
+
 std::string readPlatform(JsonReader &Root, Findings &Report) {
   const json *Value = Root.object("platform", false);
   if (Value == nullptr)
@@ -269,6 +280,7 @@
   Result.Store = internal::readStore(Root, Report);
   Result.Directory = internal::readDirectory(Root, Report);
   Result.Retries = internal::readRetries(Root, Report);
+  Result.Zones = internal::readZones(Root, Report);
   Result.PlatformEndpoint = internal::readPlatform(Root, Report);
   Result.Policy =
       internal::PolicyNames[Root.choice("policy", internal::PolicyNames, 0)];
--- a/packages/peers/include/jujubecart/peers/group_directory.hpp
+++ b/packages/peers/include/jujubecart/peers/group_directory.hpp
@@ -56,8 +56,9 @@
 
   /// @brief Subscribes to a configuration source.
   /// @param Config Keeps a reference to this directory, which must outlive it.
-  /// @param Seed Seed of the dispatchers' random numbers.
-  GroupDirectory(core::ConfigSource &Config, std::uint64_t Seed);
+  /// @param Common Seed, zone and price between zones of all dispatchers.
+  GroupDirectory(core::ConfigSource &Config,
+                 decision::DispatcherOptions Common);
   GroupDirectory(const GroupDirectory &) = delete;
   GroupDirectory &operator=(const GroupDirectory &) = delete;
 
@@ -71,7 +72,7 @@
 private:
   void rebuild(const core::ConfigSource::Snapshot &Snapshot);
 
-  const std::uint64_t Seed;
+  const decision::DispatcherOptions Common;
   mutable std::mutex Mutex;
   Index Current;
   std::vector<std::function<void(const Index &)>> Listeners;
--- a/packages/peers/include/jujubecart/peers/link.hpp
+++ b/packages/peers/include/jujubecart/peers/link.hpp
@@ -50,6 +50,8 @@
     PeerCounters &Counters;
     /// A link with more unsent bytes than this is closed.
     std::size_t MaxQueuedBytes;
+    /// Availability zone of this VM.
+    std::string Zone;
   };
 
   /// @brief Takes over a connected stream.
@@ -87,7 +89,10 @@
   [[nodiscard]] const Hello &peer() const noexcept { return Peer; }
 
   /// @brief Stores the peer's Hello; called once, on the strand of the link.
-  void setPeer(Hello Value) { Peer = std::move(Value); }
+  void setPeer(Hello Value) {
+    Peer = std::move(Value);
+    ToOtherZone = Peer.Zone != Env.Zone;
+  }
 
   [[nodiscard]] core::TimePoint lastReceived() const noexcept;
   [[nodiscard]] core::TimePoint lastSent() const noexcept;
@@ -149,6 +154,9 @@
   core::TimePoint WriteQueuedAt;
   core::TimePoint NextSlowWriteLog;
   std::atomic<bool> Closed{false};
+  // Whether the peer is in another availability zone; false until its Hello
+  // has arrived.
+  std::atomic<bool> ToOtherZone{false};
   // Time points as clock ticks; AwaitingReplySince is 0 if no reply is
   // expected.
   std::atomic<core::TimePoint::rep> LastReceived;
--- a/packages/peers/include/jujubecart/peers/peer_counters.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_counters.hpp
@@ -27,6 +27,8 @@
   /// Received and sent traffic by message type, see messageName().
   std::array<Traffic, MessageTypeCount> In;
   std::array<Traffic, MessageTypeCount> Out;
+  /// The part of Out that went to VMs in other availability zones.
+  std::array<Traffic, MessageTypeCount> OutToOtherZones;
   /// Socket writes; one write may contain many frames.
   std::atomic<std::uint64_t> Writes{0};
   /// Writes whose oldest byte waited for 250 ms or longer.
--- a/packages/peers/include/jujubecart/peers/peer_options.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_options.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace jujubecart::peers {
@@ -71,6 +72,9 @@
 
   /// Number of peers to which a VM sends a new configuration at once.
   std::size_t ConfigPushFanout = 3;
+  /// Price of a gigabyte between zones, in calls that meet their objective. VMs
+  /// tell dispatchers the bytes of their calls only if it is set.
+  std::optional<double> ZonePricePerGb;
   /// Seed of the random number generators; different on every VM.
   std::uint64_t RandomSeed = 1;
 };
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -112,8 +112,11 @@
                                              core::BackendServer Server) {
   ++Env.Links.counters().Probes;
   const std::string Id = Server.Id;
-  const decision::ProbeResult Result = co_await Env.Prober->probe(
-      std::move(Server), Env.Time.now() + internal::ProbeTimeout);
+  const core::TimePoint Sent = Env.Time.now();
+  decision::ProbeResult Result = co_await Env.Prober->probe(
+      std::move(Server), Sent + internal::ProbeTimeout);
+  Result.RoundTrip = std::chrono::duration_cast<std::chrono::microseconds>(
+      Env.Time.now() - Sent);
   {
     const std::lock_guard Lock(Target->Mutex);
     decision::Decisions Out;
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -101,7 +101,8 @@
                  .Draining = Source.draining(),
                  .ServerError = Source.failed(),
                  .OtherInstance = Source.other_instance(),
-                 .Limit = std::nullopt},
+                 .Limit = std::nullopt,
+                 .Bytes = Source.bytes()},
       .Group = Source.group(),
       .Server = Source.server()};
   if (Source.load() != UINT32_MAX)
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -91,7 +91,9 @@
       static_cast<std::uint8_t>(encodedOutcome(Item.Report.Outcome)),
       Load.InFlight, Item.Report.Draining, Item.Group, Item.Server,
       Load.PacePercent, Item.Report.ServerError, Item.Report.OtherInstance,
-      Limit.MilliPerS));
+      Limit.MilliPerS,
+      static_cast<std::uint32_t>(
+          std::min<std::uint64_t>(Item.Report.Bytes, UINT32_MAX))));
 }
 
 BodyOffset encode(Builder &Out, const Cancel &Item) {
--- a/packages/peers/src/group_directory.cpp
+++ b/packages/peers/src/group_directory.cpp
@@ -2,6 +2,8 @@
 
 #include <jujubecart/core/hash.hpp>
 
+#include <utility>
+
 namespace jujubecart::peers {
 
 namespace internal {
@@ -33,8 +35,9 @@
   return Found == ByHash.end() ? nullptr : Found->second;
 }
 
-GroupDirectory::GroupDirectory(core::ConfigSource &Config, std::uint64_t Seed)
-    : Seed(Seed), Current(std::make_shared<GroupIndex>()) {
+GroupDirectory::GroupDirectory(core::ConfigSource &Config,
+                               decision::DispatcherOptions Common)
+    : Common(std::move(Common)), Current(std::make_shared<GroupIndex>()) {
   Config.subscribe([this](const auto &Snapshot) { rebuild(Snapshot); });
   rebuild(Config.current());
 }
@@ -55,7 +58,9 @@
   for (const auto &[Name, Entry] : Snapshot->entries()) {
     if (!Entry->Service)
       continue;
-    const auto Options = decision::dispatcherOptions(*Entry->Service, Seed);
+    auto Options = decision::dispatcherOptions(*Entry->Service, Common.Seed);
+    Options.Zone = Common.Zone;
+    Options.ZonePricePerGb = Common.ZonePricePerGb;
     for (decision::DispatchGroup &Group :
          decision::dispatchGroups(*Entry->Service)) {
       const GroupPtr Item =
--- a/packages/peers/src/link.cpp
+++ b/packages/peers/src/link.cpp
@@ -127,6 +127,8 @@
     return false;
   }
   Env.Counters.Out[Body.index()].add(*Bytes);
+  if (ToOtherZone)
+    Env.Counters.OutToOtherZones[Body.index()].add(*Bytes);
   const core::TimePoint Now = Env.Time.now();
   LastSent = Now.time_since_epoch().count();
   if (WasEmpty)
--- a/packages/peers/src/link_table.cpp
+++ b/packages/peers/src/link_table.cpp
@@ -81,9 +81,10 @@
   LinkPtr Added;
   {
     const std::lock_guard Lock(Mutex);
-    Added = std::make_shared<Link>(
-        ++NextNumber, Dialed, std::move(Transport),
-        Link::Environment{Time, Events, Counters, Options.MaxQueuedBytes});
+    Added = std::make_shared<Link>(++NextNumber, Dialed, std::move(Transport),
+                                   Link::Environment{Time, Events, Counters,
+                                                     Options.MaxQueuedBytes,
+                                                     Options.Self.Zone});
     AwaitingHello.push_back(Added);
   }
   ++Counters.LinksOpen;
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -990,7 +990,8 @@
     VT_PACE_PERCENT = 18,
     VT_FAILED = 20,
     VT_OTHER_INSTANCE = 22,
-    VT_LIMIT_MILLI_PER_S = 24
+    VT_LIMIT_MILLI_PER_S = 24,
+    VT_BYTES = 26
   };
   uint32_t call() const {
     return GetField<uint32_t>(VT_CALL, 0);
@@ -1025,6 +1026,9 @@
   uint32_t limit_milli_per_s() const {
     return GetField<uint32_t>(VT_LIMIT_MILLI_PER_S, 4294967295);
   }
+  uint32_t bytes() const {
+    return GetField<uint32_t>(VT_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_CALL, 4) &&
@@ -1038,6 +1042,7 @@
            VerifyField<uint8_t>(verifier, VT_FAILED, 1) &&
            VerifyField<uint8_t>(verifier, VT_OTHER_INSTANCE, 1) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT_MILLI_PER_S, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BYTES, 4) &&
            verifier.EndTable();
   }
 };
@@ -1079,6 +1084,9 @@
   void add_limit_milli_per_s(uint32_t limit_milli_per_s) {
     fbb_.AddElement<uint32_t>(Release::VT_LIMIT_MILLI_PER_S, limit_milli_per_s, 4294967295);
   }
+  void add_bytes(uint32_t bytes) {
+    fbb_.AddElement<uint32_t>(Release::VT_BYTES, bytes, 0);
+  }
   explicit ReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1102,10 +1110,12 @@
     uint32_t pace_percent = 100,
     bool failed = false,
     bool other_instance = false,
-    uint32_t limit_milli_per_s = 4294967295) {
+    uint32_t limit_milli_per_s = 4294967295,
+    uint32_t bytes = 0) {
   ReleaseBuilder builder_(_fbb);
   builder_.add_server(server);
   builder_.add_group(group);
+  builder_.add_bytes(bytes);
   builder_.add_limit_milli_per_s(limit_milli_per_s);
   builder_.add_pace_percent(pace_percent);
   builder_.add_load(load);
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -344,7 +344,10 @@
 }
 
 void RemoteBroker::release(const core::SlotGrant &Grant,
-                           const core::CallReport &Report) noexcept {
+                           const core::CallReport &Stated) noexcept {
+  core::CallReport Report = Stated;
+  if (!Env.Links.options().ZonePricePerGb)
+    Report.Bytes = 0;
   HeldGrant Item;
   {
     const std::lock_guard Lock(Mutex);
--- a/tests/operators/settings_test.cpp
+++ b/tests/operators/settings_test.cpp
@@ -159,6 +159,29 @@
   }
 }
 
+// Guards against a price that is read although it is absent, which would change
+// the choice of servers, and against a wrong one that is accepted.
+Test(Settings, zone_price_is_optional_and_checked) {
+  const std::string Whole = R"({
+    "vm": {"id": "a", "zone": "z", "region": "r"},
+    "callers": {"listen": "127.0.0.1:1"},
+    "operators": {"listen": "127.0.0.1:2"},
+    "peers": {"listen": "127.0.0.1:3"},
+    "store": {"endpoints": ["127.0.0.1:4"]},
+    "zones": {"price_per_gb": 9000}})";
+  core::Findings Report("test");
+  cr_assert_eq(operators::readSettings(Whole, Report).Zones.PricePerGb, 9000);
+  std::string Text = Whole;
+  Text.replace(Text.find("\"price_per_gb\": 9000"), 20, "");
+  cr_assert_not(
+      operators::readSettings(Text, Report).Zones.PricePerGb.has_value());
+  cr_assert(Report.empty(), "%s", Report.text().c_str());
+  Text = Whole;
+  Text.replace(Text.find("9000"), 4, "-1");
+  static_cast<void>(operators::readSettings(Text, Report));
+  cr_assert_not(Report.empty());
+}
+
 // Guards against durations written by a deployment tool that are read in the
 // wrong unit, and against invalid durations that are accepted.
 Test(Settings, directory_times_are_read_with_and_without_unit) {
