Evacuated zones: their servers count as draining

Cause: an entry that evacuates an availability zone was ignored, so requests went on to its servers. Change: the directory keeps these entries and builds the servers of the zone as draining, which dispatchers, grant checks, pace probes and the local fallback honour already. An evacuation that a list lacks has ended. Log lines zone.evacuated, zone.restored and zone.unknown, gauge jujubecart_evacuated_zones.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -166,6 +166,8 @@
           .Ages = &Metrics.summary("jujubecart_directory_age_ms", "")},
       Peers.members().self(), Settings.Directory.Zones,
       store::DirectoryFeedOptions{});
+  Metrics.gauge("jujubecart_evacuated_zones", "",
+                [this] { return static_cast<double>(Feed->evacuatedZones()); });
   Feed->setMemberHandler([this](const std::vector<core::Member> &Vms) {
     Peers.members().update(Vms);
   });
--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -75,6 +75,11 @@
   /// other properties are ignored.
   [[nodiscard]] bool isRegistered(const core::Member &Vm) const;
 
+  /// @brief Number of evacuated availability zones.
+  [[nodiscard]] std::size_t evacuatedZones() const noexcept {
+    return Evacuations.size();
+  }
+
 private:
   struct ServerEntry {
     core::RegisteredServer Registered;
@@ -88,6 +93,12 @@
   void applyRouting(const core::StoredEntry &Entry);
   void applyServer(const core::StoredEntry &Entry, core::TimePoint Now);
   void applyVm(const core::StoredEntry &Entry);
+  void applyEvacuation(const core::StoredEntry &Entry);
+  void endEvacuation(const std::string &Key);
+  /// @brief Logs that a zone was evacuated or taken back.
+  void logZone(const char *Event, const std::string &Zone,
+               core::Revision Changed) const;
+  [[nodiscard]] bool isEvacuated(std::string_view Zone) const;
   void removeServer(const std::string &Key, core::TimePoint Now);
   [[nodiscard]] std::map<std::string, core::ServiceConfig>
   buildServices() const;
@@ -108,6 +119,12 @@
   };
   /// By store key.
   std::map<std::string, VmEntry> Vms;
+  struct EvacuationEntry {
+    std::string Zone;
+    core::Revision Changed = 0;
+  };
+  /// By store key.
+  std::map<std::string, EvacuationEntry> Evacuations;
 };
 
 } // namespace jujubecart::store
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -156,6 +156,12 @@
   /// be called from any thread.
   void stop() noexcept { Stopped = true; }
 
+  /// @brief Number of evacuated availability zones; may be called from any
+  /// thread.
+  [[nodiscard]] std::size_t evacuatedZones() const noexcept {
+    return EvacuatedZones;
+  }
+
 private:
   [[nodiscard]] core::Awaitable<bool> load();
   [[nodiscard]] core::Awaitable<core::Result<core::EntryList>> readAll();
@@ -193,6 +199,7 @@
   MemberListener OnMembers;
   std::vector<core::Member> LastMembers;
   std::atomic<bool> Stopped{false};
+  std::atomic<std::size_t> EvacuatedZones{0};
   /// What load() reads first; each is tried if the one before fails.
   enum class Source : std::uint8_t { Snapshot, StaleList, LatestList };
   Source LoadFrom = Source::Snapshot;
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -46,11 +46,25 @@
     removeServer(Key, Now);
   std::erase_if(
       Vms, [&](const auto &Item) { return !Present.contains(Item.first); });
+  std::vector<std::string> Ended;
+  for (const auto &[Key, Entry] : Evacuations)
+    if (!Present.contains(Key))
+      Ended.push_back(Key);
+  for (const std::string &Key : Ended)
+    endEvacuation(Key);
   // One line for the first list instead of one for each of its servers: at the
   // start of a VM the log would cost more time than the list itself.
   LogsServers = !Servers.empty();
+  // Evacuations last, so that their lines in the log count the servers.
+  const auto IsEvacuation = [&](const core::StoredEntry &Entry) {
+    return Codec.entryKind(Entry.Key) == core::EntryKind::Evacuation;
+  };
   for (const core::StoredEntry &Entry : All.Entries)
-    apply(Entry, Now);
+    if (!IsEvacuation(Entry))
+      apply(Entry, Now);
+  for (const core::StoredEntry &Entry : All.Entries)
+    if (IsEvacuation(Entry))
+      apply(Entry, Now);
   LogsServers = true;
   AsOf = std::max(AsOf, All.AsOf);
   core::LogLine(core::LogLevel::Info, "directory.listed")
@@ -84,6 +98,7 @@
   };
   AddMissing(Servers);
   AddMissing(Vms);
+  AddMissing(Evacuations);
   return Result;
 }
 
@@ -107,6 +122,8 @@
     applyVm(Entry);
     break;
   case core::EntryKind::Evacuation:
+    applyEvacuation(Entry);
+    break;
   case core::EntryKind::Other:
     break;
   }
@@ -165,6 +182,53 @@
     internal::logInvalid(Entry.Key, Report);
 }
 
+// The key alone names the zone, so that an entry with an invalid value counts
+// all the same: requests to a zone in trouble cost more than idle servers.
+void Directory::applyEvacuation(const core::StoredEntry &Entry) {
+  if (!Entry.Value)
+    return endEvacuation(Entry.Key);
+  const auto [Known, New] = Evacuations.try_emplace(Entry.Key);
+  Known->second.Changed = std::max(Known->second.Changed, Entry.Changed);
+  if (!New)
+    return;
+  Known->second.Zone = Codec.evacuatedZone(Entry.Key);
+  if (ZoneRegions.contains(Known->second.Zone))
+    logZone("zone.evacuated", Known->second.Zone, Entry.Changed);
+  else
+    core::LogLine(core::LogLevel::Warning, "zone.unknown")
+        .field("key", Entry.Key)
+        .field("revision", Entry.Changed);
+}
+
+void Directory::endEvacuation(const std::string &Key) {
+  const auto Found = Evacuations.find(Key);
+  if (Found == Evacuations.end())
+    return;
+  const std::string Zone = std::move(Found->second.Zone);
+  Evacuations.erase(Found);
+  if (ZoneRegions.contains(Zone))
+    logZone("zone.restored", Zone, AsOf);
+}
+
+void Directory::logZone(const char *Event, const std::string &Zone,
+                        core::Revision Changed) const {
+  const auto Count =
+      std::count_if(Servers.begin(), Servers.end(), [&](const auto &Item) {
+        return Item.second.Registered.Server.Zone == Zone;
+      });
+  core::LogLine(core::LogLevel::Info, Event)
+      .field("zone", Zone)
+      .field("servers", Count)
+      .field("revision", Changed);
+}
+
+bool Directory::isEvacuated(std::string_view Zone) const {
+  return !Zone.empty() && std::any_of(Evacuations.begin(), Evacuations.end(),
+                                      [&](const auto &Item) {
+                                        return Item.second.Zone == Zone;
+                                      });
+}
+
 void Directory::removeServer(const std::string &Key, core::TimePoint Now) {
   const auto Found = Servers.find(Key);
   if (Found == Servers.end())
@@ -215,6 +279,10 @@
         Config.Services.find(Entry.Registered.Service)->second;
     Server.Connections = Settings.Connections;
     Server.HealthPath = Settings.HealthPath;
+    // Whatever holds for a draining server holds for one of these: no attempt
+    // and no probe is sent to it, and requests that it runs go on.
+    if (isEvacuated(Server.Zone))
+      Server.State = core::ServerState::Draining;
     Found->second.Servers.push_back(std::move(Server));
   }
   return Result;
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -371,6 +371,7 @@
 }
 
 void DirectoryFeed::publish() {
+  EvacuatedZones = Entries.evacuatedZones();
   if (Entries.hasRouting()) {
     const auto Current = Env.Table.current();
     const auto Fresh = Entries.buildSnapshot(*Current);
--- a/tests/store/directory_test.cpp
+++ b/tests/store/directory_test.cpp
@@ -1,5 +1,6 @@
 #include "plain_codec.hpp"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <jujubecart/store/directory.hpp>
 
@@ -123,3 +124,76 @@
   cr_assert_gt(Second->revision(), First->revision());
   cr_assert(First->entries().at("tags") == Second->entries().at("tags"));
 }
+
+namespace {
+
+std::size_t activeServers(Fixture &Test) {
+  const auto Servers = Test.servers();
+  return static_cast<std::size_t>(
+      std::count_if(Servers.begin(), Servers.end(), [](const auto &Server) {
+        return Server.State == core::ServerState::Active;
+      }));
+}
+
+} // namespace
+
+// Guards against calls to the servers of an evacuated zone, and against servers
+// that get none after the zone was taken back.
+Test(Directory, servers_of_an_evacuated_zone_drain_until_it_is_taken_back) {
+  Fixture Test;
+  Test.change(Fixture::entry("e/z1", "not JSON", 10));
+  cr_assert_eq(Test.servers().size(), 2);
+  cr_assert_eq(activeServers(Test), 0);
+  cr_assert_eq(Test.Known.evacuatedZones(), 1);
+  Test.change(Fixture::deletion("e/z1", 11));
+  cr_assert_eq(activeServers(Test), 2);
+}
+
+// Guards against a server that registers in an evacuated zone and gets calls.
+Test(Directory, server_that_registers_in_an_evacuated_zone_gets_nothing) {
+  Fixture Test;
+  Test.change(Fixture::entry("e/z1", "{}", 10));
+  Test.change(Fixture::entry("s/c", "active", 11));
+  cr_assert_eq(Test.servers().size(), 3);
+  cr_assert_eq(activeServers(Test), 0);
+}
+
+// Guards against the evacuation of one zone that affects another one.
+Test(Directory, evacuation_of_another_zone_changes_nothing) {
+  Fixture Test;
+  Test.change(Fixture::entry("e/z2", "{}", 10));
+  Test.change(Fixture::entry("e/", "{}", 11));
+  cr_assert_eq(activeServers(Test), 2);
+}
+
+// Guards against an evacuation whose end a VM misses because the store no
+// longer has the deletion.
+Test(Directory, evacuation_that_is_missing_from_a_list_has_ended) {
+  Fixture Test;
+  Test.change(Fixture::entry("e/z1", "{}", 10));
+  const core::EntryList All{.Entries = {Fixture::entry("config", "5", 1),
+                                        Fixture::entry("s/a", "active", 2),
+                                        Fixture::entry("s/b", "active", 3),
+                                        Fixture::entry("v/vm1", "x", 4)},
+                            .AsOf = 12};
+  const core::EntryChanges Changes = Test.Known.changesTo(All);
+  cr_assert_eq(Changes.List.Entries.size(), 1);
+  cr_assert(Changes.List.Entries.front() == Fixture::deletion("e/z1", 12));
+  Test.Known.replace(All, Start);
+  cr_assert_eq(activeServers(Test), 2);
+}
+
+// Guards against a VM that misses an evacuation which only a list shows.
+Test(Directory, evacuation_in_a_list_is_among_the_changes_to_it) {
+  Fixture Test;
+  const core::EntryList All{.Entries = {Fixture::entry("config", "5", 1),
+                                        Fixture::entry("e/z1", "{}", 11),
+                                        Fixture::entry("s/a", "active", 2),
+                                        Fixture::entry("s/b", "active", 3),
+                                        Fixture::entry("v/vm1", "x", 4)},
+                            .AsOf = 12};
+  const core::EntryChanges Changes = Test.Known.changesTo(All);
+  cr_assert_eq(Changes.List.Entries.size(), 1);
+  Test.Known.apply(Changes.List, Start);
+  cr_assert_eq(activeServers(Test), 0);
+}
