Order eras of the store before its revisions

Cause: a store that comes back from a copy gives out revisions again. VMs would refuse its entries as older, or go back to states that had ended. Change: the store client puts Store-Era into the high bits of every revision and refuses answers of earlier eras. Changes from one era to another contain all entries, whatever the receiver knew, and relays share them as a whole. Missing servers, VMs and evacuations are kept for ReregistrationTime, older reports of a server process are ignored, and a lost registration is written again after a random delay. The stand-in of the fleet tests learns restores.

--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -2,6 +2,7 @@
 
 #include <jujubecart/core/hash.hpp>
 #include <jujubecart/core/log.hpp>
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/decision/rendezvous.hpp>
 
 #include <algorithm>
@@ -12,6 +13,10 @@
 
 // Entries kept for peers that missed a broadcast.
 constexpr std::size_t MaxRecentEntries = 256;
+// The same after the store came back from a copy, until the next change: the
+// changes then contain all entries, and a VM that gets only a part of them has
+// to read the list itself.
+constexpr std::size_t MaxEraEntries = 8192;
 // Limit on the bytes of values in one message; peers read larger changes from
 // the store themselves.
 constexpr std::size_t MaxSharedBytes = std::size_t{512} * 1024;
@@ -68,7 +73,11 @@
       RecentChanges.List.Entries.push_back(Entry);
   RecentChanges.List.AsOf =
       std::max(RecentChanges.List.AsOf, Changes.List.AsOf);
-  while (RecentChanges.List.Entries.size() > internal::MaxRecentEntries ||
+  const bool EraBegins =
+      core::eraOf(Changes.After) < core::eraOf(Changes.List.AsOf);
+  const std::size_t MaxEntries =
+      EraBegins ? internal::MaxEraEntries : internal::MaxRecentEntries;
+  while (RecentChanges.List.Entries.size() > MaxEntries ||
          internal::valueBytes(RecentChanges) > internal::MaxSharedBytes) {
     RecentChanges.After = RecentChanges.List.Entries.front().Changed;
     RecentChanges.List.Entries.erase(RecentChanges.List.Entries.begin());
--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -5,6 +5,7 @@
 #include <jujubecart/core/directory_codec.hpp>
 #include <jujubecart/core/entry_store.hpp>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,7 +23,11 @@
   /// @brief Creates an empty directory.
   /// @param Codec Must outlive the directory.
   /// @param ZoneRegions Region of each availability zone.
-  Directory(const core::DirectoryCodec &Codec, Zones ZoneRegions);
+  /// @param ReregistrationTime Time after the store came back from a copy for
+  /// which entries that are missing from it are kept.
+  Directory(
+      const core::DirectoryCodec &Codec, Zones ZoneRegions,
+      std::chrono::milliseconds ReregistrationTime = std::chrono::seconds(2));
 
   /// @brief Replaces all servers and entry VMs by a complete list. The routes
   /// are kept unless the list has a newer version of them.
@@ -92,9 +97,22 @@
   void apply(const core::StoredEntry &Entry, core::TimePoint Now);
   void applyRouting(const core::StoredEntry &Entry);
   void applyServer(const core::StoredEntry &Entry, core::TimePoint Now);
-  void applyVm(const core::StoredEntry &Entry);
-  void applyEvacuation(const core::StoredEntry &Entry);
-  void endEvacuation(const std::string &Key);
+  /// @brief Notes that the store came back from a copy since the last change.
+  /// @return Whether the reported revision is of a later era.
+  bool beginEra(core::Revision Reported, core::TimePoint Now);
+  /// @brief Removes all entries that were last changed in an earlier era.
+  void removeOlderEras(core::TimePoint Now);
+  void applyVm(const core::StoredEntry &Entry, core::TimePoint Now);
+  void removeVm(const std::string &Key, core::TimePoint Now,
+                core::Revision Changed);
+  void applyEvacuation(const core::StoredEntry &Entry, core::TimePoint Now);
+  void endEvacuation(const std::string &Key, core::TimePoint Now,
+                     core::Revision Changed);
+  /// @brief Whether an entry is kept for now although it was deleted.
+  /// @param Known Revision of its last change.
+  /// @param Deleted Revision of its deletion.
+  [[nodiscard]] bool isDeferred(core::Revision Known, core::Revision Deleted,
+                                core::TimePoint Now) const noexcept;
   /// @brief Logs that a zone was evacuated or taken back.
   void logZone(const char *Event, const std::string &Zone,
                core::Revision Changed) const;
@@ -105,6 +123,7 @@
 
   const core::DirectoryCodec &Codec;
   const Zones ZoneRegions;
+  const std::chrono::milliseconds ReregistrationTime;
   core::Revision AsOf = 0;
   /// Whether changes of servers are logged.
   bool LogsServers = true;
@@ -116,12 +135,16 @@
   struct VmEntry {
     core::Member Registered;
     core::Revision Changed = 0;
+    /// As in ServerEntry.
+    core::TimePoint RemoveAt = core::TimePoint::max();
   };
   /// By store key.
   std::map<std::string, VmEntry> Vms;
   struct EvacuationEntry {
     std::string Zone;
     core::Revision Changed = 0;
+    /// As in ServerEntry.
+    core::TimePoint RemoveAt = core::TimePoint::max();
   };
   /// By store key.
   std::map<std::string, EvacuationEntry> Evacuations;
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -68,6 +68,9 @@
   /// Time after the end of a store outage within which live servers have
   /// written their lost entries again; deletions are deferred until then.
   std::chrono::milliseconds ReregistrationTime{2300};
+  /// Longest random time that a VM whose registration was lost waits before it
+  /// writes it again.
+  std::chrono::milliseconds MaxRegistrationDelay{500};
   /// The store loses no entries in an outage shorter than this. Every silence
   /// from this time on counts as an outage.
   std::chrono::milliseconds MinLossyOutage{1800};
@@ -233,6 +236,8 @@
   std::optional<core::TimePoint> LastSnapshot;
   /// Whether entries have changed since.
   bool SnapshotOutdated = true;
+  /// Whether this VM was registered when that was last checked.
+  bool WasRegistered = false;
   /// Earliest time of the next check of the registration.
   core::TimePoint NextCheck = core::TimePoint::min();
 };
--- a/packages/store/include/jujubecart/store/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jujubecart::store {
@@ -53,6 +54,8 @@
   /// HTTP status; 0 if no complete response arrived.
   unsigned Status = 0;
   std::string Body;
+  /// Names and values of the header fields.
+  std::vector<std::pair<std::string, std::string>> Head;
 };
 
 /// @brief Pool of connections to the endpoints of the store; may be used from
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/store/directory.hpp>
 
 #include <jujubecart/core/log.hpp>
+#include <jujubecart/core/store_era.hpp>
 
 #include <algorithm>
 #include <set>
@@ -17,24 +18,82 @@
 
 void logServerChange(const char *State, const core::RegisteredServer &Item,
                      core::Revision Changed) {
-  core::LogLine(core::LogLevel::Info, "server.changed")
-      .field("server", Item.Server.Id)
+  core::LogLine Line(core::LogLevel::Info, "server.changed");
+  Line.field("server", Item.Server.Id)
       .field("service", Item.Service)
       .field("address", Item.Server.Address)
       .field("state", State)
       .field("revision", Changed);
+  if (Item.ColdMs != 0)
+    Line.field("cold_ms", Item.ColdMs);
 }
 
 const char *stateName(core::ServerState State) {
   return State == core::ServerState::Active ? "active" : "draining";
 }
 
+// The entry may have been under way for a time, so the server is warm a little
+// before the result. A server counts its cold time down in its entries; the end
+// stays the same then, so that the service does not change with each of them.
+core::TimePoint coldUntil(const core::RegisteredServer &Known,
+                          const core::RegisteredServer &Read,
+                          core::TimePoint Now) {
+  constexpr std::chrono::milliseconds Tolerance{500};
+  if (Read.ColdMs == 0)
+    return core::TimePoint::min();
+  const core::TimePoint Until = Now + std::chrono::milliseconds(Read.ColdMs);
+  const core::TimePoint Before = Known.Server.ColdUntil;
+  const bool SameEnd = Known.Server.Incarnation == Read.Server.Incarnation &&
+                       Before != core::TimePoint::min() &&
+                       std::chrono::abs(Until - Before) <= Tolerance;
+  return SameEnd ? Before : Until;
+}
+
 } // namespace internal
 
-Directory::Directory(const core::DirectoryCodec &Codec, Zones ZoneRegions)
-    : Codec(Codec), ZoneRegions(std::move(ZoneRegions)) {}
+Directory::Directory(const core::DirectoryCodec &Codec, Zones ZoneRegions,
+                     std::chrono::milliseconds ReregistrationTime)
+    : Codec(Codec), ZoneRegions(std::move(ZoneRegions)),
+      ReregistrationTime(ReregistrationTime) {}
+
+// What the store accepted after the copy was made is missing from it until its
+// writers have written it again.
+bool Directory::beginEra(core::Revision Reported, core::TimePoint Now) {
+  if (AsOf == 0 || core::eraOf(Reported) <= core::eraOf(AsOf))
+    return false;
+  core::LogLine(core::LogLevel::Warning, "store.era_changed")
+      .field("era", core::eraOf(Reported))
+      .field("revision", core::withoutEra(Reported))
+      .field("known_era", core::eraOf(AsOf))
+      .field("known_revision", core::withoutEra(AsOf));
+  DeletionsDeferredUntil =
+      std::max(DeletionsDeferredUntil, Now + ReregistrationTime);
+  return true;
+}
+
+// Changes that lead from one era to another contain all entries of the new one,
+// because no watch goes across. Entries that are left from before are missing.
+void Directory::removeOlderEras(core::TimePoint Now) {
+  const auto KeysBefore = [this](const auto &Known) {
+    std::vector<std::string> Keys;
+    for (const auto &[Key, Entry] : Known)
+      if (core::eraOf(Entry.Changed) < core::eraOf(AsOf))
+        Keys.push_back(Key);
+    return Keys;
+  };
+  for (const std::string &Key : KeysBefore(Servers))
+    removeServer(Key, Now);
+  for (const std::string &Key : KeysBefore(Vms))
+    removeVm(Key, Now, AsOf);
+  for (const std::string &Key : KeysBefore(Evacuations))
+    endEvacuation(Key, Now, AsOf);
+}
 
 void Directory::replace(const core::EntryList &All, core::TimePoint Now) {
+  // Another VM has reported a later era while the list was under way.
+  if (core::eraOf(All.AsOf) < core::eraOf(AsOf))
+    return;
+  beginEra(All.AsOf, Now);
   std::set<std::string, std::less<>> Present;
   for (const core::StoredEntry &Entry : All.Entries)
     Present.insert(Entry.Key);
@@ -44,14 +103,18 @@
       Missing.push_back(Key);
   for (const std::string &Key : Missing)
     removeServer(Key, Now);
-  std::erase_if(
-      Vms, [&](const auto &Item) { return !Present.contains(Item.first); });
-  std::vector<std::string> Ended;
+  Missing.clear();
+  for (const auto &[Key, Entry] : Vms)
+    if (!Present.contains(Key))
+      Missing.push_back(Key);
+  for (const std::string &Key : Missing)
+    removeVm(Key, Now, All.AsOf);
+  Missing.clear();
   for (const auto &[Key, Entry] : Evacuations)
     if (!Present.contains(Key))
-      Ended.push_back(Key);
-  for (const std::string &Key : Ended)
-    endEvacuation(Key);
+      Missing.push_back(Key);
+  for (const std::string &Key : Missing)
+    endEvacuation(Key, Now, All.AsOf);
   // One line for the first list instead of one for each of its servers: at the
   // start of a VM the log would cost more time than the list itself.
   LogsServers = !Servers.empty();
@@ -104,10 +167,13 @@
 
 void Directory::apply(const core::EntryList &Changes, core::TimePoint Now) {
   const core::Revision Known = AsOf;
+  const bool EraBegins = beginEra(Changes.AsOf, Now);
   for (const core::StoredEntry &Entry : Changes.Entries)
     if (Entry.Changed > Known)
       apply(Entry, Now);
   AsOf = std::max(AsOf, Changes.AsOf);
+  if (EraBegins)
+    removeOlderEras(Now);
 }
 
 void Directory::apply(const core::StoredEntry &Entry, core::TimePoint Now) {
@@ -119,10 +185,10 @@
     applyServer(Entry, Now);
     break;
   case core::EntryKind::Vm:
-    applyVm(Entry);
+    applyVm(Entry, Now);
     break;
   case core::EntryKind::Evacuation:
-    applyEvacuation(Entry);
+    applyEvacuation(Entry, Now);
     break;
   case core::EntryKind::Other:
     break;
@@ -160,8 +226,24 @@
     return;
   Known.Changed = Entry.Changed;
   Known.RemoveAt = core::TimePoint::max();
+  // A store that comes back from a copy has an older report of the same process
+  // until the server writes again.
+  if (Read->Sequence != 0 && Read->Server.Incarnation != 0 &&
+      Read->Server.Incarnation == Known.Registered.Server.Incarnation &&
+      Read->Sequence < Known.Registered.Sequence) {
+    core::LogLine(core::LogLevel::Info, "server.older_report")
+        .field("server", Read->Server.Id)
+        .field("sequence", Read->Sequence)
+        .field("known", Known.Registered.Sequence);
+    return;
+  }
+  // Every report of the server process has another sequence, which alone is no
+  // change.
+  Known.Registered.Sequence = Read->Sequence;
+  Read->Server.ColdUntil = Known.Registered.Server.ColdUntil;
   if (Known.Registered == *Read)
     return;
+  Read->Server.ColdUntil = internal::coldUntil(Known.Registered, *Read, Now);
   Known.Registered = std::move(*Read);
   if (LogsServers)
     internal::logServerChange(
@@ -169,11 +251,9 @@
         Entry.Changed);
 }
 
-void Directory::applyVm(const core::StoredEntry &Entry) {
-  if (!Entry.Value) {
-    Vms.erase(Entry.Key);
-    return;
-  }
+void Directory::applyVm(const core::StoredEntry &Entry, core::TimePoint Now) {
+  if (!Entry.Value)
+    return removeVm(Entry.Key, Now, Entry.Changed);
   core::Findings Report(Entry.Key);
   if (auto Read = Codec.decodeVm(Entry.Key, *Entry.Value, Report))
     Vms.insert_or_assign(Entry.Key, VmEntry{.Registered = std::move(*Read),
@@ -184,10 +264,12 @@
 
 // The key alone names the zone, so that an entry with an invalid value counts
 // all the same: requests to a zone in trouble cost more than idle servers.
-void Directory::applyEvacuation(const core::StoredEntry &Entry) {
+void Directory::applyEvacuation(const core::StoredEntry &Entry,
+                                core::TimePoint Now) {
   if (!Entry.Value)
-    return endEvacuation(Entry.Key);
+    return endEvacuation(Entry.Key, Now, Entry.Changed);
   const auto [Known, New] = Evacuations.try_emplace(Entry.Key);
+  Known->second.RemoveAt = core::TimePoint::max();
   Known->second.Changed = std::max(Known->second.Changed, Entry.Changed);
   if (!New)
     return;
@@ -200,10 +282,18 @@
         .field("revision", Entry.Changed);
 }
 
-void Directory::endEvacuation(const std::string &Key) {
+// Only an entry that is missing after the store came back from a copy is kept;
+// operators' entries have no lease, so that any other deletion is theirs.
+void Directory::endEvacuation(const std::string &Key, core::TimePoint Now,
+                              core::Revision Changed) {
   const auto Found = Evacuations.find(Key);
   if (Found == Evacuations.end())
     return;
+  if (isDeferred(Found->second.Changed, Changed, Now)) {
+    Found->second.RemoveAt =
+        std::min(Found->second.RemoveAt, DeletionsDeferredUntil);
+    return;
+  }
   const std::string Zone = std::move(Found->second.Zone);
   Evacuations.erase(Found);
   if (ZoneRegions.contains(Zone))
@@ -229,6 +319,24 @@
                                       });
 }
 
+bool Directory::isDeferred(core::Revision Known, core::Revision Deleted,
+                           core::TimePoint Now) const noexcept {
+  return Now < DeletionsDeferredUntil &&
+         core::eraOf(Known) < core::eraOf(Deleted);
+}
+
+void Directory::removeVm(const std::string &Key, core::TimePoint Now,
+                         core::Revision Changed) {
+  const auto Found = Vms.find(Key);
+  if (Found == Vms.end())
+    return;
+  if (isDeferred(Found->second.Changed, Changed, Now))
+    Found->second.RemoveAt =
+        std::min(Found->second.RemoveAt, DeletionsDeferredUntil);
+  else
+    Vms.erase(Found);
+}
+
 void Directory::removeServer(const std::string &Key, core::TimePoint Now) {
   const auto Found = Servers.find(Key);
   if (Found == Servers.end())
@@ -245,18 +353,31 @@
 }
 
 bool Directory::removeExpired(core::TimePoint Now) {
-  return std::erase_if(Servers, [&](const auto &Item) {
-           if (Item.second.RemoveAt > Now)
-             return false;
-           internal::logServerChange("gone", Item.second.Registered, AsOf);
-           return true;
-         }) > 0;
+  std::vector<std::string> Ended;
+  for (const auto &[Key, Entry] : Evacuations)
+    if (Entry.RemoveAt <= Now)
+      Ended.push_back(Key);
+  for (const std::string &Key : Ended)
+    endEvacuation(Key, core::TimePoint::max(), AsOf);
+  const std::size_t LostVms = std::erase_if(
+      Vms, [&](const auto &Item) { return Item.second.RemoveAt <= Now; });
+  const std::size_t LostServers = std::erase_if(Servers, [&](const auto &Item) {
+    if (Item.second.RemoveAt > Now)
+      return false;
+    internal::logServerChange("gone", Item.second.Registered, AsOf);
+    return true;
+  });
+  return !Ended.empty() || LostVms > 0 || LostServers > 0;
 }
 
 core::TimePoint Directory::nextRemoval() const noexcept {
   core::TimePoint Next = core::TimePoint::max();
   for (const auto &[Key, Entry] : Servers)
     Next = std::min(Next, Entry.RemoveAt);
+  for (const auto &[Key, Entry] : Vms)
+    Next = std::min(Next, Entry.RemoveAt);
+  for (const auto &[Key, Entry] : Evacuations)
+    Next = std::min(Next, Entry.RemoveAt);
   return Next;
 }
 
@@ -279,6 +400,7 @@
         Config.Services.find(Entry.Registered.Service)->second;
     Server.Connections = Settings.Connections;
     Server.HealthPath = Settings.HealthPath;
+    Server.ColdLimit = Settings.ColdLimit;
     // Whatever holds for a draining server holds for one of these: no attempt
     // and no probe is sent to it, and requests that it runs go on.
     if (isEvacuated(Server.Zone))
@@ -324,7 +446,8 @@
 
 bool Directory::isRegistered(const core::Member &Vm) const {
   const auto Found = Vms.find(Codec.vmKey(Vm.Id));
-  if (Found == Vms.end())
+  // An entry that is missing from a store that came back must be written again.
+  if (Found == Vms.end() || Found->second.RemoveAt != core::TimePoint::max())
     return false;
   const core::Member &Known = Found->second.Registered;
   return Known.Address == Vm.Address && Known.Zone == Vm.Zone &&
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -3,6 +3,7 @@
 #include "directory_entries.hpp"
 
 #include <jujubecart/core/log.hpp>
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/store/directory_snapshot.hpp>
 
 #include <algorithm>
@@ -35,8 +36,9 @@
                              Directory::Zones ZoneRegions,
                              DirectoryFeedOptions Options)
     : Env(Env), Self(std::move(Self)), Options(Options),
-      Entries(Env.Codec, std::move(ZoneRegions)), LastSuccess(Env.Time.now()),
-      LastConfirmed(LastSuccess), TakeoverAt(LastSuccess),
+      Entries(Env.Codec, std::move(ZoneRegions), Options.ReregistrationTime),
+      LastSuccess(Env.Time.now()), LastConfirmed(LastSuccess),
+      TakeoverAt(LastSuccess),
       TakeoverOffset(randomUpTo(Options.TakeoverSpread)) {}
 
 core::Awaitable<void> DirectoryFeed::run() {
@@ -125,7 +127,10 @@
     return;
   const core::EntryChanges &Changes = Report.Changes;
   const core::TimePoint ReadAt = Report.ReadAt;
-  if (Changes.After > Entries.asOf()) {
+  // Changes from one era of the store to another contain all of its entries.
+  const bool Complete =
+      core::eraOf(Changes.After) < core::eraOf(Changes.List.AsOf);
+  if (Changes.After > Entries.asOf() && !Complete) {
     if (!std::exchange(MissedChanges, true))
       core::LogLine(core::LogLevel::Info, "directory.changes_missed")
           .field("known", Entries.asOf())
--- a/packages/store/src/directory_feed_upkeep.cpp
+++ b/packages/store/src/directory_feed_upkeep.cpp
@@ -89,8 +89,22 @@
 // Whether this VM is registered is decided by what the watch reports, since the
 // reader may have removed the registration of a VM that was cut off.
 core::Awaitable<bool> DirectoryFeed::ensureRegistered() {
-  if (Env.Time.now() < NextCheck || Entries.isRegistered(Self))
+  if (Entries.isRegistered(Self)) {
+    WasRegistered = true;
+    NextCheck = core::TimePoint::min();
     co_return true;
+  }
+  if (Env.Time.now() < NextCheck)
+    co_return true;
+  // A store that comes back from a copy lacks the registrations of many VMs at
+  // once.
+  if (WasRegistered) {
+    WasRegistered = false;
+    co_await Env.Sleeper.sleepUntil(Env.Time.now() +
+                                    randomUpTo(Options.MaxRegistrationDelay));
+    if (Entries.isRegistered(Self))
+      co_return true;
+  }
   const auto Written =
       co_await Env.Store.put(Env.Codec.vmKey(Self.Id), Env.Codec.encodeVm(Self),
                              Env.Time.now() + Options.CallTimeout);
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -143,6 +143,8 @@
     co_return Outcome;
   Outcome.Status = Parser.get().result_int();
   Outcome.Body = std::move(Parser.get().body());
+  for (const auto &Field : Parser.get())
+    Outcome.Head.emplace_back(Field.name_string(), Field.value());
   Connection->Used = true;
   if (Parser.keep_alive())
     returnIdle(std::move(Connection));
@@ -159,7 +161,8 @@
                             .TimedOut =
                                 std::chrono::steady_clock::now() >= Deadline,
                             .Status = 0,
-                            .Body = {}};
+                            .Body = {},
+                            .Head = {}};
   auto ConnectionExecutor = Connection->Stream.get_executor();
   co_return co_await asio::co_spawn(
       ConnectionExecutor,
--- a/tests/peers/store_relay_test.cpp
+++ b/tests/peers/store_relay_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/peers/store_relay.hpp>
 
 using namespace jujubecart;
@@ -131,6 +132,25 @@
   cr_assert_eq(Pair.Second.received()[1].After, 20);
 }
 
+// Guards against a fleet whose VMs all list the entries when the store came
+// back from a copy, because they get only some of them.
+Test(StoreRelay, changes_to_another_era_are_shared_as_a_whole) {
+  constexpr std::uint64_t Count = 600;
+  Fixture Pair;
+  Pair.First.broadcast(
+      Fixture::changes(4, 5, {{.Key = "a", .Value = "1", .Changed = 5}}));
+  std::vector<core::StoredEntry> Entries;
+  for (std::uint64_t Number = 1; Number <= Count; ++Number)
+    Entries.push_back({.Key = std::to_string(Number),
+                       .Value = "1",
+                       .Changed = core::makeRevision(1, Number)});
+  Pair.First.broadcast(
+      Fixture::changes(5, core::makeRevision(1, Count), Entries));
+  cr_assert(eventually([&] { return Pair.Second.received().size() == 2; }));
+  cr_assert_eq(Pair.Second.received()[1].After, 5);
+  cr_assert_eq(Pair.Second.received()[1].List.Entries.size(), Count);
+}
+
 // Guards against VMs that compute different rankings, so that two of them read
 // the store on behalf of all.
 Test(StoreRelay, vms_agree_on_reader_rank) {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -1,6 +1,7 @@
 #include "../store/run_awaitable.hpp"
 #include "store_stand_in.hpp"
 
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/platform/store_client.hpp>
 
 #include <algorithm>
@@ -189,3 +190,99 @@
   cr_assert(Setup.list().error() == Error::Malformed);
   cr_assert_leq(Setup.Store.Calls, 2);
 }
+
+namespace {
+
+constexpr const char *OneItem =
+    R"({"items":[{"key":"a","value":"eA==","revision":3}],"as-of":5,
+        "events":[{"key":"a","value":"eA==","revision":12}]})";
+
+FakeStore::Handler respondInEra(const std::string &Era) {
+  return [Era](const std::string &, const std::string &) {
+    return FakeStore::Response{200, OneItem, Era};
+  };
+}
+
+} // namespace
+
+// Guards against an entry that counts as older than one of an earlier era,
+// because the store gives out revisions again.
+Test(StoreClient, era_is_the_high_part_of_revisions) {
+  Fixture Setup(respondInEra("2"));
+  const auto Listed = Setup.list();
+  cr_assert(Listed.has_value());
+  cr_assert_eq(Listed->AsOf, core::makeRevision(2, 5));
+  cr_assert_eq(Listed->Entries[0].Changed, core::makeRevision(2, 3));
+  cr_assert_gt(Listed->AsOf, core::makeRevision(1, 1000000));
+}
+
+// Guards against a store that gets revisions that it never gave out.
+Test(StoreClient, store_gets_revisions_without_their_era) {
+  std::vector<std::string> Sent;
+  Fixture Setup([&](const std::string &Target, const std::string &Body) {
+    Sent.push_back(Target + Body);
+    return FakeStore::Response{200, OneItem, "2"};
+  });
+  cr_assert(Setup.changes(core::makeRevision(2, 10)).has_value());
+  cr_assert(Sent.back().find("after=10&") != std::string::npos);
+  (void)tests::runAwaitable(
+      Setup.Context,
+      Setup.Client.remove({{.Key = "k", .Changed = core::makeRevision(2, 7)}},
+                          Fixture::deadlineIn(300ms)));
+  cr_assert(Sent.back().find("\"revision\":7}") != std::string::npos);
+}
+
+// Guards against a VM that continues with the changes after a revision that the
+// store has given out again.
+Test(StoreClient, changes_of_another_era_are_lost_history) {
+  Fixture Setup(respondInEra("2"));
+  cr_assert_eq(Setup.changes(core::makeRevision(1, 4)).error(),
+               Error::HistoryLost);
+}
+
+// Guards against a late answer of the store from before it came back from a
+// copy, which would bring the older entries back.
+Test(StoreClient, answer_of_an_earlier_era_is_refused) {
+  std::string Era = "2";
+  Fixture Setup([&](const std::string &, const std::string &) {
+    return FakeStore::Response{200, OneItem, Era};
+  });
+  cr_assert(Setup.list().has_value());
+  Era = "1";
+  cr_assert_eq(Setup.list().error(), Error::Unavailable);
+  cr_assert_eq(Setup.changes(core::makeRevision(1, 4)).error(),
+               Error::Unavailable);
+  cr_assert_eq(Setup.put().error(), Error::OutcomeUnknown);
+}
+
+// Guards against the removal of an entry that got the expected revision again
+// in another era.
+Test(StoreClient, entry_of_an_earlier_era_is_not_removed) {
+  Fixture Setup(respondInEra("2"));
+  cr_assert(Setup.list().has_value());
+  cr_assert_eq(Setup.remove().error(), Error::Conflict);
+  cr_assert_eq(Setup.Store.Calls, 1);
+}
+
+// Guards against a list whose pages come from before and after the return of
+// the store.
+Test(StoreClient, list_across_eras_is_read_again) {
+  int Calls = 0;
+  Fixture Setup([&](const std::string &, const std::string &) {
+    ++Calls;
+    const std::string Era = Calls == 1 ? "1" : "2";
+    const bool First = Calls == 1 || Calls == 3;
+    return FakeStore::Response{
+        200,
+        First ? R"({"items":[{"key":"a","value":"eA==","revision":3}],
+                    "has-more":true,"as-of":10})"
+              : R"({"items":[{"key":"b","value":"eXk=","revision":4}],
+                    "has-more":false,"as-of":8})",
+        Era};
+  });
+  const auto Listed = Setup.list();
+  cr_assert(Listed.has_value());
+  cr_assert_eq(Calls, 4);
+  cr_assert_eq(Listed->Entries.size(), 2);
+  cr_assert_eq(Listed->AsOf, core::makeRevision(2, 8));
+}
--- a/tests/platform/store_stand_in.hpp
+++ b/tests/platform/store_stand_in.hpp
@@ -19,6 +19,8 @@
   struct Response {
     unsigned Status = 200;
     std::string Body;
+    /// Value of the header field Store-Era; no field if it is empty.
+    std::string Era = {};
   };
   using Handler = std::function<Response(const std::string &Target,
                                          const std::string &Body)>;
@@ -67,6 +69,8 @@
         http::response<http::string_body> Message;
         Message.result(Reply.Status);
         Message.body() = Reply.Body;
+        if (!Reply.Era.empty())
+          Message.set("Store-Era", Reply.Era);
         Message.prepare_payload();
         http::write(*Peer, Message, Code);
       }
--- a/tests/store/directory_feed_test.cpp
+++ b/tests/store/directory_feed_test.cpp
@@ -1,5 +1,6 @@
 #include "directory_feed_fixture.hpp"
 
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/store/directory_snapshot.hpp>
 
 #include <algorithm>
@@ -129,6 +130,25 @@
   cr_assert_eq(Setup.servers(), 2);
 }
 
+// Guards against a VM that nobody knows any more, because the store came back
+// from a copy without its registration.
+Test(DirectoryFeed, registration_that_a_restored_store_lacks_is_written_again) {
+  FeedFixture Setup(0);
+  Setup.start();
+  boost::asio::co_spawn(Setup.Io, Setup.Feed.keepRegistered(),
+                        boost::asio::detached);
+  Setup.run(1200ms);
+  cr_assert_eq(Setup.Store.Puts, 1);
+  Setup.Store.All = {.Entries = {{.Key = "s/a",
+                                  .Value = "active",
+                                  .Changed = core::makeRevision(1, 2)}},
+                     .AsOf = core::makeRevision(1, 2)};
+  Setup.Store.HistoryLost = true;
+  Setup.run(2500ms);
+  cr_assert_eq(Setup.Store.Puts, 2);
+  cr_assert_eq(Setup.Table.current()->routing()->version(), 5);
+}
+
 // Guards against a registration that is never written, or is written again with
 // another lease although the watch has reported it.
 Test(DirectoryFeed, vm_registers_once_and_relies_on_the_watch) {
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -4,6 +4,7 @@
 #include "fakes/simulation.hpp"
 #include "plain_codec.hpp"
 
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/decision/relay_tree.hpp>
 #include <jujubecart/store/directory_feed.hpp>
 
@@ -34,6 +35,12 @@
   /// @brief Drops the history: older watches get HistoryLost.
   void dropHistory() noexcept { OldestRevision = AsOf; }
 
+  /// @brief Keeps a copy of the entries.
+  void copy() { Copy = {.Entries = Items, .Number = core::withoutEra(AsOf)}; }
+  /// @brief Comes back from the copy: what was written since is lost and its
+  /// revisions are given out again, in another era.
+  void restore();
+
   [[nodiscard]] core::EntryList changesAfter(core::Revision After) const;
   [[nodiscard]] core::EntryList list() const;
 
@@ -42,6 +49,12 @@
   core::Revision OldestRevision = 0;
   std::map<std::string, core::StoredEntry> Items;
   std::vector<core::StoredEntry> History;
+
+private:
+  struct {
+    std::map<std::string, core::StoredEntry> Entries;
+    std::uint64_t Number = 0;
+  } Copy;
 };
 
 class DirectoryFleet;
@@ -74,6 +87,8 @@
   [[nodiscard]] std::uint64_t configVersion() const;
   /// @brief Whether this VM may send requests to a server.
   [[nodiscard]] bool knowsServer(const std::string &Id) const;
+  /// @brief Whether it is also active.
+  [[nodiscard]] bool usesServer(const std::string &Id) const;
   /// @brief Instant since which this VM could read the store without a pause.
   [[nodiscard]] core::TimePoint undisturbedSince() const;
   /// @brief Receives a message: passes it on if this VM is one of its relays,
--- a/tests/store/directory_fleet_vm.cpp
+++ b/tests/store/directory_fleet_vm.cpp
@@ -37,6 +37,16 @@
   History.push_back({.Key = Key, .Value = {}, .Changed = ++AsOf});
 }
 
+void FleetStore::restore() {
+  const std::uint64_t Era = core::eraOf(AsOf) + 1;
+  Items = Copy.Entries;
+  for (auto &[Key, Entry] : Items)
+    Entry.Changed = core::makeRevision(Era, core::withoutEra(Entry.Changed));
+  AsOf = core::makeRevision(Era, Copy.Number);
+  OldestRevision = AsOf;
+  History.clear();
+}
+
 core::EntryList FleetStore::changesAfter(core::Revision After) const {
   core::EntryList Result{.Entries = {}, .AsOf = AsOf};
   for (const core::StoredEntry &Entry : History)
@@ -109,6 +119,16 @@
                      });
 }
 
+bool FleetVm::usesServer(const std::string &Id) const {
+  const core::ServiceConfig *Service = Table.current()->find("tags");
+  return Service != nullptr &&
+         std::any_of(Service->Servers.begin(), Service->Servers.end(),
+                     [&](const core::BackendServer &Server) {
+                       return Server.Id == Id &&
+                              Server.State == core::ServerState::Active;
+                     });
+}
+
 core::TimePoint FleetVm::undisturbedSince() const {
   if (Path != StorePath::Open || Fleet.Run.now() < FreezeEnd)
     return core::TimePoint::max();
--- a/tests/store/directory_test.cpp
+++ b/tests/store/directory_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/store/directory.hpp>
 
 using namespace jujubecart;
@@ -197,3 +198,120 @@
   Test.Known.apply(Changes.List, Start);
   cr_assert_eq(activeServers(Test), 0);
 }
+
+// Guards against a cold server that is taken for warm, and against one that
+// never gets warm.
+Test(Directory, server_is_cold_for_the_time_that_its_entry_states) {
+  Fixture Test;
+  Test.change(Fixture::entry("s/a", "active 1 3000", 10), Start + 1s);
+  cr_assert(Test.servers()[0].ColdUntil == Start + 4s);
+  cr_assert(Test.servers()[1].ColdUntil == core::TimePoint::min());
+  Test.change(Fixture::entry("s/a", "active 5 0", 11), Start + 5s);
+  cr_assert(Test.servers()[0].ColdUntil == core::TimePoint::min());
+}
+
+// Guards against a service that changes with each report of a cold server, and
+// against an end that moves although the server counts down.
+Test(Directory, reports_that_count_down_keep_the_end) {
+  Fixture Test;
+  Test.change(Fixture::entry("s/a", "active 1 3000", 10), Start);
+  Test.change(Fixture::entry("s/a", "active 2 2000", 11), Start + 1050ms);
+  cr_assert(Test.servers()[0].ColdUntil == Start + 3s);
+  Test.change(Fixture::entry("s/a", "active 3 3000", 12), Start + 2s);
+  cr_assert(Test.servers()[0].ColdUntil == Start + 5s);
+}
+
+// Guards against a cold time that starts anew with a report that says nothing
+// new.
+Test(Directory, report_with_another_sequence_is_no_change) {
+  Fixture Test;
+  Test.change(Fixture::entry("s/a", "active 1 3000", 10), Start);
+  const auto First = Test.Known.buildSnapshot(Test.Empty);
+  Test.change(Fixture::entry("s/a", "active 2 3000", 11), Start + 2s);
+  const auto Second = Test.Known.buildSnapshot(*First);
+  cr_assert(First->entries().at("tags") == Second->entries().at("tags"));
+}
+
+namespace {
+
+/// @brief A revision after the store of the fixture came back from a copy.
+constexpr core::Revision restored(std::uint64_t Number) {
+  return core::makeRevision(1, Number);
+}
+
+} // namespace
+
+// Guards against a server that gets calls again because the store came back
+// from a copy that is older than its last report.
+Test(Directory, older_report_of_a_restored_store_is_ignored) {
+  Fixture Test;
+  Test.change(Fixture::entry("s/a", "draining 8", 10));
+  const core::EntryList All{
+      .Entries = {Fixture::entry("config", "5", restored(1)),
+                  Fixture::entry("s/a", "active 4", restored(2)),
+                  Fixture::entry("s/b", "active", restored(3)),
+                  Fixture::entry("v/vm1", "x", restored(4))},
+      .AsOf = restored(4)};
+  Test.Known.replace(All, Start);
+  cr_assert_eq(activeServers(Test), 1);
+  Test.change(Fixture::entry("s/a", "active 9", restored(5)));
+  cr_assert_eq(activeServers(Test), 2);
+}
+
+// Guards against servers, VMs and evacuations that are lost because a copy of
+// the store lacks what was written last, and against those that never end.
+Test(Directory, entries_missing_from_a_restored_store_are_kept_for_a_time) {
+  Fixture Test;
+  Test.change(Fixture::entry("e/z1", "{}", 10));
+  const core::EntryList All{
+      .Entries = {Fixture::entry("config", "5", restored(1))},
+      .AsOf = restored(3)};
+  const core::EntryChanges Changes = Test.Known.changesTo(All);
+  Test.Known.apply(Changes.List, Start);
+  cr_assert_eq(Test.servers().size(), 2);
+  cr_assert_eq(activeServers(Test), 0);
+  cr_assert_eq(Test.Known.vms().size(), 1);
+  cr_assert_not(Test.Known.isRegistered({.Id = "vm1", .Address = "x"}));
+  Test.change(Fixture::entry("s/a", "active", restored(4)), Start + 1s);
+  cr_assert_eq(Test.Known.nextRemoval(), Start + 2s);
+  cr_assert(Test.Known.removeExpired(Start + 2s));
+  cr_assert_eq(activeServers(Test), 1);
+  cr_assert(Test.Known.vms().empty());
+}
+
+// Guards against an evacuation that goes on after its end because the entry
+// survived the return of the store.
+Test(Directory, evacuation_ends_at_once_with_a_deletion_in_its_era) {
+  Fixture Test;
+  Test.change(Fixture::entry("e/z1", "{}", 10));
+  Test.change(Fixture::entry("e/z1", "{}", restored(3)));
+  Test.change(Fixture::deletion("e/z1", restored(4)));
+  cr_assert_eq(activeServers(Test), 2);
+}
+
+// Guards against an entry that stays although it is missing, because the VM
+// that listed the restored store never knew it.
+Test(Directory, entry_that_the_sender_never_knew_ends_with_the_era) {
+  Fixture Test;
+  Test.change(Fixture::entry("s/c", "active", 5));
+  // The sender knew the entries up to revision 4.
+  Test.Known.apply({.Entries = {Fixture::entry("s/a", "active", restored(2)),
+                                Fixture::entry("s/b", "active", restored(3))},
+                    .AsOf = restored(3)},
+                   Start);
+  cr_assert_eq(Test.servers().size(), 3);
+  cr_assert(Test.Known.removeExpired(Start + 2s));
+  cr_assert_eq(Test.servers().size(), 2);
+}
+
+// Guards against changes of the old era that are applied after the new one was
+// seen.
+Test(Directory, changes_of_an_earlier_era_are_skipped) {
+  Fixture Test;
+  Test.change(Fixture::entry("s/a", "draining", restored(2)));
+  Test.Known.apply(
+      {.Entries = {Fixture::entry("s/a", "active", 900)}, .AsOf = 900}, Start);
+  Test.Known.replace({.Entries = {}, .AsOf = 950}, Start);
+  cr_assert(Test.servers().front().State == core::ServerState::Draining);
+  cr_assert_eq(Test.Known.asOf(), restored(2));
+}
--- a/tests/store/plain_codec.hpp
+++ b/tests/store/plain_codec.hpp
@@ -3,11 +3,14 @@
 
 #include <jujubecart/core/directory_codec.hpp>
 
+#include <sstream>
+
 namespace jujubecart::tests {
 
 /// @brief Minimal codec with plain-text values: `config` holds a version,
-/// `s/ID` the state of a server of the service `tags`, `v/ID` the address of a
-/// VM. The value `broken` is invalid.
+/// `s/ID` the state of a server of the service `tags` and, if stated, its
+/// sequence and cold time in milliseconds, `v/ID` the address of a VM, and
+/// `e/ZONE` stands for an evacuated zone. The value `broken` is invalid.
 class PlainCodec final : public core::DirectoryCodec {
 public:
   [[nodiscard]] core::EntryKind entryKind(std::string_view Key) const override {
@@ -42,7 +45,11 @@
     core::RegisteredServer Result{.Service = "tags"};
     Result.Server.Id = Key.substr(2);
     Result.Server.Zone = "z1";
-    Result.Server.State = Value == "draining" ? core::ServerState::Draining
+    std::istringstream Words{std::string(Value)};
+    std::string State;
+    Words >> State >> Result.Sequence >> Result.ColdMs;
+    Result.Server.Incarnation = 1;
+    Result.Server.State = State == "draining" ? core::ServerState::Draining
                                               : core::ServerState::Active;
     return Result;
   }
@@ -52,8 +59,7 @@
     return core::Member{.Id = std::string(Key.substr(2)),
                         .Address = std::string(Value)};
   }
-  [[nodiscard]] std::string
-  evacuatedZone(std::string_view Key) const override {
+  [[nodiscard]] std::string evacuatedZone(std::string_view Key) const override {
     return std::string(Key.substr(2));
   }
   [[nodiscard]] std::string snapshotKey() const override { return "snapshot"; }
