--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -174,6 +174,8 @@
           .Freshness = freshness()},
       Peers.members().self(), Settings.Directory.Zones,
       store::DirectoryFeedOptions{});
+  Metrics.gauge("jujubecart_evacuated_zones", "",
+                [this] { return static_cast<double>(Feed->evacuatedZones()); });
   Feed->setMemberHandler([this](const std::vector<core::Member> &Vms) {
     Peers.members().update(Vms);
   });
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -69,6 +69,9 @@
   /// Time after the end of a store outage within which live servers have
   /// written their lost entries again; deletions are deferred until then.
   std::chrono::milliseconds ReregistrationTime{2300};
+  /// Longest random time that a VM whose registration was lost waits before it
+  /// writes it again.
+  std::chrono::milliseconds MaxRegistrationDelay{500};
   /// The store loses no entries in an outage shorter than this. Every silence
   /// from this time on counts as an outage.
   std::chrono::milliseconds MinLossyOutage{1800};
@@ -168,6 +171,12 @@
   /// be called from any thread.
   void stop() noexcept { Stopped = true; }
 
+  /// @brief Number of evacuated availability zones; may be called from any
+  /// thread.
+  [[nodiscard]] std::size_t evacuatedZones() const noexcept {
+    return EvacuatedZones;
+  }
+
 private:
   [[nodiscard]] core::Awaitable<bool> load();
   [[nodiscard]] core::Awaitable<core::Result<core::EntryList>> readAll();
@@ -211,6 +220,7 @@
   MemberListener OnMembers;
   std::vector<core::Member> LastMembers;
   std::atomic<bool> Stopped{false};
+  std::atomic<std::size_t> EvacuatedZones{0};
   /// What load() reads first; each is tried if the one before fails.
   enum class Source : std::uint8_t { Snapshot, StaleList, LatestList };
   Source LoadFrom = Source::Snapshot;
@@ -246,6 +256,8 @@
   std::optional<core::TimePoint> LastSnapshot;
   /// Whether entries have changed since.
   bool SnapshotOutdated = true;
+  /// Whether this VM was registered when that was last checked.
+  bool WasRegistered = false;
   /// Earliest time of the next check of the registration.
   core::TimePoint NextCheck = core::TimePoint::min();
 };
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -4,6 +4,7 @@
 #include "fakes/simulation.hpp"
 #include "plain_codec.hpp"
 
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/decision/relay_tree.hpp>
 #include <jujubecart/peers/peer_clock.hpp>
 #include <jujubecart/store/directory_feed.hpp>
@@ -37,6 +38,12 @@
 
   /// @brief Revision of the last change that a watch shows.
   [[nodiscard]] core::Revision watchableRevision() const;
+  /// @brief Keeps a copy of the entries.
+  void copy() { Copy = {.Entries = Items, .Number = core::withoutEra(AsOf)}; }
+  /// @brief Comes back from the copy: what was written since is lost and its
+  /// revisions are given out again, in another era.
+  void restore();
+
   [[nodiscard]] core::EntryList changesAfter(core::Revision After) const;
   [[nodiscard]] core::EntryList list() const;
 
@@ -50,6 +57,12 @@
   /// Watches show changes that are at least as old.
   std::chrono::milliseconds WatchLag{0};
   std::function<core::TimePoint()> Now;
+
+private:
+  struct {
+    std::map<std::string, core::StoredEntry> Entries;
+    std::uint64_t Number = 0;
+  } Copy;
 };
 
 class DirectoryFleet;
@@ -85,6 +98,8 @@
   [[nodiscard]] std::uint64_t configVersion() const;
   /// @brief Whether this VM may send requests to a server.
   [[nodiscard]] bool knowsServer(const std::string &Id) const;
+  /// @brief Whether it is also active.
+  [[nodiscard]] bool usesServer(const std::string &Id) const;
   /// @brief Instant since which this VM could read the store without a pause.
   [[nodiscard]] core::TimePoint undisturbedSince() const;
   /// @brief Receives a message: passes it on if this VM is one of its relays,
--- a/tests/store/directory_fleet_vm.cpp
+++ b/tests/store/directory_fleet_vm.cpp
@@ -47,6 +47,16 @@
   return Result;
 }
 
+void FleetStore::restore() {
+  const std::uint64_t Era = core::eraOf(AsOf) + 1;
+  Items = Copy.Entries;
+  for (auto &[Key, Entry] : Items)
+    Entry.Changed = core::makeRevision(Era, core::withoutEra(Entry.Changed));
+  AsOf = core::makeRevision(Era, Copy.Number);
+  OldestRevision = AsOf;
+  History.clear();
+}
+
 core::EntryList FleetStore::changesAfter(core::Revision After) const {
   const core::Revision Last = watchableRevision();
   core::EntryList Result{.Entries = {}, .AsOf = std::max(After, Last)};
@@ -123,6 +133,16 @@
                      });
 }
 
+bool FleetVm::usesServer(const std::string &Id) const {
+  const core::ServiceConfig *Service = Table.current()->find("tags");
+  return Service != nullptr &&
+         std::any_of(Service->Servers.begin(), Service->Servers.end(),
+                     [&](const core::BackendServer &Server) {
+                       return Server.Id == Id &&
+                              Server.State == core::ServerState::Active;
+                     });
+}
+
 core::TimePoint FleetVm::undisturbedSince() const {
   if (Path != StorePath::Open || Fleet.Run.now() < FreezeEnd)
     return core::TimePoint::max();
