Cold servers get what they bear from all VMs together

Cause: a server that starts, or becomes cold again, got its full load and crashes under it. Change: warmup-left in a server's entry and Warmup-Ms in answers to pace probes tell until when it is cold, warmup-per-s of the service what it accepts then. The dispatcher of the group spaces the calls at the lower of this and a stated limit, raises it over two seconds at the end, sends no pace probes and learns no service times; a VM that decides alone leaves cold servers out.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -36,6 +36,16 @@
 
 std::uint64_t randomNumber() { return core::newRequestId().Value; }
 
+std::size_t countColdServers(const core::ConfigSnapshot &Config,
+                             core::TimePoint Now) {
+  std::size_t Count = 0;
+  for (const auto &[Name, Entry] : Config.entries())
+    if (Entry->Service)
+      for (const core::BackendServer &Server : Entry->Service->Servers)
+        Count += Now < Server.ColdUntil;
+  return Count;
+}
+
 } // namespace internal
 
 Daemon::Daemon(operators::Settings InitialSettings,
@@ -168,6 +178,10 @@
       store::DirectoryFeedOptions{});
   Metrics.gauge("jujubecart_evacuated_zones", "",
                 [this] { return static_cast<double>(Feed->evacuatedZones()); });
+  Metrics.gauge("jujubecart_cold_servers", "", [this] {
+    return static_cast<double>(
+        internal::countColdServers(*Config.current(), Time.now()));
+  });
   Feed->setMemberHandler([this](const std::vector<core::Member> &Vms) {
     Peers.members().update(Vms);
   });
--- a/apps/jujubecartd/load_prober.cpp
+++ b/apps/jujubecartd/load_prober.cpp
@@ -45,6 +45,7 @@
                      ? decision::ProbeState::Ok
                      : decision::ProbeState::Draining;
   Result.Load = Exchange->report().Load;
+  Result.ColdUntil = Exchange->report().ColdUntil;
   co_return Result;
 }
 
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -239,6 +239,8 @@
   Report.Limit = Traits.Limit;
   if (Traits.RetryAfter)
     Report.QuietUntil = Time.now() + *Traits.RetryAfter;
+  if (Traits.ColdFor)
+    Report.ColdUntil = Time.now() + *Traits.ColdFor;
   Report.Draining = Traits.Draining;
   Report.OtherInstance = Traits.OtherInstance;
   Connection->ReportsLoad = Traits.Load.has_value();
--- a/packages/core/include/jujubecart/core/http_profile.hpp
+++ b/packages/core/include/jujubecart/core/http_profile.hpp
@@ -58,6 +58,8 @@
   std::optional<LoadReport> Load;
   /// Time for which the server wants no requests of this VM.
   std::optional<std::chrono::milliseconds> RetryAfter;
+  /// Time for which the server stays cold, in responses to health checks.
+  std::optional<std::chrono::milliseconds> ColdFor;
   /// Empty if the server states no valid limit.
   std::optional<RateLimit> Limit;
 };
--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -106,6 +106,9 @@
   /// The server wants no requests of this VM before this time. Not passed on to
   /// the dispatcher.
   std::optional<TimePoint> QuietUntil;
+  /// The server states that it is cold until this time. Not passed on to the
+  /// dispatcher.
+  std::optional<TimePoint> ColdUntil;
 
   friend bool operator==(const CallReport &, const CallReport &) = default;
 };
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -44,11 +44,15 @@
 class LoadTable {
 public:
   LoadTable(const std::vector<core::BackendServer> &Servers,
-            DispatcherOptions Options);
+            DispatcherOptions Options, core::TimePoint Now);
 
   /// @brief Replaces the configuration. Indices stay valid; a removed server
   /// keeps its entry but gets no calls.
-  void configure(const std::vector<core::BackendServer> &Servers);
+  void configure(const std::vector<core::BackendServer> &Servers,
+                 core::TimePoint Now);
+
+  /// @brief Recomputes what changes with time alone, as in a cold start.
+  void refresh(core::TimePoint Now);
 
   /// @brief Finds the server with the highest score for a call.
   /// @param Aim What the call should meet; a call that meets only its deadline
@@ -199,9 +203,10 @@
   /// @brief Mean service time in microseconds, an assumed one at first.
   [[nodiscard]] double meanServiceUs() const;
   /// @brief Slots of a server as they count for the capacity of the group.
-  [[nodiscard]] double capacitySlots(const ServerLoad &Server) const;
+  [[nodiscard]] double capacitySlots(const ServerLoad &Server,
+                                     core::TimePoint Now) const;
   /// @brief Recomputes the totals over all servers.
-  void updateTotals();
+  void updateTotals(core::TimePoint Now);
 
   DispatcherOptions Options;
   std::vector<ServerLoad> Servers;
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -29,6 +29,8 @@
   /// Pace of the server when the call started, if it was known; assumed to
   /// apply until the call ends.
   std::optional<std::uint32_t> PacePercent;
+  /// Whether the server was cold when the call started.
+  bool Cold = false;
   /// Whether this call took the server above its unsaturated limit.
   bool Saturated = false;
   /// When a later call took the server above that limit, if one did.
--- a/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
@@ -14,7 +14,8 @@
 constexpr double BackupLimitShare = 0.2;
 
 /// @brief Keeps the calls that a dispatcher sends to a backend server within
-/// the rate limit that the server states. Does nothing for a server without.
+/// the rate limit that the server states, and within the one that holds while
+/// it is cold; the lower one if both hold. Does nothing for a server without.
 class ServerRateLimiter {
 public:
   /// @brief Applies what the server stated in a response.
@@ -27,10 +28,23 @@
   /// @brief Sets the part of the limit that this dispatcher may use.
   void setShare(double NewShare, core::TimePoint Now) noexcept;
 
-  [[nodiscard]] bool limited() const noexcept { return Limit.has_value(); }
+  /// @brief Applies the limit of a cold server, and a later end of its cold
+  /// start than the known one. After the end the limit rises for a short time
+  /// before it is lifted.
+  /// @param NewLimit MilliPerS is 0 if a cold server has no limit.
+  void setCold(core::RateLimit NewLimit, core::TimePoint Until) noexcept;
+
+  /// @brief Whether the server is cold.
+  [[nodiscard]] bool cold(core::TimePoint Now) const noexcept {
+    return Now < ColdUntil;
+  }
+
+  [[nodiscard]] bool limited(core::TimePoint Now) const noexcept {
+    return Limit.has_value() || coldLimited(Now);
+  }
 
   /// @brief Calls per second that this dispatcher may send to a limited server.
-  [[nodiscard]] double ratePerS() const noexcept;
+  [[nodiscard]] double ratePerS(core::TimePoint Now) const noexcept;
 
   /// @brief Whether a call may be sent now.
   [[nodiscard]] bool allows(core::TimePoint Now) const noexcept;
@@ -43,6 +57,7 @@
   void take(core::TimePoint Now) noexcept;
 
 private:
+  [[nodiscard]] bool coldLimited(core::TimePoint Now) const noexcept;
   [[nodiscard]] double tokensAt(core::TimePoint Now) const noexcept;
 
   std::optional<core::RateLimit> Limit;
@@ -54,6 +69,8 @@
   core::TimePoint LimitStatedAt;
   core::TimePoint StatedAt;
   core::TimePoint LastCall;
+  core::RateLimit ColdLimit;
+  core::TimePoint ColdUntil = core::TimePoint::min();
 };
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/include/jujubecart/decision/internal/server_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_table.hpp
@@ -141,7 +141,8 @@
                       core::TimePoint Now);
   void updateNextTrial();
   /// @brief Slots of a server as they count in activeSlots().
-  [[nodiscard]] double capacitySlots(const ServerRecord &Server) const;
+  [[nodiscard]] double capacitySlots(const ServerRecord &Server,
+                                     core::TimePoint Now) const;
   /// @brief Whether the server may get calls that are not trial requests.
   [[nodiscard]] bool usable(const ServerRecord &Server) const;
   [[nodiscard]] int bucketOf(const ServerRecord &Server,
--- a/packages/decision/include/jujubecart/decision/probe_result.hpp
+++ b/packages/decision/include/jujubecart/decision/probe_result.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_DECISION_PROBE_RESULT_HPP
 #define JUJUBECART_DECISION_PROBE_RESULT_HPP
 
+#include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/load_report.hpp>
 
 #include <cstdint>
@@ -18,6 +19,8 @@
   ProbeState State = ProbeState::Unreachable;
   /// Load that the server reported in its response headers, if any.
   std::optional<core::LoadReport> Load;
+  /// The server stated that it is cold until this time.
+  std::optional<core::TimePoint> ColdUntil;
 };
 
 } // namespace jujubecart::decision
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -40,6 +40,9 @@
 // Share of the capacity that calls with a missed objective are assumed to get
 // at least, because the measured arrivals include peaks.
 constexpr double MinSpareShare = 0.25;
+// Assumed factor on the service times of a server that is cold. Its times are
+// not learned, because they tell nothing about the server afterwards.
+constexpr double ColdSlowdown = 2;
 // Value of a call that meets its deadline but not its objective, relative to
 // one that meets its objective.
 constexpr double LateCallValue = 0.1;
@@ -58,12 +61,18 @@
 } // namespace
 
 LoadTable::LoadTable(const std::vector<core::BackendServer> &Configured,
-                     DispatcherOptions Options)
+                     DispatcherOptions Options, core::TimePoint Now)
     : Options(Options), Random(Options.Seed) {
-  configure(Configured);
+  configure(Configured, Now);
 }
 
-void LoadTable::configure(const std::vector<core::BackendServer> &Configured) {
+void LoadTable::refresh(core::TimePoint Now) {
+  if (AnyLimited)
+    updateTotals(Now);
+}
+
+void LoadTable::configure(const std::vector<core::BackendServer> &Configured,
+                          core::TimePoint Now) {
   for (ServerLoad &Server : Servers)
     Server.Configured = false;
   for (const core::BackendServer &Config : Configured) {
@@ -71,6 +80,7 @@
     if (New) {
       Servers.emplace_back().Config = Config;
       Servers.back().Limiter.setShare(LimitShare, core::TimePoint());
+      Servers.back().Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
       continue;
     }
     ServerLoad &Server = Servers[Entry->second];
@@ -90,11 +100,12 @@
     }
     Server.Config = Config;
     Server.Configured = true;
+    Server.Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
   }
-  updateTotals();
+  updateTotals(Now);
 }
 
-void LoadTable::updateTotals() {
+void LoadTable::updateTotals(core::TimePoint Now) {
   ActiveServers = EjectedServers = UnhealthyServers = 0;
   UsableSlots = 0;
   AnyLimited = false;
@@ -102,19 +113,20 @@
     if (!Server.active())
       continue;
     ++ActiveServers;
-    AnyLimited = AnyLimited || Server.Limiter.limited();
+    AnyLimited = AnyLimited || Server.Limiter.limited(Now);
     if (!Server.Health.ejected())
-      UsableSlots += capacitySlots(Server);
+      UsableSlots += capacitySlots(Server, Now);
     EjectedServers += Server.Health.ejected();
     UnhealthyServers += Server.Health.unhealthy();
   }
 }
 
-double LoadTable::capacitySlots(const ServerLoad &Server) const {
+double LoadTable::capacitySlots(const ServerLoad &Server,
+                                core::TimePoint Now) const {
   const double Slots = Server.preferredLimit() / Server.ServiceTimeFactor;
-  if (!Server.Limiter.limited())
+  if (!Server.Limiter.limited(Now))
     return Slots;
-  return std::min(Slots, Server.Limiter.ratePerS() * meanServiceUs() /
+  return std::min(Slots, Server.Limiter.ratePerS(Now) * meanServiceUs() /
                              MicrosecondsPerSecond);
 }
 
@@ -145,6 +157,7 @@
   const double SlowProbability = Pace.slowProbability(Server.Pace, Now);
   const bool Saturated = Server.inFlight() + 1 > Server.unsaturatedLimit();
   const double ServerUs = ExpectedUs * Server.ServiceTimeFactor *
+                          (Server.Limiter.cold(Now) ? ColdSlowdown : 1) *
                           (Saturated ? Server.Saturation.factor() : 1);
   const double AtNormalPace =
       WorkModel::completionProbability(ServerUs, AvailableUs);
@@ -206,7 +219,8 @@
       Call.PacePercent ? std::max(1.0, *Call.PacePercent / PercentPerUnit)
                        : Pace.slowFactor();
   const double Saturation = Call.Saturated ? Server.Saturation.factor() : 1;
-  return microseconds(Now - Call.Start) > OverdueFactor * Slowdown *
+  const double Cold = Call.Cold ? ColdSlowdown : 1;
+  return microseconds(Now - Call.Start) > OverdueFactor * Slowdown * Cold *
                                               Saturation * Call.ExpectedUs *
                                               Server.ServiceTimeFactor;
 }
@@ -221,6 +235,7 @@
   return internal::hedgeTime(
       Now, {.ExpectedUs = Work.expectedServiceTimeUs(Call, Now) *
                           Server.ServiceTimeFactor *
+                          (Server.Limiter.cold(Now) ? ColdSlowdown : 1) *
                           (Saturated ? Server.Saturation.factor() : 1),
             .SlowProbability = Pace.slowProbability(Server.Pace, Now),
             .SlowFactor = Pace.slowFactor(),
@@ -289,7 +304,7 @@
   std::vector<std::pair<double, std::uint32_t>> Candidates;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
-    if (!usable(Server, Now) || Server.Limiter.limited() ||
+    if (!usable(Server, Now) || Server.Limiter.limited(Now) ||
         Call.excludes(Server.Config.Id) ||
         Server.inFlight() >= Server.preferredLimit())
       continue;
@@ -333,7 +348,12 @@
 
 void LoadTable::recordProbe(std::uint32_t Index, const ProbeResult &Result,
                             core::TimePoint Now) {
-  Servers[Index].ProbePending = false;
+  ServerLoad &Server = Servers[Index];
+  Server.ProbePending = false;
+  if (Result.ColdUntil && !Server.Limiter.cold(Now)) {
+    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil);
+    updateTotals(Now);
+  }
   if (Result.Load)
     recordPace(Index, Result.Load->PacePercent, Now);
 }
--- a/packages/decision/src/load_table_results.cpp
+++ b/packages/decision/src/load_table_results.cpp
@@ -30,6 +30,7 @@
         Running.JoinedAt = Call.Start;
   Server.Limiter.take(Call.Start);
   Call.Incarnation = Server.Config.Incarnation;
+  Call.Cold = Server.Limiter.cold(Call.Start);
   Server.Connections.take(Call.Holder);
   Server.Calls.push_back(Call);
 }
@@ -55,7 +56,7 @@
       Report.Outcome == core::CallOutcome::Completed && !Report.ServerError;
   if (Succeeded)
     Server.Connections.put(Call.Holder, Now);
-  if (Succeeded && Call.PacePercent)
+  if (Succeeded && Call.PacePercent && !Call.Cold)
     learnServiceTime(Server, Call, Report.Elapsed, WorkClass);
   core::CallReport Counted = Report;
   if (Call.Incarnation != Server.Config.Incarnation)
@@ -120,7 +121,7 @@
   if (Conclusive)
     updateEjection(Server, Counted.Outcome != core::CallOutcome::Completed,
                    Now);
-  updateTotals();
+  updateTotals(Now);
 }
 
 void LoadTable::updateEjection(ServerLoad &Server, bool Failed,
@@ -143,14 +144,14 @@
     if (const auto Index = find(Item.ServerId))
       Servers[*Index].Limiter.record(Item.Limit, Item.StatedAt, Now);
   if (!Limits.empty())
-    updateTotals();
+    updateTotals(Now);
 }
 
 void LoadTable::setLimitShare(double NewShare, core::TimePoint Now) {
   LimitShare = NewShare;
   for (ServerLoad &Server : Servers)
     Server.Limiter.setShare(NewShare, Now);
-  updateTotals();
+  updateTotals(Now);
 }
 
 void LoadTable::recordPace(std::uint32_t Index, std::uint32_t Percent,
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -52,7 +52,7 @@
   Implementation(DispatchGroup Group, const DispatcherOptions &Options,
                  core::TimePoint Now)
       : Group(std::move(Group)), Options(Options),
-        Table(this->Group.Servers, Options), Random(Options.Seed),
+        Table(this->Group.Servers, Options, Now), Random(Options.Seed),
         LastTick(Now), Grants(Random() >> 1) {}
 
   void enqueue(PendingCall Call, core::TimePoint Now, Decisions &Out);
@@ -378,7 +378,7 @@
 void ObjectiveDispatcher::configure(DispatchGroup Group, core::TimePoint Now,
                                     Decisions &Out) {
   Self->Group = std::move(Group);
-  Self->Table.configure(Self->Group.Servers);
+  Self->Table.configure(Self->Group.Servers, Now);
   Self->dispatch(Now, Out);
 }
 
@@ -434,6 +434,7 @@
 void ObjectiveDispatcher::tick(core::TimePoint Now, Decisions &Out) {
   Self->LastTick = Now;
   Self->expireGrants(Now);
+  Self->Table.refresh(Now);
   Self->dispatch(Now, Out);
 }
 
--- a/packages/decision/src/server_rate_limiter.cpp
+++ b/packages/decision/src/server_rate_limiter.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <limits>
 
 namespace jujubecart::decision::internal {
 
@@ -22,6 +24,11 @@
 // A limited server that could get a call is checked after this time without
 // one, even if other servers are better.
 constexpr auto CheckInterval = 1s;
+// A server that was cold gets its full load only this long after the end of its
+// cold start. Until then its limit doubles ColdRampDoublings times, which takes
+// it from a few calls per second to more than its slots can run.
+constexpr auto ColdRamp = 2s;
+constexpr double ColdRampDoublings = 4;
 
 } // namespace
 
@@ -38,32 +45,55 @@
   }
   LimitStatedAt = StatedAt;
   // A server that has just stated a limit still runs the calls from before.
-  Tokens = Limit ? tokensAt(Now) : 0;
+  Tokens = limited(Now) ? tokensAt(Now) : 0;
   RefilledAt = Now;
   Limit = NewLimit;
 }
 
 void ServerRateLimiter::setShare(double NewShare,
                                  core::TimePoint Now) noexcept {
-  Tokens = tokensAt(Now);
+  Tokens = limited(Now) ? tokensAt(Now) : Tokens;
   RefilledAt = Now;
   Share = NewShare;
 }
 
-double ServerRateLimiter::ratePerS() const noexcept {
-  const double Stated = Limit ? Limit->MilliPerS / MilliPerUnit : 0;
-  return std::max(Stated, MinRatePerS) * Share;
+void ServerRateLimiter::setCold(core::RateLimit NewLimit,
+                                core::TimePoint Until) noexcept {
+  ColdLimit = NewLimit;
+  ColdUntil = std::max(ColdUntil, Until);
+}
+
+bool ServerRateLimiter::coldLimited(core::TimePoint Now) const noexcept {
+  return ColdLimit.MilliPerS != 0 && ColdUntil != core::TimePoint::min() &&
+         Now - ColdRamp < ColdUntil;
+}
+
+double ServerRateLimiter::ratePerS(core::TimePoint Now) const noexcept {
+  double Rate = std::numeric_limits<double>::max();
+  if (Limit)
+    Rate = Limit->MilliPerS / MilliPerUnit;
+  if (coldLimited(Now)) {
+    const std::chrono::duration<double> SinceEnd =
+        std::max(Now - ColdUntil, core::TimePoint::duration::zero());
+    const double Doublings =
+        ColdRampDoublings *
+        (SinceEnd / std::chrono::duration<double>(ColdRamp));
+    Rate = std::min(Rate,
+                    ColdLimit.MilliPerS / MilliPerUnit * std::exp2(Doublings));
+  }
+  return std::max(Rate, MinRatePerS) * Share;
 }
 
 double ServerRateLimiter::tokensAt(core::TimePoint Now) const noexcept {
   const std::chrono::duration<double> Elapsed =
       std::max(Now - RefilledAt, core::TimePoint::duration::zero());
-  return std::min(std::max(1.0, ratePerS() * BurstS),
-                  Tokens + ratePerS() * Elapsed.count());
+  const double Rate = ratePerS(Now);
+  return std::min(std::max(1.0, Rate * BurstS),
+                  Tokens + Rate * Elapsed.count());
 }
 
 bool ServerRateLimiter::allows(core::TimePoint Now) const noexcept {
-  return !Limit || tokensAt(Now) >= 1;
+  return !limited(Now) || tokensAt(Now) >= 1;
 }
 
 bool ServerRateLimiter::checkDue(core::TimePoint Now) const noexcept {
@@ -72,7 +102,7 @@
 
 void ServerRateLimiter::take(core::TimePoint Now) noexcept {
   LastCall = Now;
-  if (!Limit)
+  if (!limited(Now))
     return;
   Tokens = tokensAt(Now) - 1;
   RefilledAt = Now;
--- a/packages/decision/src/server_table.cpp
+++ b/packages/decision/src/server_table.cpp
@@ -15,9 +15,10 @@
 constexpr double FastResponse = 2;
 
 // The flags that the counts of the group depend on.
-std::array<bool, 4> countedFlags(const ServerRecord &Server) {
+std::array<bool, 4> countedFlags(const ServerRecord &Server,
+                                 core::TimePoint Now) {
   return {Server.active(), Server.Health.unhealthy(), Server.Health.ejected(),
-          Server.Limiter.limited()};
+          Server.Limiter.limited(Now)};
 }
 
 } // namespace
@@ -42,6 +43,7 @@
       Servers.emplace_back().Config = Config;
       Servers.back().Zone = internZone(Config.Zone);
       Servers.back().Limiter.setShare(LimitShare, Now);
+      Servers.back().Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
       Servers.back().Calls.reserve(Config.Slots + Options.Margin + 1);
       if (!Initial)
         Servers.back().Health.startRamp(Now);
@@ -65,6 +67,7 @@
     Server.Config = Config;
     Server.Configured = true;
     Server.Zone = internZone(Config.Zone);
+    Server.Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
   }
   updateCounts(Now);
 }
@@ -100,7 +103,7 @@
       Server.Suspect = true;
     if (Elapsed < FastResponse * MeanServiceUs)
       Server.Suspect = false;
-    if (SlotWasFree) {
+    if (SlotWasFree && !Server.Limiter.cold(Now)) {
       if (Server.ServiceUs == 0)
         Server.ServiceUs = MeanServiceUs;
       Server.ServiceUs += (Elapsed - Server.ServiceUs) * ServerWeight;
@@ -124,14 +127,14 @@
                                const core::CallReport &Report, bool Trial,
                                core::TimePoint Now) {
   ServerRecord &Server = Servers[Index];
-  const auto Before = countedFlags(Server);
+  const auto Before = countedFlags(Server, Now);
   if (!Report.OtherInstance && (Report.Limit || core::answered(Report.Outcome)))
     Server.Limiter.record(Report.Limit, Now, Now);
   Server.Health.onResult(Report, Now);
   if (!core::inconclusive(Report.Outcome))
     updateEjection(Server, Report.Outcome != core::CallOutcome::Completed,
                    Trial, Now);
-  if (Before != countedFlags(Server))
+  if (Before != countedFlags(Server, Now))
     updateCounts(Now);
   else if (Server.Health.ejected())
     updateNextTrial();
@@ -180,6 +183,8 @@
                               core::TimePoint Now) {
   ServerRecord &Server = Servers[Index];
   Server.Health.onProbe(Result, Now);
+  if (Result.ColdUntil)
+    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil);
   if (!Server.Health.ejected())
     updateEjection(Server, Result.State == ProbeState::Unreachable, false, Now);
   updateCounts(Now);
@@ -195,7 +200,7 @@
     if (!Server.active())
       continue;
     ++ActiveCount;
-    ActiveSlots += capacitySlots(Server);
+    ActiveSlots += capacitySlots(Server, Now);
     UnhealthyCount += Server.Health.unhealthy();
     EjectedCount += Server.Health.ejected();
   }
@@ -213,11 +218,12 @@
   return Found->second;
 }
 
-double ServerTable::capacitySlots(const ServerRecord &Server) const {
-  if (!Server.Limiter.limited())
+double ServerTable::capacitySlots(const ServerRecord &Server,
+                                  core::TimePoint Now) const {
+  if (!Server.Limiter.limited(Now))
     return Server.slots();
   constexpr double MicrosecondsPerSecond = 1e6;
-  return std::min<double>(Server.slots(), Server.Limiter.ratePerS() *
+  return std::min<double>(Server.slots(), Server.Limiter.ratePerS(Now) *
                                               MeanServiceUs /
                                               MicrosecondsPerSecond);
 }
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -95,6 +95,8 @@
   [[nodiscard]] bool isTracked(const HeldGrant &Item) const;
   /// @brief Excludes servers that leave or want no requests now.
   void excludeAvoidedServers(core::SlotRequest &Request);
+  /// @brief Excludes the servers that are cold and accept few requests.
+  void excludeColdServers(core::SlotRequest &Request) const;
   /// @brief Whether a server has left or drains in the configuration of this
   /// VM.
   [[nodiscard]] bool isLeaving(const core::SlotGrant &Grant) const;
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -281,6 +281,7 @@
   excludeAvoidedServers(Unlimited);
   for (decision::StatedLimit &Item : statedLimits(Entry))
     Unlimited.Excluded.push_back(std::move(Item.ServerId));
+  excludeColdServers(Unlimited);
   auto Grant = Env.Fallback.acquireNow(Unlimited);
   if (!Grant)
     return Grant;
@@ -329,6 +330,19 @@
     Statements->appendAvoided(*Entry, Env.Time.now(), Request.Excluded);
 }
 
+// The fallback selects among the servers of all groups of the service.
+void RemoteBroker::excludeColdServers(core::SlotRequest &Request) const {
+  const GroupDirectory::Index Index = Env.Groups.current();
+  const auto Found = Index->ByService.find(Request.Service);
+  if (Found == Index->ByService.end())
+    return;
+  const core::TimePoint Now = Env.Time.now();
+  for (const GroupPtr &Entry : Found->second)
+    for (const core::BackendServer &Server : Entry->Group.Servers)
+      if (Server.ColdLimit.MilliPerS != 0 && Now < Server.ColdUntil)
+        Request.Excluded.push_back(Server.Id);
+}
+
 std::vector<decision::StatedLimit>
 RemoteBroker::statedLimits(const GroupEntry &Entry) {
   const std::lock_guard Lock(Mutex);
--- a/tests/decision/rate_limit_test.cpp
+++ b/tests/decision/rate_limit_test.cpp
@@ -340,14 +340,14 @@
   const core::RateLimit Limit{.MilliPerS = 2000};
   core::TimePoint Now = Start;
   Limiter.record(Limit, Now, Now);
-  cr_assert(Limiter.limited());
+  cr_assert(Limiter.limited(Now));
   Limiter.record(std::nullopt, Now + 20ms, Now + 20ms);
-  cr_assert(Limiter.limited());
+  cr_assert(Limiter.limited(Now));
   Now += 1s;
   Limiter.record(std::nullopt, Now, Now);
-  cr_assert_not(Limiter.limited());
+  cr_assert_not(Limiter.limited(Now));
   Limiter.record(Limit, Now - 100ms, Now);
-  cr_assert_not(Limiter.limited());
+  cr_assert_not(Limiter.limited(Now));
 }
 
 // Guards against a wave of calls when a limit begins or after a pause.
@@ -375,3 +375,186 @@
   Setup.run(10s, 15);
   cr_expect_eq(Setup.Probes["0"], Before);
 }
+
+// Guards against a cold server that gets more than it bears, and against its
+// full load at once when its cold start ends.
+Test(ServerRateLimiter, limit_of_a_cold_server_ends_with_a_ramp) {
+  decision::internal::ServerRateLimiter Limiter;
+  Limiter.setCold({.MilliPerS = 4000}, Start + 3s);
+  cr_assert(Limiter.cold(Start));
+  cr_assert_float_eq(Limiter.ratePerS(Start + 2900ms), 4, 1e-6);
+  cr_assert_not(Limiter.cold(Start + 3s));
+  cr_assert(Limiter.limited(Start + 4s));
+  cr_assert_float_eq(Limiter.ratePerS(Start + 4s), 16, 1e-6);
+  cr_assert_not(Limiter.limited(Start + 5s));
+}
+
+// Guards against the higher of two limits.
+Test(ServerRateLimiter, lower_one_of_two_limits_holds) {
+  decision::internal::ServerRateLimiter Limiter;
+  Limiter.setCold({.MilliPerS = 4000}, Start + 3s);
+  Limiter.record(core::RateLimit{.MilliPerS = 2000}, Start, Start);
+  cr_assert_float_eq(Limiter.ratePerS(Start), 2, 1e-6);
+  Limiter.record(core::RateLimit{.MilliPerS = 6000}, Start + 1s, Start + 1s);
+  cr_assert_float_eq(Limiter.ratePerS(Start + 1s), 4, 1e-6);
+}
+
+// Guards against a limit for servers whose service has none for cold ones.
+Test(ServerRateLimiter, cold_server_without_a_limit_is_not_limited) {
+  decision::internal::ServerRateLimiter Limiter;
+  Limiter.setCold({}, Start + 3s);
+  cr_assert(Limiter.cold(Start));
+  cr_assert_not(Limiter.limited(Start));
+}
+
+namespace {
+
+constexpr core::RateLimit ColdLimit{.MilliPerS = 3600};
+
+/// @brief Most requests that a server got in one second of a time.
+std::size_t mostPerSecond(RateLimitFixture &Setup, const std::string &Server,
+                          core::TimePoint From, core::TimePoint Until) {
+  std::size_t Most = 0;
+  const std::vector<core::TimePoint> &Times = Setup.Sent[Server];
+  for (const core::TimePoint First : Times)
+    if (First >= From)
+      Most = std::max(Most,
+                      static_cast<std::size_t>(std::count_if(
+                          Times.begin(), Times.end(), [&](core::TimePoint At) {
+                            return At >= First && At < First + 1s && At < Until;
+                          })));
+  return Most;
+}
+
+/// @brief Makes servers cold for a time as from their entries.
+void makeCold(RateLimitFixture &Setup, std::size_t Count,
+              std::chrono::milliseconds Time) {
+  for (std::size_t Server = 0; Server < Count; ++Server) {
+    Setup.Group.Servers[Server].ColdUntil = Setup.Now + Time;
+    Setup.Group.Servers[Server].ColdLimit = ColdLimit;
+  }
+  decision::Decisions Out;
+  for (std::size_t Index = 0; Index < Setup.Dispatchers.size(); ++Index) {
+    Out.clear();
+    Setup.Dispatchers[Index]->configure(Setup.Group, Setup.Now, Out);
+    Setup.record(Index, Out);
+  }
+}
+
+/// @brief Most requests per second that a server whose limit is ColdLimit
+/// survives.
+constexpr std::size_t MaxColdRequests = 13;
+
+} // namespace
+
+// Guards against a server that becomes cold under load and gets more than it
+// bears, from the regular dispatcher and others together, or nothing at all,
+// also after its cold start.
+Test(RateLimit, server_that_becomes_cold_gets_only_what_it_bears) {
+  for (const auto Profile :
+       {core::PolicyProfile::Tail, core::PolicyProfile::Objective})
+    for (const bool Rotates : {false, true}) {
+      RateLimitFixture Setup(Profile);
+      Setup.addBackup();
+      Setup.addBackup();
+      Setup.Rotates = Rotates;
+      Setup.run(3s, 50);
+      const core::TimePoint Since = Setup.Now;
+      makeCold(Setup, 1, 3s);
+      Setup.run(3s, 50);
+      cr_expect_leq(mostPerSecond(Setup, "0", Since, Setup.Now),
+                    MaxColdRequests);
+      // Each of several dispatchers finds enough room on the other servers.
+      if (!Rotates)
+        cr_expect_geq(Setup.sentSince("0", Since), 3);
+      const core::TimePoint Warm = Setup.Now + 3s;
+      Setup.run(8s, 50);
+      cr_expect_geq(Setup.sentSince("0", Warm), 20);
+    }
+}
+
+// Guards against a group whose servers are all cold and that lets calls wait
+// until their deadline instead of rejecting them at once.
+Test(RateLimit, calls_beyond_what_cold_servers_bear_are_rejected_at_once) {
+  for (const auto Profile :
+       {core::PolicyProfile::Tail, core::PolicyProfile::Objective}) {
+    RateLimitFixture Setup(Profile);
+    Setup.run(3s, 15);
+    makeCold(Setup, 3, 6s);
+    Setup.run(1s, 40);
+    Setup.RejectionWaits.clear();
+    const core::TimePoint Since = Setup.Now;
+    Setup.run(4s, 40);
+    for (const char *Server : {"0", "1", "2"})
+      cr_expect_leq(mostPerSecond(Setup, Server, Since, Setup.Now),
+                    MaxColdRequests);
+    cr_expect_geq(Setup.RejectionWaits.size(), 80);
+    const auto Late = std::count_if(
+        Setup.RejectionWaits.begin(), Setup.RejectionWaits.end(),
+        [](core::TimePoint::duration Wait) { return Wait > 900ms; });
+    cr_expect_leq(Late, 8);
+  }
+}
+
+// Guards against probes that take the place of requests on a cold server.
+Test(RateLimit, cold_server_is_not_probed_for_its_pace) {
+  RateLimitFixture Setup(core::PolicyProfile::Objective);
+  Setup.run(2s, 15);
+  makeCold(Setup, 1, 4s);
+  const std::size_t Before = Setup.Probes["0"];
+  Setup.run(3s, 15);
+  cr_expect_eq(Setup.Probes["0"], Before);
+}
+
+namespace {
+
+/// @brief Sends one call after the other to the only server.
+void serve(decision::Dispatcher &Dispatcher, core::TimePoint &Now,
+           std::chrono::milliseconds Elapsed, int Calls) {
+  constexpr auto Pause = 400ms;
+  static decision::CallToken LastToken = 0;
+  const core::LoadReport Load{.PacePercent = 100};
+  for (int Call = 0; Call < Calls; ++Call) {
+    decision::Decisions Out;
+    Dispatcher.enqueue({.Token = ++LastToken,
+                        .Holder = "vm",
+                        .Deadline = Now + 2s,
+                        .Objective = Now + 1s,
+                        .WorkClass = 1},
+                       Now, Out);
+    while (const auto Probe = Dispatcher.nextProbe(Now))
+      Dispatcher.recordProbe(Probe->Id,
+                             {.State = decision::ProbeState::Ok, .Load = Load},
+                             Now, Out);
+    cr_assert_eq(Out.size(), 1);
+    const auto *Grant = std::get_if<decision::Granted>(&Out.front());
+    cr_assert_not_null(Grant);
+    Now += Elapsed;
+    Dispatcher.release(Grant->GrantId, {.Elapsed = Elapsed, .Load = Load}, Now,
+                       Out);
+    Now += Pause;
+  }
+}
+
+} // namespace
+
+// Guards against a server that counts as slow after its cold start, and other
+// estimates that its times spoil.
+Test(RateLimit, service_times_of_a_cold_server_are_not_learned) {
+  core::TimePoint Now = Start;
+  decision::DispatchGroup Group{.Name = "g", .Service = "s", .Region = "r"};
+  Group.Servers.push_back(
+      {.Id = "0", .Address = "10.0.0.1:1", .Zone = "z1", .Slots = 3});
+  decision::DispatcherOptions Options;
+  Options.Profile = core::PolicyProfile::Objective;
+  const auto Dispatcher = decision::makeDispatcher(Group, Options, Now);
+  serve(*Dispatcher, Now, 100ms, 40);
+  const auto Before = Dispatcher->status(Now).front().ServiceTime;
+  Group.Servers.front().ColdUntil = Now + 1min;
+  Group.Servers.front().ColdLimit = ColdLimit;
+  decision::Decisions Out;
+  Dispatcher->configure(Group, Now, Out);
+  serve(*Dispatcher, Now, 200ms, 40);
+  const auto After = Dispatcher->status(Now).front().ServiceTime;
+  cr_assert_eq(Before.count(), After.count());
+}
--- a/tests/peers/server_statements_test.cpp
+++ b/tests/peers/server_statements_test.cpp
@@ -149,6 +149,29 @@
   }
 }
 
+// Guards against requests to a cold server from a VM that decides by itself:
+// nobody counts the requests of all VMs then.
+Test(Dispatch, cold_server_gets_nothing_from_the_fallback) {
+  Cluster Fleet(2);
+  Vm &Requester = Fleet.third();
+  core::ServiceConfig Service = *Requester.Config.current()->find("tags");
+  const std::string Cold = Service.Servers.front().Id;
+  Service.Servers.front().ColdUntil = std::chrono::steady_clock::now() + 60s;
+  Service.Servers.front().ColdLimit = {.MilliPerS = 3600};
+  cr_assert(Requester.Config.apply(std::make_shared<core::ConfigSnapshot>(
+      2, core::ConfigSnapshot::ServiceMap{
+             {"tags", std::make_shared<core::ServiceEntry>(
+                          core::ServiceEntry{2, Service})}})));
+  Fleet.dispatcher().kill();
+  Fleet.second().kill();
+  for (int Call = 0; Call < 8; ++Call) {
+    const auto Granted = Requester.acquire(Cluster::request());
+    cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
+    cr_assert_neq(Granted->Server.Id, Cold);
+    Requester.Node.broker().release(*Granted, CompletedReport);
+  }
+}
+
 // Guards against a grant that is still used, after a wait for a connection,
 // although its server has said since that it leaves.
 Test(Dispatch, grant_ends_when_its_server_says_that_it_leaves) {
