--- a/packages/core/include/jujubecart/core/slot_broker.hpp
+++ b/packages/core/include/jujubecart/core/slot_broker.hpp
@@ -108,6 +108,9 @@
   std::optional<TimePoint> QuietUntil;
   /// Bytes of the request and the response; 0 if unknown.
   std::uint64_t Bytes = 0;
+  /// The server states that it is cold until this time. Not passed on to the
+  /// dispatcher.
+  std::optional<TimePoint> ColdUntil;
 
   friend bool operator==(const CallReport &, const CallReport &) = default;
 };
--- a/packages/decision/include/jujubecart/decision/probe_result.hpp
+++ b/packages/decision/include/jujubecart/decision/probe_result.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_DECISION_PROBE_RESULT_HPP
 #define JUJUBECART_DECISION_PROBE_RESULT_HPP
 
+#include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/load_report.hpp>
 
 #include <chrono>
@@ -21,6 +22,8 @@
   std::optional<core::LoadReport> Load;
   /// Time from the request to the response; 0 if unknown.
   std::chrono::microseconds RoundTrip{0};
+  /// The server stated that it is cold until this time.
+  std::optional<core::TimePoint> ColdUntil;
 };
 
 } // namespace jujubecart::decision
