--- a/packages/core/include/jujubecart/core/whole_response.hpp
+++ b/packages/core/include/jujubecart/core/whole_response.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -20,12 +21,15 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace jujubecart::core {
 
 /// @brief A response that was read to its end.
 struct WholeResponse {
   unsigned Status = 0;
+  /// Names and values of the header fields.
+  std::vector<std::pair<std::string, std::string>> Head;
   std::string Body;
   /// Whether the connection can carry another request: it stays open, and
   /// nothing was received behind the response.
@@ -44,7 +48,8 @@
 
 // TLS reports an end of stream only after the message that closes the session,
 // else an error.
-template <typename TlsStream> bool endedInOrder(TlsStream &) noexcept {
+template <typename Inner>
+bool endedInOrder(boost::asio::ssl::stream<Inner> &) noexcept {
   return true;
 }
 
@@ -112,10 +117,13 @@
     if (Parser.need_eof() && !internal::endedInOrder(From))
       co_return boost::asio::error::make_error_code(
           boost::asio::error::connection_reset);
-    const bool Reusable = Parser.keep_alive() && Buffer.size() == 0;
-    co_return WholeResponse{.Status = Status,
-                            .Body = std::move(Parser.get().body()),
-                            .Reusable = Reusable};
+    WholeResponse Out{.Status = Status,
+                      .Head = {},
+                      .Body = std::move(Parser.get().body()),
+                      .Reusable = Parser.keep_alive() && Buffer.size() == 0};
+    for (const auto &Field : Parser.get())
+      Out.Head.emplace_back(Field.name_string(), Field.value());
+    co_return Out;
   }
   co_return boost::system::errc::make_error_code(
       boost::system::errc::bad_message);
