--- a/tests/store/revocation_test.cpp
+++ b/tests/store/revocation_test.cpp
@@ -20,7 +20,7 @@
   const auto UpTo = [&](std::uint64_t Max) {
     return std::chrono::milliseconds(Fleet.Run.below(Max));
   };
-  switch (Fleet.Run.below(12)) {
+  switch (Fleet.Run.below(14)) {
   case 0:
     return Fleet.Vms[Vm]->freeze(UpTo(9000));
   case 1:
@@ -60,6 +60,15 @@
   case 10:
     Fleet.Store.WatchLag = UpTo(1000);
     return;
+  case 11:
+  case 12: {
+    // From here on this VM hears of nothing, or of everything.
+    const bool Cut = Fleet.Run.chance(75);
+    Fleet.Vms[Vm]->setPath(Cut ? StorePath::Silent : StorePath::Open);
+    for (std::size_t Sender = 0; Sender < Fleet.size(); ++Sender)
+      Fleet.setLink(Sender, Vm, !Cut);
+    return;
+  }
   default:
     Fleet.StoreLatency = Fleet.Run.chance(50) ? 4ms : UpTo(800);
   }
@@ -72,9 +81,11 @@
   for (int Step = 0; Step < 40; ++Step) {
     if (Fleet.Run.chance(60))
       disturb(Fleet);
-    if (Fleet.Run.chance(40))
-      Fleet.changeConfig();
-    Fleet.run(std::chrono::milliseconds(Fleet.Run.below(1500)));
+    for (int Change = 0; Change < 3; ++Change) {
+      if (Fleet.Run.chance(60))
+        Fleet.changeConfig();
+      Fleet.run(std::chrono::milliseconds(Fleet.Run.below(500)));
+    }
   }
   cr_expect_leq(Fleet.WorstRevocation.count(), Revoke.count(),
                 "seed %llu: a key counted %lld ms after its removal",
@@ -162,3 +173,22 @@
   for (const auto &Vm : Fleet.Vms)
     cr_assert(Vm->admitsKeys());
 }
+
+// Guards against a VM that starts and takes the first answers of the store for
+// recent ones, although it was frozen since it asked.
+Test(Revocation, first_answer_is_as_old_as_its_question) {
+  for (auto FreezeAt = 2ms; FreezeAt < 450ms; FreezeAt += 4ms) {
+    DirectoryFleet Fleet(1, 8);
+    Fleet.AnswersWhileFrozen = true;
+    Fleet.run(FreezeAt);
+    Fleet.Vms[0]->freeze(8s);
+    Fleet.run(1s);
+    Fleet.changeConfig();
+    Fleet.run(7005ms);
+    Fleet.Vms[0]->setPath(StorePath::Silent);
+    Fleet.run(2s);
+    cr_expect_leq(Fleet.WorstRevocation.count(), Revoke.count(),
+                  "frozen at %lld ms",
+                  static_cast<long long>(FreezeAt.count()));
+  }
+}
