Tests of the return of rejected callers and of bytes between zones

Cause: the entry VM's part of both decisions was tested on its own only. Change: a rejection with a free slot and one of a full server through callers::Server; Release.bytes over the codec; the counters of the pool.

--- a/tests/backends/pool_test.cpp
+++ b/tests/backends/pool_test.cpp
@@ -132,3 +132,16 @@
   Fixture.Pool.closeUnverified(Server.Address, Fixture.Time.now() + 1s);
   cr_assert_eq(Fixture.Pool.counters().Open, 0);
 }
+
+// Guards against calls within a zone that are counted as traffic between zones,
+// and against a VM without a zone that counts all of its calls.
+Test(Pool, bytes_are_counted_for_other_zones_only) {
+  for (const std::string &Zone : {std::string("a"), std::string()}) {
+    PoolFixture Fixture({.Zone = Zone});
+    Fixture.Pool.recordBytes({.Id = "s", .Zone = "a"}, 100, 1000);
+    Fixture.Pool.recordBytes({.Id = "t", .Zone = "b"}, 3, 50);
+    const bool Counts = !Zone.empty();
+    cr_assert_eq(Fixture.Pool.counters().BytesToOtherZones, Counts ? 3 : 0);
+    cr_assert_eq(Fixture.Pool.counters().BytesFromOtherZones, Counts ? 50 : 0);
+  }
+}
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -80,8 +80,12 @@
   }
   void writeRefusal(std::string &Out,
                     const core::Refusal &Response) const override {
+    LastRetryAfter = Response.RetryAfter;
     Native.writeRefusal(Out, Response);
   }
+  /// Of the last refusal, which the native profile rounds up to seconds.
+  mutable std::atomic<std::chrono::milliseconds> LastRetryAfter{0ms};
+
   [[nodiscard]] bool promisesNotRun(unsigned Status) const noexcept override {
     return Status == 503;
   }
@@ -161,6 +165,26 @@
   cr_assert_eq(statusOf(Fixture.call(Post)), 200);
 }
 
+// Guards against a caller that is told to return after its objective (200 ms)
+// although the server that rejected its request has a free slot, and against
+// one that returns at once to a full server.
+Test(Routes, rejection_with_a_free_slot_asks_the_caller_back_in_time) {
+  const PromisingProfile Profile;
+  const auto RetryAfter = [&](const char *Load) {
+    ScriptedBackend Rejecting(replyWith(response(
+        "503 Service Unavailable", "",
+        std::string("X-Outcome: not-run\r\nX-Load: ") + Load + "\r\n")));
+    Harness::Settings TestSettings = makeSettings(false);
+    TestSettings.Profile = &Profile;
+    TestSettings.RetryTokens = 0;
+    Harness Fixture({Rejecting.address()}, TestSettings);
+    cr_assert_eq(statusOf(Fixture.call(Post)), 503);
+    return Profile.LastRetryAfter.load();
+  };
+  cr_assert_leq(RetryAfter("0") / 1ms, 13);
+  cr_assert_geq(RetryAfter("2") / 1ms, 500);
+}
+
 // Guards against an order that has run and is answered with a status that
 // promises the opposite, because the backend server answered so.
 Test(Routes, order_that_may_have_run_is_not_answered_as_not_run) {
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -101,7 +101,8 @@
         .Draining = true,
         .ServerError = true,
         .OtherInstance = true,
-        .Limit = Limit};
+        .Limit = Limit,
+        .Bytes = 5700};
     cr_assert(decode(Codec,
                      encoded(1, Release{.Call = 7,
                                         .Report = Report,
