Keep the used share of the retry ratio at three quarters

Cause: each VM saves at least one repeat. A fleet with more VMs than three quarters of the burst saves more than that, and the margin of the ratio has to cover the difference: 146 VMs at a burst of 60 with 3,000 requests a window would exceed the limit with nine tenths of the ratio, by derivation.

--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -45,23 +45,20 @@
       Settings.Directory.Enabled ? Settings.Directory.LeaveMs : 0);
 }
 
-// The fleet stays below the limits that are set. In any window it sends at most
-// Ratio repeats for each first attempt of the window and what was saved before;
-// whoever enforces the limits may count first attempts in another window, hence
-// the margin of the ratio, and the number of VMs may have just grown, hence the
-// margin of the savings.
+// The fleet stays below the limits that are set: whoever enforces them may
+// count in other windows than the buckets, and a VM that is cut off from the
+// others still has its share.
 decision::RetryBudgetOptions retryOptions(const operators::Settings &Settings,
                                           std::size_t Vms) {
-  constexpr double UsedRatio = 0.9;
-  constexpr double UsedBurst = 0.75;
+  constexpr double UsedShare = 0.75;
   decision::RetryBudgetOptions Options;
   if (Settings.Retries.FleetBurst == 0) {
     Options.Ratio = Settings.Retries.Ratio;
     return Options;
   }
-  Options.Ratio = UsedRatio * Settings.Retries.Ratio;
+  Options.Ratio = UsedShare * Settings.Retries.Ratio;
   Options.MaxSaved =
-      std::clamp(UsedBurst * Settings.Retries.FleetBurst /
+      std::clamp(UsedShare * Settings.Retries.FleetBurst /
                      static_cast<double>(std::max<std::size_t>(Vms, 1)),
                  1.0, Options.MaxSaved);
   return Options;
