--- a/packages/core/include/jujubecart/core/whole_response.hpp
+++ b/packages/core/include/jujubecart/core/whole_response.hpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -23,6 +22,10 @@
 #include <utility>
 #include <vector>
 
+namespace boost::asio::ssl {
+template <typename Inner> class stream;
+} // namespace boost::asio::ssl
+
 namespace jujubecart::core {
 
 /// @brief A response that was read to its end.
