Test that statements of clocks survive the wire and cost nothing if absent

Cause: no test covered the field of gossip that states the sender's clock. Result: peers_test passes; a frame with the instant is at most 16 bytes longer.

--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -283,3 +283,23 @@
   cr_assert_eq(Decoded.Priority, 5);
   cr_assert_not(Decoded.Key.has_value());
 }
+
+// Guards against statements of clocks that are lost or mixed up, and against
+// frames that grow where nobody states them.
+Test(FrameCodec, statements_of_clocks_are_kept_and_cost_nothing_if_absent) {
+  FrameCodec Codec;
+  Frame Out;
+  cr_assert(decode(Codec, encoded(1, GossipMessage{.SentAtMs = 123456789012}),
+                   Out) == DecodeStatus::Ready);
+  cr_assert_eq(std::get<GossipMessage>(Out.Body).SentAtMs, 123456789012);
+  const Bytes Stated =
+      encoded(2, StoreChanges{.ReadAtMs = 5, .CompleteUntilMs = 7});
+  cr_assert(decode(Codec, Stated, Out) == DecodeStatus::Ready);
+  cr_assert_eq(std::get<StoreChanges>(Out.Body).ReadAtMs, 5);
+  cr_assert_eq(std::get<StoreChanges>(Out.Body).CompleteUntilMs, 7);
+  const Bytes Silent = encoded(2, StoreChanges{.ReadAtMs = 5});
+  cr_assert_leq(Silent.size() + 8, Stated.size());
+  // The value, its place in the table and padding.
+  cr_assert_leq(Stated.size(), Silent.size() + 16, "%zu, %zu", Stated.size(),
+                Silent.size());
+}
