Read all responses by one rule

Cause: the store client, the liveness check, the VM list and jujubectl read by Beast's parser alone. It takes folded lines; jujubectl also took the status codes 000, 099, 600 and 999. With a reset behind a FIN they took a part of an unframed body for the whole. The store client kept a connection whose buffer held bytes behind a response, which then answered the next request. Change: all four use readWholeResponse(). Bytes behind a response end the connection.

--- a/apps/jujubecartd/http_health_prober.cpp
+++ b/apps/jujubecartd/http_health_prober.cpp
@@ -2,6 +2,7 @@
 
 #include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/core/http_limits.hpp>
+#include <jujubecart/core/whole_response.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -21,12 +22,12 @@
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t MaxBodyBytes = 65536;
 
-decision::ProbeResult
-parseHealthResponse(const http::response<http::string_body> &Response) {
+decision::ProbeResult parseHealthResponse(const core::WholeResponse &Response) {
+  constexpr unsigned Ok = 200;
   const nlohmann::json Body =
-      nlohmann::json::parse(Response.body(), nullptr, false);
-  if (Response.result() != http::status::ok || !Body.is_object() ||
-      !Body.contains("state") || !Body["state"].is_string())
+      nlohmann::json::parse(Response.Body, nullptr, false);
+  if (Response.Status != Ok || !Body.is_object() || !Body.contains("state") ||
+      !Body["state"].is_string())
     return {};
   decision::ProbeResult Result;
   const auto &State = Body["state"].get_ref<const std::string &>();
@@ -62,13 +63,11 @@
   if (WriteCode)
     co_return decision::ProbeResult{};
   boost::beast::flat_buffer Buffer(core::MaxHttpBufferBytes);
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(internal::MaxBodyBytes);
-  const auto [ReadCode, Read] =
-      co_await http::async_read(Stream, Buffer, Parser, AsTuple);
-  if (ReadCode)
+  const auto Response =
+      co_await core::readWholeResponse(Stream, Buffer, internal::MaxBodyBytes);
+  if (!Response)
     co_return decision::ProbeResult{};
-  co_return internal::parseHealthResponse(Parser.get());
+  co_return internal::parseHealthResponse(*Response);
 }
 
 } // namespace jujubecart::daemon
--- a/packages/inventory/src/fetch_vm_list.cpp
+++ b/packages/inventory/src/fetch_vm_list.cpp
@@ -2,6 +2,7 @@
 
 #include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/core/http_limits.hpp>
+#include <jujubecart/core/whole_response.hpp>
 #include <jujubecart/inventory/vm_list_reader.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -63,15 +64,14 @@
   if (WriteCode)
     co_return toError(WriteCode);
   boost::beast::flat_buffer Buffer(core::MaxHttpBufferBytes);
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxBodyBytes);
-  const auto [ReadCode, Read] =
-      co_await http::async_read(Stream, Buffer, Parser, AsTuple);
-  if (ReadCode)
-    co_return toError(ReadCode);
-  if (Parser.get().result() != http::status::ok)
+  const auto Response =
+      co_await core::readWholeResponse(Stream, Buffer, MaxBodyBytes);
+  if (!Response)
+    co_return toError(Response.error());
+  constexpr unsigned Ok = 200;
+  if (Response->Status != Ok)
     co_return make_error_code(Error::Unavailable);
-  co_return parseBody(Parser.get().body());
+  co_return parseBody(Response->Body);
 }
 
 } // namespace jujubecart::inventory
--- a/packages/operators/src/client.cpp
+++ b/packages/operators/src/client.cpp
@@ -3,13 +3,16 @@
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/endpoint.hpp>
 #include <jujubecart/core/http_limits.hpp>
+#include <jujubecart/core/whole_response.hpp>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <optional>
 #include <sstream>
 
@@ -58,15 +61,22 @@
       }))
     return;
   boost::beast::flat_buffer Buffer(core::MaxHttpBufferBytes);
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxResponseBytes);
-  if (complete(Io, Deadline, [&](auto Handler) {
-        http::async_read(Connection, Buffer, Parser, std::move(Handler));
-      }))
+  std::optional<boost::system::result<core::WholeResponse>> Read;
+  asio::co_spawn(Io,
+                 core::readWholeResponse(Connection, Buffer, MaxResponseBytes),
+                 [&Read](const std::exception_ptr &Thrown,
+                         boost::system::result<core::WholeResponse> Result) {
+                   if (!Thrown)
+                     Read = std::move(Result);
+                 });
+  Io.restart();
+  while (!Read && Io.run_one_until(Deadline) > 0) {
+  }
+  if (!Read || !*Read)
     return;
-  Out.Reply = Response{.Status = Parser.get().result_int(),
+  Out.Reply = Response{.Status = (*Read)->Status,
                        .ContentType = "",
-                       .Body = std::move(Parser.get().body())};
+                       .Body = std::move((*Read)->Body)};
 }
 
 // The server identifies the client by its certificate.
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/store/store_connections.hpp>
 
 #include <jujubecart/core/endpoint.hpp>
+#include <jujubecart/core/whole_response.hpp>
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -134,17 +135,16 @@
   Outcome.TimedOut = WriteCode == beast::error::timeout;
   if (WriteCode)
     co_return Outcome;
-  http::response_parser<http::string_body> Parser;
-  Parser.body_limit(MaxBodyBytes);
-  const auto [ReadCode, Read] = co_await http::async_read(
-      Connection->Stream, Connection->Buffer, Parser, AsTuple);
-  Outcome.TimedOut = ReadCode == beast::error::timeout;
-  if (ReadCode)
+  auto Response = co_await core::readWholeResponse(
+      Connection->Stream, Connection->Buffer, MaxBodyBytes);
+  if (!Response) {
+    Outcome.TimedOut = Response.error() == beast::error::timeout;
     co_return Outcome;
-  Outcome.Status = Parser.get().result_int();
-  Outcome.Body = std::move(Parser.get().body());
+  }
+  Outcome.Status = Response->Status;
+  Outcome.Body = std::move(Response->Body);
   Connection->Used = true;
-  if (Parser.keep_alive())
+  if (Response->Reusable)
     returnIdle(std::move(Connection));
   co_return Outcome;
 }
--- a/tests/inventory/vm_list_test.cpp
+++ b/tests/inventory/vm_list_test.cpp
@@ -1,4 +1,6 @@
+#include "../common/answering_server.hpp"
 #include "../common/endless_server.hpp"
+#include "../common/odd_responses.hpp"
 #include "../store/run_awaitable.hpp"
 
 #include <fakes/http_server.hpp>
@@ -89,3 +91,19 @@
     cr_assert_leq(Server.Sent, 16U << 20U, "%s", Each.Name);
   }
 }
+
+// Guards against a list that is taken from bytes which are no HTTP response.
+Test(FetchVmList, odd_response_is_rejected) {
+  const std::string List = R"({"vms":[]})";
+  const auto Fetch = [](const std::string &Answer) {
+    const tests::AnsweringServer Server(Answer);
+    boost::asio::io_context Context{1};
+    return tests::runAwaitable(
+        Context, inventory::fetchVmList(Server.address(),
+                                        std::chrono::steady_clock::now() +
+                                            std::chrono::seconds(20)));
+  };
+  cr_assert(Fetch("HTTP/1.1 200 OK\r\n\r\n" + List).has_value());
+  for (const tests::OddResponse &Each : tests::oddResponses(List))
+    cr_expect_not(Fetch(Each.Bytes).has_value(), "%s", Each.Name);
+}
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -1,4 +1,6 @@
+#include "../common/answering_server.hpp"
 #include "../common/endless_server.hpp"
+#include "../common/odd_responses.hpp"
 #include "fake_api.hpp"
 
 #include <criterion/criterion.h>
@@ -77,3 +79,30 @@
     cr_assert_leq(Server.Sent, 32U << 20U, "%s", Each.Name);
   }
 }
+
+// Guards against a command that reports as the VM's answer what is no HTTP
+// response.
+Test(OperatorClient, odd_response_is_rejected) {
+  const auto Fetch = [](const std::string &Answer) {
+    const tests::AnsweringServer Server(Answer);
+    return operators::Client(Server.address(), {}, std::chrono::seconds(20))
+        .fetch("/status");
+  };
+  cr_assert_eq(Fetch("HTTP/1.1 200 OK\r\n\r\nx").value().Body, "x");
+  for (const tests::OddResponse &Each : tests::oddResponses())
+    cr_expect_not(Fetch(Each.Bytes).has_value(), "%s", Each.Name);
+}
+
+// Guards against a command that waits for a VM which has stopped responding, or
+// that reports its request as certainly not sent.
+Test(OperatorClient, silent_server_ends_the_request_at_the_timeout) {
+  for (const char *Start : {"", "HTTP/1.1 200 OK\r\nA:",
+                            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"}) {
+    const tests::AnsweringServer Server(Start, false);
+    const operators::Client Client(Server.address(), {},
+                                   std::chrono::milliseconds(200));
+    cr_assert(Client.post("/tickets", "{}").error() ==
+                  core::make_error_code(core::Error::OutcomeUnknown),
+              "%s", Start);
+  }
+}
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "../common/odd_responses.hpp"
 #include "exchange_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -33,6 +34,18 @@
   cr_assert(Setup.Report.Outcome == core::CallOutcome::Broken);
 }
 
+// Guards against bytes that are no HTTP response and reach the caller as one.
+Test(PlatformExchange, odd_response_is_rejected) {
+  const std::string Fields =
+      "Request-Id: " + std::string(Id) + "\r\nResponse-Signature: s\r\n";
+  for (const tests::OddResponse &Each : tests::oddResponses("x", Fields)) {
+    OneExchange Setup(respondWith(Each.Bytes));
+    cr_expect_eq(Setup.run(), "failed", "%s", Each.Name);
+    cr_expect(Setup.Report.Outcome == core::CallOutcome::Broken, "%s",
+              Each.Name);
+  }
+}
+
 // Guards against accepting a success response that no backend server signed.
 Test(PlatformExchange, success_without_signature_is_rejected) {
   OneExchange Setup(respondWith(
--- a/tests/store/http_key_value_store_test.cpp
+++ b/tests/store/http_key_value_store_test.cpp
@@ -1,4 +1,6 @@
+#include "../common/answering_server.hpp"
 #include "../common/endless_server.hpp"
+#include "../common/odd_responses.hpp"
 #include "run_awaitable.hpp"
 
 #include <fakes/store_server.hpp>
@@ -172,3 +174,36 @@
     cr_assert_leq(Server.Sent, 32U << 20U, "%s", Each.Name);
   }
 }
+
+// Guards against a value that is taken from bytes which are no HTTP response.
+Test(HttpKeyValueStore, odd_response_is_rejected) {
+  const std::string Value = R"({"version":1,"value":"v"})";
+  const auto Get = [](const std::string &Answer) {
+    const tests::AnsweringServer Server(Answer);
+    boost::asio::io_context Context{1};
+    store::HttpKeyValueStore Store(Context.get_executor(), {Server.address()});
+    return tests::runAwaitable(Context,
+                               Store.get("a", Fixture::deadlineIn(20000)));
+  };
+  cr_assert(Get("HTTP/1.1 200 OK\r\n\r\n" + Value).has_value());
+  for (const tests::OddResponse &Each : tests::oddResponses(Value))
+    cr_expect(Get(Each.Bytes).has_error(), "%s", Each.Name);
+}
+
+// Guards against bytes behind a response that are taken for the response to the
+// next request on the connection.
+Test(HttpKeyValueStore, bytes_behind_a_response_answer_no_request) {
+  const std::string Value = R"({"version":1,"value":"v"})";
+  const std::string Answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Value.size()) +
+      "\r\n\r\n" + Value;
+  const tests::AnsweringServer Server(Answer + Answer, false);
+  boost::asio::io_context Context{1};
+  store::HttpKeyValueStore Store(Context.get_executor(), {Server.address()});
+  for (int Count = 1; Count <= 2; ++Count) {
+    cr_assert(
+        tests::runAwaitable(Context, Store.get("a", Fixture::deadlineIn(20000)))
+            .has_value());
+    cr_assert_eq(Server.Connections, Count);
+  }
+}
