Share the slots of a group fairly between workspaces

Cause: waiting calls were ordered by priority and arrival, so a workspace that sends ten times its usual within its quota pushed out all others. Change: internal::FairShares keeps the service that each workspace was granted in the last second; ObjectiveQueue orders by priority, then by start-time fair queueing, then by arrival; a full late queue rejects the call that is last in that order; a workspace that is granted less than 0.4 times as often as all has one call at a time served first. Without workspaces the order is unchanged.

--- a/packages/decision/include/jujubecart/decision/internal/objective_queue.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/objective_queue.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_DECISION_INTERNAL_OBJECTIVE_QUEUE_HPP
 #define JUJUBECART_DECISION_INTERNAL_OBJECTIVE_QUEUE_HPP
 
+#include <jujubecart/decision/internal/fair_shares.hpp>
 #include <jujubecart/decision/pending_call.hpp>
 
 #include <map>
@@ -11,21 +12,28 @@
 
 namespace jujubecart::decision::internal {
 
-/// @brief Queue of waiting calls, ordered by priority and then by arrival.
-/// Ordering by objective would starve work classes with long objectives.
+/// @brief Queue of waiting calls, ordered by priority, then by what their
+/// workspaces got of the slots, then by arrival. Ordering by objective would
+/// starve work classes with long objectives.
 class ObjectiveQueue {
 public:
   /// @brief Adds a call; ignored if its token is already in the queue.
   /// @param ArrivalTime When the call was first enqueued in the dispatcher.
-  void push(PendingCall Call, core::TimePoint ArrivalTime);
+  /// @param ServiceUs Its expected service time in microseconds.
+  void push(PendingCall Call, core::TimePoint ArrivalTime, double ServiceUs);
 
   /// @brief Removes a call and returns it.
   /// @return Nothing if the token is not in the queue.
   std::optional<PendingCall> remove(CallToken Token);
 
-  /// @brief Tokens of the waiting calls, next call first.
+  /// @brief Tokens of the waiting calls by priority and arrival.
   [[nodiscard]] std::vector<CallToken> tokens() const;
 
+  /// @brief Tokens of the waiting calls, next call first. The order is that of
+  /// tokens() if no call belonged to a workspace.
+  [[nodiscard]] std::vector<CallToken> tokens(const FairShares &Shares,
+                                              core::TimePoint Now) const;
+
   /// @brief The waiting call; throws std::out_of_range for an unknown token.
   [[nodiscard]] const PendingCall &at(CallToken Token) const {
     return Calls.at(Token).Call;
@@ -44,6 +52,7 @@
   struct Entry {
     PendingCall Call;
     core::TimePoint ArrivalTime;
+    double ServiceUs = 0;
 
     [[nodiscard]] SortKey sortKey() const {
       return {Call.Priority, ArrivalTime, Call.Token};
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <jujubecart/decision/group_dispatcher.hpp>
 #include <jujubecart/decision/internal/adopted_calls.hpp>
+#include <jujubecart/decision/internal/fair_shares.hpp>
 #include <jujubecart/decision/internal/grant_table.hpp>
 #include <jujubecart/decision/internal/load_table.hpp>
 #include <jujubecart/decision/internal/objective_queue.hpp>
@@ -73,6 +74,8 @@
   internal::ObjectiveQueue OnTimeQueue;
   /// Calls that most likely miss their objective but can meet their deadline.
   internal::ObjectiveQueue LateQueue;
+  /// What the workspaces got of the slots.
+  internal::FairShares Shares;
   internal::AdoptedCalls Adopted;
   std::mt19937_64 Random;
   core::TimePoint LastTick;
@@ -184,7 +187,9 @@
     return reject(Call, core::Error::Unavailable, Now, Out);
   Call.Objective = std::min(Call.Objective, Call.Deadline);
   Table.recordArrival(Call, Now);
-  OnTimeQueue.push(std::move(Call), Now);
+  Shares.recordArrival(Call.Workspace, Now);
+  const double ServiceUs = Table.work().expectedServiceTimeUs(Call, Now);
+  OnTimeQueue.push(std::move(Call), Now, ServiceUs);
   dispatch(Now, Out);
 }
 
@@ -192,16 +197,34 @@
     PendingCall Call, core::TimePoint ArrivalTime, core::TimePoint Now,
     Decisions &Out) {
   const auto Wait = expectedLateWait(Now);
-  if (Now + Wait > latestStart(Call, Now) ||
-      OnTimeQueue.size() + LateQueue.size() >= Options.MaxQueued)
-    return reject(Call, core::Error::Overloaded, Now, Out);
-  LateQueue.push(std::move(Call), ArrivalTime);
+  const double ServiceUs = Table.work().expectedServiceTimeUs(Call, Now);
+  const bool Full = OnTimeQueue.size() + LateQueue.size() >= Options.MaxQueued;
+  if (!Full && Now + Wait <= latestStart(Call, Now)) {
+    LateQueue.push(std::move(Call), ArrivalTime, ServiceUs);
+    return;
+  }
+  // The last call in the order of the shares is rejected in its place, if it
+  // belongs to another workspace.
+  if (Shares.active() && LateQueue.size() > 0) {
+    const std::uint64_t Workspace = Call.Workspace;
+    const CallToken Token = Call.Token;
+    const bool InTime = Now < latestStart(Call, Now);
+    if (InTime) {
+      LateQueue.push(std::move(Call), ArrivalTime, ServiceUs);
+      const CallToken Last = LateQueue.tokens(Shares, Now).back();
+      if (LateQueue.at(Last).Workspace == Workspace)
+        return reject(*LateQueue.remove(Token), core::Error::Overloaded, Now,
+                      Out);
+      return reject(*LateQueue.remove(Last), core::Error::Overloaded, Now, Out);
+    }
+  }
+  reject(Call, core::Error::Overloaded, Now, Out);
 }
 
 void ObjectiveDispatcher::Implementation::demoteLateCalls(core::TimePoint Now,
                                                           Decisions &Out) {
   std::size_t Ahead = 0;
-  for (const CallToken Token : OnTimeQueue.tokens()) {
+  for (const CallToken Token : OnTimeQueue.tokens(Shares, Now)) {
     const PendingCall &Call = OnTimeQueue.at(Token);
     if (Table.onTimeProbabilityAfterWait(Call, Ahead, Now) >=
         MinOnTimeProbability) {
@@ -237,6 +260,8 @@
       static_cast<std::uint32_t>(Chosen.InTimeProbability * PercentPerUnit);
   const std::uint32_t Server = Chosen.Index;
   const core::TimePoint HedgeAt = Table.hedgeTime(Call, Server, Now);
+  Shares.recordGrant(Call.Workspace,
+                     Table.work().expectedServiceTimeUs(Call, Now), Now);
   const std::uint64_t GrantId =
       Grants.add(Call, Server, {.WorkClass = Call.WorkClass});
   Table.startCall(
@@ -258,7 +283,7 @@
 bool ObjectiveDispatcher::Implementation::placeAnyOnTime(bool Saturate,
                                                          core::TimePoint Now,
                                                          Decisions &Out) {
-  const std::vector<CallToken> Tokens = OnTimeQueue.tokens();
+  const std::vector<CallToken> Tokens = OnTimeQueue.tokens(Shares, Now);
   const std::size_t Count = std::min(
       Tokens.size(), Saturate ? MaxSaturatingCandidates : MaxCandidates);
   for (std::size_t Position = 0; Position < Count; ++Position)
@@ -292,7 +317,7 @@
 
 bool ObjectiveDispatcher::Implementation::placeLate(core::TimePoint Now,
                                                     Decisions &Out) {
-  for (const CallToken Token : LateQueue.tokens()) {
+  for (const CallToken Token : LateQueue.tokens(Shares, Now)) {
     const PendingCall &Call = LateQueue.at(Token);
     const auto Found = Table.findBest(Call, Goal::Deadline, false, Now);
     if (!Found)
--- a/packages/decision/src/objective_queue.cpp
+++ b/packages/decision/src/objective_queue.cpp
@@ -1,11 +1,14 @@
 #include <jujubecart/decision/internal/objective_queue.hpp>
 
+#include <algorithm>
+
 namespace jujubecart::decision::internal {
 
-void ObjectiveQueue::push(PendingCall Call, core::TimePoint ArrivalTime) {
+void ObjectiveQueue::push(PendingCall Call, core::TimePoint ArrivalTime,
+                          double ServiceUs) {
   const CallToken Token = Call.Token;
   const auto [Added, New] =
-      Calls.emplace(Token, Entry{std::move(Call), ArrivalTime});
+      Calls.emplace(Token, Entry{std::move(Call), ArrivalTime, ServiceUs});
   if (New)
     Order.emplace(Added->second.sortKey(), Token);
 }
@@ -28,4 +31,50 @@
   return Tokens;
 }
 
+// Start-time fair queueing: the start tag of a call is the service that its
+// workspace got in the last second and would get with the calls before it.
+// Recomputed for each decision, because a call that is rejected or withdrawn
+// must not count.
+std::vector<CallToken> ObjectiveQueue::tokens(const FairShares &Shares,
+                                              core::TimePoint Now) const {
+  if (!Shares.active())
+    return tokens();
+  struct Place {
+    std::uint8_t Priority;
+    double StartTag;
+    CallToken Token;
+  };
+  struct Progress {
+    double Tag = 0;
+    bool Starved = false;
+  };
+  std::unordered_map<std::uint64_t, Progress> Workspaces;
+  std::vector<Place> Places;
+  Places.reserve(Order.size());
+  for (const auto &[Key, Token] : Order) {
+    const Entry &Item = Calls.at(Token);
+    const auto [Found, New] = Workspaces.try_emplace(Item.Call.Workspace);
+    if (New)
+      Found->second = {.Tag = Shares.serviceUs(Item.Call.Workspace, Now),
+                       .Starved = Shares.starved(Item.Call.Workspace, Now)};
+    Places.push_back(
+        {.Priority = Found->second.Starved ? std::uint8_t{0} : std::get<0>(Key),
+         .StartTag = Found->second.Tag,
+         .Token = Token});
+    Found->second.Tag += Item.ServiceUs;
+    // One call at a time goes first.
+    Found->second.Starved = false;
+  }
+  std::stable_sort(Places.begin(), Places.end(),
+                   [](const Place &Left, const Place &Right) {
+                     return std::tie(Left.Priority, Left.StartTag) <
+                            std::tie(Right.Priority, Right.StartTag);
+                   });
+  std::vector<CallToken> Tokens;
+  Tokens.reserve(Places.size());
+  for (const Place &Item : Places)
+    Tokens.push_back(Item.Token);
+  return Tokens;
+}
+
 } // namespace jujubecart::decision::internal
--- a/tests/decision/objective_simulation.hpp
+++ b/tests/decision/objective_simulation.hpp
@@ -31,6 +31,12 @@
   std::uint32_t MaxAttempts = 1;
   /// Whether a second attempt starts at the time that the grant states.
   bool Hedged = false;
+  /// As in decision::PendingCall.
+  std::uint64_t Workspace = 0;
+  /// Factor on the arrival rate at a time in seconds; empty for 1.
+  std::function<double(double)> RateFactor;
+  /// Times that a rejected call returns, at once if it is above 1.
+  unsigned Returns = 1;
 };
 
 /// @brief A cause of overload that lasts for a time.
@@ -72,6 +78,9 @@
   double DurationS = 40;
   std::vector<Disturbance> Disturbances;
   std::uint64_t Seed = 7;
+  /// Time in which calls arrive that count in Statistics::Classes.
+  double CountFromS = 0;
+  double CountToS = 1e9;
 };
 
 /// @brief Number of calls by result. A call that returns after a rejection is
@@ -87,6 +96,15 @@
   /// Longest time between the arrival of a call and its rejection.
   milliseconds MaxRejectionTime{0};
   unsigned MaxInFlight = 0;
+  struct ClassCounts {
+    unsigned Calls = 0;
+    unsigned OnTime = 0;
+    unsigned Served = 0;
+
+    [[nodiscard]] double servedShare() const { return double(Served) / Calls; }
+  };
+  /// By class of calls, for those that arrived from CountFromS to CountToS.
+  std::vector<ClassCounts> Classes;
   /// Worth of the calls, and what was earned of it, by second of arrival.
   std::vector<double> Owed;
   std::vector<double> Earned;
@@ -120,6 +138,8 @@
     std::uint32_t Attempts = 0;
     std::vector<std::string> Excluded;
     bool Returned = false;
+    /// Times that the call has returned.
+    unsigned Returns = 0;
     /// Server that runs the call, and the end of its work there.
     unsigned Server = 0;
     TimePoint End;
@@ -132,6 +152,7 @@
     bool Hangs = false;
   };
 
+  [[nodiscard]] bool counts(const CallState &Call) const;
   void schedule(TimePoint When, std::function<void()> Handler);
   void startPeriod(unsigned Server);
   void scheduleArrivals(std::size_t Class);
