Reject framing that HTTP/1.0 lacks, and ends of closed sockets

A response of HTTP/1.0 with Transfer-Encoding was accepted, although such a message has no defined framing; validateResponseHead() rejects it now. endedInOrder() returned true for a socket that is not open, because poll() ignores a descriptor of -1, and after any failure to read TCP_INFO. Now only errors that mean a missing TCP_INFO count as an end in order; a tcpi_state of 0 still does.

--- a/packages/core/src/http_rules.cpp
+++ b/packages/core/src/http_rules.cpp
@@ -46,6 +46,10 @@
 
   // Returns an error message, or nullptr if the line is valid.
   const char *add(std::string_view Line) noexcept;
+
+  [[nodiscard]] bool hasTransferEncoding() const noexcept {
+    return UniqueFields[1].Seen;
+  }
 };
 
 const char *FieldValidator::add(std::string_view Line) noexcept {
@@ -70,16 +74,41 @@
   if (equalsIgnoreCase(Name, "transfer-encoding") &&
       !equalsIgnoreCase(Value, "chunked"))
     return "unsupported Transfer-Encoding";
-  return UniqueFields[0].Seen && UniqueFields[1].Seen
+  return UniqueFields[0].Seen && hasTransferEncoding()
              ? "Content-Length together with Transfer-Encoding"
              : nullptr;
 }
 
+const char *validateLines(std::string_view Head,
+                          FieldValidator &Validator) noexcept {
+  bool StartLine = true;
+  while (!Head.empty()) {
+    const std::size_t End = Head.find('\n');
+    if (End == std::string_view::npos || End == 0 || Head[End - 1] != '\r')
+      return "line does not end with CRLF";
+    const std::string_view Line = Head.substr(0, End - 1);
+    Head.remove_prefix(End + 1);
+    if (Line.empty())
+      return Head.empty() && !StartLine
+                 ? nullptr
+                 : "unexpected empty line in the message head";
+    if (std::any_of(Line.begin(), Line.end(), isControl))
+      return "control character in the message head";
+    if (!StartLine) {
+      if (const char *Message = Validator.add(Line))
+        return Message;
+    }
+    StartLine = false;
+  }
+  return "message head does not end with an empty line";
+}
+
+constexpr std::string_view Version11 = "HTTP/1.1 ";
+constexpr std::string_view Version10 = "HTTP/1.0 ";
+
 // RFC 9112, 4: version, a space, three digits, a space, a reason phrase, which
 // may be empty.
 bool isStatusLine(std::string_view Line) noexcept {
-  constexpr std::string_view Version11 = "HTTP/1.1 ";
-  constexpr std::string_view Version10 = "HTTP/1.0 ";
   constexpr std::size_t CodeDigits = 3;
   if (!Line.starts_with(Version11) && !Line.starts_with(Version10))
     return false;
@@ -108,32 +137,22 @@
 
 const char *validateHead(std::string_view Head) noexcept {
   internal::FieldValidator Validator;
-  bool StartLine = true;
-  while (!Head.empty()) {
-    const std::size_t End = Head.find('\n');
-    if (End == std::string_view::npos || End == 0 || Head[End - 1] != '\r')
-      return "line does not end with CRLF";
-    const std::string_view Line = Head.substr(0, End - 1);
-    Head.remove_prefix(End + 1);
-    if (Line.empty())
-      return Head.empty() && !StartLine
-                 ? nullptr
-                 : "unexpected empty line in the message head";
-    if (std::any_of(Line.begin(), Line.end(), internal::isControl))
-      return "control character in the message head";
-    if (!StartLine) {
-      if (const char *Message = Validator.add(Line))
-        return Message;
-    }
-    StartLine = false;
-  }
-  return "message head does not end with an empty line";
+  return internal::validateLines(Head, Validator);
 }
 
 const char *validateResponseHead(std::string_view Head) noexcept {
   const std::string_view Line = Head.substr(0, Head.find(internal::LineEnd));
-  return internal::isStatusLine(Line) ? validateHead(Head)
-                                      : "invalid status line";
+  if (!internal::isStatusLine(Line))
+    return "invalid status line";
+  internal::FieldValidator Validator;
+  if (const char *Message = internal::validateLines(Head, Validator))
+    return Message;
+  // RFC 9112, 6.1: HTTP/1.0 has no Transfer-Encoding, so that the framing of
+  // such a message is faulty.
+  return Validator.hasTransferEncoding() &&
+                 Line.starts_with(internal::Version10)
+             ? "Transfer-Encoding in an HTTP/1.0 response"
+             : nullptr;
 }
 
 bool isHopByHop(std::string_view Name, std::string_view Connection) noexcept {
--- a/packages/core/src/stream_end.cpp
+++ b/packages/core/src/stream_end.cpp
@@ -1,5 +1,6 @@
 #include <jujubecart/core/stream_end.hpp>
 
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -15,6 +16,11 @@
          (Query.revents & (POLLHUP | POLLERR | POLLNVAL)) != 0;
 }
 
+// Whether a system without TCP_INFO, such as an emulated one, gives this error.
+bool isNotSupported(int Code) noexcept {
+  return Code == ENOPROTOOPT || Code == EOPNOTSUPP || Code == ENOSYS;
+}
+
 } // namespace
 
 // The result of the read does not tell: the kernel reports a reset once, to
@@ -24,15 +30,16 @@
 // FIN came before. poll() reports CLOSE as a hang-up; it is asked as well,
 // because some systems leave the state in TCP_INFO at 0.
 bool endedInOrder(boost::asio::ip::tcp::socket &Socket) noexcept {
-  if (hungUp(Socket.native_handle()))
+  // Another coroutine may have closed the socket; poll() ignores an invalid
+  // descriptor of -1.
+  if (!Socket.is_open() || hungUp(Socket.native_handle()))
     return false;
   tcp_info Info{};
   socklen_t Size = sizeof Info;
   if (::getsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_INFO, &Info,
-                   &Size) != 0 ||
-      Info.tcpi_state == 0)
-    return true;
-  return Info.tcpi_state == TCP_CLOSE_WAIT;
+                   &Size) != 0)
+    return isNotSupported(errno);
+  return Info.tcpi_state == 0 || Info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
 } // namespace jujubecart::core
--- a/tests/common/odd_responses.hpp
+++ b/tests/common/odd_responses.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_TESTS_COMMON_ODD_RESPONSES_HPP
 #define JUJUBECART_TESTS_COMMON_ODD_RESPONSES_HPP
 
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
                                              const std::string &Fields = "") {
   const std::string Length =
       "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  std::ostringstream ChunkSize;
+  ChunkSize << std::hex << Body.size();
   const std::string End = Fields + Length + "\r\n" + Body;
   const auto Line = [&](const std::string &StatusLine) {
     return StatusLine + "\r\n" + End;
@@ -60,6 +63,9 @@
       {"two lengths", Field("Content-Length: 0")},
       {"length with a sign",
        "HTTP/1.1 200 OK\r\n" + Fields + "Content-Length: +1\r\n\r\n" + Body},
+      {"encoding in HTTP/1.0",
+       "HTTP/1.0 200 OK\r\n" + Fields + "Transfer-Encoding: chunked\r\n\r\n" +
+           ChunkSize.str() + "\r\n" + Body + "\r\n0\r\n\r\n"},
       {"length and encoding", Field("Transfer-Encoding: chunked")},
       {"folded line", Field("X-A: 1\r\n 2")},
       {"NUL in a value", Field("X-A: 1\0002"s)},
