Require one signature and one id that reach the caller

A response can name Response-Signature or Request-Id in its Connection field; the relay removes it as hop-by-hop, and the caller got a success without it.

--- a/tests/platform/http_profile_test.cpp
+++ b/tests/platform/http_profile_test.cpp
@@ -17,7 +17,7 @@
     core::HttpProfile::ResponseHead Head;
     Head.result(Status);
     for (const auto &[Name, Value] : Fields)
-      Head.set(Name, Value);
+      Head.insert(Name, Value);
     return Profile.readResponse(Head, "9c41d07be2a35f68");
   }
 };
@@ -124,6 +124,48 @@
   cr_assert_not(Setup.response(500, {}).Invalid);
 }
 
+// Guards against a success that reaches the caller without its signature or id,
+// because the field is empty or its response declares it hop-by-hop, and
+// against one whose readers choose different fields.
+Test(PlatformHttpProfile, success_needs_one_signature_and_one_id) {
+  Fixture Setup;
+  const std::pair<std::string, std::string> EchoedId{"Request-Id",
+                                                     "9c41d07be2a35f68"};
+  const std::pair<std::string, std::string> Signature{"Response-Signature",
+                                                      "x"};
+  cr_assert_not(
+      Setup.response(200, {EchoedId, Signature, {"Connection", "keep-alive"}})
+          .Invalid);
+  cr_expect(
+      Setup.response(200, {EchoedId, {"Response-Signature", ""}}).Invalid);
+  cr_expect(Setup.response(200, {EchoedId, Signature, Signature}).Invalid);
+  cr_expect(Setup.response(200, {EchoedId, EchoedId, Signature}).Invalid);
+  for (const char *Options :
+       {"Response-Signature", "request-id", "close, RESPONSE-SIGNATURE"})
+    cr_expect(
+        Setup.response(200, {EchoedId, Signature, {"Connection", Options}})
+            .Invalid,
+        "%s", Options);
+  cr_expect(Setup
+                .response(200, {EchoedId,
+                                Signature,
+                                {"Connection", "close"},
+                                {"Connection", "Request-Id"}})
+                .Invalid);
+}
+
+// Guards against reading the id of another request from one of several fields.
+Test(PlatformHttpProfile, response_with_several_ids_is_foreign) {
+  Fixture Setup;
+  for (const unsigned Status : {200U, 404U, 503U})
+    for (const char *First : {"", "9c41d07be2a35f68"}) {
+      const core::ResponseTraits Traits = Setup.response(
+          Status, {{"Request-Id", First}, {"Request-Id", "9c41d07be2a35f68"}});
+      cr_expect(Traits.RequestIdMismatch, "%u", Status);
+      cr_expect_not(Traits.WithoutRequestId, "%u", Status);
+    }
+}
+
 // Guards against taking a request for not run, and so repeating it, although
 // the server did not state that it was not run.
 Test(PlatformHttpProfile, only_explicit_rejections_mean_not_run) {
