Read past interim responses in health checks and uploads

Exchange::verify() took an interim response for the response to the health request before an order; the real one then broke the order behind it. Interim responses are skipped now, up to the limit that orders have, and 101 Switching Protocols ends the check.

Bytes that arrived during an upload ended the sending of the body for good, also if they were a response that is skipped (interim, or a late one to another request): the server waited for the rest, and the caller got a 504 at the deadline. The rest is now sent after a skipped response, unless more bytes of the server are there.

MaxInterimResponses gets its reason (comment only).

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -14,7 +14,8 @@
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t BodyChunkBytes = 16384;
 // Limits the interim (1xx) responses and the responses to other requests that
-// are skipped; a server that sends more is treated as broken.
+// are skipped; a server that sends more is treated as broken. Few servers send
+// more than two, and a faulty one may send them without end.
 constexpr int MaxPrecedingResponses = 8;
 // A faulty server may send a response without end; a skipped one that is longer
 // than this ends the exchange.
@@ -25,6 +26,10 @@
 
 namespace {
 
+constexpr unsigned SwitchingProtocols = 101;
+
+bool isInterim(unsigned Status) noexcept { return Status / 100 == 1; }
+
 std::string chunkHeader(std::size_t Size) {
   std::array<char, 20> Text{};
   char *End =
@@ -59,7 +64,7 @@
   Started = Time.now();
   if (const std::error_code Code = co_await sendRequest(Body))
     co_return Code;
-  co_return co_await receiveHead();
+  co_return co_await receiveHead(Body);
 }
 
 core::Awaitable<ConnectionPool::ConnectionPtr> Exchange::reuseForOrder() {
@@ -100,6 +105,11 @@
         co_await Item.Reader.readHead(Item.Socket, false);
     if (ReadError != core::HeadError::None)
       co_return false;
+    const unsigned Status = Item.Reader.message().result_int();
+    if (Status == SwitchingProtocols)
+      co_return false;
+    if (isInterim(Status))
+      continue;
     const bool OtherResponse =
         Profile.readResponse(Item.Reader.message(), NoRequestId)
             .RequestIdMismatch;
@@ -148,10 +158,15 @@
       co_return fail(core::Error::Unavailable);
     co_return std::error_code();
   }
+  co_return co_await sendBody(*Body, Request->Head);
+}
+
+core::Awaitable<std::error_code>
+Exchange::sendBody(core::ByteSource &Body, std::string_view UnsentHead) {
+  BodyPaused = false;
   const auto Buffer = std::make_unique_for_overwrite<char[]>(BodyChunkBytes);
-  std::string_view UnsentHead = Request->Head;
   while (true) {
-    const auto Count = co_await Body->read({Buffer.get(), BodyChunkBytes});
+    const auto Count = co_await Body.read({Buffer.get(), BodyChunkBytes});
     if (!Count) {
       BodySourceFailed = true;
       co_return fail(core::Error::Cancelled);
@@ -172,17 +187,31 @@
     UnsentHead = {};
     if (*Count == 0)
       break;
-    // A server that responds before the end of the body does not need the rest.
-    boost::system::error_code Ignored;
-    if (Connection->Socket.available(Ignored) > 0)
+    // A server that responds before the end of the body does not need the rest,
+    // unless the response is one that is skipped.
+    if (hasInput()) {
+      BodyPaused = true;
       co_return std::error_code();
+    }
   }
   RequestComplete = true;
   co_return std::error_code();
 }
 
-core::Awaitable<std::error_code> Exchange::receiveHead() {
+bool Exchange::hasInput() const {
+  boost::system::error_code Ignored;
+  return Connection->Reader.buffered() > 0 ||
+         Connection->Socket.available(Ignored) > 0;
+}
+
+core::Awaitable<std::error_code> Exchange::receiveHead(core::ByteSource *Body) {
   for (int Preceding = 0; Preceding <= MaxPrecedingResponses; ++Preceding) {
+    // A skipped response ended the sending; without the rest of the body, the
+    // server would not respond.
+    if (Preceding > 0 && BodyPaused && !hasInput()) {
+      if (const std::error_code Code = co_await sendBody(*Body, {}))
+        co_return Code;
+    }
     const core::HeadError ReadError = co_await Connection->Reader.readHead(
         Connection->Socket, Request->IsHead);
     if (ReadError == core::HeadError::Malformed ||
@@ -191,7 +220,7 @@
     if (ReadError != core::HeadError::None)
       co_return fail(core::Error::OutcomeUnknown);
     const unsigned Status = Connection->Reader.message().result_int();
-    if (Status / 100 != 1) {
+    if (!isInterim(Status)) {
       const core::ResponseTraits Traits = Profile.readResponse(
           Connection->Reader.message(), Request->CallerRequestId);
       // On a kept connection it may be a repeated response to an earlier
@@ -208,7 +237,7 @@
     }
     // The Upgrade field is never forwarded, so 101 Switching Protocols is
     // unsolicited.
-    if (Status == 101)
+    if (Status == SwitchingProtocols)
       break;
   }
   co_return fail(core::Error::Malformed);
--- a/packages/backends/src/exchange.hpp
+++ b/packages/backends/src/exchange.hpp
@@ -55,8 +55,17 @@
   /// @return Whether all of it was sent.
   [[nodiscard]] core::Awaitable<bool> write(std::string_view Prefix,
                                             std::span<const char> Data);
-  /// @brief Reads heads up to that of the final response to this request.
-  [[nodiscard]] core::Awaitable<std::error_code> receiveHead();
+  /// @brief Sends the rest of the body up to its end, or until the server
+  /// sends something.
+  /// @param UnsentHead Sent before the body.
+  [[nodiscard]] core::Awaitable<std::error_code>
+  sendBody(core::ByteSource &Body, std::string_view UnsentHead);
+  /// @brief Whether bytes of the server can be read without waiting.
+  [[nodiscard]] bool hasInput() const;
+  /// @brief Reads heads up to that of the final response to this request;
+  /// goes on sending the body after a response that is skipped.
+  [[nodiscard]] core::Awaitable<std::error_code>
+  receiveHead(core::ByteSource *Body);
   /// @brief Reads and discards the body of a response to another request.
   /// @return Whether the connection can still be used.
   [[nodiscard]] core::Awaitable<bool> skipResponse(backends::Connection &Item);
@@ -89,6 +98,8 @@
   bool Withheld = false;
   /// The whole request was sent.
   bool RequestComplete = false;
+  /// Part of the body is not sent yet, because the server sent something.
+  bool BodyPaused = false;
   /// The body of the request could not be read from its source.
   bool BodySourceFailed = false;
   /// The server stated that it did not run the request.
--- a/packages/core/include/jujubecart/core/whole_response.hpp
+++ b/packages/core/include/jujubecart/core/whole_response.hpp
@@ -89,6 +89,8 @@
 readWholeResponse(Stream &From, boost::beast::flat_buffer &Buffer,
                   std::uint64_t MaxBodyBytes) {
   namespace http = boost::beast::http;
+  // A server sends one or two before a response; without a limit, a faulty one
+  // would keep the reader busy for ever.
   constexpr int MaxInterimResponses = 8;
   constexpr unsigned FirstFinalStatus = 200;
   constexpr unsigned SwitchingProtocols = 101;
--- a/tests/platform/exchange_fixture.hpp
+++ b/tests/platform/exchange_fixture.hpp
@@ -46,19 +46,26 @@
     Request->Head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     Request->CallerRequestId = Id;
     Request->IsOrder = IsOrder;
+    Request->Body = Framing;
     const auto Exchange =
         Transport.prepare({.Id = "i-1", .Address = Backend.address()}, Request);
-    const std::error_code Failed = co_await Exchange->open(nullptr);
-    std::string Body;
+    // Ends the test of an exchange that would wait for ever.
+    asio::steady_timer Timer(Io, 2s);
+    Timer.async_wait([&](const boost::system::error_code &Code) {
+      if (!Code)
+        Exchange->abort(core::AbortReason::TimedOut);
+    });
+    const std::error_code Failed = co_await Exchange->open(Body);
+    std::string Received;
     std::array<char, 64> Buffer{};
     while (!Failed && !Exchange->complete()) {
       const auto Count = co_await Exchange->read(Buffer);
       if (!Count)
         break;
-      Body.append(Buffer.data(), *Count);
+      Received.append(Buffer.data(), *Count);
     }
     Report = Exchange->report();
-    co_return Failed || !Exchange->complete() ? "failed" : Body;
+    co_return Failed || !Exchange->complete() ? "failed" : Received;
   }
   std::string run() {
     auto Result = asio::co_spawn(Io, exchange(), asio::use_future);
@@ -73,6 +80,9 @@
   backends::Transport Transport{Pool, Time, platform::httpProfile()};
   core::CallReport Report;
   bool IsOrder = false;
+  /// Body of the request, or nullptr, and how its end is marked.
+  core::ByteSource *Body = nullptr;
+  core::BackendRequest::Framing Framing = core::BackendRequest::Framing::None;
 };
 
 /// @brief Runs two orders one after another with a scripted backend server, the
@@ -80,10 +90,15 @@
 struct TwoOrders {
   /// @param Behave Handles the requests of a connection.
   /// @param ReuseWindow Time for which a connection needs no health request.
+  /// @param VerifyTimeout Limit for the response to a health request.
   explicit TwoOrders(ScriptedBackend::Script Behave,
-                     std::chrono::milliseconds ReuseWindow = 1ms)
+                     std::chrono::milliseconds ReuseWindow = 1ms,
+                     std::chrono::milliseconds VerifyTimeout =
+                         backends::PoolOptions{}.VerifyTimeout)
       : Backend(std::move(Behave)),
-        Pool(Io.get_executor(), {.OrderReuseWindow = ReuseWindow}, Time) {}
+        Pool(Io.get_executor(),
+             {.OrderReuseWindow = ReuseWindow, .VerifyTimeout = VerifyTimeout},
+             Time) {}
 
   core::Awaitable<core::CallOutcome> order(const std::string &RequestId) {
     auto Request = std::make_shared<core::BackendRequest>();
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -40,6 +40,18 @@
   cr_assert_eq(Setup.run(), "failed");
 }
 
+// Guards against relaying a success whose signature or id would be removed as
+// hop-by-hop on the way to the caller.
+Test(PlatformExchange, success_with_signature_named_hop_by_hop_is_rejected) {
+  for (const char *Name : {"Response-Signature", "Request-Id"}) {
+    OneExchange Setup(respondWith(response(
+        "200 OK", "x",
+        "Request-Id: " + std::string(Id) +
+            "\r\nResponse-Signature: s\r\nConnection: " + Name + "\r\n")));
+    cr_assert_eq(Setup.run(), "failed", "%s", Name);
+  }
+}
+
 // Guards against a new connection for each order, which the backend server pays
 // for with a slot.
 Test(PlatformExchange, order_reuses_a_connection_after_a_health_request) {
@@ -95,6 +107,124 @@
   cr_assert_eq(With.Pool.counters().Connects, 1);
 }
 
+namespace {
+
+/// @brief Script that responds to each order, and sends an interim response
+/// before the one to each health request.
+ScriptedBackend::Script interimBeforeHealth(const std::string &Interim) {
+  return [Interim](tcp::socket &Socket, int) {
+    for (std::string Method; !(Method = readMethod(Socket)).empty();) {
+      if (Method == "GET") {
+        send(Socket, Interim);
+        // Arrives after the health check could have ended with the first.
+        std::this_thread::sleep_for(20ms);
+        send(Socket, response("200 OK", "health"));
+      } else {
+        send(Socket, orderResponse());
+      }
+    }
+  };
+}
+
+} // namespace
+
+// Guards against taking an interim response for the one to the health request:
+// the real one would then be taken for the response to the order.
+Test(PlatformExchange, interim_response_does_not_verify_a_connection) {
+  TwoOrders With(interimBeforeHealth("HTTP/1.1 103 Early Hints\r\n\r\n"), 1ms,
+                 2s);
+  With.run();
+  cr_assert(With.Second == core::CallOutcome::Completed);
+  cr_assert_eq(With.Pool.counters().Connects, 1);
+}
+
+// Guards against an order on a connection that no longer carries HTTP.
+Test(PlatformExchange, switched_protocol_does_not_verify_a_connection) {
+  TwoOrders With(
+      interimBeforeHealth("HTTP/1.1 101 Switching Protocols\r\n\r\n"), 1ms, 2s);
+  With.run();
+  cr_assert(With.Second == core::CallOutcome::Completed);
+  cr_assert_eq(With.Pool.counters().Connects, 2);
+}
+
+namespace {
+
+/// @brief Body of four parts, each after a time in which the server can respond
+/// to the one before.
+class PausingSource final : public core::ByteSource {
+public:
+  core::Awaitable<core::Result<std::size_t>>
+  read(std::span<char> Buffer) override {
+    if (Reads == Parts.size())
+      co_return std::size_t{0};
+    if (Reads > 0)
+      std::this_thread::sleep_for(20ms);
+    const std::string_view Part = Parts[Reads++];
+    co_return Part.copy(Buffer.data(), Buffer.size());
+  }
+
+private:
+  static constexpr std::array<std::string_view, 4> Parts{"first", "second",
+                                                         "third", "fourth"};
+  std::size_t Reads = 0;
+};
+
+/// @brief Uploads to a server that sends bytes after it received the first part
+/// of the body, and responds with the whole body after it received that.
+/// @return Body of the response, or `failed`.
+std::string uploadAround(const std::string &Early,
+                         core::BackendRequest::Framing Framing) {
+  const bool Chunked = Framing == core::BackendRequest::Framing::Chunked;
+  OneExchange Setup([Early, Chunked](tcp::socket &Socket, int) {
+    std::string Received;
+    boost::system::error_code Code;
+    asio::read_until(Socket, asio::dynamic_buffer(Received), "first", Code);
+    send(Socket, Early);
+    const std::string End = Chunked ? "0\r\n\r\n" : "fourth";
+    asio::read_until(Socket, asio::dynamic_buffer(Received), End, Code);
+    if (!Code)
+      send(Socket,
+           signedResponse(Id, Received.substr(Received.find("\r\n\r\n") + 4)));
+  });
+  PausingSource Source;
+  Setup.Body = &Source;
+  Setup.Framing = Framing;
+  return Setup.run();
+}
+
+const std::array<std::string, 3> EarlyResponses{
+    "HTTP/1.1 103 Early Hints\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
+    signedResponse("ffffffffffffffff", "late")};
+
+} // namespace
+
+// Guards against an upload that stops for good at an interim response or at a
+// late response to an earlier request, so that the server waits for the rest.
+Test(PlatformExchange, upload_continues_after_a_skipped_response) {
+  for (const std::string &Early : EarlyResponses)
+    cr_expect_eq(uploadAround(Early, core::BackendRequest::Framing::Length),
+                 "firstsecondthirdfourth", "%s", Early.c_str());
+}
+
+// The same for a chunked upload, whose last chunk must follow too.
+Test(PlatformExchange, chunked_upload_continues_after_a_skipped_response) {
+  for (const std::string &Early : EarlyResponses)
+    cr_expect_eq(uploadAround(Early, core::BackendRequest::Framing::Chunked),
+                 "5\r\nfirst\r\n6\r\nsecond\r\n5\r\nthird\r\n"
+                 "6\r\nfourth\r\n0\r\n\r\n",
+                 "%s", Early.c_str());
+}
+
+// Guards against an upload that goes on although the server has responded to
+// it behind a skipped response.
+Test(PlatformExchange, upload_ends_at_a_response_behind_a_skipped_one) {
+  for (const std::string &Early : EarlyResponses)
+    cr_expect_eq(uploadAround(Early + signedResponse(Id, "enough"),
+                              core::BackendRequest::Framing::Chunked),
+                 "enough", "%s", Early.c_str());
+}
+
 // Guards against a response whose head ends early with the connection and that
 // is taken for a complete one without a body.
 Test(PlatformExchange, head_that_ends_early_is_no_response) {
