Invent no Content-Length where no body is possible

A response to HEAD, or a 304, without Content-Length reached the caller with Content-Length: 0, which a cache may take for the length of the resource.

--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
 
 bool isInterim(unsigned Status) noexcept { return Status / 100 == 1; }
 
@@ -278,9 +280,13 @@
   Report.ServerError =
       Status >= FirstServerError ||
       (Request->IsOrder && !Rejected && Profile.promisesNotRun(Status));
+  // In a response to HEAD and in a 304, the length is that of the body which a
+  // GET request would have got; it is unknown if the server does not state it.
+  const bool MayHaveBody =
+      !Request->IsHead && Status != NoContent && Status != NotModified;
   if (const auto Size = Parser.content_length())
     ResponseLength = *Size;
-  else if (!Parser.chunked() && !Parser.need_eof())
+  else if (!Parser.chunked() && !Parser.need_eof() && MayHaveBody)
     ResponseLength = 0;
   Response = Connection->Reader.releaseHead();
   if (Connection->Reader.complete())
--- a/tests/callers/forward_test.cpp
+++ b/tests/callers/forward_test.cpp
@@ -50,6 +50,26 @@
   cr_assert_eq(Backend.connections(), 0);
 }
 
+// Guards against stating a length that the backend server did not state: a
+// cache would take it for that of the resource.
+Test(Forward, response_that_cannot_have_a_body_gets_no_invented_length) {
+  for (const auto &[Method, Status] :
+       {std::pair("HEAD", "200 OK"), std::pair("GET", "304 Not Modified")}) {
+    ScriptedBackend *Self = nullptr;
+    ScriptedBackend Backend([&, Line = Status](tcp::socket &Socket, int) {
+      Self->readRequest(Socket);
+      send(Socket, "HTTP/1.1 " + std::string(Line) + "\r\n\r\n");
+    });
+    Self = &Backend;
+    Harness Fixture({Backend.address()});
+    const std::string Answer =
+        Fixture.call(std::string(Method) + " /tags/1 HTTP/1.1\r\nHost: a\r\n"
+                                           "Connection: close\r\n\r\n");
+    cr_expect_eq(statusOf(Answer), std::stoi(Status), "%s", Answer.c_str());
+    cr_expect_not(contains(Answer, "Content-Length"), "%s", Answer.c_str());
+  }
+}
+
 // Guards against bodies that are truncated, repeated or buffered without limit.
 // Bodies larger than the buffers are streamed in pieces, with a Content-Length
 // or chunked.
