Use one condition for when a quota report is due

nextReport() compared the due time with the last demand and takeReport() the current time, so that a report could be due for nextReport() and not for takeReport(): the loop then woke every millisecond until the next demand. Both use dueAt() now. The new test failed before ("after 10028 ms").

Also adds decidesForOthers(), which the dispatch service needs for requests of other VMs.

--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -78,6 +78,10 @@
   /// @brief Replaces the VMs among which quotas are divided.
   void setFleet(QuotaFleet Fleet, core::TimePoint Now);
 
+  /// @brief Whether this VM may decide on requests of other VMs: it knows what
+  /// the others admit, or the workspace has no limit.
+  [[nodiscard]] bool decidesForOthers(std::uint64_t Workspace) const;
+
   /// @brief Counts a request that has had no slot yet.
   /// @param Alone Whether this VM decides without a dispatcher; it then has a
   /// fixed share.
@@ -148,6 +152,9 @@
                                                   core::TimePoint Now) const;
   [[nodiscard]] QuotaDecision decide(Entry &Item, core::TimePoint Now,
                                      bool Alone);
+  /// @brief When a report is due, whether or not this VM reports; max if there
+  /// was no demand lately.
+  [[nodiscard]] core::TimePoint dueAt() const;
   void forgetIdle(core::TimePoint Now);
 
   const std::string Self;
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -250,6 +250,11 @@
   return Out;
 }
 
+bool WorkspaceQuotas::decidesForOthers(std::uint64_t Workspace) const {
+  const std::lock_guard Lock(Mutex);
+  return reports() || !Source(Workspace).limited();
+}
+
 QuotaDecision WorkspaceQuotas::request(std::uint64_t Workspace,
                                        core::TimePoint Now, bool Alone) {
   const std::lock_guard Lock(Mutex);
@@ -297,13 +302,15 @@
   }
 }
 
-core::TimePoint WorkspaceQuotas::nextReport() const {
-  const std::lock_guard Lock(Mutex);
+core::TimePoint WorkspaceQuotas::dueAt() const {
   const core::TimePoint Due =
       ReportedAt + (Urgent ? UrgentInterval : ReportInterval);
-  return reports() && Due - ActiveAt <= ReportsAfterDemand
-             ? Due
-             : core::TimePoint::max();
+  return Due - ActiveAt <= ReportsAfterDemand ? Due : core::TimePoint::max();
+}
+
+core::TimePoint WorkspaceQuotas::nextReport() const {
+  const std::lock_guard Lock(Mutex);
+  return reports() ? dueAt() : core::TimePoint::max();
 }
 
 std::optional<std::vector<WorkspaceUse>>
@@ -311,8 +318,7 @@
   const std::lock_guard Lock(Mutex);
   if (Now - ForgottenAt >= ForgetInterval)
     forgetIdle(Now);
-  if (Now < ReportedAt + (Urgent ? UrgentInterval : ReportInterval) ||
-      Now - ActiveAt > ReportsAfterDemand)
+  if (Now < dueAt())
     return std::nullopt;
   std::vector<WorkspaceUse> Items;
   Items.reserve(Unreported.size());
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -650,3 +650,21 @@
   (void)Quotas.takeReport(Start + 1min);
   cr_expect_eq(Quotas.size(), 0);
 }
+
+// Guards against a loop that does not sleep because a report is due that is
+// never taken.
+Test(WorkspaceQuotas, next_report_is_later_than_the_last_one_was_taken) {
+  for (auto Interval = 1ms; Interval <= 100ms; ++Interval) {
+    decision::WorkspaceQuotas Quotas(
+        "a", [](std::uint64_t) { return quotaOf(100, 50); }, Start);
+    Quotas.setFleet({.Reporters = {"a", "b"}, .Live = 2, .Known = 2}, Start);
+    core::TimePoint Now = Start + 5ms;
+    (void)Quotas.request(1, Now);
+    for (; Now < Start + 12s; Now += Interval) {
+      (void)Quotas.takeReport(Now);
+      cr_assert_gt(Quotas.nextReport(), Now, "after %ld ms",
+                   (Now - Start) / 1ms);
+    }
+    cr_assert_eq(Quotas.nextReport(), core::TimePoint::max());
+  }
+}
