Count reporters that were never heard as unheard

Only VMs that had been heard within 5 s counted, so a VM used the parts of reporters that it never heard, and of silent ones after 5 s. All reporters count for as long as they are reporters, from 300 ms after they became one or demand began. Without demand nobody reports, and silence counts for nothing.

The new test failed before (303 admitted in 2 s with three of four reporters silent; at most 100 are expected).

--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -152,6 +152,7 @@
                                                   core::TimePoint Now) const;
   [[nodiscard]] QuotaDecision decide(Entry &Item, core::TimePoint Now,
                                      bool Alone);
+  void recordDemand(core::TimePoint Now);
   /// @brief When a report is due, whether or not this VM reports; max if there
   /// was no demand lately.
   [[nodiscard]] core::TimePoint dueAt() const;
@@ -164,7 +165,7 @@
   QuotaFleet Fleet;
   /// When this VM began to receive reports.
   core::TimePoint JoinedAt;
-  /// When each other reporter was last heard.
+  /// When each other reporter was last heard or became a reporter.
   std::map<std::string, core::TimePoint, std::less<>> HeardAt;
   std::optional<core::TimePoint> LastHeard;
   std::unordered_map<std::uint64_t, Entry> Entries;
@@ -175,6 +176,8 @@
   core::TimePoint ReportedAt;
   /// When any VM last had demand.
   core::TimePoint ActiveAt;
+  /// When demand began, after a time in which nobody had to report.
+  core::TimePoint ActiveSince;
   core::TimePoint ForgottenAt;
 };
 
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -20,9 +20,6 @@
 // Reports of a VM arrive at least every 200 ms. Without one for this time the
 // VM is taken for cut off, and its part of the quotas stays unused here.
 constexpr auto UnheardAfter = 300ms;
-// How long the part of an unheard VM stays unused. Its suspicion (3 s without a
-// frame) must have reached QuotaFleet::Live by then.
-constexpr auto UnheardHold = 5s;
 // Time constant of the demand rates: demand moves between dispatchers
 // within a second, and a workspace has a few requests a second.
 constexpr Seconds DemandMemory{1.5};
@@ -88,7 +85,14 @@
 void WorkspaceQuotas::setFleet(QuotaFleet NewFleet, core::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   const bool Before = reports();
+  // A VM that has just become a reporter has the time of one to report.
+  for (const std::string &Vm : NewFleet.Reporters)
+    if (Vm != Self && !Fleet.Reporters.contains(Vm))
+      HeardAt.insert_or_assign(Vm, Now);
   Fleet = std::move(NewFleet);
+  std::erase_if(HeardAt, [&](const auto &Item) {
+    return !Fleet.Reporters.contains(Item.first);
+  });
   if (Before || !reports())
     return;
   // What the others used is not known yet.
@@ -102,16 +106,18 @@
 // The parts of the VMs on all sides of a partition add up to at most one, so
 // that no side needs to know what the others do.
 double WorkspaceQuotas::reachablePart(core::TimePoint Now) const {
-  double Reachable = 1;
+  // Without demand nobody reports, and silence says nothing.
+  const bool Expected = Now - ActiveAt <= ReportsAfterDemand;
   double Unheard = 0;
-  for (const auto &[Vm, At] : HeardAt) {
-    const auto Age = Now - At;
-    if (Age <= UnheardAfter)
-      ++Reachable;
-    else if (Age <= UnheardHold)
+  for (const std::string &Vm : Fleet.Reporters) {
+    const auto Found = HeardAt.find(Vm);
+    if (Expected && Found != HeardAt.end() &&
+        Now - std::max(Found->second, ActiveSince) > UnheardAfter)
       ++Unheard;
   }
-  const double OfReporters = Reachable / (Reachable + Unheard);
+  const auto Count =
+      static_cast<double>(std::max<std::size_t>(Fleet.Reporters.size(), 1));
+  const double OfReporters = (Count - Unheard) / Count;
   const double OfFleet =
       static_cast<double>(std::max<std::size_t>(Fleet.Live, 1)) /
       static_cast<double>(std::max<std::size_t>({Fleet.Known, Fleet.Live, 1}));
@@ -266,7 +272,7 @@
     ++Item.Admitted;
   }
   Unreported.insert(Workspace);
-  ActiveAt = Now;
+  recordDemand(Now);
   // Half of the share is used.
   Urgent = Urgent || (Item.Quota.limited() && Item.Admitted >= 2 &&
                       2.0 * Item.Admitted >=
@@ -275,6 +281,12 @@
   return Out;
 }
 
+void WorkspaceQuotas::recordDemand(core::TimePoint Now) {
+  if (Now - ActiveAt > ReportsAfterDemand)
+    ActiveSince = Now;
+  ActiveAt = Now;
+}
+
 void WorkspaceQuotas::giveBack(std::uint64_t Workspace, core::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   Entry &Item = entry(Workspace, Now);
@@ -288,12 +300,13 @@
                                    const std::vector<WorkspaceUse> &Items,
                                    core::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
-  HeardAt.insert_or_assign(std::string(Sender), Now);
+  if (const auto Found = HeardAt.find(Sender); Found != HeardAt.end())
+    Found->second = Now;
   LastHeard = Now;
   // All reporters report while any of them has demand, so that their number
   // does not grow at the moment at which some are cut off.
   if (!Items.empty())
-    ActiveAt = Now;
+    recordDemand(Now);
   for (const WorkspaceUse &Use : Items) {
     Entry &Item = entry(Use.Workspace, Now);
     advance(Item, Now);
@@ -348,9 +361,6 @@
   std::erase_if(Entries, [&](const auto &Item) {
     return Now - Item.second.LastUsed > IdleTime;
   });
-  std::erase_if(HeardAt, [&](const auto &Item) {
-    return Now - Item.second > UnheardHold;
-  });
 }
 
 std::size_t WorkspaceQuotas::size() const {
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -668,3 +668,33 @@
     cr_assert_eq(Quotas.nextReport(), core::TimePoint::max());
   }
 }
+
+// Guards against a VM that uses the parts of reporters from which it never
+// heard, or of which it has not heard for long, and against a part that
+// shrinks because all were without demand.
+Test(WorkspaceQuotas, silent_reporters_count_until_they_are_replaced) {
+  decision::WorkspaceQuotas Quotas(
+      "a", [](std::uint64_t) { return quotaOf(100, 100); }, Start);
+  const decision::QuotaFleet Four{
+      .Reporters = {"a", "b", "c", "d"}, .Live = 4, .Known = 4};
+  Quotas.setFleet(Four, Start);
+  // Requests admitted in 2 s from a time on.
+  const auto admittedFrom = [&](core::TimePoint From) {
+    int Admitted = 0;
+    for (core::TimePoint Now = From; Now < From + 2s; Now += 2ms) {
+      Admitted += Quotas.request(1, Now).Admitted;
+      (void)Quotas.takeReport(Now);
+    }
+    return Admitted;
+  };
+  // None of the others was ever heard.
+  (void)admittedFrom(Start + 5s);
+  const int Admitted = admittedFrom(Start + 12s);
+  cr_expect_leq(Admitted, 100, "%d admitted", Admitted);
+  // After a time without demand the burst is whole, and the first reports are
+  // waited for.
+  int Burst = 0;
+  for (int At = 0; At < 60; ++At)
+    Burst += Quotas.request(1, Start + 40s).Admitted;
+  cr_expect_geq(Burst, 24, "%d admitted", Burst);
+}
