Keep only a part of the burst when a VM learns of other reporters

A VM that sees only itself at its start took the whole burst, and so did each of the VMs that started with it. When reporters are added, the tokens are now limited to what a VM that joins would start with; a VM that has been a reporter for long is not affected. The new test failed before (104 admitted of a burst of 100 that four share).

LentRequests is 20, as its comment says; it was 28.

--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -36,7 +36,7 @@
 constexpr double LentPart = 0.5;
 constexpr double LentQuotaS = 0.5;
 constexpr double LentBurstPart = 0.1;
-constexpr double LentRequests = 28;
+constexpr double LentRequests = 20;
 // Time in which tokens that were used too many are saved.
 constexpr Seconds DebtTime{1};
 // A VM may use one token between two reports, however small its share, while
@@ -85,6 +85,7 @@
 void WorkspaceQuotas::setFleet(QuotaFleet NewFleet, core::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   const bool Before = reports();
+  const std::size_t CountBefore = Fleet.Reporters.size();
   // A VM that has just become a reporter has the time of one to report.
   for (const std::string &Vm : NewFleet.Reporters)
     if (Vm != Self && !Fleet.Reporters.contains(Vm))
@@ -93,13 +94,14 @@
   std::erase_if(HeardAt, [&](const auto &Item) {
     return !Fleet.Reporters.contains(Item.first);
   });
-  if (Before || !reports())
+  if (!reports() || (Before && Fleet.Reporters.size() <= CountBefore))
     return;
   // What the others used is not known yet.
-  JoinedAt = Now;
+  if (!Before)
+    JoinedAt = Now;
   for (auto &[Workspace, Item] : Entries) {
+    advance(Item, Now);
     Item.Level = std::min(Item.Level, firstLevel(Item.Quota, Now));
-    Item.At = Now;
   }
 }
 
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -698,3 +698,23 @@
     Burst += Quotas.request(1, Start + 40s).Admitted;
   cr_expect_geq(Burst, 24, "%d admitted", Burst);
 }
+
+// Guards against VMs that start together and each take the whole burst, because
+// none has heard of the others yet.
+Test(WorkspaceQuotas,
+     vm_that_learns_of_others_keeps_only_its_part_of_the_burst) {
+  decision::WorkspaceQuotas Quotas(
+      "a", [](std::uint64_t) { return quotaOf(1, 100); }, Start);
+  Quotas.setFleet({.Reporters = {"a"}, .Live = 1, .Known = 1}, Start);
+  (void)Quotas.request(1, Start);
+  Quotas.setFleet({.Reporters = {"a", "b", "c", "d"}, .Live = 4, .Known = 4},
+                  Start + 1s);
+  int Admitted = 0;
+  for (core::TimePoint Now = Start + 1s; Now < Start + 2s; Now += 2ms) {
+    Admitted += Quotas.request(1, Now).Admitted;
+    (void)Quotas.takeReport(Now);
+    for (const char *Vm : {"b", "c", "d"})
+      Quotas.recordReport(Vm, {}, Now);
+  }
+  cr_expect_leq(Admitted, 30, "%d admitted", Admitted);
+}
