--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -36,7 +36,10 @@
 constexpr double LentPart = 0.5;
 constexpr double LentQuotaS = 0.5;
 constexpr double LentBurstPart = 0.1;
-constexpr double LentRequests = 20;
+// More than the 20 of the promise: with 20, 4.4% instead of 3.1% of the
+// requests below a limit of 1.6/s are refused. Simulated windows stay within
+// the promise.
+constexpr double LentRequests = 28;
 // Time in which tokens that were used too many are saved.
 constexpr Seconds DebtTime{1};
 // A VM may use one token between two reports, however small its share, while
