--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -78,6 +78,10 @@
   /// @brief Replaces the VMs among which quotas are divided.
   void setFleet(QuotaFleet Fleet, core::TimePoint Now);
 
+  /// @brief Whether this VM may decide on requests of other VMs: it knows what
+  /// the others admit, or the workspace has no limit.
+  [[nodiscard]] bool decidesForOthers(std::uint64_t Workspace) const;
+
   /// @brief Counts a request that has had no slot yet.
   /// @param Alone Whether this VM decides without a dispatcher; it then has a
   /// fixed share.
@@ -148,6 +152,10 @@
                                                   core::TimePoint Now) const;
   [[nodiscard]] QuotaDecision decide(Entry &Item, core::TimePoint Now,
                                      bool Alone);
+  void recordDemand(core::TimePoint Now);
+  /// @brief When a report is due, whether or not this VM reports; max if there
+  /// was no demand lately.
+  [[nodiscard]] core::TimePoint dueAt() const;
   void forgetIdle(core::TimePoint Now);
 
   const std::string Self;
@@ -157,7 +165,7 @@
   QuotaFleet Fleet;
   /// When this VM began to receive reports.
   core::TimePoint JoinedAt;
-  /// When each other reporter was last heard.
+  /// When each other reporter was last heard or became a reporter.
   std::map<std::string, core::TimePoint, std::less<>> HeardAt;
   std::optional<core::TimePoint> LastHeard;
   std::unordered_map<std::uint64_t, Entry> Entries;
@@ -168,6 +176,8 @@
   core::TimePoint ReportedAt;
   /// When any VM last had demand.
   core::TimePoint ActiveAt;
+  /// When demand began, after a time in which nobody had to report.
+  core::TimePoint ActiveSince;
   core::TimePoint ForgottenAt;
 };
 
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -650,3 +650,71 @@
   (void)Quotas.takeReport(Start + 1min);
   cr_expect_eq(Quotas.size(), 0);
 }
+
+// Guards against a loop that does not sleep because a report is due that is
+// never taken.
+Test(WorkspaceQuotas, next_report_is_later_than_the_last_one_was_taken) {
+  for (auto Interval = 1ms; Interval <= 100ms; ++Interval) {
+    decision::WorkspaceQuotas Quotas(
+        "a", [](std::uint64_t) { return quotaOf(100, 50); }, Start);
+    Quotas.setFleet({.Reporters = {"a", "b"}, .Live = 2, .Known = 2}, Start);
+    core::TimePoint Now = Start + 5ms;
+    (void)Quotas.request(1, Now);
+    for (; Now < Start + 12s; Now += Interval) {
+      (void)Quotas.takeReport(Now);
+      cr_assert_gt(Quotas.nextReport(), Now, "after %ld ms",
+                   (Now - Start) / 1ms);
+    }
+    cr_assert_eq(Quotas.nextReport(), core::TimePoint::max());
+  }
+}
+
+// Guards against a VM that uses the parts of reporters from which it never
+// heard, or of which it has not heard for long, and against a part that
+// shrinks because all were without demand.
+Test(WorkspaceQuotas, silent_reporters_count_until_they_are_replaced) {
+  decision::WorkspaceQuotas Quotas(
+      "a", [](std::uint64_t) { return quotaOf(100, 100); }, Start);
+  const decision::QuotaFleet Four{
+      .Reporters = {"a", "b", "c", "d"}, .Live = 4, .Known = 4};
+  Quotas.setFleet(Four, Start);
+  // Requests admitted in 2 s from a time on.
+  const auto admittedFrom = [&](core::TimePoint From) {
+    int Admitted = 0;
+    for (core::TimePoint Now = From; Now < From + 2s; Now += 2ms) {
+      Admitted += Quotas.request(1, Now).Admitted;
+      (void)Quotas.takeReport(Now);
+    }
+    return Admitted;
+  };
+  // None of the others was ever heard.
+  (void)admittedFrom(Start + 5s);
+  const int Admitted = admittedFrom(Start + 12s);
+  cr_expect_leq(Admitted, 100, "%d admitted", Admitted);
+  // After a time without demand the burst is whole, and the first reports are
+  // waited for.
+  int Burst = 0;
+  for (int At = 0; At < 60; ++At)
+    Burst += Quotas.request(1, Start + 40s).Admitted;
+  cr_expect_geq(Burst, 24, "%d admitted", Burst);
+}
+
+// Guards against VMs that start together and each take the whole burst, because
+// none has heard of the others yet.
+Test(WorkspaceQuotas,
+     vm_that_learns_of_others_keeps_only_its_part_of_the_burst) {
+  decision::WorkspaceQuotas Quotas(
+      "a", [](std::uint64_t) { return quotaOf(1, 100); }, Start);
+  Quotas.setFleet({.Reporters = {"a"}, .Live = 1, .Known = 1}, Start);
+  (void)Quotas.request(1, Start);
+  Quotas.setFleet({.Reporters = {"a", "b", "c", "d"}, .Live = 4, .Known = 4},
+                  Start + 1s);
+  int Admitted = 0;
+  for (core::TimePoint Now = Start + 1s; Now < Start + 2s; Now += 2ms) {
+    Admitted += Quotas.request(1, Now).Admitted;
+    (void)Quotas.takeReport(Now);
+    for (const char *Vm : {"b", "c", "d"})
+      Quotas.recordReport(Vm, {}, Now);
+  }
+  cr_expect_leq(Admitted, 30, "%d admitted", Admitted);
+}
