--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -52,6 +52,8 @@
   double ServiceTimeFactor = 1;
   SaturationModel Saturation;
   FailureRate Failures;
+  /// The part of Failures that the server rejected with a free slot.
+  FailureRate Rejections;
   /// Connections of the entry VMs to this server.
   IdleConnections Connections;
   /// Whether another process now answers at its address. It gets no calls
@@ -61,7 +63,7 @@
   /// When the last probe was requested, and whether its result is pending.
   core::TimePoint LastProbe = core::TimePoint::min();
   bool ProbePending = false;
-  /// Whether it left a probe unanswered and has not reported its pace since;
+  /// Whether it left a probe unanswered and has answered nothing since;
   /// false without a price of bytes between zones.
   bool Silent = false;
 
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -49,6 +49,8 @@
 // one that meets its objective.
 constexpr double LateCallValue = 0.1;
 
+double valueOf(Goal Aim) { return Aim == Goal::Objective ? 1 : LateCallValue; }
+
 bool isCrossZone(const PendingCall &Call, const ServerLoad &Server) {
   return !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
 }
@@ -69,6 +71,7 @@
 
 void LoadTable::configure(const std::vector<core::BackendServer> &Configured,
                           core::TimePoint Now) {
+  Summary.reset();
   for (ServerLoad &Server : Servers)
     Server.Configured = false;
   for (const core::BackendServer &Config : Configured) {
@@ -89,6 +92,8 @@
       Server.ServiceTimeFactor = 1;
       Server.Saturation = SaturationModel();
       Server.Failures = FailureRate();
+      Server.Rejections = FailureRate();
+      Server.Silent = false;
       Server.Connections = IdleConnections();
       Server.Replaced = false;
       Server.Limiter = ServerRateLimiter();
@@ -134,12 +139,18 @@
 
 // The price of bytes is money, so it is not lower for a call that is worth
 // less; the fixed price of a call without it is a part of its value.
+//
+// A late call has a tenth of the value, less than most prices. If its own zone
+// has no capacity, it would wait there until its deadline, so it pays nothing.
 double LoadTable::transferCost(const PendingCall &Call,
-                               const ServerLoad &Server, double Value,
+                               const ServerLoad &Server, Goal Aim,
                                core::TimePoint Now) const {
+  const double Value = valueOf(Aim);
   const bool Connected = Server.Connections.has(core::hash64(Call.Holder), Now);
+  const bool Free =
+      Zones.priced() && Aim == Goal::Deadline && zoneShare(Call.Zone) <= 0;
   const double Zone =
-      isCrossZone(Call, Server)
+      isCrossZone(Call, Server) && !Free
           ? Zones.price(Call.WorkClass) * (Zones.priced() ? 1 : Value)
           : 0;
   return Zone + (Connected ? 0 : Value * NewConnectionCost);
@@ -279,9 +290,9 @@
                                              core::TimePoint Now) {
   std::optional<Placement> Best;
   const double ExpectedUs = Work.expectedServiceTimeUs(Call, Now);
-  const double Value = Aim == Goal::Objective ? 1 : LateCallValue;
+  const double Value = valueOf(Aim);
   const core::TimePoint LatestEnd = latestEnd(Call, Aim);
-  const CommonFailures Common = commonFailures(Now);
+  const CommonFailures &Common = commonFailures(Now);
   // Servers that leave are excluded from first attempts, too.
   const bool Retry = std::any_of(
       Call.Excluded.begin(), Call.Excluded.end(), [&](const std::string &Id) {
@@ -298,9 +309,8 @@
         Server.Limiter.checkDue(Now);
     const double InTime = onTimeProbability(
         Server, ExpectedUs, endAtServer(Call, Server, LatestEnd), Now);
-    const double Transfer = transferCost(Call, Server, Value, Now);
-    double Score = Value * InTime *
-                   (1 - Common.expected(failureRate(Server, Now))) *
+    const double Transfer = transferCost(Call, Server, Aim, Now);
+    double Score = Value * InTime * (1 - failureRate(Server, Common, Now)) *
                    (1 - overdueShare(Server, Now));
     Score -= saturationCost(Server, Now) + wasteCost(Server, ExpectedUs, Now) +
              Transfer;
@@ -336,7 +346,7 @@
   const double MaxTransferCost = Found && Found->KnownFast
                                      ? Found->TransferCost
                                      : std::numeric_limits<double>::max();
-  const CommonFailures Common = commonFailures(Now);
+  const CommonFailures &Common = commonFailures(Now);
   std::vector<std::pair<double, std::uint32_t>> Candidates;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
@@ -344,18 +354,19 @@
         Call.excludes(Server.Config.Id) ||
         Server.inFlight() >= Server.preferredLimit())
       continue;
-    const double Transfer = transferCost(Call, Server, 1, Now);
+    const double Transfer = transferCost(Call, Server, Goal::Objective, Now);
     if (Transfer >= MaxTransferCost)
       continue;
     // With a price of bytes, the servers of the own zone are always cheaper. If
     // they fail or do not answer, probes would hold the call again and again.
-    const double HighestScore =
-        (1 - Common.expected(failureRate(Server, Now))) *
-            (1 - overdueShare(Server, Now)) -
-        Transfer;
-    if (Zones.priced() && Found && HighestScore <= Found->Score &&
-        Now - Server.LastProbe < SilentProbeInterval)
-      continue;
+    if (Zones.priced() && Found) {
+      const double HighestScore = (1 - failureRate(Server, Common, Now)) *
+                                      (1 - overdueShare(Server, Now)) -
+                                  Transfer;
+      if (HighestScore <= Found->Score &&
+          Now - Server.LastProbe < SilentProbeInterval)
+        continue;
+    }
     if (Server.ProbePending && Now - Server.LastProbe < ProbeWait)
       return true;
     const bool PaceKnown = Server.Pace && Server.Pace->fresh(Now);
@@ -383,39 +394,55 @@
   Demand.recordArrival(Work.expectedServiceTimeUs(Call, Now), Now);
 }
 
-double LoadTable::failureRate(const ServerLoad &Server, core::TimePoint Now) {
-  return std::max(Server.Failures.value(Now),
+// Both averages get a value for the same calls, so their difference is the
+// average of the other failures.
+double LoadTable::failureRate(const ServerLoad &Server,
+                              const CommonFailures &Common,
+                              core::TimePoint Now) {
+  const double Rejections = Server.Rejections.value(Now);
+  const double Others = std::max(Server.Failures.value(Now) - Rejections, 0.0);
+  return std::max(std::min(Others + Common.expected(Rejections), 1.0),
                   Server.Silent ? SilentFailureRate : 0);
 }
 
-CommonFailures LoadTable::commonFailures(core::TimePoint Now) const {
-  CommonFailures Common;
+const CommonFailures &LoadTable::commonFailures(core::TimePoint Now) const {
+  if (Summary && Summary->At == Now)
+    return Summary->Common;
+  Summary = FailureSummary{.At = Now, .Common = {}, .BestSuccessRate = {}};
   for (const ServerLoad &Server : Servers)
     if (usable(Server, Now))
-      Common.add(failureRate(Server, Now));
-  return Common;
+      Summary->Common.add(Server.Rejections.value(Now));
+  return Summary->Common;
 }
 
-// If all servers reject calls by chance, the one with the fewest rejections was
-// only lucky; calls that waited for it would be held for nothing.
+// If all servers reject calls by chance, the one with the fewest rejections
+// had them by chance; calls that waited for it would be held for nothing.
 double LoadTable::bestSuccessRate(core::TimePoint Now) const {
+  const CommonFailures &Common = commonFailures(Now);
+  if (Summary->BestSuccessRate)
+    return *Summary->BestSuccessRate;
   double LowestFailures = 1;
   for (const ServerLoad &Server : Servers)
     if (usable(Server, Now))
-      LowestFailures = std::min(LowestFailures, failureRate(Server, Now));
-  return 1 - commonFailures(Now).expected(LowestFailures);
+      LowestFailures =
+          std::min(LowestFailures, failureRate(Server, Common, Now));
+  Summary->BestSuccessRate = 1 - LowestFailures;
+  return 1 - LowestFailures;
 }
 
 void LoadTable::recordProbe(std::uint32_t Index, const ProbeResult &Result,
                             core::TimePoint Now) {
+  Summary.reset();
   ServerLoad &Server = Servers[Index];
   Server.ProbePending = false;
-  if (Result.State != ProbeState::Unreachable)
+  if (Result.State != ProbeState::Unreachable) {
+    Server.Silent = false;
     Zones.recordRoundTrip(Server.Config.Zone, Result.RoundTrip, Now);
-  else if (Zones.priced())
+  } else if (Zones.priced()) {
     // Otherwise the servers of a zone that is cut would look as good as others
     // until their calls reach their deadline, and the price keeps calls there.
     Server.Silent = true;
+  }
   if (Result.ColdUntil && !Server.Limiter.cold(Now)) {
     Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil);
     updateTotals(Now);
--- a/packages/decision/src/load_table_results.cpp
+++ b/packages/decision/src/load_table_results.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/decision/internal/load_table.hpp>
 
 #include <jujubecart/decision/internal/microseconds.hpp>
+#include <jujubecart/decision/rejected_call.hpp>
 
 #include <algorithm>
 
@@ -100,6 +101,7 @@
 void LoadTable::recordResult(std::uint32_t Index,
                              const core::CallReport &Report,
                              core::TimePoint Now) {
+  Summary.reset();
   ServerLoad &Server = Servers[Index];
   if (Report.Load)
     recordPace(Index, Report.Load->PacePercent, Now);
@@ -112,9 +114,20 @@
   if (Report.Outcome == core::CallOutcome::Completed && Report.ServerError)
     Counted.Outcome = core::CallOutcome::Broken;
   const bool Conclusive = !core::inconclusive(Counted.Outcome);
-  if (Conclusive)
+  if (core::answered(Counted.Outcome) || Counted.ServerError)
+    Server.Silent = false;
+  if (Conclusive) {
     Server.Failures.record(Counted.Outcome != core::CallOutcome::Completed,
                            Now);
+    Server.Rejections.record(
+        Counted.Outcome == core::CallOutcome::Rejected &&
+            rejectedWithFreeSlot({.Load = Report.Load,
+                                  .Slots = Server.slots(),
+                                  .ReasonStated = Report.Draining ||
+                                                  Report.OtherInstance ||
+                                                  Report.Limit}),
+        Now);
+  }
   // A server that rejects calls is alive and has too much load, so it is
   // avoided for a moment but not ejected.
   if (Report.Outcome == core::CallOutcome::Rejected)
@@ -142,6 +155,7 @@
 
 void LoadTable::recordLimits(const std::vector<StatedLimit> &Limits,
                              core::TimePoint Now) {
+  Summary.reset();
   for (const StatedLimit &Item : Limits)
     if (const auto Index = find(Item.ServerId))
       Servers[*Index].Limiter.record(Item.Limit, Item.StatedAt, Now);
@@ -150,6 +164,7 @@
 }
 
 void LoadTable::setLimitShare(double NewShare, core::TimePoint Now) {
+  Summary.reset();
   LimitShare = NewShare;
   for (ServerLoad &Server : Servers)
     Server.Limiter.setShare(NewShare, Now);
