Ignore lists that are older than the known entries

All changes up to AsOf are known, so an older list is ignored as a whole; a later one removes only entries that were last changed up to its revision, and older entries of VMs do not overwrite newer ones. An ignored list is neither passed on nor proves how fresh the entries are.

--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -31,7 +31,8 @@
 
   /// @brief Replaces all servers and entry VMs by a complete list. The routes
   /// are kept unless the list has a newer version of them.
-  void replace(const core::EntryList &All, core::TimePoint Now);
+  /// @return False if the list is older than asOf() and was ignored.
+  bool replace(const core::EntryList &All, core::TimePoint Now);
 
   /// @brief Changes that lead from the known entries to those of a complete
   /// list, up to its AsOf and in order of their revisions.
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -89,31 +89,33 @@
     endEvacuation(Key, Now, AsOf);
 }
 
-void Directory::replace(const core::EntryList &All, core::TimePoint Now) {
-  // Another VM has reported a later era while the list was under way.
-  if (core::eraOf(All.AsOf) < core::eraOf(AsOf))
-    return;
+// Another VM may have reported later changes while the list was under way, and
+// snapshots may be older than what was read before. All changes up to AsOf are
+// known, so an older list has nothing to add and lacks the later changes.
+bool Directory::replace(const core::EntryList &All, core::TimePoint Now) {
+  if (All.AsOf < AsOf) {
+    core::LogLine(core::LogLevel::Info, "directory.older_list")
+        .field("revision", All.AsOf)
+        .field("known", AsOf);
+    return false;
+  }
   beginEra(All.AsOf, Now);
   std::set<std::string, std::less<>> Present;
   for (const core::StoredEntry &Entry : All.Entries)
     Present.insert(Entry.Key);
-  std::vector<std::string> Missing;
-  for (const auto &[Key, Entry] : Servers)
-    if (!Present.contains(Key))
-      Missing.push_back(Key);
-  for (const std::string &Key : Missing)
+  // An earlier list may have contained entries that were newer than its AsOf.
+  const auto MissingKeys = [&](const auto &Known) {
+    std::vector<std::string> Keys;
+    for (const auto &[Key, Entry] : Known)
+      if (!Present.contains(Key) && Entry.Changed <= All.AsOf)
+        Keys.push_back(Key);
+    return Keys;
+  };
+  for (const std::string &Key : MissingKeys(Servers))
     removeServer(Key, Now);
-  Missing.clear();
-  for (const auto &[Key, Entry] : Vms)
-    if (!Present.contains(Key))
-      Missing.push_back(Key);
-  for (const std::string &Key : Missing)
+  for (const std::string &Key : MissingKeys(Vms))
     removeVm(Key, Now, All.AsOf);
-  Missing.clear();
-  for (const auto &[Key, Entry] : Evacuations)
-    if (!Present.contains(Key))
-      Missing.push_back(Key);
-  for (const std::string &Key : Missing)
+  for (const std::string &Key : MissingKeys(Evacuations))
     endEvacuation(Key, Now, All.AsOf);
   // One line for the first list instead of one for each of its servers: at the
   // start of a VM the log would cost more time than the list itself.
@@ -134,6 +136,7 @@
       .field("servers", Servers.size())
       .field("vms", Vms.size())
       .field("revision", AsOf);
+  return true;
 }
 
 core::EntryChanges Directory::changesTo(const core::EntryList &All) const {
@@ -156,7 +159,7 @@
   // The revision of a deletion is not in the list.
   const auto AddMissing = [&](const auto &Known) {
     for (const auto &[Key, Entry] : Known)
-      if (!Present.contains(Key))
+      if (!Present.contains(Key) && Entry.Changed <= All.AsOf)
         Changes.push_back({.Key = Key, .Value = {}, .Changed = All.AsOf});
   };
   AddMissing(Servers);
@@ -254,6 +257,9 @@
 void Directory::applyVm(const core::StoredEntry &Entry, core::TimePoint Now) {
   if (!Entry.Value)
     return removeVm(Entry.Key, Now, Entry.Changed);
+  const auto Known = Vms.find(Entry.Key);
+  if (Known != Vms.end() && Entry.Changed < Known->second.Changed)
+    return;
   core::Findings Report(Entry.Key);
   if (auto Read = Codec.decodeVm(Entry.Key, *Entry.Value, Report))
     Vms.insert_or_assign(Entry.Key, VmEntry{.Registered = std::move(*Read),
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -210,17 +210,18 @@
     recordFailure("list", All.error());
     co_return false;
   }
-  Entries.replace(*All, Env.Time.now());
+  bool Complete = Entries.replace(*All, Env.Time.now());
   Listed = true;
   if (LoadFrom != Source::LatestList) {
-    const bool CaughtUp = co_await catchUp();
-    if (!CaughtUp)
+    Complete = co_await catchUp();
+    if (!Complete)
       co_return false;
   }
   recordSuccess();
   Loaded = true;
   publish();
-  recordFreshness(LoadedUntil);
+  if (Complete)
+    recordFreshness(LoadedUntil);
   co_return true;
 }
 
@@ -259,10 +260,13 @@
     co_return false;
   }
   recordSuccess();
+  const core::EntryChanges Changes = Entries.changesTo(*All);
+  // A list that is older than what another VM has reported meanwhile shows
+  // nothing, and is read again if the changes since are lost as well.
+  if (!Entries.replace(*All, Env.Time.now()))
+    co_return false;
   MissedChanges = false;
   SnapshotOutdated = true;
-  const core::EntryChanges Changes = Entries.changesTo(*All);
-  Entries.replace(*All, Env.Time.now());
   publish();
   recordFreshness(AskedAt);
   if (!CatchesUp)
--- a/tests/store/directory_feed_test.cpp
+++ b/tests/store/directory_feed_test.cpp
@@ -231,3 +231,16 @@
       cr_assert(Each.List.Entries.empty());
   }
 }
+
+// Guards against an evacuation that a VM loses because another VM reports it
+// while a list without it is under way.
+Test(DirectoryFeed, list_that_was_overtaken_by_a_report_changes_nothing) {
+  FeedFixture Setup(0);
+  Setup.start();
+  Setup.receive(tests::makeChanges(
+      2, 6, {{.Key = "s/c", .Value = "active", .Changed = 6}}));
+  Setup.Store.HistoryLost = true;
+  Setup.run(100ms);
+  cr_assert_geq(Setup.Store.Lists, 2);
+  cr_assert_eq(Setup.servers(), 2);
+}
--- a/tests/store/directory_test.cpp
+++ b/tests/store/directory_test.cpp
@@ -315,3 +315,59 @@
   cr_assert(Test.servers().front().State == core::ServerState::Draining);
   cr_assert_eq(Test.Known.asOf(), restored(2));
 }
+
+// Guards against an evacuation, a server or a VM that is lost or comes back
+// because a list was under way while another VM reported later changes.
+Test(Directory, list_older_than_the_known_changes_is_ignored) {
+  Fixture Test;
+  Test.Known.apply({.Entries = {Fixture::entry("e/z1", "{}", 111),
+                                Fixture::deletion("s/a", 112),
+                                Fixture::entry("v/vm1", "y", 113)},
+                    .AsOf = 113},
+                   Start);
+  cr_assert_not(
+      Test.Known.replace({.Entries = {Fixture::entry("config", "5", 1),
+                                      Fixture::entry("s/a", "active", 2),
+                                      Fixture::entry("s/b", "active", 3),
+                                      Fixture::entry("v/vm1", "x", 4)},
+                          .AsOf = 110},
+                         Start));
+  cr_assert_eq(Test.Known.evacuatedZones(), 1);
+  cr_assert_eq(Test.servers().size(), 1);
+  cr_assert_eq(Test.Known.vms().front().Address, "y");
+  cr_assert_eq(Test.Known.asOf(), 113);
+}
+
+// Guards against an evacuation that a VM never sees because it reads an older
+// snapshot after a newer one and then asks for the changes since the newer one.
+Test(Directory, older_snapshot_after_a_newer_one_loses_nothing) {
+  const PlainCodec Codec;
+  store::Directory Known(Codec, {{"z1", "r1"}});
+  cr_assert(Known.replace(
+      {.Entries = {Fixture::entry("e/z1", "{}", 111)}, .AsOf = 120}, Start));
+  Known.replace({.Entries = {}, .AsOf = 110}, Start);
+  cr_assert(Known.evacuatedZones() == 1 || Known.asOf() < 111);
+}
+
+// Guards against an entry of a list that was read while the entry was written,
+// and that a later list from before the write removes.
+Test(Directory, list_removes_only_entries_that_it_may_know) {
+  const PlainCodec Codec;
+  store::Directory Known(Codec, {{"z1", "r1"}});
+  Known.replace({.Entries = {Fixture::entry("e/z1", "{}", 105)}, .AsOf = 100},
+                Start);
+  cr_assert(Known.replace({.Entries = {}, .AsOf = 102}, Start));
+  cr_assert_eq(Known.evacuatedZones(), 1);
+}
+
+// Guards against a VM's address that reverts because a watch repeats an older
+// change.
+Test(Directory, older_entry_of_a_vm_does_not_overwrite_a_newer_one) {
+  const PlainCodec Codec;
+  store::Directory Known(Codec, {{"z1", "r1"}});
+  Known.replace({.Entries = {Fixture::entry("v/vm1", "y", 105)}, .AsOf = 100},
+                Start);
+  Known.apply({.Entries = {Fixture::entry("v/vm1", "x", 102)}, .AsOf = 102},
+              Start);
+  cr_assert_eq(Known.vms().front().Address, "y");
+}
