Keep removed servers and evacuations through a restore of the store

A server that was removed before the store came back from a copy came back as active; it is now remembered for 30 s by incarnation and sequence. An evacuation that a copy lacks is kept for 12 s instead of the time in which servers register again, because nothing states how fast operators write it again; the test of missing entries expects that now. Cold times count only for services with a limit for cold servers, and a report that only counts down is not logged.

--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -24,7 +24,7 @@
   /// @param Codec Must outlive the directory.
   /// @param ZoneRegions Region of each availability zone.
   /// @param ReregistrationTime Time after the store came back from a copy for
-  /// which entries that are missing from it are kept.
+  /// which servers and VMs that are missing from it are kept.
   Directory(
       const core::DirectoryCodec &Codec, Zones ZoneRegions,
       std::chrono::milliseconds ReregistrationTime = std::chrono::seconds(2));
@@ -119,6 +119,13 @@
                core::Revision Changed) const;
   [[nodiscard]] bool isEvacuated(std::string_view Zone) const;
   void removeServer(const std::string &Key, core::TimePoint Now);
+  void rememberRemoved(const std::string &Key, const ServerEntry &Entry,
+                       core::TimePoint Now);
+  /// @brief Whether an entry is an old report of a server that was removed
+  /// before the store came back from a copy.
+  [[nodiscard]] bool isRemoved(const core::StoredEntry &Entry,
+                               const core::RegisteredServer &Read,
+                               core::TimePoint Now) const;
   [[nodiscard]] std::map<std::string, core::ServiceConfig>
   buildServices() const;
 
@@ -130,9 +137,21 @@
   bool LogsServers = true;
   /// Deletions of active servers before this instant are deferred until then.
   core::TimePoint DeletionsDeferredUntil = core::TimePoint::min();
+  /// Evacuations that a restored store lacks are kept until this instant.
+  core::TimePoint EvacuationsKeptUntil = core::TimePoint::min();
   core::RoutingConfig Config;
   /// By store key.
   std::map<std::string, ServerEntry> Servers;
+  struct RemovedServer {
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Sequence = 0;
+    /// Store revision of the removal or later.
+    core::Revision Changed = 0;
+    /// When it is forgotten.
+    core::TimePoint Until;
+  };
+  /// By store key.
+  std::map<std::string, RemovedServer, std::less<>> RemovedServers;
   struct VmEntry {
     core::Member Registered;
     core::Revision Changed = 0;
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -10,6 +10,16 @@
 
 namespace internal {
 
+// Time after the store came back from a copy for which an evacuation that is
+// missing from it is kept. Nothing states how fast the operators write it
+// again. Ending it too early sends load to a zone that is being emptied;
+// keeping it costs an idle zone.
+constexpr std::chrono::seconds EvacuationRewriteTime{12};
+// How long a removed server is remembered. Copies are seconds old when the
+// store comes back.
+constexpr std::chrono::seconds RemovedServerMemory{30};
+constexpr std::size_t MaxRemovedServers = 4096;
+
 void logInvalid(std::string_view Key, const core::Findings &Report) {
   core::LogLine(core::LogLevel::Warning, "directory.entry_invalid")
       .field("key", Key)
@@ -68,6 +78,7 @@
       .field("known_revision", core::withoutEra(AsOf));
   DeletionsDeferredUntil =
       std::max(DeletionsDeferredUntil, Now + ReregistrationTime);
+  EvacuationsKeptUntil = Now + internal::EvacuationRewriteTime;
   return true;
 }
 
@@ -223,6 +234,8 @@
     internal::logInvalid(Entry.Key, Report);
     return removeServer(Entry.Key, core::TimePoint::max());
   }
+  if (isRemoved(Entry, *Read, Now))
+    return;
   ServerEntry &Known = Servers[Entry.Key];
   // The first watch after a list reports changes that the list contained.
   if (Entry.Changed < Known.Changed)
@@ -246,9 +259,13 @@
   Read->Server.ColdUntil = Known.Registered.Server.ColdUntil;
   if (Known.Registered == *Read)
     return;
+  // A cold server counts down in its reports, which is no change to log.
+  core::RegisteredServer Counted = *Read;
+  Counted.ColdMs = Known.Registered.ColdMs;
+  const bool Logged = LogsServers && Counted != Known.Registered;
   Read->Server.ColdUntil = internal::coldUntil(Known.Registered, *Read, Now);
   Known.Registered = std::move(*Read);
-  if (LogsServers)
+  if (Logged)
     internal::logServerChange(
         internal::stateName(Known.Registered.Server.State), Known.Registered,
         Entry.Changed);
@@ -295,9 +312,10 @@
   const auto Found = Evacuations.find(Key);
   if (Found == Evacuations.end())
     return;
-  if (isDeferred(Found->second.Changed, Changed, Now)) {
+  if (Now < EvacuationsKeptUntil &&
+      core::eraOf(Found->second.Changed) < core::eraOf(Changed)) {
     Found->second.RemoveAt =
-        std::min(Found->second.RemoveAt, DeletionsDeferredUntil);
+        std::min(Found->second.RemoveAt, EvacuationsKeptUntil);
     return;
   }
   const std::string Zone = std::move(Found->second.Zone);
@@ -355,9 +373,46 @@
     return;
   }
   internal::logServerChange("gone", Found->second.Registered, AsOf);
+  rememberRemoved(Key, Found->second, Now);
   Servers.erase(Found);
 }
 
+void Directory::rememberRemoved(const std::string &Key,
+                                const ServerEntry &Entry, core::TimePoint Now) {
+  const core::RegisteredServer &Server = Entry.Registered;
+  // An invalid entry is removed without a time, and may be corrected.
+  if (Now == core::TimePoint::max() || Server.Sequence == 0 ||
+      Server.Server.Incarnation == 0)
+    return;
+  std::erase_if(RemovedServers,
+                [&](const auto &Item) { return Item.second.Until <= Now; });
+  if (RemovedServers.size() >= internal::MaxRemovedServers)
+    return;
+  RemovedServers.insert_or_assign(
+      Key, RemovedServer{.Incarnation = Server.Server.Incarnation,
+                         .Sequence = Server.Sequence,
+                         .Changed = std::max(AsOf, Entry.Changed),
+                         .Until = Now + internal::RemovedServerMemory});
+}
+
+// Whoever wrote the entry has left, but a store that came back from a copy
+// still has it. A server that lives on writes a report with a higher sequence.
+bool Directory::isRemoved(const core::StoredEntry &Entry,
+                          const core::RegisteredServer &Read,
+                          core::TimePoint Now) const {
+  const auto Found = RemovedServers.find(Entry.Key);
+  if (Found == RemovedServers.end() || Found->second.Until <= Now ||
+      core::eraOf(Entry.Changed) <= core::eraOf(Found->second.Changed) ||
+      Read.Server.Incarnation != Found->second.Incarnation ||
+      Read.Sequence > Found->second.Sequence)
+    return false;
+  core::LogLine(core::LogLevel::Info, "server.removed_before")
+      .field("server", Read.Server.Id)
+      .field("sequence", Read.Sequence)
+      .field("known", Found->second.Sequence);
+  return true;
+}
+
 bool Directory::removeExpired(core::TimePoint Now) {
   std::vector<std::string> Ended;
   for (const auto &[Key, Entry] : Evacuations)
@@ -371,6 +426,7 @@
     if (Item.second.RemoveAt > Now)
       return false;
     internal::logServerChange("gone", Item.second.Registered, AsOf);
+    rememberRemoved(Item.first, Item.second, Now);
     return true;
   });
   return !Ended.empty() || LostVms > 0 || LostServers > 0;
@@ -407,6 +463,8 @@
     Server.Connections = Settings.Connections;
     Server.HealthPath = Settings.HealthPath;
     Server.ColdLimit = Settings.ColdLimit;
+    if (Settings.ColdLimit.MilliPerS == 0)
+      Server.ColdUntil = core::TimePoint::min();
     // Whatever holds for a draining server holds for one of these: no attempt
     // and no probe is sent to it, and requests that it runs go on.
     if (isEvacuated(Server.Zone))
--- a/tests/store/directory_test.cpp
+++ b/tests/store/directory_test.cpp
@@ -275,7 +275,8 @@
   Test.change(Fixture::entry("s/a", "active", restored(4)), Start + 1s);
   cr_assert_eq(Test.Known.nextRemoval(), Start + 2s);
   cr_assert(Test.Known.removeExpired(Start + 2s));
-  cr_assert_eq(activeServers(Test), 1);
+  cr_assert_eq(Test.servers().size(), 1);
+  cr_assert_eq(activeServers(Test), 0);
   cr_assert(Test.Known.vms().empty());
 }
 
@@ -371,3 +372,48 @@
               Start);
   cr_assert_eq(Known.vms().front().Address, "y");
 }
+
+// Guards against a server that gets calls again because a copy of the store
+// still has it, and against one that lives on and is ignored.
+Test(Directory, server_removed_before_a_restore_does_not_come_back) {
+  Fixture Test;
+  Test.change(Fixture::entry("s/a", "draining 8", 10));
+  Test.change(Fixture::deletion("s/a", 11));
+  Test.change(Fixture::entry("s/b", "active 5", 12));
+  Test.change(Fixture::deletion("s/b", 13));
+  Test.Known.replace(
+      {.Entries = {Fixture::entry("s/a", "active 4", restored(2)),
+                   Fixture::entry("s/b", "active 5", restored(3))},
+       .AsOf = restored(4)},
+      Start + 5s);
+  cr_assert(Test.servers().empty());
+  Test.change(Fixture::entry("s/b", "active 6", restored(5)), Start + 6s);
+  cr_assert_eq(activeServers(Test), 1);
+}
+
+// Guards against a zone that gets load again before the operators have written
+// its evacuation again, and against one that stays unused.
+Test(Directory, evacuation_missing_after_a_restore_is_kept_for_longer) {
+  Fixture Test;
+  Test.change(Fixture::entry("e/z1", "{}", 10));
+  Test.Known.apply({.Entries = {Fixture::entry("s/a", "active", restored(2))},
+                    .AsOf = restored(3)},
+                   Start);
+  Test.Known.removeExpired(Start + 11s);
+  cr_assert_eq(Test.Known.evacuatedZones(), 1);
+  cr_assert_eq(Test.Known.nextRemoval(), Start + 12s);
+  cr_assert(Test.Known.removeExpired(Start + 12s));
+  cr_assert_eq(Test.Known.evacuatedZones(), 0);
+}
+
+// Guards against a service without a limit for cold servers that changes when
+// its servers report that they are cold.
+Test(Directory, cold_time_does_not_count_without_a_limit) {
+  Fixture Test;
+  Test.Codec.ColdLimit = {};
+  Test.change(Fixture::entry("config", "6", 9));
+  const auto First = Test.Known.buildSnapshot(Test.Empty);
+  Test.change(Fixture::entry("s/a", "active 1 3000", 10));
+  const auto Second = Test.Known.buildSnapshot(*First);
+  cr_assert(First->entries().at("tags") == Second->entries().at("tags"));
+}
--- a/tests/store/plain_codec.hpp
+++ b/tests/store/plain_codec.hpp
@@ -32,9 +32,14 @@
     Result.Routing = std::make_shared<core::RoutingTable>(
         std::stoull(std::string(Value)), std::vector<core::Route>{},
         core::CallerLimits{});
-    Result.Services.emplace("tags", core::ServiceSettings{});
+    core::ServiceSettings Settings;
+    Settings.ColdLimit = ColdLimit;
+    Result.Services.emplace("tags", Settings);
     return Result;
   }
+  /// Limit of cold servers of the service.
+  core::RateLimit ColdLimit{.MilliPerS = 3600};
+
   [[nodiscard]] std::optional<core::RegisteredServer>
   decodeServer(std::string_view Key, std::string_view Value,
                core::Findings &Report) const override {
