Learn nothing from calls that a cold start overlaps, and begin its limit empty

A call that ran when its server became cold was learned from; now it counts as cold if the server is cold at its start or its end.

--- a/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
@@ -31,12 +31,14 @@
   /// @brief Applies the limit of a cold server, and a later end of its cold
   /// start than the known one. After the end the limit rises for a short time
   /// before it is lifted.
-  /// @param NewLimit MilliPerS is 0 if a cold server has no limit.
-  void setCold(core::RateLimit NewLimit, core::TimePoint Until) noexcept;
+  /// @param NewLimit MilliPerS is 0 if a cold server has no limit; then it
+  /// counts as warm.
+  void setCold(core::RateLimit NewLimit, core::TimePoint Until,
+               core::TimePoint Now) noexcept;
 
-  /// @brief Whether the server is cold.
+  /// @brief Whether the server is cold and has a limit for that time.
   [[nodiscard]] bool cold(core::TimePoint Now) const noexcept {
-    return Now < ColdUntil;
+    return ColdLimit.MilliPerS != 0 && Now < ColdUntil;
   }
 
   [[nodiscard]] bool limited(core::TimePoint Now) const noexcept {
--- a/packages/decision/include/jujubecart/decision/internal/server_record.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_record.hpp
@@ -17,6 +17,8 @@
   core::TimePoint Start;
   /// Incarnation of the server at that time.
   std::uint64_t Incarnation = 0;
+  /// Whether the server was cold at that time.
+  bool Cold = false;
 };
 
 /// @brief State that a GroupDispatcher keeps about one backend server.
--- a/packages/decision/src/group_dispatcher.cpp
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -48,7 +48,7 @@
   Implementation(DispatchGroup Group, const DispatcherOptions &Options,
                  core::TimePoint Now)
       : Group(std::move(Group)), Options(Options),
-        Table(this->Group.Servers, Options), Probes(Options, Now),
+        Table(this->Group.Servers, Options, Now), Probes(Options, Now),
         Random(Options.Seed), Grants(Random() >> 1), LatestTime(Now) {}
 
   /// @brief Records the current time; called first by every operation.
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -76,7 +76,7 @@
     if (New) {
       Servers.emplace_back().Config = Config;
       Servers.back().Limiter.setShare(LimitShare, core::TimePoint());
-      Servers.back().Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
+      Servers.back().Limiter.setCold(Config.ColdLimit, Config.ColdUntil, Now);
       continue;
     }
     ServerLoad &Server = Servers[Entry->second];
@@ -96,7 +96,7 @@
     }
     Server.Config = Config;
     Server.Configured = true;
-    Server.Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
+    Server.Limiter.setCold(Config.ColdLimit, Config.ColdUntil, Now);
   }
   updateTotals(Now);
 }
@@ -241,7 +241,7 @@
       Call.PacePercent ? std::max(1.0, *Call.PacePercent / PercentPerUnit)
                        : Pace.slowFactor();
   const double Saturation = Call.Saturated ? Server.Saturation.factor() : 1;
-  const double Cold = Call.Cold ? ColdSlowdown : 1;
+  const double Cold = Call.Cold || Server.Limiter.cold(Now) ? ColdSlowdown : 1;
   return microseconds(Now - Call.Start) > OverdueFactor * Slowdown * Cold *
                                               Saturation * Call.ExpectedUs *
                                               Server.ServiceTimeFactor;
@@ -416,8 +416,9 @@
     // Otherwise the servers of a zone that is cut would look as good as others
     // until their calls reach their deadline, and the price keeps calls there.
     Server.Silent = true;
-  if (Result.ColdUntil && !Server.Limiter.cold(Now)) {
-    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil);
+  if (Result.ColdUntil && Server.Config.ColdLimit.MilliPerS != 0 &&
+      !Server.Limiter.cold(Now)) {
+    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil, Now);
     updateTotals(Now);
   }
   if (Result.Load)
--- a/packages/decision/src/load_table_results.cpp
+++ b/packages/decision/src/load_table_results.cpp
@@ -50,8 +50,10 @@
       [&](const RunningCall &Call) { return Call.GrantId == GrantId; });
   if (Found == Server.Calls.end())
     return;
-  const RunningCall Call = *Found;
+  RunningCall Call = *Found;
   Server.Calls.erase(Found);
+  // A running call is slowed too when its server becomes cold.
+  Call.Cold = Call.Cold || Server.Limiter.cold(Now);
   const bool Succeeded =
       Report.Outcome == core::CallOutcome::Completed && !Report.ServerError;
   if (Succeeded)
--- a/packages/decision/src/server_rate_limiter.cpp
+++ b/packages/decision/src/server_rate_limiter.cpp
@@ -57,10 +57,18 @@
   Share = NewShare;
 }
 
-void ServerRateLimiter::setCold(core::RateLimit NewLimit,
-                                core::TimePoint Until) noexcept {
+void ServerRateLimiter::setCold(core::RateLimit NewLimit, core::TimePoint Until,
+                                core::TimePoint Now) noexcept {
+  const bool WasLimited = limited(Now);
   ColdLimit = NewLimit;
-  ColdUntil = std::max(ColdUntil, Until);
+  if (NewLimit.MilliPerS != 0)
+    ColdUntil = std::max(ColdUntil, Until);
+  // Dispatchers on many VMs may learn of the cold server at the same time. If
+  // each of them could send a call at once, it would get all of these calls.
+  if (!WasLimited && limited(Now)) {
+    Tokens = 0;
+    RefilledAt = Now;
+  }
 }
 
 bool ServerRateLimiter::coldLimited(core::TimePoint Now) const noexcept {
--- a/packages/decision/src/server_table.cpp
+++ b/packages/decision/src/server_table.cpp
@@ -24,11 +24,11 @@
 } // namespace
 
 ServerTable::ServerTable(const std::vector<core::BackendServer> &Configured,
-                         DispatcherOptions Options)
+                         DispatcherOptions Options, core::TimePoint Now)
     : Options(Options), Random(Options.Seed),
       MeanServiceUs(static_cast<double>(Options.InitialServiceTime.count())) {
   BucketHeads.fill(NoIndex);
-  configure(Configured, core::TimePoint{});
+  configure(Configured, Now);
 }
 
 void ServerTable::configure(const std::vector<core::BackendServer> &Configured,
@@ -43,7 +43,7 @@
       Servers.emplace_back().Config = Config;
       Servers.back().Zone = internZone(Config.Zone);
       Servers.back().Limiter.setShare(LimitShare, Now);
-      Servers.back().Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
+      Servers.back().Limiter.setCold(Config.ColdLimit, Config.ColdUntil, Now);
       Servers.back().Calls.reserve(Config.Slots + Options.Margin + 1);
       if (!Initial)
         Servers.back().Health.startRamp(Now);
@@ -67,7 +67,7 @@
     Server.Config = Config;
     Server.Configured = true;
     Server.Zone = internZone(Config.Zone);
-    Server.Limiter.setCold(Config.ColdLimit, Config.ColdUntil);
+    Server.Limiter.setCold(Config.ColdLimit, Config.ColdUntil, Now);
   }
   updateCounts(Now);
 }
@@ -76,7 +76,10 @@
                            core::TimePoint Now) {
   Servers[Index].Limiter.take(Now);
   Servers[Index].Calls.push_back(
-      {GrantId, Now, Servers[Index].Config.Incarnation});
+      {.GrantId = GrantId,
+       .Start = Now,
+       .Incarnation = Servers[Index].Config.Incarnation,
+       .Cold = Servers[Index].Limiter.cold(Now)});
   update(Index, Now);
   if (Servers[Index].Health.ejected())
     updateNextTrial();
@@ -103,7 +106,12 @@
       Server.Suspect = true;
     if (Elapsed < FastResponse * MeanServiceUs)
       Server.Suspect = false;
-    if (SlotWasFree && !Server.Limiter.cold(Now)) {
+    const bool StartedCold =
+        std::any_of(Server.Calls.begin(), Server.Calls.end(),
+                    [GrantId](const OutstandingCall &Call) {
+                      return Call.GrantId == GrantId && Call.Cold;
+                    });
+    if (SlotWasFree && !StartedCold && !Server.Limiter.cold(Now)) {
       if (Server.ServiceUs == 0)
         Server.ServiceUs = MeanServiceUs;
       Server.ServiceUs += (Elapsed - Server.ServiceUs) * ServerWeight;
@@ -184,7 +192,7 @@
   ServerRecord &Server = Servers[Index];
   Server.Health.onProbe(Result, Now);
   if (Result.ColdUntil)
-    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil);
+    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil, Now);
   if (!Server.Health.ejected())
     updateEjection(Server, Result.State == ProbeState::Unreachable, false, Now);
   updateCounts(Now);
