--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -10,6 +10,16 @@
 
 namespace internal {
 
+// Time after the store came back from a copy for which an evacuation that is
+// missing from it is kept. Nothing states how fast the operators write it
+// again. Ending it too early sends load to a zone that is being emptied;
+// keeping it costs an idle zone.
+constexpr std::chrono::seconds EvacuationRewriteTime{12};
+// How long a removed server is remembered. Copies are seconds old when the
+// store comes back.
+constexpr std::chrono::seconds RemovedServerMemory{30};
+constexpr std::size_t MaxRemovedServers = 4096;
+
 void logInvalid(std::string_view Key, const core::Findings &Report) {
   core::LogLine(core::LogLevel::Warning, "directory.entry_invalid")
       .field("key", Key)
@@ -68,6 +78,7 @@
       .field("known_revision", core::withoutEra(AsOf));
   DeletionsDeferredUntil =
       std::max(DeletionsDeferredUntil, Now + ReregistrationTime);
+  EvacuationsKeptUntil = Now + internal::EvacuationRewriteTime;
   return true;
 }
 
@@ -89,31 +100,33 @@
     endEvacuation(Key, Now, AsOf);
 }
 
-void Directory::replace(const core::EntryList &All, core::TimePoint Now) {
-  // Another VM has reported a later era while the list was under way.
-  if (core::eraOf(All.AsOf) < core::eraOf(AsOf))
-    return;
+// Another VM may have reported later changes while the list was under way, and
+// snapshots may be older than what was read before. All changes up to AsOf are
+// known, so an older list has nothing to add and lacks the later changes.
+bool Directory::replace(const core::EntryList &All, core::TimePoint Now) {
+  if (All.AsOf < AsOf) {
+    core::LogLine(core::LogLevel::Info, "directory.older_list")
+        .field("revision", All.AsOf)
+        .field("known", AsOf);
+    return false;
+  }
   beginEra(All.AsOf, Now);
   std::set<std::string, std::less<>> Present;
   for (const core::StoredEntry &Entry : All.Entries)
     Present.insert(Entry.Key);
-  std::vector<std::string> Missing;
-  for (const auto &[Key, Entry] : Servers)
-    if (!Present.contains(Key))
-      Missing.push_back(Key);
-  for (const std::string &Key : Missing)
+  // An earlier list may have contained entries that were newer than its AsOf.
+  const auto MissingKeys = [&](const auto &Known) {
+    std::vector<std::string> Keys;
+    for (const auto &[Key, Entry] : Known)
+      if (!Present.contains(Key) && Entry.Changed <= All.AsOf)
+        Keys.push_back(Key);
+    return Keys;
+  };
+  for (const std::string &Key : MissingKeys(Servers))
     removeServer(Key, Now);
-  Missing.clear();
-  for (const auto &[Key, Entry] : Vms)
-    if (!Present.contains(Key))
-      Missing.push_back(Key);
-  for (const std::string &Key : Missing)
+  for (const std::string &Key : MissingKeys(Vms))
     removeVm(Key, Now, All.AsOf);
-  Missing.clear();
-  for (const auto &[Key, Entry] : Evacuations)
-    if (!Present.contains(Key))
-      Missing.push_back(Key);
-  for (const std::string &Key : Missing)
+  for (const std::string &Key : MissingKeys(Evacuations))
     endEvacuation(Key, Now, All.AsOf);
   // One line for the first list instead of one for each of its servers: at the
   // start of a VM the log would cost more time than the list itself.
@@ -134,6 +147,7 @@
       .field("servers", Servers.size())
       .field("vms", Vms.size())
       .field("revision", AsOf);
+  return true;
 }
 
 core::EntryChanges Directory::changesTo(const core::EntryList &All) const {
@@ -156,7 +170,7 @@
   // The revision of a deletion is not in the list.
   const auto AddMissing = [&](const auto &Known) {
     for (const auto &[Key, Entry] : Known)
-      if (!Present.contains(Key))
+      if (!Present.contains(Key) && Entry.Changed <= All.AsOf)
         Changes.push_back({.Key = Key, .Value = {}, .Changed = All.AsOf});
   };
   AddMissing(Servers);
@@ -220,6 +234,8 @@
     internal::logInvalid(Entry.Key, Report);
     return removeServer(Entry.Key, core::TimePoint::max());
   }
+  if (isRemoved(Entry, *Read, Now))
+    return;
   ServerEntry &Known = Servers[Entry.Key];
   // The first watch after a list reports changes that the list contained.
   if (Entry.Changed < Known.Changed)
@@ -243,9 +259,13 @@
   Read->Server.ColdUntil = Known.Registered.Server.ColdUntil;
   if (Known.Registered == *Read)
     return;
+  // A cold server counts down in its reports, which is no change to log.
+  core::RegisteredServer Counted = *Read;
+  Counted.ColdMs = Known.Registered.ColdMs;
+  const bool Logged = LogsServers && Counted != Known.Registered;
   Read->Server.ColdUntil = internal::coldUntil(Known.Registered, *Read, Now);
   Known.Registered = std::move(*Read);
-  if (LogsServers)
+  if (Logged)
     internal::logServerChange(
         internal::stateName(Known.Registered.Server.State), Known.Registered,
         Entry.Changed);
@@ -254,6 +274,9 @@
 void Directory::applyVm(const core::StoredEntry &Entry, core::TimePoint Now) {
   if (!Entry.Value)
     return removeVm(Entry.Key, Now, Entry.Changed);
+  const auto Known = Vms.find(Entry.Key);
+  if (Known != Vms.end() && Entry.Changed < Known->second.Changed)
+    return;
   core::Findings Report(Entry.Key);
   if (auto Read = Codec.decodeVm(Entry.Key, *Entry.Value, Report))
     Vms.insert_or_assign(Entry.Key, VmEntry{.Registered = std::move(*Read),
@@ -289,9 +312,10 @@
   const auto Found = Evacuations.find(Key);
   if (Found == Evacuations.end())
     return;
-  if (isDeferred(Found->second.Changed, Changed, Now)) {
+  if (Now < EvacuationsKeptUntil &&
+      core::eraOf(Found->second.Changed) < core::eraOf(Changed)) {
     Found->second.RemoveAt =
-        std::min(Found->second.RemoveAt, DeletionsDeferredUntil);
+        std::min(Found->second.RemoveAt, EvacuationsKeptUntil);
     return;
   }
   const std::string Zone = std::move(Found->second.Zone);
@@ -349,9 +373,46 @@
     return;
   }
   internal::logServerChange("gone", Found->second.Registered, AsOf);
+  rememberRemoved(Key, Found->second, Now);
   Servers.erase(Found);
 }
 
+void Directory::rememberRemoved(const std::string &Key,
+                                const ServerEntry &Entry, core::TimePoint Now) {
+  const core::RegisteredServer &Server = Entry.Registered;
+  // An invalid entry is removed without a time, and may be corrected.
+  if (Now == core::TimePoint::max() || Server.Sequence == 0 ||
+      Server.Server.Incarnation == 0)
+    return;
+  std::erase_if(RemovedServers,
+                [&](const auto &Item) { return Item.second.Until <= Now; });
+  if (RemovedServers.size() >= internal::MaxRemovedServers)
+    return;
+  RemovedServers.insert_or_assign(
+      Key, RemovedServer{.Incarnation = Server.Server.Incarnation,
+                         .Sequence = Server.Sequence,
+                         .Changed = std::max(AsOf, Entry.Changed),
+                         .Until = Now + internal::RemovedServerMemory});
+}
+
+// Whoever wrote the entry has left, but a store that came back from a copy
+// still has it. A server that lives on writes a report with a higher sequence.
+bool Directory::isRemoved(const core::StoredEntry &Entry,
+                          const core::RegisteredServer &Read,
+                          core::TimePoint Now) const {
+  const auto Found = RemovedServers.find(Entry.Key);
+  if (Found == RemovedServers.end() || Found->second.Until <= Now ||
+      core::eraOf(Entry.Changed) <= core::eraOf(Found->second.Changed) ||
+      Read.Server.Incarnation != Found->second.Incarnation ||
+      Read.Sequence > Found->second.Sequence)
+    return false;
+  core::LogLine(core::LogLevel::Info, "server.removed_before")
+      .field("server", Read.Server.Id)
+      .field("sequence", Read.Sequence)
+      .field("known", Found->second.Sequence);
+  return true;
+}
+
 bool Directory::removeExpired(core::TimePoint Now) {
   std::vector<std::string> Ended;
   for (const auto &[Key, Entry] : Evacuations)
@@ -365,6 +426,7 @@
     if (Item.second.RemoveAt > Now)
       return false;
     internal::logServerChange("gone", Item.second.Registered, AsOf);
+    rememberRemoved(Item.first, Item.second, Now);
     return true;
   });
   return !Ended.empty() || LostVms > 0 || LostServers > 0;
@@ -401,6 +463,8 @@
     Server.Connections = Settings.Connections;
     Server.HealthPath = Settings.HealthPath;
     Server.ColdLimit = Settings.ColdLimit;
+    if (Settings.ColdLimit.MilliPerS == 0)
+      Server.ColdUntil = core::TimePoint::min();
     // Whatever holds for a draining server holds for one of these: no attempt
     // and no probe is sent to it, and requests that it runs go on.
     if (isEvacuated(Server.Zone))
