Refuse to count requests of other VMs before a VM gets reports

A VM that was asked as dispatcher before it knew its rank had less than a token and answered 429 to requests within the quota. It updates its ranks now if the members or the configuration changed, and otherwise answers NotReady, so that the requester asks the next dispatcher and last its own. RankMutex guards the ranks, which were used by the loop only.

--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -171,6 +171,9 @@
               std::uint8_t SlotPricePercent);
   void onGroupsChanged(const GroupDirectory::Index &Index);
 
+  /// @brief Whether this VM may count a request of another VM. Updates the
+  /// ranks first if it does not; call it without locks held.
+  [[nodiscard]] bool countsForOthers(std::uint64_t Workspace);
   [[nodiscard]] decision::QuotaDecision
   countRequest(std::uint64_t Workspace, core::RequestId Request, bool Alone);
   /// @brief Gives the token of a call that got no slot back to its workspace.
@@ -197,13 +200,15 @@
   std::atomic<bool> Stopped{false};
   std::atomic<bool> Sleeping{false};
   std::atomic<decision::CallToken> LastToken{0};
+  /// Guards the ranks. Locked before the mutex of a group.
+  std::mutex RankMutex;
   // Member version and configuration revision of the last updateRanks().
   std::uint64_t RankedMemberVersion = 0;
   core::Revision RankedConfigRevision = 0;
 
   /// Locked after the mutex of a group.
   decision::WorkspaceQuotas Quotas;
-  /// VMs to which quota reports are sent; used by the loop only.
+  /// VMs to which quota reports are sent; guarded by RankMutex.
   std::vector<core::Member> QuotaReceivers;
 
   // Guards Groups and Clients. Held only for lookups; never held while the
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -149,6 +149,7 @@
 // Recomputes for which groups this VM ranks first; only that VM probes the
 // servers of a group.
 void DispatchService::updateRanks() {
+  const std::lock_guard RankLock(RankMutex);
   const GroupDirectory::Index Index = Env.Groups.current();
   const std::uint64_t Version = Env.Members.version();
   if (Version == RankedMemberVersion && Index->Revision == RankedConfigRevision)
--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -4,6 +4,14 @@
 
 namespace jujubecart::peers {
 
+// Another VM may learn of this VM's rank before this VM does.
+bool DispatchService::countsForOthers(std::uint64_t Workspace) {
+  if (Quotas.decidesForOthers(Workspace))
+    return true;
+  updateRanks();
+  return Quotas.decidesForOthers(Workspace);
+}
+
 decision::QuotaDecision DispatchService::countRequest(std::uint64_t Workspace,
                                                       core::RequestId Request,
                                                       bool Alone) {
@@ -71,7 +79,12 @@
   if (!Items)
     return;
   const QuotaReport Report{.Items = std::move(*Items)};
-  for (const core::Member &Vm : QuotaReceivers) {
+  std::vector<core::Member> Receivers;
+  {
+    const std::lock_guard Lock(RankMutex);
+    Receivers = QuotaReceivers;
+  }
+  for (const core::Member &Vm : Receivers) {
     if (const LinkPtr Open = Env.Links.find(Vm.Id))
       Open->send(Report);
     else
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -127,7 +127,12 @@
   const decision::CallToken Token = Item.Token;
   Item.Claimed = !Key;
   decision::QuotaDecision Quota;
-  if (Item.Workspace != 0 && Facts.CountsAgainstQuota) {
+  const bool Counts = Item.Workspace != 0 && Facts.CountsAgainstQuota;
+  // A VM that no report reaches has less than a token. The requester then asks
+  // another dispatcher, and last its own.
+  const bool Ready =
+      !Counts || !Item.Requester || countsForOthers(Item.Workspace);
+  if (Counts && Ready) {
     Quota = countRequest(Item.Workspace, Request, false);
     Item.UsesQuota = Quota.Admitted;
   }
@@ -150,6 +155,9 @@
     const std::lock_guard Lock(Target->Mutex);
     Target->LastUsed = Env.Time.now();
     Target->Calls.emplace(Token, std::move(Item));
+    if (!Ready)
+      return refuse(*Target, Token, core::Error::NotReady,
+                    std::chrono::milliseconds(0), 0);
     if (!Quota.Admitted)
       return refuse(*Target, Token, core::Error::QuotaExceeded,
                     Quota.RetryAfter, 0);
--- a/tests/peers/quota_test.cpp
+++ b/tests/peers/quota_test.cpp
@@ -12,7 +12,9 @@
 /// @brief A fleet whose only service has many slots and whose configuration has
 /// one workspace.
 struct QuotaFleet : Cluster {
-  explicit QuotaFleet(std::size_t Servers = 20) : Cluster(Servers) {
+  explicit QuotaFleet(std::size_t Servers = 20, std::size_t Size = 3,
+                      bool WaitForRank = true)
+      : Cluster(Servers, Size) {
     const auto Services = snapshot(2, Servers)->entries();
     const auto Routing = std::make_shared<core::RoutingTable>(
         1, std::vector<core::Route>{}, core::CallerLimits{},
@@ -21,8 +23,9 @@
       cr_assert(Item->Config.apply(
           std::make_shared<core::ConfigSnapshot>(2, Services, Routing)));
     // Until then the dispatcher takes itself for a VM that decides alone.
-    cr_assert(eventually(
-        [&] { return !dispatcher().Node.dispatch().status().empty(); }));
+    cr_assert(!WaitForRank || eventually([&] {
+      return !dispatcher().Node.dispatch().status().empty();
+    }));
   }
 
   [[nodiscard]] static core::SlotRequest counted() {
@@ -93,3 +96,28 @@
   cr_assert(eventually(
       [&] { return Fleet.second().Node.dispatch().quotaWorkspaces() == 1; }));
 }
+
+// Guards against a dispatcher that refuses a request within the quota because
+// it has not noticed yet that it ranks first.
+Test(Quota, dispatcher_that_was_asked_before_it_updated_its_rank_grants) {
+  QuotaFleet Fleet(20, 3, false);
+  cr_assert(Fleet.second().acquire(QuotaFleet::counted()).has_value());
+}
+
+// Guards against a VM without reports that answers 429 to another VM, and
+// against a request that nobody decides when no dispatcher counts it.
+Test(Quota, vm_without_reports_leaves_the_decision_to_the_requester) {
+  QuotaFleet Fleet(20, 4);
+  Vm &Requester = *Fleet.Ranked[3];
+  // Stopped without notice, so that the others still take them for live.
+  Fleet.dispatcher().Context.stop();
+  Fleet.second().Context.stop();
+  core::SlotRequest Request = QuotaFleet::counted();
+  // A request without a key is not sent to a second dispatcher.
+  Request.Key = core::OrderKey{.High = 1, .Low = 1};
+  const auto Result = Requester.acquire(std::move(Request));
+  cr_assert(!Result);
+  cr_assert_eq(Result.error(), core::Error::QuotaExceeded);
+  cr_assert_eq(Fleet.third().Node.links().counters().QuotaRequests, 0);
+  cr_assert_eq(Requester.Node.links().counters().QuotaRequests, 1);
+}
