Let the fixture of the quota tests bear a revision that came first from a peer

Cause: in about 1 of 20 runs a VM of the fixture got the services of a revision from its neighbour, without the workspaces, before the fixture applied it, and the assertion failed (report of the run of peers_test). Change: all VMs get the next revision then.

--- a/tests/peers/quota_test.cpp
+++ b/tests/peers/quota_test.cpp
@@ -19,15 +19,29 @@
     const auto Routing = std::make_shared<core::RoutingTable>(
         1, std::vector<core::Route>{}, core::CallerLimits{},
         core::WorkspaceTable({{.Item = Club, .Keys = {}}}));
-    for (const auto &Item : Vms)
-      cr_assert(Item->Config.apply(
-          std::make_shared<core::ConfigSnapshot>(2, Services, Routing)));
+    // A VM that has a revision passes its services on, without the workspaces.
+    // A VM that got them this way refuses the same revision, so all get the
+    // next one.
+    constexpr core::Revision MaxRevision = 20;
+    core::Revision Revision = 2;
+    while (!applyToAll({Revision, Services, Routing}))
+      cr_assert_lt(++Revision, MaxRevision);
     // Until then the dispatcher takes itself for a VM that decides alone.
     cr_assert(!WaitForRank || eventually([&] {
       return !dispatcher().Node.dispatch().status().empty();
     }));
   }
 
+  /// @return Whether no VM had the revision of the snapshot already.
+  [[nodiscard]] bool applyToAll(const core::ConfigSnapshot &Snapshot) {
+    bool All = true;
+    for (const auto &Item : Vms)
+      All = Item->Config.apply(
+                std::make_shared<core::ConfigSnapshot>(Snapshot)) &&
+            All;
+    return All;
+  }
+
   [[nodiscard]] static core::SlotRequest counted() {
     core::SlotRequest Item = request();
     Item.Workspace = Club.hash();
