Repeat late calls unless the budget is low and the rejection by chance

Cause: a rejection after the objective ended a call although tokens were left, also if the server was full, draining or replaced and another had room. Change: the attempt is refused only if the server reported a free slot, stated no other reason, and less than half of the savable tokens are left.

--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -104,7 +104,7 @@
   [[nodiscard]] bool idempotent() const noexcept;
   [[nodiscard]] bool keepAsFallback(const AttemptPtr &Current);
   [[nodiscard]] core::Awaitable<AttemptPtr> runNextAttempt();
-  [[nodiscard]] bool tryTakeRetry(core::CallOutcome Outcome);
+  [[nodiscard]] bool tryTakeRetry(const Attempt &Last);
   /// Whether another slot may be acquired after one that was not used.
   [[nodiscard]] bool mayAcquireAgain() const;
   [[nodiscard]] bool allowsAnotherAttempt() const;
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -18,9 +18,12 @@
 
 decision::RejectedCall rejectedCall(const Attempt &Last,
                                     core::TimePoint Objective) {
-  return {.Load = Last.report().Load,
+  const core::CallReport Report = Last.report();
+  return {.Load = Report.Load,
           .Slots = Last.Grant.Server.Slots,
-          .Objective = Objective};
+          .Objective = Objective,
+          .ReasonStated =
+              Report.Draining || Report.OtherInstance || Report.Limit};
 }
 
 // Number from 0 to 1 that is the same for each response to a request.
@@ -107,7 +110,7 @@
     if (Ready && !keepAsFallback(Next))
       co_return co_await relay(Next);
     Next->release();
-    if (!Next->Granted || (!Ready && !tryTakeRetry(Outcome))) {
+    if (!Next->Granted || (!Ready && !tryTakeRetry(*Next))) {
       // Otherwise the hint of a dispatcher applies, which expects full servers.
       if (Outcome == core::CallOutcome::Rejected && Route != nullptr)
         if (const auto At = decision::returnTime(rejectedCall(*Next, Objective),
@@ -134,7 +137,7 @@
 bool Call::keepAsFallback(const AttemptPtr &Current) {
   if (Route == nullptr || !idempotent() || !Current->Exchange->complete() ||
       Current->Exchange->head().result_int() < ServerError ||
-      !tryTakeRetry(core::CallOutcome::Completed))
+      !tryTakeRetry(*Current))
     return false;
   FallbackAttempt = Current;
   return true;
@@ -228,13 +231,16 @@
 
 // Takes a token from the retry budget if another attempt is allowed. A request
 // that is not idempotent is not sent again once it may have run.
-bool Call::tryTakeRetry(core::CallOutcome Outcome) {
+bool Call::tryTakeRetry(const Attempt &Last) {
+  const core::CallOutcome Outcome = Last.report().Outcome;
   if (Outcome == core::CallOutcome::Withheld)
     return mayAcquireAgain();
   if (!allowsAnotherAttempt() || !Execution.maySendAgain(idempotent()))
     return false;
   if (Route != nullptr && Outcome == core::CallOutcome::Rejected &&
-      !decision::worthRepeat({.Objective = Objective},
+      !decision::worthRepeat(rejectedCall(Last, Objective),
+                             State.Dependencies.Retries.nearlyUsed(
+                                 Service->Name),
                              State.Dependencies.Time.now()))
     return false;
   // Nothing arrived at a backend server, so no token is taken.
--- a/packages/decision/include/jujubecart/decision/rejected_call.hpp
+++ b/packages/decision/include/jujubecart/decision/rejected_call.hpp
@@ -18,16 +18,21 @@
   /// Latest completion time that meets the latency objective; max if there is
   /// none.
   core::TimePoint Objective = core::TimePoint::max();
+  /// Whether the server stated a reason that lasts: it is draining, another
+  /// instance answered, or a rate limit applies.
+  bool ReasonStated = false;
 };
 
 /// @brief Whether the server rejected the call although it had a free slot, so
-/// that the next attempt may succeed at once. False without a load report.
+/// that the next attempt may succeed at once. False without a load report or if
+/// the server stated another reason.
 [[nodiscard]] bool rejectedWithFreeSlot(const RejectedCall &Call) noexcept;
 
-/// @brief Whether another attempt is worth a token of the retry budget: tokens
-/// are scarce while servers reject calls, and a call whose objective has passed
-/// has a tenth of its value left.
-[[nodiscard]] bool worthRepeat(const RejectedCall &Call,
+/// @brief Whether another attempt is worth a token of the retry budget. While
+/// servers with free slots reject calls, tokens become scarce, and a call whose
+/// objective has passed has a tenth of its value left.
+/// @param BudgetLow Whether the retry budget is nearly used.
+[[nodiscard]] bool worthRepeat(const RejectedCall &Call, bool BudgetLow,
                                core::TimePoint Now) noexcept;
 
 /// @brief When the caller should return if no other attempt is made.
--- a/packages/decision/include/jujubecart/decision/retry_budget.hpp
+++ b/packages/decision/include/jujubecart/decision/retry_budget.hpp
@@ -32,6 +32,9 @@
   /// @return Whether the retry may be made.
   [[nodiscard]] bool tryTake(std::string_view Service);
 
+  /// @brief Whether less than half of the retries that can be saved are left.
+  [[nodiscard]] bool nearlyUsed(std::string_view Service);
+
   /// @brief Changes RetryBudgetOptions::MaxSaved.
   void setMaxSaved(double Retries);
 
--- a/packages/decision/src/rejected_call.cpp
+++ b/packages/decision/src/rejected_call.cpp
@@ -18,11 +18,14 @@
 } // namespace
 
 bool rejectedWithFreeSlot(const RejectedCall &Call) noexcept {
-  return Call.Load && Call.Load->InFlight < Call.Slots;
+  return !Call.ReasonStated && Call.Load && Call.Load->InFlight < Call.Slots;
 }
 
-bool worthRepeat(const RejectedCall &Call, core::TimePoint Now) noexcept {
-  return Now < Call.Objective;
+// Without a free slot, or with a stated reason, another server may well serve
+// the call, and such rejections are too few to use up the budget.
+bool worthRepeat(const RejectedCall &Call, bool BudgetLow,
+                 core::TimePoint Now) noexcept {
+  return Now < Call.Objective || !BudgetLow || !rejectedWithFreeSlot(Call);
 }
 
 std::optional<core::TimePoint> returnTime(const RejectedCall &Call,
--- a/packages/decision/src/retry_budget.cpp
+++ b/packages/decision/src/retry_budget.cpp
@@ -29,6 +29,12 @@
   return true;
 }
 
+bool RetryBudget::nearlyUsed(std::string_view Service) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Tokens.find(Service);
+  return Found == Tokens.end() || Found->second < Options.MaxSaved / 2;
+}
+
 void RetryBudget::setMaxSaved(double Retries) {
   const std::lock_guard Lock(Mutex);
   Options.MaxSaved = Retries;
--- a/tests/callers/routes_test.cpp
+++ b/tests/callers/routes_test.cpp
@@ -186,6 +186,32 @@
   cr_assert_geq(RetryAfter("2") / 1ms, 500);
 }
 
+// Guards against calls that end although the budget allows another attempt or
+// the next server has room, because a rejection came after their objective.
+Test(Routes, rejection_after_the_objective_is_repeated) {
+  const auto Status = [](const char *Fields, int RetryTokens) {
+    ScriptedBackend *Self = nullptr;
+    ScriptedBackend Rejecting([&](tcp::socket &Socket, int) {
+      Self->readRequest(Socket);
+      std::this_thread::sleep_for(50ms);
+      send(Socket, response("503 Service Unavailable", "",
+                            std::string("X-Outcome: not-run\r\n") + Fields));
+    });
+    Self = &Rejecting;
+    ScriptedBackend Second(answerWith("ok"));
+    Harness::Settings TestSettings = makeSettings(true);
+    TestSettings.Routes.front().ObjectiveMs = 20;
+    TestSettings.RetryTokens = RetryTokens;
+    Harness Fixture({Rejecting.address(), Second.address()}, TestSettings);
+    return statusOf(Fixture.call(Get));
+  };
+  cr_expect_eq(Status("X-Load: 0\r\n", 10), 200, "with a full budget");
+  cr_expect_eq(Status("X-Load: 2\r\n", 1), 200, "full server");
+  cr_expect_eq(Status("", 1), 200, "no load report");
+  cr_expect_eq(Status("X-Load: 0\r\nX-Drain: 1\r\n", 1), 200, "draining");
+  cr_expect_eq(Status("X-Load: 0\r\n", 1), 503, "with a low budget");
+}
+
 // Guards against an order that has run and is answered with a status that
 // promises the opposite, because the backend server answered so.
 Test(Routes, order_that_may_have_run_is_not_answered_as_not_run) {
--- a/tests/decision/objective_simulation.cpp
+++ b/tests/decision/objective_simulation.cpp
@@ -361,7 +361,7 @@
                                          .Objective =
                                              Call.Arrival + Class.Objective};
   if (Call.Attempts < Class.MaxAttempts && RetryTokens >= 1 &&
-      decision::worthRepeat(Rejection, Now)) {
+      decision::worthRepeat(Rejection, RetryTokens < MaxRetryTokens / 2, Now)) {
     RetryTokens -= 1;
     enqueue(std::move(Call));
     return;
