Ask rejected callers back early only if that can help

Cause: callers were asked back within 10 ms after their objective had passed, and by servers that drain, were replaced or state a rate limit. Change: no return time in these cases, so that the hint of the dispatcher or the default applies; otherwise not before the time that the server asked for.

--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -23,7 +23,8 @@
           .Slots = Last.Grant.Server.Slots,
           .Objective = Objective,
           .ReasonStated =
-              Report.Draining || Report.OtherInstance || Report.Limit};
+              Report.Draining || Report.OtherInstance || Report.Limit,
+          .QuietUntil = Report.QuietUntil};
 }
 
 // Number from 0 to 1 that is the same for each response to a request.
@@ -238,10 +239,10 @@
   if (!allowsAnotherAttempt() || !Execution.maySendAgain(idempotent()))
     return false;
   if (Route != nullptr && Outcome == core::CallOutcome::Rejected &&
-      !decision::worthRepeat(rejectedCall(Last, Objective),
-                             State.Dependencies.Retries.nearlyUsed(
-                                 Service->Name),
-                             State.Dependencies.Time.now()))
+      !decision::worthRepeat(
+          rejectedCall(Last, Objective),
+          State.Dependencies.Retries.nearlyUsed(Service->Name),
+          State.Dependencies.Time.now()))
     return false;
   // Nothing arrived at a backend server, so no token is taken.
   if (Route != nullptr && Outcome == core::CallOutcome::NotSent)
--- a/packages/decision/include/jujubecart/decision/rejected_call.hpp
+++ b/packages/decision/include/jujubecart/decision/rejected_call.hpp
@@ -21,6 +21,8 @@
   /// Whether the server stated a reason that lasts: it is draining, another
   /// instance answered, or a rate limit applies.
   bool ReasonStated = false;
+  /// The server wants no calls before this time.
+  std::optional<core::TimePoint> QuietUntil;
 };
 
 /// @brief Whether the server rejected the call although it had a free slot, so
@@ -38,8 +40,9 @@
 /// @brief When the caller should return if no other attempt is made.
 /// @param Spread Random number from 0 to 1; callers that are rejected at the
 /// same time should not return at the same time.
-/// @return Nothing if the server did not have a free slot or the call has no
-/// objective.
+/// @return Nothing, so that another estimate applies, if the server did not
+/// have a free slot or stated a reason, or the objective has passed or is not
+/// set.
 [[nodiscard]] std::optional<core::TimePoint>
 returnTime(const RejectedCall &Call, core::TimePoint Now, double Spread);
 
--- a/packages/decision/src/rejected_call.cpp
+++ b/packages/decision/src/rejected_call.cpp
@@ -30,14 +30,17 @@
 
 std::optional<core::TimePoint> returnTime(const RejectedCall &Call,
                                           core::TimePoint Now, double Spread) {
-  if (!rejectedWithFreeSlot(Call) || Call.Objective == core::TimePoint::max())
+  if (!rejectedWithFreeSlot(Call) || Now >= Call.Objective ||
+      Call.Objective == core::TimePoint::max())
     return std::nullopt;
   const auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
       Call.Objective - Now);
   const auto Longest =
       std::clamp(Left / LongestWaitShare, MinLongestWait, MaxLongestWait);
-  return Now + std::chrono::duration_cast<std::chrono::microseconds>(
-                   Longest * (0.5 + std::clamp(Spread, 0.0, 1.0) / 2));
+  const core::TimePoint Return =
+      Now + std::chrono::duration_cast<std::chrono::microseconds>(
+                Longest * (0.5 + std::clamp(Spread, 0.0, 1.0) / 2));
+  return Call.QuietUntil ? std::max(Return, *Call.QuietUntil) : Return;
 }
 
 } // namespace jujubecart::decision
--- a/tests/decision/rejected_call_test.cpp
+++ b/tests/decision/rejected_call_test.cpp
@@ -151,3 +151,41 @@
   cr_assert_eq((*decision::returnTime(Call, Now, 1) - Now) / 1ms, 40);
   cr_assert_eq((*decision::returnTime(Call, Now, 0) - Now) / 1ms, 20);
 }
+
+// Guards against an early return for a call whose objective has passed, or to a
+// server that stated a reason which lasts.
+Test(RejectedCall, late_call_or_stated_reason_sets_no_early_return) {
+  const core::TimePoint Now{1h};
+  const decision::RejectedCall Late{.Load = core::LoadReport{.InFlight = 1},
+                                    .Slots = 4,
+                                    .Objective = Now - 1ms};
+  cr_expect_not(decision::returnTime(Late, Now, 0.5).has_value());
+  const decision::RejectedCall Leaving{.Load = core::LoadReport{.InFlight = 1},
+                                       .Slots = 4,
+                                       .Objective = Now + 640ms,
+                                       .ReasonStated = true};
+  cr_expect_not(decision::returnTime(Leaving, Now, 0.5).has_value());
+}
+
+// Guards against a return before the time that the server asked for.
+Test(RejectedCall, return_is_not_before_the_time_stated_by_the_server) {
+  const core::TimePoint Now{1h};
+  const decision::RejectedCall Call{.Load = core::LoadReport{.InFlight = 1},
+                                    .Slots = 4,
+                                    .Objective = Now + 640ms,
+                                    .QuietUntil = Now + 300ms};
+  cr_assert_eq((*decision::returnTime(Call, Now, 1) - Now) / 1ms, 300);
+}
+
+// Guards against calls that end although tokens are left or the rejection tells
+// nothing about the next server.
+Test(RejectedCall, late_call_is_given_up_only_by_chance_and_low_budget) {
+  const core::TimePoint Now{1h};
+  decision::RejectedCall Late{.Load = core::LoadReport{.InFlight = 1},
+                              .Slots = 4,
+                              .Objective = Now - 1ms};
+  cr_expect_not(decision::worthRepeat(Late, true, Now));
+  cr_expect(decision::worthRepeat(Late, false, Now));
+  Late.ReasonStated = true;
+  cr_expect(decision::worthRepeat(Late, true, Now));
+}
