Pool only rejections with a free slot

Cause: the common rate of all failures also counted for a broken server, which was then used on until its rate stood out. Change: other failures count with the own rate of the server. So do rejections with fewer than 8 servers or while at most half of the servers reject calls.

--- a/packages/decision/include/jujubecart/decision/internal/failure_rate.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/failure_rate.hpp
@@ -20,26 +20,27 @@
   core::TimePoint LastResult;
 };
 
-/// @brief Failure rates of the servers of a group together. Tells servers that
-/// fail more than others from ones that all fail by chance, whose rates differ
-/// only because each is known from few calls.
+/// @brief Shares of calls that the servers of a group reject with free slots.
+/// Tells servers that reject more than others from ones that all reject by
+/// chance, whose shares differ only because each is known from few calls.
 class CommonFailures {
 public:
-  /// @brief Adds the failure rate of one server.
+  /// @brief Adds the share of one server.
   void add(double Rate) noexcept;
 
   /// @brief Part of the difference between the servers that is not chance,
-  /// between 0 and 1.
+  /// between 0 and 1; 1 for a few servers, or if only a minority rejects calls.
   [[nodiscard]] double trust() const noexcept;
 
-  /// @brief Failure rate to expect of a server.
-  /// @param Rate Its own rate.
+  /// @brief Share of rejected calls to expect of a server.
+  /// @param Rate Its own share.
   [[nodiscard]] double expected(double Rate) const noexcept;
 
 private:
   [[nodiscard]] double mean() const noexcept;
 
   double Count = 0;
+  double Rejecting = 0;
   double Sum = 0;
   double SumOfSquares = 0;
 };
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -218,8 +218,9 @@
   [[nodiscard]] double meanServiceUs() const;
   /// @brief Share of its calls that a server most likely fails or rejects.
   [[nodiscard]] static double failureRate(const ServerLoad &Server,
+                                          const CommonFailures &Common,
                                           core::TimePoint Now);
-  /// @brief Failure rates of all usable servers.
+  /// @brief Shares of rejected calls of all usable servers.
   [[nodiscard]] CommonFailures commonFailures(core::TimePoint Now) const;
   /// @brief Deducted from the score of a server: a new connection and the bytes
   /// between zones.
--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -52,6 +52,8 @@
   double ServiceTimeFactor = 1;
   SaturationModel Saturation;
   FailureRate Failures;
+  /// The part of Failures that the server rejected with a free slot.
+  FailureRate Rejections;
   /// Connections of the entry VMs to this server.
   IdleConnections Connections;
   /// Whether another process now answers at its address. It gets no calls
--- a/packages/decision/src/failure_rate.cpp
+++ b/packages/decision/src/failure_rate.cpp
@@ -13,6 +13,12 @@
 constexpr double CallWeight = 0.15;
 // Time constant of the decay.
 constexpr double DecayUs = 1e6;
+// With fewer servers, the one that rejects calls raises the mean of all so much
+// that it would not be told from the others.
+constexpr double MinServers = 8;
+// Rate below which a server counts as one that rejects no calls: what is left
+// of one rejection after 2.7 s.
+constexpr double MinRate = 0.01;
 
 } // namespace
 
@@ -31,6 +37,8 @@
 
 void CommonFailures::add(double Rate) noexcept {
   ++Count;
+  if (Rate > MinRate)
+    ++Rejecting;
   Sum += Rate;
   SumOfSquares += Rate * Rate;
 }
@@ -43,7 +51,7 @@
 // p (1 - p) w / (2 - w). The decay of servers with few calls adds as much
 // again, so a difference counts from twice that variance on.
 double CommonFailures::trust() const noexcept {
-  if (Count < 2)
+  if (Count < MinServers || 2 * Rejecting <= Count)
     return 1;
   const double Mean = mean();
   const double Variance = std::max(SumOfSquares / Count - Mean * Mean, 0.0);
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -89,6 +89,7 @@
       Server.ServiceTimeFactor = 1;
       Server.Saturation = SaturationModel();
       Server.Failures = FailureRate();
+      Server.Rejections = FailureRate();
       Server.Connections = IdleConnections();
       Server.Replaced = false;
       Server.Limiter = ServerRateLimiter();
@@ -299,8 +300,7 @@
     const double InTime = onTimeProbability(
         Server, ExpectedUs, endAtServer(Call, Server, LatestEnd), Now);
     const double Transfer = transferCost(Call, Server, Value, Now);
-    double Score = Value * InTime *
-                   (1 - Common.expected(failureRate(Server, Now))) *
+    double Score = Value * InTime * (1 - failureRate(Server, Common, Now)) *
                    (1 - overdueShare(Server, Now));
     Score -= saturationCost(Server, Now) + wasteCost(Server, ExpectedUs, Now) +
              Transfer;
@@ -349,10 +349,9 @@
       continue;
     // With a price of bytes, the servers of the own zone are always cheaper. If
     // they fail or do not answer, probes would hold the call again and again.
-    const double HighestScore =
-        (1 - Common.expected(failureRate(Server, Now))) *
-            (1 - overdueShare(Server, Now)) -
-        Transfer;
+    const double HighestScore = (1 - failureRate(Server, Common, Now)) *
+                                    (1 - overdueShare(Server, Now)) -
+                                Transfer;
     if (Zones.priced() && Found && HighestScore <= Found->Score &&
         Now - Server.LastProbe < SilentProbeInterval)
       continue;
@@ -383,8 +382,14 @@
   Demand.recordArrival(Work.expectedServiceTimeUs(Call, Now), Now);
 }
 
-double LoadTable::failureRate(const ServerLoad &Server, core::TimePoint Now) {
-  return std::max(Server.Failures.value(Now),
+// Both averages get a value for the same calls, so their difference is the
+// average of the other failures.
+double LoadTable::failureRate(const ServerLoad &Server,
+                              const CommonFailures &Common,
+                              core::TimePoint Now) {
+  const double Rejections = Server.Rejections.value(Now);
+  const double Others = std::max(Server.Failures.value(Now) - Rejections, 0.0);
+  return std::max(std::min(Others + Common.expected(Rejections), 1.0),
                   Server.Silent ? SilentFailureRate : 0);
 }
 
@@ -392,18 +397,20 @@
   CommonFailures Common;
   for (const ServerLoad &Server : Servers)
     if (usable(Server, Now))
-      Common.add(failureRate(Server, Now));
+      Common.add(Server.Rejections.value(Now));
   return Common;
 }
 
 // If all servers reject calls by chance, the one with the fewest rejections was
-// only lucky; calls that waited for it would be held for nothing.
+// had them by chance; calls that waited for it would be held for nothing.
 double LoadTable::bestSuccessRate(core::TimePoint Now) const {
+  const CommonFailures Common = commonFailures(Now);
   double LowestFailures = 1;
   for (const ServerLoad &Server : Servers)
     if (usable(Server, Now))
-      LowestFailures = std::min(LowestFailures, failureRate(Server, Now));
-  return 1 - commonFailures(Now).expected(LowestFailures);
+      LowestFailures =
+          std::min(LowestFailures, failureRate(Server, Common, Now));
+  return 1 - LowestFailures;
 }
 
 void LoadTable::recordProbe(std::uint32_t Index, const ProbeResult &Result,
--- a/packages/decision/src/load_table_results.cpp
+++ b/packages/decision/src/load_table_results.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/decision/internal/load_table.hpp>
 
 #include <jujubecart/decision/internal/microseconds.hpp>
+#include <jujubecart/decision/rejected_call.hpp>
 
 #include <algorithm>
 
@@ -112,9 +113,18 @@
   if (Report.Outcome == core::CallOutcome::Completed && Report.ServerError)
     Counted.Outcome = core::CallOutcome::Broken;
   const bool Conclusive = !core::inconclusive(Counted.Outcome);
-  if (Conclusive)
+  if (Conclusive) {
     Server.Failures.record(Counted.Outcome != core::CallOutcome::Completed,
                            Now);
+    Server.Rejections.record(
+        Counted.Outcome == core::CallOutcome::Rejected &&
+            rejectedWithFreeSlot({.Load = Report.Load,
+                                  .Slots = Server.slots(),
+                                  .ReasonStated = Report.Draining ||
+                                                  Report.OtherInstance ||
+                                                  Report.Limit}),
+        Now);
+  }
   // A server that rejects calls is alive and has too much load, so it is
   // avoided for a moment but not ejected.
   if (Report.Outcome == core::CallOutcome::Rejected)
--- a/tests/decision/objective_dispatcher_test.cpp
+++ b/tests/decision/objective_dispatcher_test.cpp
@@ -279,3 +279,49 @@
   for (const decision::Granted &Each : With.Grants)
     cr_assert_eq(Each.Server.Id, "1");
 }
+
+namespace {
+
+// Sends calls one after the other until server 0 has failed one of them, and
+// counts the calls that it gets within 100 ms of that failure.
+unsigned callsAfterFirstFailure(unsigned Servers,
+                                const core::CallReport &Failure) {
+  Fixture Group(Servers);
+  bool Failed = false;
+  unsigned Out = 0;
+  for (unsigned Call = 0; Call < 200; ++Call) {
+    const std::size_t Index = Group.Grants.size();
+    Group.call();
+    while (Group.Grants.size() == Index) {
+      cr_assert(Group.Rejections.empty());
+      Group.wait(2ms);
+    }
+    const bool Broken = Group.Grants[Index].Server.Id == "0";
+    Out += Failed && Broken;
+    if (Failed && Call % 10 == 9)
+      return Out;
+    if (!Failed && Broken)
+      Call = 0;
+    Failed = Failed || Broken;
+    Group.wait(10ms);
+    Group.release(Index, Broken ? Failure : core::CallReport{.Elapsed = 10ms});
+  }
+  cr_assert_fail("server 0 got no call");
+  return Out;
+}
+
+} // namespace
+
+// Guards against a broken server that is used on until enough of its calls have
+// failed to tell it from the others.
+Test(ObjectiveDispatcher, broken_server_is_avoided_after_its_first_failure) {
+  const core::CallReport Broken{.Outcome = core::CallOutcome::Broken};
+  const core::CallReport Rejecting{.Outcome = core::CallOutcome::Rejected,
+                                   .Load = core::LoadReport{}};
+  for (const unsigned Servers : {2U, 8U, 24U}) {
+    cr_expect_eq(callsAfterFirstFailure(Servers, Broken), 0, "one of %u fails",
+                 Servers);
+    cr_expect_eq(callsAfterFirstFailure(Servers, Rejecting), 0,
+                 "one of %u rejects", Servers);
+  }
+}
--- a/tests/decision/rejected_call_test.cpp
+++ b/tests/decision/rejected_call_test.cpp
@@ -96,7 +96,8 @@
   RejectingServers::assertEarned(0.95);
 }
 
-// Guards against calls that wait for the server which was lucky lately while
+// Guards against calls that wait for the server which had the fewest rejections
+// by chance while
 // others are free.
 Test(RejectingServers, all_reject_55_percent_holds_no_call_untried) {
   const Statistics Result =
