Compute the common rate once per dispatch

Cause: each candidate of a dispatch went through all servers for it, and probes computed a score that only priced zones use. Change: the result is kept for an instant until a result, a probe, a rate limit or the configuration changes it.

--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -220,8 +220,9 @@
   [[nodiscard]] static double failureRate(const ServerLoad &Server,
                                           const CommonFailures &Common,
                                           core::TimePoint Now);
-  /// @brief Shares of rejected calls of all usable servers.
-  [[nodiscard]] CommonFailures commonFailures(core::TimePoint Now) const;
+  /// @brief Shares of rejected calls of all usable servers; computed once for
+  /// an instant until a result, a probe or the configuration changes them.
+  [[nodiscard]] const CommonFailures &commonFailures(core::TimePoint Now) const;
   /// @brief Deducted from the score of a server: a new connection and the bytes
   /// between zones.
   [[nodiscard]] double transferCost(const PendingCall &Call,
@@ -242,8 +243,17 @@
   /// @brief Recomputes the totals over all servers.
   void updateTotals(core::TimePoint Now);
 
+  /// @brief What the failure rates of all usable servers give at an instant.
+  struct FailureSummary {
+    core::TimePoint At;
+    CommonFailures Common;
+    std::optional<double> BestSuccessRate;
+  };
+
   DispatcherOptions Options;
   std::vector<ServerLoad> Servers;
+  /// A dispatch asks for it for each waiting call.
+  mutable std::optional<FailureSummary> Summary;
   StringMap<std::uint32_t> ById;
   WorkModel Work;
   PaceModel Pace;
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -69,6 +69,7 @@
 
 void LoadTable::configure(const std::vector<core::BackendServer> &Configured,
                           core::TimePoint Now) {
+  Summary.reset();
   for (ServerLoad &Server : Servers)
     Server.Configured = false;
   for (const core::BackendServer &Config : Configured) {
@@ -282,7 +283,7 @@
   const double ExpectedUs = Work.expectedServiceTimeUs(Call, Now);
   const double Value = Aim == Goal::Objective ? 1 : LateCallValue;
   const core::TimePoint LatestEnd = latestEnd(Call, Aim);
-  const CommonFailures Common = commonFailures(Now);
+  const CommonFailures &Common = commonFailures(Now);
   // Servers that leave are excluded from first attempts, too.
   const bool Retry = std::any_of(
       Call.Excluded.begin(), Call.Excluded.end(), [&](const std::string &Id) {
@@ -336,7 +337,7 @@
   const double MaxTransferCost = Found && Found->KnownFast
                                      ? Found->TransferCost
                                      : std::numeric_limits<double>::max();
-  const CommonFailures Common = commonFailures(Now);
+  const CommonFailures &Common = commonFailures(Now);
   std::vector<std::pair<double, std::uint32_t>> Candidates;
   for (std::uint32_t Index = 0; Index < size(); ++Index) {
     const ServerLoad &Server = Servers[Index];
@@ -349,12 +350,14 @@
       continue;
     // With a price of bytes, the servers of the own zone are always cheaper. If
     // they fail or do not answer, probes would hold the call again and again.
-    const double HighestScore = (1 - failureRate(Server, Common, Now)) *
-                                    (1 - overdueShare(Server, Now)) -
-                                Transfer;
-    if (Zones.priced() && Found && HighestScore <= Found->Score &&
-        Now - Server.LastProbe < SilentProbeInterval)
-      continue;
+    if (Zones.priced() && Found) {
+      const double HighestScore = (1 - failureRate(Server, Common, Now)) *
+                                      (1 - overdueShare(Server, Now)) -
+                                  Transfer;
+      if (HighestScore <= Found->Score &&
+          Now - Server.LastProbe < SilentProbeInterval)
+        continue;
+    }
     if (Server.ProbePending && Now - Server.LastProbe < ProbeWait)
       return true;
     const bool PaceKnown = Server.Pace && Server.Pace->fresh(Now);
@@ -393,28 +396,34 @@
                   Server.Silent ? SilentFailureRate : 0);
 }
 
-CommonFailures LoadTable::commonFailures(core::TimePoint Now) const {
-  CommonFailures Common;
+const CommonFailures &LoadTable::commonFailures(core::TimePoint Now) const {
+  if (Summary && Summary->At == Now)
+    return Summary->Common;
+  Summary = FailureSummary{.At = Now, .Common = {}, .BestSuccessRate = {}};
   for (const ServerLoad &Server : Servers)
     if (usable(Server, Now))
-      Common.add(Server.Rejections.value(Now));
-  return Common;
+      Summary->Common.add(Server.Rejections.value(Now));
+  return Summary->Common;
 }
 
-// If all servers reject calls by chance, the one with the fewest rejections was
+// If all servers reject calls by chance, the one with the fewest rejections
 // had them by chance; calls that waited for it would be held for nothing.
 double LoadTable::bestSuccessRate(core::TimePoint Now) const {
-  const CommonFailures Common = commonFailures(Now);
+  const CommonFailures &Common = commonFailures(Now);
+  if (Summary->BestSuccessRate)
+    return *Summary->BestSuccessRate;
   double LowestFailures = 1;
   for (const ServerLoad &Server : Servers)
     if (usable(Server, Now))
       LowestFailures =
           std::min(LowestFailures, failureRate(Server, Common, Now));
+  Summary->BestSuccessRate = 1 - LowestFailures;
   return 1 - LowestFailures;
 }
 
 void LoadTable::recordProbe(std::uint32_t Index, const ProbeResult &Result,
                             core::TimePoint Now) {
+  Summary.reset();
   ServerLoad &Server = Servers[Index];
   Server.ProbePending = false;
   if (Result.State != ProbeState::Unreachable)
--- a/packages/decision/src/load_table_results.cpp
+++ b/packages/decision/src/load_table_results.cpp
@@ -101,6 +101,7 @@
 void LoadTable::recordResult(std::uint32_t Index,
                              const core::CallReport &Report,
                              core::TimePoint Now) {
+  Summary.reset();
   ServerLoad &Server = Servers[Index];
   if (Report.Load)
     recordPace(Index, Report.Load->PacePercent, Now);
@@ -152,6 +153,7 @@
 
 void LoadTable::recordLimits(const std::vector<StatedLimit> &Limits,
                              core::TimePoint Now) {
+  Summary.reset();
   for (const StatedLimit &Item : Limits)
     if (const auto Index = find(Item.ServerId))
       Servers[*Index].Limiter.record(Item.Limit, Item.StatedAt, Now);
@@ -160,6 +162,7 @@
 }
 
 void LoadTable::setLimitShare(double NewShare, core::TimePoint Now) {
+  Summary.reset();
   LimitShare = NewShare;
   for (ServerLoad &Server : Servers)
     Server.Limiter.setShare(NewShare, Now);
--- a/tests/decision/rejected_call_test.cpp
+++ b/tests/decision/rejected_call_test.cpp
@@ -97,8 +97,7 @@
 }
 
 // Guards against calls that wait for the server which had the fewest rejections
-// by chance while
-// others are free.
+// by chance while others are free.
 Test(RejectingServers, all_reject_55_percent_holds_no_call_untried) {
   const Statistics Result =
       Simulation(RejectingServers::workload(0.55, 24)).run();
