Serve late calls of a zone without capacity

Change: such a call pays nothing if its own zone has no usable capacity, and the next call is considered.

--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -226,7 +226,7 @@
   /// @brief Deducted from the score of a server: a new connection and the bytes
   /// between zones.
   [[nodiscard]] double transferCost(const PendingCall &Call,
-                                    const ServerLoad &Server, double Value,
+                                    const ServerLoad &Server, Goal Aim,
                                     core::TimePoint Now) const;
   /// @brief Latest end at a server with which a response is at the entry VM at
   /// a given time.
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -49,6 +49,8 @@
 // one that meets its objective.
 constexpr double LateCallValue = 0.1;
 
+double valueOf(Goal Aim) { return Aim == Goal::Objective ? 1 : LateCallValue; }
+
 bool isCrossZone(const PendingCall &Call, const ServerLoad &Server) {
   return !Call.Zone.empty() && Call.Zone != Server.Config.Zone;
 }
@@ -136,12 +138,18 @@
 
 // The price of bytes is money, so it is not lower for a call that is worth
 // less; the fixed price of a call without it is a part of its value.
+//
+// A late call has a tenth of the value, less than most prices. If its own zone
+// has no capacity, it would wait there until its deadline, so it pays nothing.
 double LoadTable::transferCost(const PendingCall &Call,
-                               const ServerLoad &Server, double Value,
+                               const ServerLoad &Server, Goal Aim,
                                core::TimePoint Now) const {
+  const double Value = valueOf(Aim);
   const bool Connected = Server.Connections.has(core::hash64(Call.Holder), Now);
+  const bool Free =
+      Zones.priced() && Aim == Goal::Deadline && zoneShare(Call.Zone) <= 0;
   const double Zone =
-      isCrossZone(Call, Server)
+      isCrossZone(Call, Server) && !Free
           ? Zones.price(Call.WorkClass) * (Zones.priced() ? 1 : Value)
           : 0;
   return Zone + (Connected ? 0 : Value * NewConnectionCost);
@@ -281,7 +289,7 @@
                                              core::TimePoint Now) {
   std::optional<Placement> Best;
   const double ExpectedUs = Work.expectedServiceTimeUs(Call, Now);
-  const double Value = Aim == Goal::Objective ? 1 : LateCallValue;
+  const double Value = valueOf(Aim);
   const core::TimePoint LatestEnd = latestEnd(Call, Aim);
   const CommonFailures &Common = commonFailures(Now);
   // Servers that leave are excluded from first attempts, too.
@@ -300,7 +308,7 @@
         Server.Limiter.checkDue(Now);
     const double InTime = onTimeProbability(
         Server, ExpectedUs, endAtServer(Call, Server, LatestEnd), Now);
-    const double Transfer = transferCost(Call, Server, Value, Now);
+    const double Transfer = transferCost(Call, Server, Aim, Now);
     double Score = Value * InTime * (1 - failureRate(Server, Common, Now)) *
                    (1 - overdueShare(Server, Now));
     Score -= saturationCost(Server, Now) + wasteCost(Server, ExpectedUs, Now) +
@@ -345,7 +353,7 @@
         Call.excludes(Server.Config.Id) ||
         Server.inFlight() >= Server.preferredLimit())
       continue;
-    const double Transfer = transferCost(Call, Server, 1, Now);
+    const double Transfer = transferCost(Call, Server, Goal::Objective, Now);
     if (Transfer >= MaxTransferCost)
       continue;
     // With a price of bytes, the servers of the own zone are always cheaper. If
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -321,6 +321,9 @@
       continue;
     if (Found->Score <= 0) {
       static_cast<void>(Table.requestProbes(Call, Found, Now, PendingProbes));
+      // With a price of bytes, the next call may be of the zone that has room.
+      if (Table.zonesPriced())
+        continue;
       return false;
     }
     grant(*LateQueue.remove(Token), *Found, Now, Out);
--- a/tests/decision/zone_costs_test.cpp
+++ b/tests/decision/zone_costs_test.cpp
@@ -16,7 +16,7 @@
 
 constexpr core::TimePoint Start{1h};
 constexpr double PricePerGb = 14000;
-constexpr std::uint64_t CallBytes = 5700;
+constexpr std::uint64_t UsualBytes = 5700;
 constexpr auto ExtraRoundTrip = 7ms;
 
 /// @brief Servers and callers of one zone.
@@ -39,6 +39,8 @@
   struct Result {
     unsigned Calls = 0;
     unsigned OnTime = 0;
+    /// Calls that were served by their deadline.
+    unsigned Served = 0;
     /// Calls of each zone to the other.
     unsigned OutOfA = 0;
     unsigned OutOfB = 0;
@@ -52,9 +54,11 @@
   };
 
   ZoneSimulation(ZoneLoad A, ZoneLoad B, std::optional<double> Price,
-                 microseconds ReportLag = 0us)
-      : Zones{{"a", A}, {"b", B}}, ReportLag(ReportLag),
-        Dispatcher(group(false), options(Price), Start) {}
+                 microseconds ReportLag = 0us,
+                 std::uint64_t CallBytes = UsualBytes,
+                 microseconds Objective = 600ms)
+      : Zones{{"a", A}, {"b", B}}, ReportLag(ReportLag), CallBytes(CallBytes),
+        Objective(Objective), Dispatcher(group(false), options(Price), Start) {}
 
   Result run() {
     for (const auto &[Zone, Load] : Zones)
@@ -122,7 +126,7 @@
                           .Holder = "vm-" + Zone,
                           .Deadline = Now + 1500ms,
                           .Zone = Zone,
-                          .Objective = Now + 600ms,
+                          .Objective = Now + Objective,
                           .WorkClass = 1},
                          Now, Out);
       apply(Out);
@@ -190,8 +194,9 @@
       End = std::max(Now, Item.Arrival + 1500ms);
       Report = {.Outcome = core::CallOutcome::TimedOut};
     }
+    Outcome.Served += Report.Outcome == core::CallOutcome::Completed;
     if (Report.Outcome == core::CallOutcome::Completed &&
-        End - Item.Arrival <= 600ms)
+        End - Item.Arrival <= Objective)
       ++Outcome.OnTime;
     at(End + ReportLag, [this, Id = Grant.GrantId, Report] {
       decision::Decisions Out;
@@ -202,6 +207,8 @@
 
   const std::map<std::string, ZoneLoad> Zones;
   const microseconds ReportLag;
+  const std::uint64_t CallBytes;
+  const microseconds Objective;
   decision::ObjectiveDispatcher Dispatcher;
   core::TimePoint Now = Start;
   std::mt19937_64 Random{5};
@@ -246,6 +253,18 @@
   cr_assert_geq(Result.onTimeShare(), 0.9, "%.3f", Result.onTimeShare());
 }
 
+// Guards against late calls that wait until their deadline, because their zone
+// has no server left and the bytes to another cost more than a late call is
+// worth; also for calls of the zone that has room but are queued behind them.
+// No call can meet an objective of 100 ms, so all are late.
+Test(ZonePolicy, late_calls_of_a_zone_whose_servers_leave_are_served) {
+  const auto Result =
+      ZoneSimulation({.Drained = true}, {}, PricePerGb, 0us, 20000, 100ms)
+          .run();
+  const double Share = double(Result.Served) / Result.Calls;
+  cr_assert_geq(Share, 0.9, "%.3f", Share);
+}
+
 // Guards against calls that keep to servers in their zone that state a low rate
 // limit while they start.
 Test(ZonePolicy, zone_of_cold_servers_sends_out_its_excess) {
