Forget that a server was silent once it answers

Cause: only a pace report ended it, so a server without pace reports counted as failing half of its calls for good. Change: any answer to a probe or a call ends it, and so does a replacement.

--- a/packages/decision/include/jujubecart/decision/internal/server_load.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_load.hpp
@@ -63,7 +63,7 @@
   /// When the last probe was requested, and whether its result is pending.
   core::TimePoint LastProbe = core::TimePoint::min();
   bool ProbePending = false;
-  /// Whether it left a probe unanswered and has not reported its pace since;
+  /// Whether it left a probe unanswered and has answered nothing since;
   /// false without a price of bytes between zones.
   bool Silent = false;
 
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -93,6 +93,7 @@
       Server.Saturation = SaturationModel();
       Server.Failures = FailureRate();
       Server.Rejections = FailureRate();
+      Server.Silent = false;
       Server.Connections = IdleConnections();
       Server.Replaced = false;
       Server.Limiter = ServerRateLimiter();
@@ -434,12 +435,14 @@
   Summary.reset();
   ServerLoad &Server = Servers[Index];
   Server.ProbePending = false;
-  if (Result.State != ProbeState::Unreachable)
+  if (Result.State != ProbeState::Unreachable) {
+    Server.Silent = false;
     Zones.recordRoundTrip(Server.Config.Zone, Result.RoundTrip, Now);
-  else if (Zones.priced())
+  } else if (Zones.priced()) {
     // Otherwise the servers of a zone that is cut would look as good as others
     // until their calls reach their deadline, and the price keeps calls there.
     Server.Silent = true;
+  }
   if (Result.ColdUntil && !Server.Limiter.cold(Now)) {
     Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil);
     updateTotals(Now);
--- a/packages/decision/src/load_table_results.cpp
+++ b/packages/decision/src/load_table_results.cpp
@@ -114,6 +114,8 @@
   if (Report.Outcome == core::CallOutcome::Completed && Report.ServerError)
     Counted.Outcome = core::CallOutcome::Broken;
   const bool Conclusive = !core::inconclusive(Counted.Outcome);
+  if (core::answered(Counted.Outcome) || Counted.ServerError)
+    Server.Silent = false;
   if (Conclusive) {
     Server.Failures.record(Counted.Outcome != core::CallOutcome::Completed,
                            Now);
