--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -245,7 +245,7 @@
 }
 
 ZoneSettings readZones(JsonReader &Root, Findings &Report) {
-  // A higher price than this a call of a kilobyte would never be worth.
+  // At this price a call of 1 kB costs as much as one call is worth.
   constexpr double MaxPricePerGb = 1e6;
   ZoneSettings Zones;
   JsonReader Reader(objectOrEmpty(Root, "zones", false), "/zones", Report);
