Send nothing to a cold server from a VM that decides by itself

In directory mode a VM whose dispatchers do not answer uses its own, which sent up to its share of the limit to each cold server, as did every other such VM. Unless it is the first in the ranking, cold servers are excluded now.

--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -119,6 +119,10 @@
           Result.Outcome == Kind::Unresponsive ? "silent" : "unreachable");
   }
   excludeAvoidedServers(Request);
+  // Several VMs may decide by themselves at the same time, and nobody counts
+  // what they send to a cold server together.
+  if (!Ranked->empty() && Ranked->front() != Self)
+    excludeColdServers(Request);
   AcquireResult Result = co_await askLocalDispatcher(Entry, Request);
   if (Result.Outcome == Kind::Granted)
     co_return std::move(Result.Grant);
--- a/tests/peers/cluster.hpp
+++ b/tests/peers/cluster.hpp
@@ -103,9 +103,11 @@
 /// "tags", with two slots per server.
 class Cluster {
 public:
-  explicit Cluster(std::size_t Servers = 4, std::size_t Size = 3) {
+  explicit Cluster(std::size_t Servers = 4, std::size_t Size = 3,
+                   bool AskNextDispatcher = false) {
     for (std::size_t At = 0; At < Size; ++At) {
       PeerOptions Options = fleetOptions(At);
+      Options.AskNextDispatcher = AskNextDispatcher;
       // Longer than the defaults, because the test machine may be busy.
       Options.DispatcherTimeout = 100ms;
       Options.LinkWaitTimeout = 500ms;
--- a/tests/peers/server_statements_test.cpp
+++ b/tests/peers/server_statements_test.cpp
@@ -150,25 +150,28 @@
 }
 
 // Guards against requests to a cold server from a VM that decides by itself:
-// nobody counts the requests of all VMs then.
-Test(Dispatch, cold_server_gets_nothing_from_the_fallback) {
-  Cluster Fleet(2);
-  Vm &Requester = Fleet.third();
-  core::ServiceConfig Service = *Requester.Config.current()->find("tags");
-  const std::string Cold = Service.Servers.front().Id;
-  Service.Servers.front().ColdUntil = std::chrono::steady_clock::now() + 60s;
-  Service.Servers.front().ColdLimit = {.MilliPerS = 3600};
-  cr_assert(Requester.Config.apply(std::make_shared<core::ConfigSnapshot>(
-      2, core::ConfigSnapshot::ServiceMap{
-             {"tags", std::make_shared<core::ServiceEntry>(
-                          core::ServiceEntry{2, Service})}})));
-  Fleet.dispatcher().kill();
-  Fleet.second().kill();
-  for (int Call = 0; Call < 8; ++Call) {
-    const auto Granted = Requester.acquire(Cluster::request());
-    cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
-    cr_assert_neq(Granted->Server.Id, Cold);
-    Requester.Node.broker().release(*Granted, CompletedReport);
+// nobody counts the requests of all VMs then, whether it uses its own dispatcher
+// or none.
+Test(Dispatch, cold_server_gets_nothing_from_a_vm_that_decides_alone) {
+  for (const bool AsksNext : {false, true}) {
+    Cluster Fleet(2, 3, AsksNext);
+    Vm &Requester = Fleet.third();
+    core::ServiceConfig Service = *Requester.Config.current()->find("tags");
+    const std::string Cold = Service.Servers.front().Id;
+    Service.Servers.front().ColdUntil = std::chrono::steady_clock::now() + 60s;
+    Service.Servers.front().ColdLimit = {.MilliPerS = 1000000};
+    cr_assert(Requester.Config.apply(std::make_shared<core::ConfigSnapshot>(
+        2, core::ConfigSnapshot::ServiceMap{
+               {"tags", std::make_shared<core::ServiceEntry>(
+                            core::ServiceEntry{2, Service})}})));
+    Fleet.dispatcher().kill();
+    Fleet.second().kill();
+    for (int Call = 0; Call < 8; ++Call) {
+      const auto Granted = Requester.acquire(Cluster::request());
+      cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
+      cr_assert_neq(Granted->Server.Id, Cold);
+      Requester.Node.broker().release(*Granted, CompletedReport);
+    }
   }
 }
 
