--- a/tests/peers/server_statements_test.cpp
+++ b/tests/peers/server_statements_test.cpp
@@ -150,8 +150,8 @@
 }
 
 // Guards against requests to a cold server from a VM that decides by itself:
-// nobody counts the requests of all VMs then, whether it uses its own dispatcher
-// or none.
+// nobody counts the requests of all VMs then, whether it uses its own
+// dispatcher or none.
 Test(Dispatch, cold_server_gets_nothing_from_a_vm_that_decides_alone) {
   for (const bool AsksNext : {false, true}) {
     Cluster Fleet(2, 3, AsksNext);
