--- a/packages/core/include/jujubecart/core/workspace.hpp
+++ b/packages/core/include/jujubecart/core/workspace.hpp
@@ -31,9 +31,7 @@
   WorkspaceQuota Quota;
 
   /// @brief Identifies the workspace in messages between VMs; never 0.
-  [[nodiscard]] std::uint64_t hash() const noexcept {
-    return hash64(Name) | 1;
-  }
+  [[nodiscard]] std::uint64_t hash() const noexcept { return hash64(Name) | 1; }
 
   friend auto operator<=>(const Workspace &, const Workspace &) = default;
 };
--- a/packages/core/src/workspace_table.cpp
+++ b/packages/core/src/workspace_table.cpp
@@ -40,8 +40,7 @@
   return Found == ByKey.end() ? nullptr : &Entries[Found->second].Item;
 }
 
-const Workspace *
-WorkspaceTable::findByHash(std::uint64_t Hash) const noexcept {
+const Workspace *WorkspaceTable::findByHash(std::uint64_t Hash) const noexcept {
   const auto Found = ByHash.find(Hash);
   return Found == ByHash.end() ? nullptr : &Entries[Found->second].Item;
 }
--- a/packages/decision/src/fair_shares.cpp
+++ b/packages/decision/src/fair_shares.cpp
@@ -12,8 +12,8 @@
 // Memory of the granted service: a workspace that was quiet for some seconds
 // competes with one that was not as if it had none.
 constexpr double ServiceMemoryS = 1;
-// Memory of arrivals and grants. With 8 s a workspace of low priority got nothing
-// in the first ten seconds of a load that filled all slots.
+// Memory of arrivals and grants. With 8 s a workspace of low priority got
+// nothing in the first ten seconds of a load that filled all slots.
 constexpr double CountMemoryS = 2;
 // Operators require that no workspace is served less than a quarter as often as
 // all; the priority gives way earlier, because what is known is late.
