--- a/tests/platform/entry_codec_test.cpp
+++ b/tests/platform/entry_codec_test.cpp
@@ -320,57 +320,59 @@
       withWorkspaces(R"({"a":{"api-keys":["x"],"rate-per-s":0.0001}})"),
       Setup.Report);
   cr_assert(Decoded->Routing->workspaces().find("x")->Quota.limited());
-  // Guards against servers that get their full load while they are cold.
-  Test(EntryCodec, cold_time_and_limit_are_decoded) {
-    Fixture Setup;
-    const auto Cold = Setup.Codec.decodeServer(
-        "servers/s1", replaced(Server, "\"0ms\"", "\"2.5s\""), Setup.Report);
-    cr_assert(Cold.has_value());
-    cr_assert_eq(Cold->ColdMs, 2500);
-    cr_assert_eq(Cold->Sequence, 4);
-    const auto Decoded = Setup.Codec.decodeRouting(
-        replaced(Config, "\"max-conns\":220",
-                 "\"max-conns\":220,\"warmup\":\"3s\",\"warmup-per-s\":3.6"),
-        Setup.Report);
-    cr_assert(Decoded.has_value());
-    cr_assert(Setup.Report.empty(), "%s", Setup.Report.text().c_str());
-    cr_assert_eq(Decoded->Services.find("orders")->second.ColdLimit.MilliPerS,
-                 3600);
-  }
+}
 
-  // Guards against a server that is lost because of what it says, or does not
-  // say, about its start.
-  Test(EntryCodec, server_without_a_valid_cold_time_is_warm) {
-    for (const char *Text :
-         {"\"warmup-left\":true", "\"warmup-left\":\"soon\"", "\"other\":1"}) {
-      Fixture Setup;
-      const auto Read = Setup.Codec.decodeServer(
-          "servers/s1", replaced(Server, "\"warmup-left\":\"0ms\"", Text),
-          Setup.Report);
-      cr_assert(Read.has_value());
-      cr_assert(Setup.Report.empty());
-      cr_assert_eq(Read->ColdMs, 0);
-    }
-  }
+// Guards against servers that get their full load while they are cold.
+Test(EntryCodec, cold_time_and_limit_are_decoded) {
+  Fixture Setup;
+  const auto Cold = Setup.Codec.decodeServer(
+      "servers/s1", replaced(Server, "\"0ms\"", "\"2.5s\""), Setup.Report);
+  cr_assert(Cold.has_value());
+  cr_assert_eq(Cold->ColdMs, 2500);
+  cr_assert_eq(Cold->Sequence, 4);
+  const auto Decoded = Setup.Codec.decodeRouting(
+      replaced(Config, "\"max-conns\":220",
+               "\"max-conns\":220,\"warmup\":\"3s\",\"warmup-per-s\":3.6"),
+      Setup.Report);
+  cr_assert(Decoded.has_value());
+  cr_assert(Setup.Report.empty(), "%s", Setup.Report.text().c_str());
+  cr_assert_eq(Decoded->Services.find("orders")->second.ColdLimit.MilliPerS,
+               3600);
+}
 
-  // Guards against a limit of zero for the cold servers of a service that
-  // states none.
-  Test(EntryCodec, missing_or_invalid_cold_limit_is_no_limit) {
-    for (const char *Text : {"\"warmup-per-s\":0", "\"warmup-per-s\":-1",
-                             "\"warmup-per-s\":\"4\"", "\"other\":1"}) {
-      Fixture Setup;
-      const auto Decoded = Setup.Codec.decodeRouting(
-          replaced(Config, "\"protocol\":\"h1\"", Text), Setup.Report);
-      cr_assert(Decoded.has_value());
-      cr_assert_eq(Decoded->Services.find("orders")->second.ColdLimit.MilliPerS,
-                   0);
-    }
+// Guards against a server that is lost because of what it says, or does not
+// say, about its start.
+Test(EntryCodec, server_without_a_valid_cold_time_is_warm) {
+  for (const char *Text :
+       {"\"warmup-left\":true", "\"warmup-left\":\"soon\"", "\"other\":1"}) {
+    Fixture Setup;
+    const auto Read = Setup.Codec.decodeServer(
+        "servers/s1", replaced(Server, "\"warmup-left\":\"0ms\"", Text),
+        Setup.Report);
+    cr_assert(Read.has_value());
+    cr_assert(Setup.Report.empty());
+    cr_assert_eq(Read->ColdMs, 0);
   }
+}
 
-  // Guards against a zone that stays in use because its name is cut wrongly.
-  Test(EntryCodec, evacuation_key_names_the_zone) {
+// Guards against a limit of zero for the cold servers of a service that
+// states none.
+Test(EntryCodec, missing_or_invalid_cold_limit_is_no_limit) {
+  for (const char *Text : {"\"warmup-per-s\":0", "\"warmup-per-s\":-1",
+                           "\"warmup-per-s\":\"4\"", "\"other\":1"}) {
     Fixture Setup;
-    cr_assert(Setup.Codec.entryKind("op/evacuate/zone-a") ==
-              core::EntryKind::Evacuation);
-    cr_assert_eq(Setup.Codec.evacuatedZone("op/evacuate/zone-a"), "zone-a");
+    const auto Decoded = Setup.Codec.decodeRouting(
+        replaced(Config, "\"protocol\":\"h1\"", Text), Setup.Report);
+    cr_assert(Decoded.has_value());
+    cr_assert_eq(Decoded->Services.find("orders")->second.ColdLimit.MilliPerS,
+                 0);
   }
+}
+
+// Guards against a zone that stays in use because its name is cut wrongly.
+Test(EntryCodec, evacuation_key_names_the_zone) {
+  Fixture Setup;
+  cr_assert(Setup.Codec.entryKind("op/evacuate/zone-a") ==
+            core::EntryKind::Evacuation);
+  cr_assert_eq(Setup.Codec.evacuatedZone("op/evacuate/zone-a"), "zone-a");
+}
