--- a/apps/jujubecartd/http_health_prober.cpp
+++ b/apps/jujubecartd/http_health_prober.cpp
@@ -17,7 +17,6 @@
 namespace internal {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t MaxBodyBytes = 65536;
@@ -45,7 +44,7 @@
 core::Awaitable<decision::ProbeResult>
 HttpHealthProber::probe(core::BackendServer Server, core::TimePoint Deadline) {
   using internal::AsTuple;
-  namespace http = internal::http;
+  namespace http = boost::beast::http;
   const auto Endpoint = core::parseEndpoint(Server.Address);
   if (!Endpoint)
     co_return decision::ProbeResult{};
