--- a/packages/decision/include/jujubecart/decision/group_dispatcher.hpp
+++ b/packages/decision/include/jujubecart/decision/group_dispatcher.hpp
@@ -12,7 +12,7 @@
 public:
   /// @brief Creates a dispatcher. The initial servers get their full limit at
   /// once; servers that configure adds later go through a slow start.
-  GroupDispatcher(DispatchGroup Group, DispatcherOptions Options,
+  GroupDispatcher(DispatchGroup Group, const DispatcherOptions &Options,
                   core::TimePoint Now);
   GroupDispatcher(GroupDispatcher &&) noexcept;
   GroupDispatcher &operator=(GroupDispatcher &&) noexcept;
--- a/packages/decision/include/jujubecart/decision/internal/load_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/load_table.hpp
@@ -45,7 +45,7 @@
 class LoadTable {
 public:
   LoadTable(const std::vector<core::BackendServer> &Servers,
-            DispatcherOptions Options, core::TimePoint Now);
+            const DispatcherOptions &Options, core::TimePoint Now);
 
   /// @brief Replaces the configuration. Indices stay valid; a removed server
   /// keeps its entry but gets no calls.
--- a/packages/decision/include/jujubecart/decision/internal/server_table.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_table.hpp
@@ -17,7 +17,7 @@
 class ServerTable {
 public:
   ServerTable(const std::vector<core::BackendServer> &Servers,
-              DispatcherOptions Options, core::TimePoint Now);
+              const DispatcherOptions &Options, core::TimePoint Now);
 
   /// @brief Replaces the configuration. Indices of known servers stay the same;
   /// servers that are no longer listed stay in the table as not configured.
--- a/packages/decision/include/jujubecart/decision/objective_dispatcher.hpp
+++ b/packages/decision/include/jujubecart/decision/objective_dispatcher.hpp
@@ -13,7 +13,7 @@
 public:
   /// @brief Creates a dispatcher whose servers are all active at once, without
   /// slow start.
-  ObjectiveDispatcher(DispatchGroup Group, DispatcherOptions Options,
+  ObjectiveDispatcher(DispatchGroup Group, const DispatcherOptions &Options,
                       core::TimePoint Now);
   ObjectiveDispatcher(const ObjectiveDispatcher &) = delete;
   ObjectiveDispatcher &operator=(const ObjectiveDispatcher &) = delete;
--- a/packages/decision/src/group_dispatcher.cpp
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -301,7 +301,8 @@
               static_cast<std::int64_t>(Server.ServiceUs))};
 }
 
-GroupDispatcher::GroupDispatcher(DispatchGroup Group, DispatcherOptions Options,
+GroupDispatcher::GroupDispatcher(DispatchGroup Group,
+                                 const DispatcherOptions &Options,
                                  core::TimePoint Now)
     : Self(std::make_unique<Implementation>(std::move(Group), Options, Now)) {}
 GroupDispatcher::GroupDispatcher(GroupDispatcher &&) noexcept = default;
--- a/packages/decision/src/load_table.cpp
+++ b/packages/decision/src/load_table.cpp
@@ -58,7 +58,7 @@
 } // namespace
 
 LoadTable::LoadTable(const std::vector<core::BackendServer> &Configured,
-                     DispatcherOptions Options, core::TimePoint Now)
+                     const DispatcherOptions &Options, core::TimePoint Now)
     : Options(Options), Zones(Options.Zone, Options.ZonePricePerGb),
       Random(Options.Seed) {
   configure(Configured, Now);
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -422,7 +422,7 @@
 }
 
 ObjectiveDispatcher::ObjectiveDispatcher(DispatchGroup Group,
-                                         DispatcherOptions Options,
+                                         const DispatcherOptions &Options,
                                          core::TimePoint Now)
     : Self(std::make_unique<Implementation>(std::move(Group), Options, Now)) {}
 
--- a/packages/decision/src/server_table.cpp
+++ b/packages/decision/src/server_table.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 ServerTable::ServerTable(const std::vector<core::BackendServer> &Configured,
-                         DispatcherOptions Options, core::TimePoint Now)
+                         const DispatcherOptions &Options, core::TimePoint Now)
     : Options(Options), Random(Options.Seed),
       MeanServiceUs(static_cast<double>(Options.InitialServiceTime.count())) {
   BucketHeads.fill(NoIndex);
