--- a/tests/callers/early_answer_test.cpp
+++ b/tests/callers/early_answer_test.cpp
@@ -180,7 +180,8 @@
     http::response_parser<http::string_body> Parser;
     Parser.eager(true);
     boost::system::error_code Code;
-    const std::size_t Used = Parser.put(asio::buffer(Bytes), Code);
+    const std::size_t Used =
+        Parser.put(asio::const_buffer(Bytes.data(), Bytes.size()), Code);
     if (InOrder && !Code && Parser.need_eof())
       Parser.put_eof(Code);
     if (Code || !Parser.is_done())
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -587,7 +587,7 @@
           Sim.add(PerS * 1.6, PerS * 1.6, steady(PerS));
         Sim.run(15s);
         for (Load &Item : Sim.Loads)
-          Item.Quota = quotaOf(Item.Quota.MilliPerS / 8000.0, 1);
+          Item.Quota = quotaOf(double(Item.Quota.MilliPerS) / 8000, 1);
         Sim.JudgedFrom = Sim.Now + Window;
         Sim.run(15s);
       },
@@ -629,9 +629,9 @@
   const core::TimePoint Now = Start + 10s;
   while (Quotas.request(1, Now).Admitted) {
   }
-  std::vector<Millis> Times;
-  for (int At = 0; At < 10; ++At)
-    Times.push_back(Quotas.request(1, Now).RetryAfter);
+  std::vector<Millis> Times(10);
+  for (Millis &Time : Times)
+    Time = Quotas.request(1, Now).RetryAfter;
   for (std::size_t At = 1; At < Times.size(); ++At)
     cr_expect_geq(Times[At] - Times[At - 1], 90ms);
   for (const Millis Wait : Times)
@@ -679,7 +679,7 @@
       .Reporters = {"a", "b", "c", "d"}, .Live = 4, .Known = 4};
   Quotas.setFleet(Four, Start);
   // Requests admitted in 2 s from a time on.
-  const auto admittedFrom = [&](core::TimePoint From) {
+  const auto AdmittedFrom = [&](core::TimePoint From) {
     int Admitted = 0;
     for (core::TimePoint Now = From; Now < From + 2s; Now += 2ms) {
       Admitted += Quotas.request(1, Now).Admitted;
@@ -688,8 +688,8 @@
     return Admitted;
   };
   // None of the others was ever heard.
-  (void)admittedFrom(Start + 5s);
-  const int Admitted = admittedFrom(Start + 12s);
+  (void)AdmittedFrom(Start + 5s);
+  const int Admitted = AdmittedFrom(Start + 12s);
   cr_expect_leq(Admitted, 100, "%d admitted", Admitted);
   // After a time without demand the burst is whole, and the first reports are
   // waited for.
