Serve the operators' port with a server that always ends

Cause: the destructor of cxxtools::http::Server 3.0 did not return after connections with TLS. Its threads poll both the listener and the pipe that ends the wait; both are blocking, so the second thread that wakes blocks in accept4 or read, and ServerImpl::terminate waits for it. Such a VM was killed at the end of its grace time.

Change: own server on Boost.Beast. Connections are coroutines with time limits; 8 threads run them and the handlers. At the end the listener and idle connections are closed, and a response that is due gets 1 s. Certificates are read for each connection, as before, so that renewed ones take effect. An oversized ticket is still read to its end before the 413. New: at most 256 connections. Nothing uses cxxtools any more (docs/design.md, 8.1).

--- a/packages/operators/src/server.cpp
+++ b/packages/operators/src/server.cpp
@@ -1,166 +1,129 @@
 #include <jujubecart/operators/server.hpp>
 
+#include "connection.hpp"
+
 #include <jujubecart/core/log.hpp>
 
-#include <charconv>
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
-#include <cxxtools/regex.h>
-#include <istream>
-#include <nlohmann/json.hpp>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <exception>
+#include <mutex>
 #include <thread>
+#include <unordered_map>
+#include <utility>
 
 namespace jujubecart::operators {
 
-namespace internal {
-
-// Limit of a ticket. Services with about 10,000 backend servers of 120 bytes
-// each must fit.
-constexpr std::size_t MaxBodyBytes = 4U << 20U;
-constexpr unsigned MaxThreads = 8;
-// Verification level of cxxtools that rejects clients without a certificate.
-constexpr int RequireClientCertificate = 2;
-const std::string TicketPrefix = "/tickets/";
-
-Response errorResponse(unsigned Status, const std::string &Message) {
-  return Response{.Status = Status,
-                  .Body = nlohmann::json{{"error", Message}}.dump() + "\n"};
-}
-
-class EndpointResponder final : public cxxtools::http::Responder {
-public:
-  EndpointResponder(cxxtools::http::Service &Owner, Api &Endpoints)
-      : Responder(Owner), Endpoints(Endpoints) {}
-
-  void beginRequest(cxxtools::net::TcpSocket & /*Socket*/,
-                    std::istream & /*In*/,
-                    cxxtools::http::Request & /*Request*/) override {
-    Body.clear();
-    Oversized = false;
-  }
-
-  std::size_t readBody(std::istream &In) override {
-    std::size_t Count = 0;
-    while (In.rdbuf()->in_avail() > 0) {
-      const int Character = In.get();
-      if (Character == std::istream::traits_type::eof())
-        break;
-      ++Count;
-      if (Body.size() < MaxBodyBytes)
-        Body += static_cast<char>(Character);
-      else
-        Oversized = true;
-    }
-    return Count;
-  }
-
-  void reply(std::ostream &Out, cxxtools::http::Request &Request,
-             cxxtools::http::Reply &Reply) override {
-    Response Result;
-    try {
-      Result = dispatch(Request);
-    } catch (const std::exception &Failure) {
-      core::LogLine(core::LogLevel::Error, "operators.request_failed")
-          .field("url", Request.url())
-          .field("error", Failure.what());
-      Result = errorResponse(500, Failure.what());
-    }
-    Reply.httpReturn(Result.Status, Result.Status == 200 ? "OK" : "Error");
-    Reply.setHeader("Content-Type", Result.ContentType.c_str());
-    Reply.setHeader("Cache-Control", "no-store");
-    Out << Result.Body;
-  }
-
-private:
-  [[nodiscard]] Response dispatch(const cxxtools::http::Request &Request) {
-    const std::string &Url = Request.url();
-    if (Url == "/tickets")
-      return submit(Request);
-    if (Request.method() != "GET")
-      return errorResponse(405, "method " + Request.method() + " not allowed");
-    if (Url.compare(0, TicketPrefix.size(), TicketPrefix) == 0)
-      return show(Url.substr(TicketPrefix.size()));
-    if (Url == "/services")
-      return Endpoints.services();
-    if (Url == "/status")
-      return Endpoints.status();
-    if (Url == "/timeline")
-      return Endpoints.timeline(parseTimelineQuery(Request.qparams()));
-    if (Url == "/metrics")
-      return Endpoints.metrics();
-    if (Url == "/ready")
-      return Endpoints.readiness();
-    return errorResponse(404, "no endpoint " + Url);
-  }
-
-  [[nodiscard]] Response submit(const cxxtools::http::Request &Request) {
-    if (Request.method() != "POST")
-      return errorResponse(405, "use POST to submit a ticket");
-    if (Oversized)
-      return errorResponse(413, "ticket exceeds " +
-                                    std::to_string(MaxBodyBytes) + " bytes");
-    return Endpoints.submitTicket(Body);
-  }
+namespace asio = boost::asio;
+using asio::ip::tcp;
 
-  [[nodiscard]] Response show(const std::string &Text) {
-    std::uint64_t Number = 0;
-    const char *End = Text.data() + Text.size();
-    const auto [Last, Code] = std::from_chars(Text.data(), End, Number);
-    if (Code != std::errc() || Last != End || Number == 0)
-      return errorResponse(400, "ticket number must be a positive integer");
-    return Endpoints.showTicket(Number);
-  }
+namespace internal {
 
-  Api &Endpoints;
-  std::string Body;
-  bool Oversized = false;
-};
+namespace {
 
-class EndpointService final : public cxxtools::http::CachedServiceBase {
-public:
-  explicit EndpointService(Api &Endpoints) : Endpoints(Endpoints) {}
+constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+// Handlers of tickets block their thread for up to 5 s.
+constexpr std::size_t ThreadCount = 8;
+// Further connections are closed at once.
+constexpr std::size_t MaxConnections = 256;
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
-private:
-  cxxtools::http::Responder *newResponder() override {
-    return new EndpointResponder(*this, Endpoints);
-  }
-
-  Api &Endpoints;
-};
+} // namespace
 
 } // namespace internal
 
+// The server of cxxtools 3.0 is not used: its end waits forever for threads
+// that block in accept() or in the read of the pipe that wakes them.
 class Server::Implementation {
 public:
-  Implementation(const std::string &Address, std::uint16_t Port,
-                 const TlsFiles &Tls, Api &Endpoints)
-      : Service(Endpoints), Http(Loop) {
-    Http.maxThreads(internal::MaxThreads);
-    if (Tls.enabled())
-      Http.listen(Address, Port, Tls.Certificate, Tls.Key,
-                  internal::RequireClientCertificate, Tls.Ca);
-    else
-      Http.listen(Address, Port);
-    Http.addService(cxxtools::Regex("^/"), Service);
-    Thread = std::thread([this] { Loop.run(); });
+  Implementation(const std::string &Address, std::uint16_t Port, TlsFiles Tls,
+                 Api &Endpoints)
+      : Tls(std::move(Tls)), Endpoints(Endpoints),
+        Acceptor(asio::make_strand(Io),
+                 tcp::endpoint(asio::ip::make_address(Address), Port)) {
+    asio::co_spawn(Acceptor.get_executor(), acceptConnections(),
+                   [](const std::exception_ptr &) {});
+    for (std::thread &Thread : Threads)
+      Thread = std::thread([this] { Io.run(); });
   }
   Implementation(const Implementation &) = delete;
   Implementation &operator=(const Implementation &) = delete;
 
   ~Implementation() {
-    Loop.exit();
-    Thread.join();
+    {
+      const std::lock_guard Lock(Mutex);
+      Stopping = true;
+      for (const auto &[Key, Link] : Connections)
+        asio::post(Link->executor(), [Link = Link] { Link->stop(); });
+    }
+    asio::post(Acceptor.get_executor(), [this] {
+      boost::system::error_code Ignored;
+      Acceptor.close(Ignored);
+    });
+    // The threads end when the last coroutine has ended.
+    for (std::thread &Thread : Threads)
+      Thread.join();
   }
 
 private:
-  cxxtools::EventLoop Loop;
-  internal::EndpointService Service;
-  cxxtools::http::Server Http;
-  std::thread Thread;
+  core::Awaitable<void> acceptConnections() {
+    asio::steady_timer Pause(Acceptor.get_executor());
+    while (Acceptor.is_open()) {
+      auto [Code, Socket] = co_await Acceptor.async_accept(
+          asio::any_io_executor(asio::make_strand(Io)), internal::UseTuple);
+      if (!Code) {
+        start(std::move(Socket));
+        continue;
+      }
+      if (!Acceptor.is_open())
+        break;
+      core::LogLine(core::LogLevel::Warning, "operators.accept_failed")
+          .field("error", Code);
+      Pause.expires_after(internal::AcceptRetryDelay);
+      co_await Pause.async_wait(internal::UseTuple);
+    }
+  }
+
+  void start(tcp::socket Socket) {
+    const auto Link = std::make_shared<internal::Connection>(std::move(Socket),
+                                                             Tls, Endpoints);
+    const std::lock_guard Lock(Mutex);
+    if (Stopping || Connections.size() >= internal::MaxConnections)
+      return;
+    Connections.emplace(Link.get(), Link);
+    asio::co_spawn(Link->executor(), Link->run(),
+                   [this, Link](const std::exception_ptr &Failure) {
+                     // Only a failed allocation or a bug throws. It must end
+                     // one connection, not the process.
+                     if (Failure) {
+                       core::LogLine(core::LogLevel::Error,
+                                     "operators.connection_failed");
+                       Link->stop();
+                     }
+                     const std::lock_guard Lock(Mutex);
+                     Connections.erase(Link.get());
+                   });
+  }
+
+  const TlsFiles Tls;
+  Api &Endpoints;
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  // Guards what follows.
+  std::mutex Mutex;
+  bool Stopping = false;
+  std::unordered_map<internal::Connection *,
+                     std::shared_ptr<internal::Connection>>
+      Connections;
+  std::array<std::thread, internal::ThreadCount> Threads;
 };
 
 Server::Server(const std::string &Address, std::uint16_t Port,
--- a/tests/operators/fake_api.hpp
+++ b/tests/operators/fake_api.hpp
@@ -28,11 +28,13 @@
     return {.Body = std::to_string(Filter.Since)};
   }
   operators::Response metrics() override {
-    return {.ContentType = "text/plain", .Body = "m 1\n"};
+    return {.ContentType = "text/plain", .Body = Metrics};
   }
   operators::Response readiness() override {
     return {.Status = 503, .Body = "no configuration"};
   }
+
+  std::string Metrics = "m 1\n";
 };
 
 /// @brief Port of the loopback on which nothing listens.
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -1,13 +1,19 @@
 #include "../common/answering_server.hpp"
+#include "../common/certificates.hpp"
 #include "../common/endless_server.hpp"
 #include "../common/odd_responses.hpp"
 #include "fake_api.hpp"
 
+#include <array>
 #include <criterion/criterion.h>
 #include <jujubecart/operators/client.hpp>
+#include <memory>
+#include <thread>
+#include <vector>
 
 using namespace jujubecart;
 using namespace jujubecart::test;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -17,6 +23,7 @@
   [[nodiscard]] operators::Response fetch(const std::string &Path) const {
     return client().fetch(Path).value();
   }
+  [[nodiscard]] std::uint16_t port() const noexcept { return Port; }
   [[nodiscard]] operators::Client client() const {
     return {"127.0.0.1:" + std::to_string(Port), {}, std::chrono::seconds(5)};
   }
@@ -27,6 +34,40 @@
   operators::Server Http{"127.0.0.1", Port, {}, Endpoints};
 };
 
+/// @brief Connection that sends any bytes and reads only when told to.
+class RawClient {
+public:
+  explicit RawClient(std::uint16_t Port)
+      : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(Port);
+    cr_assert_eq(connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                         sizeof(Address)),
+                 0);
+  }
+  RawClient(const RawClient &) = delete;
+  RawClient &operator=(const RawClient &) = delete;
+  ~RawClient() { (void)close(Socket); }
+
+  void send(const std::string &Bytes) const {
+    (void)::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  }
+  /// @brief Reads until the server closes the connection.
+  [[nodiscard]] std::string readAll() const {
+    std::string Out;
+    std::array<char, 4096> Part{};
+    for (ssize_t Size = 0;
+         (Size = recv(Socket, Part.data(), Part.size(), 0)) > 0;)
+      Out.append(Part.data(), static_cast<std::size_t>(Size));
+    return Out;
+  }
+
+private:
+  const int Socket;
+};
+
 } // namespace
 
 // Guards against a large request body that is truncated because it arrives in
@@ -37,6 +78,66 @@
   cr_assert_eq(Fixture.client().post("/tickets", Body).value().Body, "900000");
 }
 
+// Guards against a ticket that is cut at the limit, and against a client that
+// does not learn why it was rejected, since it sends all before it reads.
+Test(OperatorServer, oversized_ticket_is_rejected_after_its_last_byte) {
+  const ServerFixture Fixture;
+  const std::string Body((4U << 20U) + 1, 'x');
+  cr_assert_eq(Fixture.client().post("/tickets", Body).value().Status, 413);
+  const std::string Largest(4U << 20U, 'x');
+  cr_assert_eq(Fixture.client().post("/tickets", Largest).value().Body,
+               std::to_string(Largest.size()));
+}
+
+// Guards against a client that gets no response, or a wrong one, on a
+// connection that it keeps, or with chunks.
+Test(OperatorServer, kept_connection_carries_several_requests) {
+  const ServerFixture Fixture;
+  const RawClient Client(Fixture.port());
+  Client.send("GET /tickets/17 HTTP/1.1\r\nHost: a\r\n\r\n"
+              "POST /tickets HTTP/1.1\r\nHost: a\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+              "GET /nothing HTTP/1.0\r\n\r\n");
+  const std::string Received = Client.readAll();
+  cr_assert(Received.find("\r\n\r\n17HTTP/1.1 200") != std::string::npos);
+  cr_assert(Received.find("\r\n\r\n3HTTP/1.1 404") != std::string::npos);
+  const RawClient Odd(Fixture.port());
+  Odd.send("what is this?\r\n\r\n");
+  cr_assert_eq(Odd.readAll().rfind("HTTP/1.1 400", 0), 0);
+}
+
+// Guards against a VM that is killed at the end of its grace time, because its
+// server waits for connections in any state.
+Test(OperatorServer, server_ends_in_time_whatever_its_connections_do) {
+  std::string Pipelined;
+  for (int Count = 0; Count < 1000; ++Count)
+    Pipelined += "GET /metrics HTTP/1.1\r\n\r\n";
+  const std::string Sent[] = {
+      "", "GET /st", "POST /tickets HTTP/1.1\r\nContent-Length: 9\r\n\r\nx",
+      "GET /status HTTP/1.1\r\n\r\n", Pipelined};
+  const tests::Certificates Files;
+  for (const bool Encrypted : {false, true}) {
+    FakeApi Endpoints;
+    // More than the socket buffers hold.
+    Endpoints.Metrics = std::string(1U << 20U, 'm');
+    const std::uint16_t Port = freePort();
+    const operators::TlsFiles Tls{.Certificate = Files.path("good.pem"),
+                                  .Key = Files.path("good.key"),
+                                  .Ca = Files.path("ca.pem")};
+    auto Http = std::make_unique<operators::Server>(
+        "127.0.0.1", Port, Encrypted ? Tls : operators::TlsFiles{}, Endpoints);
+    std::vector<std::unique_ptr<RawClient>> Clients;
+    for (const std::string &Each : Sent) {
+      Clients.push_back(std::make_unique<RawClient>(Port));
+      Clients.back()->send(Each);
+    }
+    std::this_thread::sleep_for(200ms);
+    const auto Begin = std::chrono::steady_clock::now();
+    Http.reset();
+    cr_expect_lt((std::chrono::steady_clock::now() - Begin) / 1ms, 3000);
+  }
+}
+
 // Guards against a readiness check that reports success while the VM is not
 // ready, so that the platform's load balancer would send callers to it.
 Test(OperatorServer, readiness_failure_gives_503) {
