Test that a VM that decides by itself sends nothing to a cold server

Cause: no test failed without. The one of the fallback left the VM's own dispatcher out, and its limit of 3.6 calls a second hid it. Change: the limit allows every call of the test, lookups take the fallback and orders the VM's own dispatcher, and all grants count.

--- a/tests/peers/server_statements_test.cpp
+++ b/tests/peers/server_statements_test.cpp
@@ -150,31 +150,34 @@
 }
 
 // Guards against requests to a cold server from a VM that decides by itself:
-// nobody counts the requests of all VMs then.
-Test(Dispatch, cold_server_gets_nothing_from_the_fallback) {
+// nobody counts the requests of all VMs then. Lookups are decided by the
+// fallback, orders by the VM's own dispatcher.
+Test(Dispatch, cold_server_gets_nothing_from_a_vm_that_decides_by_itself) {
   Cluster Fleet(2);
   Vm &Requester = Fleet.third();
   core::ServiceConfig Service = *Requester.Config.current()->find("tags");
   const std::string Cold = Service.Servers.front().Id;
   Service.Servers.front().ColdUntil = std::chrono::steady_clock::now() + 60s;
-  Service.Servers.front().ColdLimit = {.MilliPerS = 3600};
+  // High enough for every call of the test.
+  Service.Servers.front().ColdLimit = {.MilliPerS = 100000000};
   cr_assert(Requester.Config.apply(std::make_shared<core::ConfigSnapshot>(
       2, core::ConfigSnapshot::ServiceMap{
              {"tags", std::make_shared<core::ServiceEntry>(
                           core::ServiceEntry{2, Service})}})));
   Fleet.dispatcher().kill();
   Fleet.second().kill();
-  // Once the others count as lost, this VM is the dispatcher and may send as
-  // much as the server bears.
   std::size_t ByFallback = 0;
-  for (int Call = 0; Call < 8; ++Call) {
-    const auto Granted = Requester.acquire(Cluster::request());
-    cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
-    if (Granted->Dispatcher.empty()) {
-      ++ByFallback;
+  // Slots that are held make the other server the busier one.
+  for (std::uint64_t Call = 0; Call < MaxGrants; ++Call) {
+    for (const bool IsOrder : {false, true}) {
+      const auto Granted = Requester.acquire(
+          IsOrder ? Cluster::orderRequest(Call) : Cluster::request());
+      cr_assert(Granted.has_value(), "%s", Granted.error().message().c_str());
       cr_assert_neq(Granted->Server.Id, Cold);
+      ByFallback += Granted->Dispatcher.empty() ? 1U : 0U;
+      if (!IsOrder)
+        Requester.Node.broker().release(*Granted, CompletedReport);
     }
-    Requester.Node.broker().release(*Granted, CompletedReport);
   }
   cr_assert_gt(ByFallback, 0);
 }
