Skip responses to other requests in health checks over the pool

Cause: a late response to a caller's request on a kept connection was taken for the one to the health check, with its status and load. Change: health requests have no id, so that a response with one is skipped, as in the verification of connections before orders.

--- a/apps/jujubecartd/load_prober.cpp
+++ b/apps/jujubecartd/load_prober.cpp
@@ -15,6 +15,7 @@
   auto Request = std::make_shared<core::BackendRequest>();
   Request->Head = "GET " + Server.HealthPath +
                   " HTTP/1.1\r\nHost: " + Server.Address + "\r\n\r\n";
+  Request->IsHealthCheck = true;
   return Request;
 }
 
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -20,9 +20,6 @@
 // A faulty server may send a response without end; a skipped one that is longer
 // than this ends the exchange.
 constexpr std::size_t MaxSkippedBytes = 1 << 20;
-// Id that no request has, so that a response with any id belongs to an earlier
-// request.
-constexpr std::string_view NoRequestId = "none";
 
 namespace {
 
@@ -124,9 +121,7 @@
       co_return false;
     if (isInterim(Status))
       continue;
-    const bool OtherResponse =
-        Profile.readResponse(Item.Reader.message(), NoRequestId)
-            .RequestIdMismatch;
+    const bool OtherResponse = hasRequestId(Item.Reader.message());
     const bool KeptAlive = Item.Reader.parser().keep_alive();
     const bool Skipped = co_await skipResponse(Item);
     if (!Skipped || !KeptAlive)
@@ -242,7 +237,10 @@
       // request; what it states proves nothing about this one.
       if (Traits.WithoutRequestId && Connection->Used)
         break;
-      if (!Traits.RequestIdMismatch)
+      const bool OtherResponse = Traits.RequestIdMismatch ||
+                                 (Request->IsHealthCheck &&
+                                  hasRequestId(Connection->Reader.message()));
+      if (!OtherResponse)
         co_return acceptHead(Traits);
       // A late, duplicate response to an earlier request on this connection.
       const bool Skipped = co_await skipResponse(*Connection);
--- a/packages/backends/src/exchange.hpp
+++ b/packages/backends/src/exchange.hpp
@@ -43,6 +43,12 @@
   [[nodiscard]] core::Awaitable<ConnectionPool::ConnectionPtr> reuseForOrder();
   /// @return Whether all of the health request was sent.
   [[nodiscard]] bool sendHealthRequest(backends::Connection &Item) const;
+  /// @brief Whether a response has the id of a request; the responses to health
+  /// requests, which are sent without one, have none.
+  [[nodiscard]] bool hasRequestId(const Head &Message) const {
+    // No request has this id, so that it differs from any in the response.
+    return Profile.readResponse(Message, "none").RequestIdMismatch;
+  }
   /// @brief Sends a health request and waits for its response.
   /// @return Whether the connection works.
   [[nodiscard]] core::Awaitable<bool> verify(backends::Connection &Item);
--- a/packages/core/include/jujubecart/core/backend_transport.hpp
+++ b/packages/core/include/jujubecart/core/backend_transport.hpp
@@ -43,6 +43,9 @@
   /// Id sent by the caller; a response with another id is rejected. Empty if
   /// the caller sent none.
   std::string CallerRequestId;
+  /// A health check, which is sent without an id: a response with any id
+  /// belongs to another request.
+  bool IsHealthCheck = false;
   /// Asked right before the first byte is sent. If it returns false, nothing is
   /// sent and the exchange ends as Withheld. Empty if the request is always
   /// sent.
--- a/tests/platform/exchange_test.cpp
+++ b/tests/platform/exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "../../apps/jujubecartd/load_prober.hpp"
 #include "../common/odd_responses.hpp"
 #include "exchange_fixture.hpp"
 
@@ -14,6 +15,26 @@
   cr_assert_eq(Setup.run(), "right");
 }
 
+// Guards against a health check that takes the state and the load of a server
+// from a late response to another request on the connection.
+Test(PlatformExchange, health_check_skips_the_response_to_another_request) {
+  const std::string Late = response("503 Service Unavailable", "",
+                                    "Request-Id: " + std::string(Id) +
+                                        "\r\nUpstream-Load: 9, 9, 9\r\n");
+  OneExchange Setup(
+      respondWith(Late + response("200 OK", "", "Upstream-Load: 1, 0, 9\r\n")));
+  daemon::LoadProber Prober(Setup.Transport);
+  auto Result = asio::co_spawn(
+      Setup.Io,
+      Prober.probe({.Id = "i-1", .Address = Setup.Backend.address()},
+                   std::chrono::steady_clock::now() + 2s),
+      asio::use_future);
+  Setup.Io.run();
+  const decision::ProbeResult Probed = Result.get();
+  cr_assert(Probed.State == decision::ProbeState::Ok);
+  cr_assert_eq(Probed.Load->InFlight, 1);
+}
+
 // Guards against rejecting a response that has neither Content-Length nor
 // chunks and so ends with its connection.
 Test(PlatformExchange, response_ended_by_connection_close_is_complete) {
