--- a/packages/store/src/directory_entries.hpp
+++ b/packages/store/src/directory_entries.hpp
@@ -17,6 +17,10 @@
   return List;
 }
 
+/// @brief Logs the state of a backend server that has changed.
+void logServerChange(const char *State, const core::RegisteredServer &Item,
+                     core::Revision Changed);
+
 } // namespace jujubecart::store::internal
 
 #endif
