--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -6,6 +6,13 @@
 
 namespace jujubecart::peers {
 
+namespace internal {
+
+/// @brief Report of a call that ended without a result.
+[[nodiscard]] core::CallReport cancelledReport();
+
+} // namespace internal
+
 /// @brief Another VM that calls the dispatchers of this VM over a link.
 struct DispatchService::Client {
   LinkPtr PeerLink;
