--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -272,52 +272,6 @@
   co_return co_await Promise->wait();
 }
 
-core::Result<core::SlotGrant> RemoteBroker::acquireFromFallback(
-    const GroupEntry &Entry, const core::SlotRequest &Request,
-    std::string_view Dispatcher, std::string_view Reason) {
-  if (Request.Workspace != 0 && Request.CountsAgainstQuota) {
-    const decision::QuotaDecision Quota =
-        Env.Dispatch.countAlone(Request.Workspace, Request.Request);
-    if (!Quota.Admitted) {
-      if (Request.Hint)
-        Request.Hint->RetryAt = Env.Time.now() + Quota.RetryAfter;
-      return core::make_error_code(core::Error::QuotaExceeded);
-    }
-  }
-  ++Env.Links.counters().Fallbacks;
-  Env.Events.record({.Kind = "dispatch.fallback",
-                     .Request = Request.Request,
-                     .Peer = std::string(Dispatcher),
-                     .Detail = Entry.Group.Name + ": " + std::string(Reason)});
-  // Without a dispatcher nobody counts the requests of all VMs to a server that
-  // states a rate limit.
-  core::SlotRequest Unlimited = Request;
-  // The request may have waited for a dispatcher since it was checked.
-  excludeAvoidedServers(Unlimited);
-  for (decision::StatedLimit &Item : statedLimits(Entry))
-    Unlimited.Excluded.push_back(std::move(Item.ServerId));
-  excludeColdServers(Unlimited);
-  auto Grant = Env.Fallback.acquireNow(Unlimited);
-  if (!Grant)
-    return Grant;
-  const GroupDirectory::Index Index = Env.Groups.current();
-  const std::uint64_t Server = core::hash64(Grant->Server.Id);
-  HeldGrant Item{.Entry = Index->find(Entry.Hash),
-                 .Server = Grant->Server.Id,
-                 .DispatcherLink = nullptr,
-                 .Call = 0,
-                 .Token = 0,
-                 .Local = *Grant};
-  // The fallback selects among all servers of the service, so the server may
-  // belong to another group.
-  if (const auto Groups = Index->ByService.find(Request.Service);
-      Groups != Index->ByService.end())
-    for (const GroupPtr &Group : Groups->second)
-      if (Group->server(Server) != nullptr)
-        Item.Entry = Group;
-  return recordGrant(std::move(Item), *Grant);
-}
-
 // The dispatcher may not have this VM's configuration yet.
 bool RemoteBroker::isLeaving(const core::SlotGrant &Grant) const {
   const GroupDirectory::Index Index = Env.Groups.current();
@@ -345,19 +299,6 @@
     Statements->appendAvoided(*Entry, Env.Time.now(), Request.Excluded);
 }
 
-// The fallback selects among the servers of all groups of the service.
-void RemoteBroker::excludeColdServers(core::SlotRequest &Request) const {
-  const GroupDirectory::Index Index = Env.Groups.current();
-  const auto Found = Index->ByService.find(Request.Service);
-  if (Found == Index->ByService.end())
-    return;
-  const core::TimePoint Now = Env.Time.now();
-  for (const GroupPtr &Entry : Found->second)
-    for (const core::BackendServer &Server : Entry->Group.Servers)
-      if (Server.ColdLimit.MilliPerS != 0 && Now < Server.ColdUntil)
-        Request.Excluded.push_back(Server.Id);
-}
-
 std::vector<decision::StatedLimit>
 RemoteBroker::statedLimits(const GroupEntry &Entry) {
   const std::lock_guard Lock(Mutex);
