Trust a held watch of the store for at most 600 ms

Cause: an empty answer that arrives after the end of the wait counted up to that end. If the store gave it too early, it proves only what was before the question. The margin of a revocation leaves 600 ms for that, but a watch is held for 700 ms, and for 1,500 ms by a VM that is alone, so that a removed key could count up to 900 ms longer than allowed. Change: a held answer counts for at most 600 ms from its question. Fleets in touch ask no more often: an answer with changes, which counts from its question, already left up to 700 ms.

--- a/packages/store/src/freshness.cpp
+++ b/packages/store/src/freshness.cpp
@@ -16,9 +16,13 @@
 // The store looks for changes at the end of the wait. An answer that came
 // before shows only that it has looked since the question; now() stops while
 // this VM is suspended, so that such an answer is never taken for a later one.
+// An empty answer that the store gave too early and that was under way until
+// the end of the wait can't be told from one that was held. What it is trusted
+// for is therefore limited to what the margin for revocations leaves for it.
 milliseconds StoreQuestion::completeUntil(bool HasEntries) const noexcept {
+  constexpr milliseconds MaxTrustedWait{600};
   const bool Held = !HasEntries && Time.now() >= WaitUntil;
-  return Held ? AskedAt + Wait : AskedAt;
+  return Held ? AskedAt + std::min(Wait, MaxTrustedWait) : AskedAt;
 }
 
 void FreshnessRecord::raise(milliseconds CompleteUntil) noexcept {
--- a/tests/store/directory_fleet.hpp
+++ b/tests/store/directory_fleet.hpp
@@ -245,6 +245,9 @@
   /// Whether the store answers a watch of a frozen VM, which gets the answer
   /// later. Otherwise the watch waits as well.
   bool AnswersWhileFrozen = false;
+  /// Whether the store answers a watch without changes at once, with an answer
+  /// that is under way until the wait should have ended.
+  bool StoreEndsWatchesEarly = false;
   /// Time in which the store answers a call.
   std::chrono::milliseconds StoreLatency{4};
 
--- a/tests/store/revocation_test.cpp
+++ b/tests/store/revocation_test.cpp
@@ -192,3 +192,23 @@
                   static_cast<long long>(FreezeAt.count()));
   }
 }
+
+// Guards against a store that ends its watches early, whose empty answers
+// arrive when the wait should have ended.
+Test(Revocation, early_empty_answer_counts_from_its_question) {
+  for (const std::size_t Size : {1U, 30U}) {
+    DirectoryFleet Fleet(Size, 9);
+    Fleet.run(5s);
+    Fleet.StoreEndsWatchesEarly = true;
+    Fleet.Store.WatchLag = 1000ms;
+    for (int Change = 0; Change < 40; ++Change) {
+      Fleet.changeConfig();
+      Fleet.run(std::chrono::milliseconds(Fleet.Run.below(3000)));
+      for (const auto &Vm : Fleet.Vms)
+        Vm->setPath(Change % 2 == 0 ? StorePath::Silent : StorePath::Open);
+      Fleet.run(4500ms);
+    }
+    cr_expect_leq(Fleet.WorstRevocation.count(), Revoke.count(), "%zu VMs",
+                  Size);
+  }
+}
