End the process although a ticket waits for the store

Cause: the operators' server is destroyed after the event loop has stopped, and waits for its handlers. One that waited for the result of a ticket, which the loop no longer delivers, never returned: the VM was killed at the end of its grace time. Change: the handlers stop waiting when the loop has stopped; the ticket's state is unknown (504) then.

--- a/apps/jujubecartd/daemon_api.cpp
+++ b/apps/jujubecartd/daemon_api.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
+#include <chrono>
+#include <future>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace jujubecart::daemon {
 
@@ -79,6 +82,18 @@
   return Groups;
 }
 
+// Waits for a coroutine on the context. Nothing if the context was stopped
+// before its end: it is never resumed then.
+template <typename Value>
+std::optional<Value> waitFor(std::future<Value> Pending,
+                             const boost::asio::io_context &Io) {
+  constexpr std::chrono::milliseconds PollInterval{50};
+  while (Pending.wait_for(PollInterval) != std::future_status::ready)
+    if (Io.stopped())
+      return std::nullopt;
+  return Pending.get();
+}
+
 // Takes the text by value, since the coroutine can outlive the calling frame
 // when the process stops.
 core::Awaitable<store::TicketResult>
@@ -97,12 +112,15 @@
 
 operators::Response DaemonApi::submitTicket(const std::string &Text) {
   const store::TicketResult Result =
-      boost::asio::co_spawn(
-          Env.Io,
-          internal::submitAsync(Env.Tickets, Text,
-                                Env.Time.now() + internal::TicketTimeout),
-          boost::asio::use_future)
-          .get();
+      internal::waitFor(
+          boost::asio::co_spawn(
+              Env.Io,
+              internal::submitAsync(Env.Tickets, Text,
+                                    Env.Time.now() + internal::TicketTimeout),
+              boost::asio::use_future),
+          Env.Io)
+          .value_or(
+              store::TicketResult{.Status = store::TicketStatus::Unknown});
   core::LogLine(core::LogLevel::Info, "ticket.decided")
       .field("ticket", Result.Number)
       .field("state", store::toString(Result.Status))
@@ -116,12 +134,14 @@
 
 operators::Response DaemonApi::showTicket(std::uint64_t Number) {
   const auto Ticket =
-      boost::asio::co_spawn(
-          Env.Io,
-          internal::showAsync(Env.Tickets, Number,
-                              Env.Time.now() + internal::TicketTimeout),
-          boost::asio::use_future)
-          .get();
+      internal::waitFor(
+          boost::asio::co_spawn(
+              Env.Io,
+              internal::showAsync(Env.Tickets, Number,
+                                  Env.Time.now() + internal::TicketTimeout),
+              boost::asio::use_future),
+          Env.Io)
+          .value_or(core::make_error_code(core::Error::Unavailable));
   if (Ticket)
     return internal::jsonResponse(200, {{"ticket", Ticket->Number},
                                         {"state", "accepted"},
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -9,6 +9,7 @@
 import subprocess
 import tempfile
 import threading
+import time
 import unittest
 
 from fleet import BUILD, Fleet, wait_until
@@ -117,6 +118,21 @@
                    "the VM has stopped")
         self.assertEqual(self.vm.process.wait(EXIT_TIMEOUT_S), 0)
 
+    def test_process_ends_although_a_ticket_waits_for_the_store(self):
+        """Guards against a process that has stopped but does not end, because
+        a ticket waits for a response that nobody handles any more."""
+        http_call(self.fleet.store_port, "POST", "/control", body='{"outage": "silent"}')
+        connection = http.client.HTTPConnection("127.0.0.1", self.vm.operators, timeout=10)
+        self.addCleanup(connection.close)
+        with open(self.fleet.ticket(1), encoding="utf-8") as ticket:
+            connection.request("POST", "/tickets", ticket.read())
+        time.sleep(0.5)
+        self.vm.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: "event=vm.stopped" in self.fleet.log_text("vm0"),
+                   "the VM has stopped")
+        self.assertEqual(self.vm.process.wait(EXIT_TIMEOUT_S), 0)
+        self.assertEqual(connection.getresponse().status, 504)
+
 
 class ExitCodes(unittest.TestCase):
     """Exit codes of jujubectl for what the operators' port answers."""
