--- a/packages/decision/include/jujubecart/decision/internal/microseconds.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/microseconds.hpp
@@ -7,6 +7,8 @@
 
 namespace jujubecart::decision::internal {
 
+inline constexpr double MicrosecondsPerSecond = 1e6;
+
 /// @brief Converts a duration to fractional microseconds.
 [[nodiscard]] inline double
 microseconds(core::TimePoint::duration Time) noexcept {
--- a/packages/decision/src/return_schedule.cpp
+++ b/packages/decision/src/return_schedule.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/decision/internal/return_schedule.hpp>
 
+#include <jujubecart/decision/internal/microseconds.hpp>
+
 #include <algorithm>
 
 namespace jujubecart::decision::internal {
@@ -9,7 +11,6 @@
 // Callers that would have to return later than this are no longer spread, since
 // the load of that time is unknown.
 constexpr std::chrono::seconds MaxAhead{5};
-constexpr double MicrosecondsPerSecond = 1e6;
 
 } // namespace
 
--- a/packages/decision/src/server_table.cpp
+++ b/packages/decision/src/server_table.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/decision/internal/server_table.hpp>
 
+#include <jujubecart/decision/internal/microseconds.hpp>
+
 #include <algorithm>
 
 namespace jujubecart::decision::internal {
@@ -230,7 +232,6 @@
                                   core::TimePoint Now) const {
   if (!Server.Limiter.limited(Now))
     return Server.slots();
-  constexpr double MicrosecondsPerSecond = 1e6;
   return std::min<double>(Server.slots(), Server.Limiter.ratePerS(Now) *
                                               MeanServiceUs /
                                               MicrosecondsPerSecond);
--- a/packages/decision/src/slot_demand.cpp
+++ b/packages/decision/src/slot_demand.cpp
@@ -12,7 +12,6 @@
 // Time constant of the decay: long enough to average over a hundred calls of a
 // small group, short enough to follow a burst.
 constexpr double DecayUs = 1e6;
-constexpr double MicrosecondsPerSecond = 1e6;
 // Below this share of the slots, waiting calls are rare and slots are free of
 // charge.
 constexpr double FreeUtilization = 0.5;
