Count quotas in a sliding window instead of a token bucket

The agreement counts rate x 5 s + burst in any window, while the bucket refused what came faster than the rate for longer than the burst lasted. Each VM now counts what all admitted in the last window; a VM that reaches a part of the fleet scales its count up, and one that joins takes all but its even share for used.

--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace jujubecart::decision {
 
+class DecayedRate;
 class Dispatcher;
 class GroupDispatcher;
 namespace internal {
@@ -19,6 +20,7 @@
 class RandomChoice;
 class RetryBudget;
 class RoundRobin;
+class SlidingUse;
 class TokenBucket;
 class WorkspaceQuotas;
 
--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -3,6 +3,8 @@
 
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/workspace.hpp>
+#include <jujubecart/decision/decayed_rate.hpp>
+#include <jujubecart/decision/sliding_use.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -32,6 +34,16 @@
   friend auto operator<=>(const WorkspaceUse &, const WorkspaceUse &) = default;
 };
 
+/// @brief The agreement on quotas: in each window a workspace sends at most
+/// (rate x Window + burst) x (1 + Excess) + Slack requests.
+struct QuotaRule {
+  std::chrono::milliseconds Window{5000};
+  double Excess = 0.1;
+  double Slack = 20;
+
+  friend auto operator<=>(const QuotaRule &, const QuotaRule &) = default;
+};
+
 /// @brief VMs among which quotas are divided.
 struct QuotaFleet {
   /// Ids of the VMs that dispatch a group or replace its dispatcher first; they
@@ -62,10 +74,10 @@
 /// @brief Keeps the requests of each workspace within its quota together with
 /// the same object on other VMs. Does no I/O. Thread-safe.
 ///
-/// Each VM keeps a copy of the workspace's token bucket. Its own requests use
-/// it at once and those of other VMs when they are reported. Between two
-/// reports a VM uses only its share of the tokens, so that the VMs together
-/// stay within the quota.
+/// Each VM counts what all VMs admitted in the last window: its own requests at
+/// once and those of other VMs when they are reported. Between two reports a VM
+/// uses only its share of what is left, so that the VMs together stay within
+/// the quota.
 class WorkspaceQuotas {
 public:
   /// @brief Quota in force; one without limit for an unknown workspace.
@@ -73,7 +85,8 @@
 
   /// @param Self Id of this VM.
   /// @param Source Called with the mutex held; must not call this object.
-  WorkspaceQuotas(std::string Self, QuotaSource Source, core::TimePoint Now);
+  WorkspaceQuotas(std::string Self, QuotaSource Source, core::TimePoint Now,
+                  QuotaRule Rule = {});
 
   /// @brief Replaces the VMs among which quotas are divided.
   void setFleet(QuotaFleet Fleet, core::TimePoint Now);
@@ -89,7 +102,9 @@
                                       core::TimePoint Now, bool Alone = false);
 
   /// @brief Gives back an admitted request that got no slot.
-  void giveBack(std::uint64_t Workspace, core::TimePoint Now);
+  /// @param CountedAt When request() counted it.
+  void giveBack(std::uint64_t Workspace, core::TimePoint CountedAt,
+                core::TimePoint Now);
 
   /// @brief Adds the report of another VM.
   void recordReport(std::string_view Sender,
@@ -109,30 +124,28 @@
   [[nodiscard]] std::size_t size() const;
 
 private:
-  /// @brief Requests per second, forgotten exponentially.
-  struct Rate {
-    double PerS = 0;
-    core::TimePoint At;
+  /// Demand moves between dispatchers within a second, and a workspace has a
+  /// few requests a second.
+  static constexpr std::chrono::milliseconds DemandMemory{1500};
 
-    void add(double Requests, core::TimePoint Now);
-    [[nodiscard]] double at(core::TimePoint Now) const;
-  };
   struct Entry {
+    explicit Entry(std::chrono::milliseconds Window) : Use(Window) {}
+
     core::WorkspaceQuota Quota;
-    /// Tokens of the fleet's bucket as this VM knows them; negative after more
-    /// was used than there was.
-    double Level = 0;
-    /// Part of the refill that this VM has not used, in tokens.
+    /// Requests admitted in the last window, scaled up to the whole fleet.
+    SlidingUse Use;
+    /// This VM's part of what has expired, as far as it has not used it, in
+    /// requests.
     double Refill = 0;
-    /// When Level and Refill were computed.
+    /// When Use and Refill were computed.
     core::TimePoint At;
     /// Reported demand of all VMs and of this one.
-    Rate Demand;
-    Rate OwnDemand;
+    DecayedRate Demand{DemandMemory};
+    DecayedRate OwnDemand{DemandMemory};
     /// Not yet reported.
     std::uint32_t Demanded = 0;
     std::int32_t Admitted = 0;
-    /// Until when tokens are promised to refused requests by RetryAfter.
+    /// Until when room is promised to refused requests by RetryAfter.
     core::TimePoint PromisedUntil;
     core::TimePoint LastUsed;
   };
@@ -140,15 +153,16 @@
   [[nodiscard]] bool reports() const;
   [[nodiscard]] double reachablePart(core::TimePoint Now) const;
   [[nodiscard]] Entry &entry(std::uint64_t Workspace, core::TimePoint Now);
-  [[nodiscard]] double capacity(const core::WorkspaceQuota &Quota,
-                                double Part) const;
+  [[nodiscard]] double perWindow(const core::WorkspaceQuota &Quota) const;
+  [[nodiscard]] double lent(const core::WorkspaceQuota &Quota) const;
+  [[nodiscard]] double level(const Entry &Item, double Part,
+                             core::TimePoint Now) const;
+  [[nodiscard]] double unknownUse(const Entry &Item, core::TimePoint Now) const;
   [[nodiscard]] double share(const Entry &Item, core::TimePoint Now) const;
   void advance(Entry &Item, core::TimePoint Now) const;
-  [[nodiscard]] double firstLevel(const core::WorkspaceQuota &Quota,
-                                  core::TimePoint Now) const;
   [[nodiscard]] bool admit(Entry &Item, double Share,
                            core::TimePoint Now) const;
-  [[nodiscard]] std::chrono::milliseconds promise(Entry &Item, double PerS,
+  [[nodiscard]] std::chrono::milliseconds promise(Entry &Item, double Share,
                                                   core::TimePoint Now) const;
   [[nodiscard]] QuotaDecision decide(Entry &Item, core::TimePoint Now,
                                      bool Alone);
@@ -160,10 +174,11 @@
 
   const std::string Self;
   const QuotaSource Source;
+  const QuotaRule Rule;
 
   mutable std::mutex Mutex;
   QuotaFleet Fleet;
-  /// When this VM began to receive reports.
+  /// When this VM began to receive the reports of most others.
   core::TimePoint JoinedAt;
   /// When each other reporter was last heard or became a reporter.
   std::map<std::string, core::TimePoint, std::less<>> HeardAt;
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -1,7 +1,6 @@
 #include <jujubecart/decision/workspace_quotas.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace jujubecart::decision {
 
@@ -20,75 +19,66 @@
 // Reports of a VM arrive at least every 200 ms. Without one for this time the
 // VM is taken for cut off, and its part of the quotas stays unused here.
 constexpr auto UnheardAfter = 300ms;
-// Time constant of the demand rates: demand moves between dispatchers
-// within a second, and a workspace has a few requests a second.
-constexpr Seconds DemandMemory{1.5};
-// Tokens beyond the burst. Reports are late, so that the copies of a bucket
-// show fewer tokens than there are.
-constexpr double ExtraTokens = 4;
+// A VM that reached a smaller part of the fleet does not know enough of what
+// was used.
+constexpr double KnownPart = 0.5;
+// Requests beyond the quota. Reports are late and what they say expires late,
+// so that the VMs see less room than there is.
+constexpr double ExtraRequests = 4;
 // Demand in parts of the quota that is divided evenly in addition to the known
 // demand, because new demand may begin at any dispatcher.
 constexpr double EvenDemandPart = 0.5;
 constexpr double EvenDemandPerS = 1;
-// The promise allows a tenth and 20 requests more than the quota in a window of
-// 5 s. This part of it is lent to VMs beyond the tokens that are left, so that
-// few requests are refused for being unevenly spread.
-constexpr double LentPart = 0.5;
-constexpr double LentQuotaS = 0.5;
-constexpr double LentBurstPart = 0.1;
-// More than the 20 of the promise: with 20, 4.4% instead of 3.1% of the
-// requests below a limit of 1.6/s are refused. Simulated windows stay within
-// the promise.
-constexpr double LentRequests = 28;
-// Time in which tokens that were used too many are saved.
+// These parts of the excess and the slack of the agreement are lent to VMs
+// beyond what is left, so that few requests are refused for being unevenly
+// spread. With half of the slack, token buckets refused 4.4% instead of 3.1% of
+// the requests below a limit of 1.6/s.
+constexpr double LentExcess = 0.25;
+constexpr double LentSlack = 0.7;
+// Time in which requests that were admitted too many are saved.
 constexpr Seconds DebtTime{1};
-// A VM may use one token between two reports, however small its share, while
-// at least this many are left.
+// A VM may admit one request between two reports, however small its share,
+// while there is room for at least this many.
 constexpr double MinLevelForOne = 2;
 constexpr auto MinRetryAfter = 100ms;
-constexpr auto MaxRetryAfter = 5s;
-// A workspace is forgotten after this time without requests.
+// What was used last expires after one window; the refused callers are spread
+// over a second one.
+constexpr int MaxRetryWindows = 2;
+// A workspace is forgotten after this time without requests, at least after two
+// windows.
 constexpr auto IdleTime = 30s;
 constexpr auto ForgetInterval = 1s;
 // Part of the quotas for all VMs together that no report reaches. The others do
 // not know of them for as long as they take them for live.
 constexpr double AlonePart = 0.25;
-// First tokens of a VM that no report reaches, in seconds of its share.
+// First requests of a VM that no report reaches, in seconds of its share.
 constexpr double AloneBurstS = 5;
 
-// Tokens that are lent beyond those that are left.
-double lent(const core::WorkspaceQuota &Quota) {
-  return LentPart *
-         (LentQuotaS * static_cast<double>(Quota.MilliPerS) / MilliPerUnit +
-          LentBurstPart * static_cast<double>(Quota.Burst) + LentRequests);
-}
-
 double perS(const core::WorkspaceQuota &Quota) {
   return static_cast<double>(Quota.MilliPerS) / MilliPerUnit;
 }
 
-} // namespace
-
-void WorkspaceQuotas::Rate::add(double Requests, core::TimePoint Now) {
-  PerS = at(Now) + Requests / DemandMemory.count();
-  At = Now;
+// Part of the known VMs that are live.
+double livePart(const QuotaFleet &Fleet) {
+  return static_cast<double>(std::max<std::size_t>(Fleet.Live, 1)) /
+         static_cast<double>(
+             std::max<std::size_t>({Fleet.Known, Fleet.Live, 1}));
 }
 
-double WorkspaceQuotas::Rate::at(core::TimePoint Now) const {
-  return PerS == 0 ? 0 : PerS * std::exp(-Seconds(Now - At) / DemandMemory);
-}
+} // namespace
 
 WorkspaceQuotas::WorkspaceQuotas(std::string Self, QuotaSource Source,
-                                 core::TimePoint Now)
-    : Self(std::move(Self)), Source(std::move(Source)), JoinedAt(Now),
-      ReportedAt(Now), ActiveAt(Now - ReportsAfterDemand), ForgottenAt(Now) {}
+                                 core::TimePoint Now, QuotaRule Rule)
+    : Self(std::move(Self)), Source(std::move(Source)), Rule(Rule),
+      JoinedAt(Now), ReportedAt(Now), ActiveAt(Now - ReportsAfterDemand),
+      ForgottenAt(Now) {}
 
 bool WorkspaceQuotas::reports() const { return Fleet.Reporters.contains(Self); }
 
 void WorkspaceQuotas::setFleet(QuotaFleet NewFleet, core::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   const bool Before = reports();
-  const std::size_t CountBefore = Fleet.Reporters.size();
+  const double PartBefore = livePart(Fleet);
   // A VM that has just become a reporter has the time of one to report.
   for (const std::string &Vm : NewFleet.Reporters)
     if (Vm != Self && !Fleet.Reporters.contains(Vm))
@@ -97,15 +87,49 @@
   std::erase_if(HeardAt, [&](const auto &Item) {
     return !Fleet.Reporters.contains(Item.first);
   });
-  if (!reports() || (Before && Fleet.Reporters.size() <= CountBefore))
-    return;
-  // What the others used is not known yet.
-  if (!Before)
+  // What most of the others used before is not known.
+  const bool Rejoined = PartBefore < KnownPart && livePart(Fleet) > PartBefore;
+  if (reports() && (!Before || Rejoined))
     JoinedAt = Now;
-  for (auto &[Workspace, Item] : Entries) {
-    advance(Item, Now);
-    Item.Level = std::min(Item.Level, firstLevel(Item.Quota, Now));
-  }
+}
+
+// Requests in a window without excess and slack.
+double WorkspaceQuotas::perWindow(const core::WorkspaceQuota &Quota) const {
+  return perS(Quota) * Seconds(Rule.Window).count() +
+         static_cast<double>(Quota.Burst);
+}
+
+// Requests that are lent beyond those that are left.
+double WorkspaceQuotas::lent(const core::WorkspaceQuota &Quota) const {
+  return LentExcess * Rule.Excess * perWindow(Quota) + LentSlack * Rule.Slack;
+}
+
+// Requests that the VMs in reach may still admit. Use is scaled up by the part
+// of the fleet that was in reach when it was counted, so that a side of a
+// partition answers for its part of the use before, and takes the other side's
+// use for as much as its own after.
+double WorkspaceQuotas::level(const Entry &Item, double Part,
+                              core::TimePoint Now) const {
+  return Part * (perWindow(Item.Quota) + ExtraRequests - Item.Use.total() -
+                 unknownUse(Item, Now));
+}
+
+// Use before this VM joined the others that it does not know: all that was not
+// this VM's even share. It expires at the rate of the quota, since the burst
+// may have been used last; not at all for a window if there is demand for more
+// than the quota.
+double WorkspaceQuotas::unknownUse(const Entry &Item,
+                                   core::TimePoint Now) const {
+  if (!reports() || Now - JoinedAt >= Rule.Window)
+    return 0;
+  const double PerWindow = perWindow(Item.Quota) + ExtraRequests;
+  const bool Scarce =
+      Item.Demand.at(Now) * Seconds(Rule.Window).count() > PerWindow;
+  const double Expired =
+      Scarce ? 0 : perS(Item.Quota) * Seconds(Now - JoinedAt).count();
+  const auto Count = static_cast<double>(Fleet.Reporters.size());
+  return std::max(0.0, PerWindow * (1 - 1 / Count) - Expired -
+                           Item.Use.totalBefore(JoinedAt));
 }
 
 // The parts of the VMs on all sides of a partition add up to at most one, so
@@ -122,16 +146,9 @@
   }
   const auto Count =
       static_cast<double>(std::max<std::size_t>(Fleet.Reporters.size(), 1));
-  const double OfReporters = (Count - Unheard) / Count;
-  const double OfFleet =
-      static_cast<double>(std::max<std::size_t>(Fleet.Live, 1)) /
-      static_cast<double>(std::max<std::size_t>({Fleet.Known, Fleet.Live, 1}));
-  return std::min(OfReporters, OfFleet);
-}
-
-double WorkspaceQuotas::capacity(const core::WorkspaceQuota &Quota,
-                                 double Part) const {
-  return (static_cast<double>(Quota.Burst) + ExtraTokens) * Part;
+  // A VM that doesn't report yet has not heard any.
+  const double OfReporters = std::max(Count - Unheard, 1.0) / Count;
+  return std::min(OfReporters, livePart(Fleet));
 }
 
 // All VMs compute the shares from the same reports. New demand is not in them
@@ -148,6 +165,7 @@
 void WorkspaceQuotas::advance(Entry &Item, core::TimePoint Now) const {
   const double Elapsed = std::max(0.0, Seconds(Now - Item.At).count());
   Item.At = std::max(Item.At, Now);
+  const double Expired = Item.Use.expire(Now);
   const double Share = share(Item, Now);
   if (!reports()) {
     Item.Refill =
@@ -155,49 +173,31 @@
     return;
   }
   const double Part = reachablePart(Now);
-  const double Rate = perS(Item.Quota) * Part;
-  Item.Level =
-      std::min(Item.Level + Rate * Elapsed, capacity(Item.Quota, Part));
+  const double Rate =
+      perWindow(Item.Quota) / Seconds(Rule.Window).count() * Part;
   const double Saving =
       Rate > 0
-          ? std::clamp(1 + Item.Level / (Rate * DebtTime.count()), 0.0, 1.0)
+          ? std::clamp(1 + level(Item, Part, Now) / (Rate * DebtTime.count()),
+                       0.0, 1.0)
           : 0;
   const double MaxRefill = 1 + Share * Rate * Seconds(ReportInterval).count();
   Item.Refill =
-      std::min(Item.Refill + Share * Rate * Saving * Elapsed, MaxRefill);
-}
-
-// What others used before this VM joined them is not known, so it starts with
-// an even share.
-double WorkspaceQuotas::firstLevel(const core::WorkspaceQuota &Quota,
-                                   core::TimePoint Now) const {
-  const double Full = capacity(Quota, reachablePart(Now));
-  const auto Count =
-      static_cast<double>(std::max<std::size_t>(Fleet.Reporters.size(), 1));
-  return std::min(Full,
-                  Full / Count + perS(Quota) * Seconds(Now - JoinedAt).count());
+      std::min(Item.Refill + Share * Part * Expired * Saving, MaxRefill);
 }
 
 WorkspaceQuotas::Entry &WorkspaceQuotas::entry(std::uint64_t Workspace,
                                                core::TimePoint Now) {
-  const auto [Found, New] = Entries.try_emplace(Workspace);
+  const auto [Found, New] = Entries.try_emplace(Workspace, Rule.Window);
   Entry &Item = Found->second;
   const core::WorkspaceQuota Quota = Source(Workspace);
   if (New) {
     Item.Quota = Quota;
     Item.At = Now;
-    Item.Level = firstLevel(Quota, Now);
     if (!reports())
       Item.Refill = std::min(1.0, AloneBurstS * perS(Quota) * share(Item, Now));
   } else if (Quota != Item.Quota) {
+    // What was used counts against the new quota.
     advance(Item, Now);
-    const double Part = reachablePart(Now);
-    const double Growth = capacity(Quota, Part) - capacity(Item.Quota, Part);
-    if (!Item.Quota.limited())
-      Item.Level = capacity(Quota, Part);
-    else
-      Item.Level =
-          std::min(Item.Level + std::max(0.0, Growth), capacity(Quota, Part));
     Item.Quota = Quota;
     Item.Refill = 0;
     Item.PromisedUntil = Now;
@@ -209,12 +209,13 @@
 bool WorkspaceQuotas::admit(Entry &Item, double Share,
                             core::TimePoint Now) const {
   if (reports()) {
+    const double Part = reachablePart(Now);
+    const double Level = level(Item, Part, Now);
     const double Used = std::max<std::int32_t>(Item.Admitted, 0);
     // Level already lacks what this VM used since its last report.
-    const double Usable =
-        Share * (Item.Level + Used + lent(Item.Quota) * reachablePart(Now));
-    const bool First = Item.Admitted <= 0 && Item.Level >= MinLevelForOne;
-    if (Item.Level >= 1 && (Used + 1 <= Usable || First)) {
+    const double Usable = Share * (Level + Used + lent(Item.Quota) * Part);
+    const bool First = Item.Admitted <= 0 && Level >= MinLevelForOne;
+    if (Level >= 1 && (Used + 1 <= Usable || First)) {
       Item.Refill = std::max(0.0, Item.Refill - 1);
       return true;
     }
@@ -225,18 +226,24 @@
   return true;
 }
 
-// Gives each refused request a time of its own, at the rate at which tokens
-// come, so that the callers do not return all at once.
-std::chrono::milliseconds WorkspaceQuotas::promise(Entry &Item, double PerS,
+// Gives each refused request a time of its own, from when there is room again
+// on and at the rate of the quota, so that the callers do not return all at
+// once.
+std::chrono::milliseconds WorkspaceQuotas::promise(Entry &Item, double Share,
                                                    core::TimePoint Now) const {
-  const Seconds Step(PerS > 0 ? 1 / PerS : Seconds(MaxRetryAfter).count());
+  const double Part = reports() ? reachablePart(Now) : 1;
+  const Seconds MaxWait = Rule.Window * MaxRetryWindows;
+  const Seconds Step = std::min(
+      MaxWait, Seconds(Rule.Window) / (Share * Part * perWindow(Item.Quota)));
+  const double Missing = reports() ? (1 - level(Item, Part, Now)) / Part : 0;
+  const core::TimePoint Room = Item.Use.expiresAt(Missing);
   const Seconds Wait =
-      std::max(Seconds(Item.PromisedUntil - Now), Seconds(0)) + Step;
-  const auto RetryAfter =
-      std::clamp(std::chrono::ceil<std::chrono::milliseconds>(
-                     std::min(Wait, Seconds(MaxRetryAfter))),
-                 std::chrono::milliseconds(MinRetryAfter),
-                 std::chrono::milliseconds(MaxRetryAfter));
+      std::max(Seconds(std::max(Item.PromisedUntil, Room) - Now), Seconds(0)) +
+      Step;
+  const auto RetryAfter = std::clamp(
+      std::chrono::ceil<std::chrono::milliseconds>(std::min(Wait, MaxWait)),
+      std::chrono::milliseconds(MinRetryAfter),
+      std::chrono::milliseconds(Rule.Window * MaxRetryWindows));
   Item.PromisedUntil = Now + RetryAfter;
   return RetryAfter;
 }
@@ -257,7 +264,7 @@
   // decides without a dispatcher.
   Out.Admitted = !(Alone && reports()) && admit(Item, Share, Now);
   if (!Out.Admitted)
-    Out.RetryAfter = promise(Item, Share * perS(Item.Quota), Now);
+    Out.RetryAfter = promise(Item, Share, Now);
   return Out;
 }
 
@@ -272,17 +279,19 @@
   Entry &Item = entry(Workspace, Now);
   const QuotaDecision Out = decide(Item, Now, Alone);
   ++Item.Demanded;
+  const double Part = reachablePart(Now);
   if (Out.Admitted) {
-    Item.Level -= 1;
+    Item.Use.add(1 / Part, Now);
     ++Item.Admitted;
   }
   Unreported.insert(Workspace);
   recordDemand(Now);
   // Half of the share is used.
-  Urgent = Urgent || (Item.Quota.limited() && Item.Admitted >= 2 &&
-                      2.0 * Item.Admitted >=
-                          share(Item, Now) *
-                              (Item.Level + Item.Admitted + lent(Item.Quota)));
+  Urgent =
+      Urgent || (Item.Quota.limited() && Item.Admitted >= 2 &&
+                 2.0 * Item.Admitted >=
+                     share(Item, Now) * (level(Item, Part, Now) +
+                                         Item.Admitted + lent(Item.Quota)));
   return Out;
 }
 
@@ -292,11 +301,14 @@
   ActiveAt = Now;
 }
 
-void WorkspaceQuotas::giveBack(std::uint64_t Workspace, core::TimePoint Now) {
+void WorkspaceQuotas::giveBack(std::uint64_t Workspace,
+                               core::TimePoint CountedAt, core::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   Entry &Item = entry(Workspace, Now);
   advance(Item, Now);
-  Item.Level += 1;
+  // What has expired is no longer counted by the others either.
+  if (Item.Use.remove(1 / reachablePart(Now), CountedAt) <= 0)
+    return;
   --Item.Admitted;
   Unreported.insert(Workspace);
 }
@@ -315,7 +327,11 @@
   for (const WorkspaceUse &Use : Items) {
     Entry &Item = entry(Use.Workspace, Now);
     advance(Item, Now);
-    Item.Level -= Use.Admitted;
+    const double Amount = Use.Admitted / reachablePart(Now);
+    if (Amount >= 0)
+      Item.Use.add(Amount, Now);
+    else
+      Item.Use.removeNewest(-Amount);
     Item.Demand.add(Use.Demanded, Now);
   }
 }
@@ -364,7 +380,8 @@
 void WorkspaceQuotas::forgetIdle(core::TimePoint Now) {
   ForgottenAt = Now;
   std::erase_if(Entries, [&](const auto &Item) {
-    return Now - Item.second.LastUsed > IdleTime;
+    return Now - Item.second.LastUsed >
+           std::max<core::TimePoint::duration>(IdleTime, Rule.Window * 2);
   });
 }
 
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -174,8 +174,10 @@
   /// @brief Whether this VM may count a request of another VM. Updates the
   /// ranks first if it does not; call it without locks held.
   [[nodiscard]] bool countsForOthers(std::uint64_t Workspace);
-  [[nodiscard]] decision::QuotaDecision
-  countRequest(std::uint64_t Workspace, core::RequestId Request, bool Alone);
+  [[nodiscard]] decision::QuotaDecision countRequest(std::uint64_t Workspace,
+                                                     core::RequestId Request,
+                                                     core::TimePoint Now,
+                                                     bool Alone);
   /// @brief Gives the token of a call that got no slot back to its workspace.
   /// Called once for a call, when it is removed.
   void giveBackQuota(const Call &Item);
--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -14,9 +14,9 @@
 
 decision::QuotaDecision DispatchService::countRequest(std::uint64_t Workspace,
                                                       core::RequestId Request,
+                                                      core::TimePoint Now,
                                                       bool Alone) {
-  const decision::QuotaDecision Out =
-      Quotas.request(Workspace, Env.Time.now(), Alone);
+  const decision::QuotaDecision Out = Quotas.request(Workspace, Now, Alone);
   ++Env.Links.counters().QuotaRequests;
   if (Out.Admitted)
     return Out;
@@ -40,14 +40,14 @@
 
 decision::QuotaDecision DispatchService::countAlone(std::uint64_t Workspace,
                                                     core::RequestId Request) {
-  return countRequest(Workspace, Request, true);
+  return countRequest(Workspace, Request, Env.Time.now(), true);
 }
 
 void DispatchService::giveBackQuota(const Call &Item) {
   if (!Item.UsesQuota)
     return;
   ++Env.Links.counters().QuotaReturns;
-  Quotas.giveBack(Item.Workspace, Env.Time.now());
+  Quotas.giveBack(Item.Workspace, Item.CountedAt, Env.Time.now());
 }
 
 void DispatchService::onQuotaReport(const LinkPtr &Source,
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -133,7 +133,8 @@
   const bool Ready =
       !Counts || !Item.Requester || countsForOthers(Item.Workspace);
   if (Counts && Ready) {
-    Quota = countRequest(Item.Workspace, Request, false);
+    Item.CountedAt = Env.Time.now();
+    Quota = countRequest(Item.Workspace, Request, Item.CountedAt, false);
     Item.UsesQuota = Quota.Admitted;
   }
   if (Item.Requester)
--- a/packages/peers/src/dispatch_state.hpp
+++ b/packages/peers/src/dispatch_state.hpp
@@ -44,6 +44,8 @@
 
   /// Whether the call used a token of its workspace's quota.
   bool UsesQuota = false;
+  /// When it was counted against the quota of its workspace.
+  core::TimePoint CountedAt;
   /// Whether the order key is claimed; also true without a key.
   bool Claimed = false;
   /// Whether the grant was delivered.
