--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -121,6 +121,10 @@
       std::chrono::milliseconds(Settings.Peers.SuspectAfterMs);
   Options.RemoveAfter = std::chrono::milliseconds(Settings.Peers.RemoveAfterMs);
   Options.ZonePricePerGb = Settings.Zones.PricePerGb;
+  Options.Quotas = {.Window =
+                        std::chrono::milliseconds(Settings.Quotas.WindowMs),
+                    .Excess = Settings.Quotas.Excess,
+                    .Slack = Settings.Quotas.Slack};
   Options.RandomSeed = core::hash64(Settings.Vm.Id, Incarnation);
   if (Settings.Directory.Enabled) {
     Options.AskNextDispatcher = true;
--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -29,6 +29,7 @@
 struct Granted;
 struct PendingCall;
 struct ProbeResult;
+struct QuotaRule;
 struct Rejected;
 struct ServerStatus;
 
--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/workspace.hpp>
 #include <jujubecart/decision/decayed_rate.hpp>
+#include <jujubecart/decision/quota_rule.hpp>
 #include <jujubecart/decision/sliding_use.hpp>
 
 #include <chrono>
@@ -34,16 +35,6 @@
   friend auto operator<=>(const WorkspaceUse &, const WorkspaceUse &) = default;
 };
 
-/// @brief The agreement on quotas: in each window a workspace sends at most
-/// (rate x Window + burst) x (1 + Excess) + Slack requests.
-struct QuotaRule {
-  std::chrono::milliseconds Window{5000};
-  double Excess = 0.1;
-  double Slack = 20;
-
-  friend auto operator<=>(const QuotaRule &, const QuotaRule &) = default;
-};
-
 /// @brief VMs among which quotas are divided.
 struct QuotaFleet {
   /// Ids of the VMs that dispatch a group or replace its dispatcher first; they
--- a/packages/operators/include/jujubecart/operators/settings.hpp
+++ b/packages/operators/include/jujubecart/operators/settings.hpp
@@ -124,6 +124,17 @@
                           const RetrySettings &) = default;
 };
 
+/// @brief How the quotas of workspaces are counted: in each window at most
+/// (rate x window + burst) x (1 + Excess) + Slack requests.
+struct QuotaSettings {
+  std::uint32_t WindowMs = 5000;
+  double Excess = 0.1;
+  double Slack = 20;
+
+  friend auto operator<=>(const QuotaSettings &,
+                          const QuotaSettings &) = default;
+};
+
 /// @brief All settings of one process.
 struct Settings {
   VmSettings Vm;
@@ -133,6 +144,7 @@
   StoreSettings Store;
   DirectorySettings Directory;
   RetrySettings Retries;
+  QuotaSettings Quotas;
   ZoneSettings Zones;
   /// `IP:port` that serves the platform's VM list; empty if there is none.
   std::string PlatformEndpoint;
--- a/packages/operators/src/settings_reader.cpp
+++ b/packages/operators/src/settings_reader.cpp
@@ -244,6 +244,23 @@
   return Retries;
 }
 
+QuotaSettings readQuotas(JsonReader &Root, Findings &Report) {
+  // A window is counted in 50 slots.
+  constexpr std::uint32_t MinWindowMs = 500;
+  constexpr double MaxSlack = 1e6;
+  QuotaSettings Quotas;
+  JsonReader Reader(objectOrEmpty(Root, "quotas", false), "/quotas", Report);
+  const json &Window = Reader.value("window");
+  Quotas.WindowMs =
+      readDuration(Window, "/quotas/window", Quotas.WindowMs, Report);
+  if (Quotas.WindowMs < MinWindowMs)
+    Report.add("/quotas/window", Window.dump(), "at least 500 ms");
+  Quotas.Excess = Reader.numberOr("excess", 0, 1, Quotas.Excess);
+  Quotas.Slack = Reader.numberOr("slack", 0, MaxSlack, Quotas.Slack);
+  Reader.rejectUnknownKeys();
+  return Quotas;
+}
+
 ZoneSettings readZones(JsonReader &Root, Findings &Report) {
   // At this price a call of 1 kB costs as much as one call is worth.
   constexpr double MaxPricePerGb = 1e6;
@@ -290,6 +307,7 @@
   Result.Store = internal::readStore(Root, Report);
   Result.Directory = internal::readDirectory(Root, Report);
   Result.Retries = internal::readRetries(Root, Report);
+  Result.Quotas = internal::readQuotas(Root, Report);
   Result.Zones = internal::readZones(Root, Report);
   Result.PlatformEndpoint = internal::readPlatform(Root, Report);
   Result.Policy =
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -68,6 +68,7 @@
     core::EventSink &Events;
     /// Nullptr disables health probes.
     HealthProber *Prober = nullptr;
+    decision::QuotaRule Quotas{};
   };
 
   DispatchService(const boost::asio::any_io_executor &Executor,
--- a/packages/peers/include/jujubecart/peers/peer_options.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_options.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/member.hpp>
+#include <jujubecart/decision/quota_rule.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -79,6 +80,8 @@
   /// Price of a gigabyte between zones, in calls that meet their objective. VMs
   /// tell dispatchers the bytes of their calls only if it is set.
   std::optional<double> ZonePricePerGb;
+  /// In which windows the quotas of workspaces are counted.
+  decision::QuotaRule Quotas;
   /// Seed of the random number generators; different on every VM.
   std::uint64_t RandomSeed = 1;
 };
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -67,7 +67,7 @@
     : Executor(Executor), Env(Dependencies),
       Timer(internal::makeSerialTimer(Executor)),
       Quotas(Env.Members.self().Id, internal::quotaSource(Env.Config),
-             Env.Time.now()) {
+             Env.Time.now(), Env.Quotas) {
   Env.Groups.subscribe([this](const auto &Index) { onGroupsChanged(Index); });
 }
 
--- a/tests/operators/settings_test.cpp
+++ b/tests/operators/settings_test.cpp
@@ -159,6 +159,29 @@
   }
 }
 
+// Guards against quotas that are counted in other windows than the platform
+// counts them in.
+Test(Settings, quota_window_is_read_and_checked) {
+  const std::string Whole = R"({
+    "vm": {"id": "a", "zone": "z", "region": "r"},
+    "callers": {"listen": "127.0.0.1:1"},
+    "operators": {"listen": "127.0.0.1:2"},
+    "peers": {"listen": "127.0.0.1:3"},
+    "store": {"endpoints": ["127.0.0.1:4"]},
+    "quotas": {"window": "2500ms", "excess": 0.2, "slack": 30}})";
+  core::Findings Report("test");
+  const operators::Settings Read = operators::readSettings(Whole, Report);
+  cr_assert(Report.empty(), "%s", Report.text().c_str());
+  cr_assert_eq(Read.Quotas, (operators::QuotaSettings{2500, 0.2, 30}));
+  for (const char *Wrong : {"\"400ms\"", "0", "\"long\""}) {
+    std::string Text = Whole;
+    Text.replace(Text.find("\"2500ms\""), 8, Wrong);
+    core::Findings Problems("test");
+    static_cast<void>(operators::readSettings(Text, Problems));
+    cr_assert_not(Problems.empty(), "%s", Wrong);
+  }
+}
+
 // Guards against a price that is read although it is absent, which would change
 // the choice of servers, and against a wrong one that is accepted.
 Test(Settings, zone_price_is_optional_and_checked) {
