Require keys if the table of workspaces is empty

A configuration with an empty table of workspaces was read like one without the table, so that taking the last workspace away opened all routes. Now every key is unknown then; without the table nothing changes.

The test of the codec demanded the old behaviour for {}; it now demands keys there, and none without the table.

--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -116,7 +116,7 @@
 
 bool Call::hasWorkspaces() const noexcept {
   const core::RoutingTable *Routing = Config->routing();
-  return Routing != nullptr && !Routing->workspaces().empty();
+  return Routing != nullptr && Routing->workspaces().keysRequired();
 }
 
 std::string_view Call::workspaceName() const noexcept {
--- a/packages/core/include/jujubecart/core/routing_table.hpp
+++ b/packages/core/include/jujubecart/core/routing_table.hpp
@@ -68,7 +68,7 @@
 class RoutingTable {
 public:
   /// @param Version Version number set by the operators.
-  /// @param Workspaces Empty if requests need no API key.
+  /// @param Workspaces Default-constructed if requests need no API key.
   RoutingTable(std::uint64_t Version, std::vector<Route> Routes,
                CallerLimits Limits, WorkspaceTable Workspaces = {});
 
--- a/packages/core/include/jujubecart/core/workspace_table.hpp
+++ b/packages/core/include/jujubecart/core/workspace_table.hpp
@@ -38,13 +38,16 @@
     friend auto operator<=>(const Entry &, const Entry &) = default;
   };
 
+  /// @brief The table of a configuration that does not mention workspaces.
   WorkspaceTable() = default;
 
-  /// @param Entries No two of them may share a key or a name.
+  /// @param Entries No two of them may share a key or a name. Without entries
+  /// every key is unknown.
   explicit WorkspaceTable(std::vector<Entry> Entries);
 
-  /// @brief Whether requests need no API key, because there is no workspace.
-  [[nodiscard]] bool empty() const noexcept { return Entries.empty(); }
+  /// @brief Whether requests need an API key, because the configuration has a
+  /// table of workspaces, be it an empty one.
+  [[nodiscard]] bool keysRequired() const noexcept { return Configured; }
 
   [[nodiscard]] const std::vector<Entry> &entries() const noexcept {
     return Entries;
@@ -59,7 +62,7 @@
 
   friend bool operator==(const WorkspaceTable &Left,
                          const WorkspaceTable &Right) {
-    return Left.Entries == Right.Entries;
+    return Left.Configured == Right.Configured && Left.Entries == Right.Entries;
   }
 
 private:
@@ -68,6 +71,7 @@
     operator()(const ApiKeyDigest &Digest) const noexcept;
   };
 
+  bool Configured = false;
   std::vector<Entry> Entries;
   /// Indices into Entries.
   std::unordered_map<ApiKeyDigest, std::size_t, DigestHash> ByKey;
--- a/packages/core/src/workspace_table.cpp
+++ b/packages/core/src/workspace_table.cpp
@@ -25,7 +25,7 @@
 }
 
 WorkspaceTable::WorkspaceTable(std::vector<Entry> List)
-    : Entries(std::move(List)) {
+    : Configured(true), Entries(std::move(List)) {
   for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
     ByHash.emplace(Entries[Index].Item.hash(), Index);
     for (const ApiKeyDigest &Key : Entries[Index].Keys)
--- a/tests/callers/workspace_test.cpp
+++ b/tests/callers/workspace_test.cpp
@@ -107,6 +107,16 @@
                9);
 }
 
+// Guards against keys that stop counting when the last workspace is taken away.
+Test(Workspaces, empty_table_makes_every_key_unknown) {
+  Fixture Setup{
+      core::WorkspaceTable(std::vector<core::WorkspaceTable::Entry>{})};
+  for (const char *Fields : {"", "Authorization: Token k1\r\n"}) {
+    cr_assert_eq(statusOf(Setup.get("/keyed/1", Fields)), 401, "%s", Fields);
+    cr_assert_eq(statusOf(Setup.get("/public/1", Fields)), 200, "%s", Fields);
+  }
+}
+
 // Guards against 401 instead of 404, which tells callers to look for a key.
 Test(Workspaces, unknown_route_is_answered_404_with_or_without_a_key) {
   Fixture Setup;
--- a/tests/platform/entry_codec_test.cpp
+++ b/tests/platform/entry_codec_test.cpp
@@ -268,13 +268,17 @@
   cr_assert_not(Decoded->Routing->find("hulo84.example", "/xapu/1")->Public);
 }
 
-// Guards against refused callers where no workspaces are configured.
-Test(EntryCodec, configuration_without_workspaces_needs_no_keys) {
-  for (const std::string &Text : {std::string(Config), withWorkspaces("{}")}) {
+// Guards against refused callers where no workspaces are configured, and
+// against keys that stop counting because the last workspace was taken away.
+Test(EntryCodec, keys_are_required_if_the_configuration_has_workspaces) {
+  for (const auto &[Text, Required] :
+       {std::pair(std::string(Config), false),
+        std::pair(withWorkspaces("{}"), true),
+        std::pair(withWorkspaces(R"({"a":{"api-keys":[]}})"), true)}) {
     Fixture Setup;
     const auto Decoded = Setup.Codec.decodeRouting(Text, Setup.Report);
     cr_assert(Decoded && Setup.Report.empty());
-    cr_assert(Decoded->Routing->workspaces().empty());
+    cr_assert_eq(Decoded->Routing->workspaces().keysRequired(), Required);
   }
 }
 
