--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -68,6 +68,7 @@
     core::EventSink &Events;
     /// Nullptr disables health probes.
     HealthProber *Prober = nullptr;
+    decision::QuotaRule Quotas{};
   };
 
   DispatchService(const boost::asio::any_io_executor &Executor,
@@ -176,8 +177,10 @@
   [[nodiscard]] bool countsForOthers(std::uint64_t Workspace);
   /// @brief Whether the workspace's priority replaces that of routes.
   [[nodiscard]] bool hasOwnPriority(std::uint64_t Workspace) const;
-  [[nodiscard]] decision::QuotaDecision
-  countRequest(std::uint64_t Workspace, core::RequestId Request, bool Alone);
+  [[nodiscard]] decision::QuotaDecision countRequest(std::uint64_t Workspace,
+                                                     core::RequestId Request,
+                                                     core::TimePoint Now,
+                                                     bool Alone);
   /// @brief Gives the token of a call that got no slot back to its workspace.
   /// Called once for a call, when it is removed.
   void giveBackQuota(const Call &Item);
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -67,7 +67,7 @@
     : Executor(Executor), Env(Dependencies),
       Timer(internal::makeSerialTimer(Executor)),
       Quotas(Env.Members.self().Id, internal::quotaSource(Env.Config),
-             Env.Time.now()) {
+             Env.Time.now(), Env.Quotas) {
   Env.Groups.subscribe([this](const auto &Index) { onGroupsChanged(Index); });
 }
 
@@ -133,7 +133,8 @@
   const bool Ready =
       !Counts || !Item.Requester || countsForOthers(Item.Workspace);
   if (Counts && Ready) {
-    Quota = countRequest(Item.Workspace, Request, false);
+    Item.CountedAt = Env.Time.now();
+    Quota = countRequest(Item.Workspace, Request, Item.CountedAt, false);
     Item.UsesQuota = Quota.Admitted;
   }
   if (Item.Requester)
