Start threads of the operators' server only when all are busy

Cause: each of the 8 threads cost about 0.1 MB of anonymous memory. Change: 2 threads, and up to 6 more while handlers block.

--- a/packages/operators/src/connection.cpp
+++ b/packages/operators/src/connection.cpp
@@ -58,9 +58,9 @@
 } // namespace
 
 Connection::Connection(asio::ip::tcp::socket Socket, const TlsFiles &Tls,
-                       Api &Endpoints)
+                       RequestHandler Handler)
     : Socket(std::move(Socket)), Limit(this->Socket.get_executor()), Tls(Tls),
-      Endpoints(Endpoints), Buffer(core::MaxHttpBufferBytes) {}
+      Handler(std::move(Handler)), Buffer(core::MaxHttpBufferBytes) {}
 
 core::Awaitable<void> Connection::run() {
   if (Tls.enabled())
@@ -102,8 +102,7 @@
     if (!Received)
       co_return;
     Responding = true;
-    // Blocks one of the server's threads, see Server.
-    const Response Message = handleRequest(Endpoints, *Received);
+    const Response Message = Handler(*Received);
     // The response to other methods than GET and POST may have to end without
     // its body.
     KeepAlive = Parser.keep_alive() && !Stopping &&
--- a/packages/operators/src/connection.hpp
+++ b/packages/operators/src/connection.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -22,10 +23,12 @@
 /// the executor of the socket.
 class Connection final : public std::enable_shared_from_this<Connection> {
 public:
+  /// Returns the response to a request; may block.
+  using RequestHandler = std::function<Response(const Request &)>;
+
   /// @param Tls Certificates; plain TCP if not enabled.
-  /// @param Endpoints Must outlive the connection.
   Connection(boost::asio::ip::tcp::socket Socket, const TlsFiles &Tls,
-             Api &Endpoints);
+             RequestHandler Handler);
 
   /// @brief Handles requests until the client leaves, a time limit passes or
   /// stop() is called.
@@ -62,7 +65,7 @@
   boost::asio::steady_timer Limit;
   core::TimePoint LimitAt;
   TlsFiles Tls;
-  Api &Endpoints;
+  RequestHandler Handler;
   boost::beast::flat_buffer Buffer;
   bool Responding = false;
   bool Stopping = false;
--- a/packages/operators/src/server.cpp
+++ b/packages/operators/src/server.cpp
@@ -4,7 +4,6 @@
 
 #include <jujubecart/core/log.hpp>
 
-#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,9 +15,11 @@
 #include <chrono>
 #include <exception>
 #include <mutex>
+#include <system_error>
 #include <thread>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace jujubecart::operators {
 
@@ -30,8 +31,10 @@
 namespace {
 
 constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
-// Handlers of tickets block their thread for up to 5 s.
-constexpr std::size_t ThreadCount = 8;
+// Handlers of tickets block their thread for up to 5 s. Another thread is
+// started when all are busy, because each costs memory.
+constexpr std::size_t FirstThreads = 2;
+constexpr std::size_t MaxThreads = 8;
 // Further connections are closed at once.
 constexpr std::size_t MaxConnections = 256;
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
@@ -51,8 +54,9 @@
                  tcp::endpoint(asio::ip::make_address(Address), Port)) {
     asio::co_spawn(Acceptor.get_executor(), acceptConnections(),
                    [](const std::exception_ptr &) {});
-    for (std::thread &Thread : Threads)
-      Thread = std::thread([this] { Io.run(); });
+    const std::lock_guard Lock(Mutex);
+    while (Threads.size() < internal::FirstThreads)
+      Threads.emplace_back([this] { Io.run(); });
   }
   Implementation(const Implementation &) = delete;
   Implementation &operator=(const Implementation &) = delete;
@@ -68,7 +72,8 @@
       boost::system::error_code Ignored;
       Acceptor.close(Ignored);
     });
-    // The threads end when the last coroutine has ended.
+    // The threads end when the last coroutine has ended; none is started any
+    // more.
     for (std::thread &Thread : Threads)
       Thread.join();
   }
@@ -92,9 +97,34 @@
     }
   }
 
+  Response handle(const internal::Request &From) {
+    {
+      const std::lock_guard Lock(Mutex);
+      ++BusyThreads;
+      if (BusyThreads == Threads.size() &&
+          Threads.size() < internal::MaxThreads && !Stopping)
+        startThread();
+    }
+    Response Result = internal::handleRequest(Endpoints, From);
+    const std::lock_guard Lock(Mutex);
+    --BusyThreads;
+    return Result;
+  }
+
+  // With the mutex held.
+  void startThread() {
+    try {
+      Threads.emplace_back([this] { Io.run(); });
+    } catch (const std::system_error &Failure) {
+      core::LogLine(core::LogLevel::Warning, "operators.thread_failed")
+          .field("error", Failure.code());
+    }
+  }
+
   void start(tcp::socket Socket) {
-    const auto Link = std::make_shared<internal::Connection>(std::move(Socket),
-                                                             Tls, Endpoints);
+    const auto Link = std::make_shared<internal::Connection>(
+        std::move(Socket), Tls,
+        [this](const internal::Request &From) { return handle(From); });
     const std::lock_guard Lock(Mutex);
     if (Stopping || Connections.size() >= internal::MaxConnections)
       return;
@@ -123,7 +153,8 @@
   std::unordered_map<internal::Connection *,
                      std::shared_ptr<internal::Connection>>
       Connections;
-  std::array<std::thread, internal::ThreadCount> Threads;
+  std::vector<std::thread> Threads;
+  std::size_t BusyThreads = 0;
 };
 
 Server::Server(const std::string &Address, std::uint16_t Port,
--- a/tests/operators/fake_api.hpp
+++ b/tests/operators/fake_api.hpp
@@ -2,6 +2,7 @@
 #define JUJUBECART_TESTS_OPERATORS_FAKE_API_HPP
 
 #include <arpa/inet.h>
+#include <future>
 #include <jujubecart/operators/server.hpp>
 #include <stdexcept>
 #include <string>
@@ -14,6 +15,8 @@
 class FakeApi final : public operators::Api {
 public:
   operators::Response submitTicket(const std::string &Text) override {
+    if (TicketsMayEnd.valid())
+      TicketsMayEnd.wait();
     return {.Status = 200, .Body = std::to_string(Text.size())};
   }
   operators::Response showTicket(std::uint64_t Number) override {
@@ -35,6 +38,8 @@
   }
 
   std::string Metrics = "m 1\n";
+  /// Tickets wait for it, if it is set.
+  std::shared_future<void> TicketsMayEnd;
 };
 
 /// @brief Port of the loopback on which nothing listens.
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <criterion/criterion.h>
+#include <future>
 #include <jujubecart/operators/client.hpp>
 #include <memory>
 #include <thread>
@@ -106,6 +107,32 @@
   cr_assert_eq(Odd.readAll().rfind("HTTP/1.1 400", 0), 0);
 }
 
+// Guards against a readiness check that fails while operators submit tickets
+// and the store does not respond, and against tickets that are cut off by a
+// stop.
+Test(OperatorServer, waiting_tickets_leave_room_for_readiness_checks) {
+  std::promise<void> MayEnd;
+  FakeApi Endpoints;
+  Endpoints.TicketsMayEnd = MayEnd.get_future().share();
+  const std::uint16_t Port = freePort();
+  auto Http = std::make_unique<operators::Server>(
+      "127.0.0.1", Port, operators::TlsFiles{}, Endpoints);
+  std::vector<std::unique_ptr<RawClient>> Clients;
+  for (int Count = 0; Count < 7; ++Count) {
+    Clients.push_back(std::make_unique<RawClient>(Port));
+    Clients.back()->send("POST /tickets HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  }
+  std::this_thread::sleep_for(100ms);
+  const operators::Client Checker("127.0.0.1:" + std::to_string(Port), {}, 2s);
+  cr_assert_eq(Checker.fetch("/ready").value().Status, 503);
+  std::thread Stop([&] { Http.reset(); });
+  std::this_thread::sleep_for(50ms);
+  MayEnd.set_value();
+  Stop.join();
+  for (const auto &Each : Clients)
+    cr_expect_eq(Each->readAll().rfind("HTTP/1.1 200", 0), 0);
+}
+
 // Guards against a VM that is killed at the end of its grace time, because its
 // server waits for connections in any state.
 Test(OperatorServer, server_ends_in_time_whatever_its_connections_do) {
