--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -3,7 +3,6 @@
 #include "directory_entries.hpp"
 
 #include <jujubecart/core/log.hpp>
-#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/store/directory_snapshot.hpp>
 
 #include <algorithm>
@@ -22,8 +21,6 @@
 // Time that the answers of the store and the snapshots of the reader add to a
 // quiet time.
 constexpr std::chrono::milliseconds AnswerReserve{150};
-// Changes that are older when they are applied get a line in the log.
-constexpr std::chrono::milliseconds LoggedAge{500};
 
 // Otherwise a quiet fleet would take each watch for an outage, and would keep
 // servers that have left.
@@ -127,61 +124,6 @@
     Env.Freshness->raise(*CompleteUntil);
 }
 
-void DirectoryFeed::recordAge(core::TimePoint ReadAt) {
-  const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Env.Time.now() - ReadAt);
-  if (Env.Ages != nullptr)
-    Env.Ages->add(static_cast<double>(Age.count()));
-  if (Age >= internal::LoggedAge)
-    core::LogLine(core::LogLevel::Warning, "directory.applied_late")
-        .field("revision", Entries.asOf())
-        .field("age_ms", Age.count());
-}
-
-void DirectoryFeed::applyFromPeer(const core::ReportedChanges &Report) {
-  if (!Loaded)
-    return;
-  const core::EntryChanges &Changes = Report.Changes;
-  const core::TimePoint ReadAt = Report.ReadAt;
-  // Changes from one era of the store to another contain all of its entries.
-  const bool Complete =
-      core::eraOf(Changes.After) < core::eraOf(Changes.List.AsOf);
-  if (Changes.After > Entries.asOf() && !Complete) {
-    if (!std::exchange(MissedChanges, true))
-      core::LogLine(core::LogLevel::Info, "directory.changes_missed")
-          .field("known", Entries.asOf())
-          .field("reported_after", Changes.After);
-    return;
-  }
-  // A sender that knows less than this VM proves nothing: it may have been
-  // paused with an old answer.
-  if (Changes.List.AsOf < Entries.asOf())
-    return;
-  // What was under way for long proves nothing about the time since. If it put
-  // off the takeover, a reader whose link is full would keep all others from
-  // reading.
-  const core::TimePoint::duration Newer = ReadAt - LastConfirmed;
-  if (Newer > core::TimePoint::duration::zero())
-    recordConfirmation(ReadAt);
-  // What this VM has read itself comes back to it through the relays.
-  if (Newer > Options.MaxTransitError) {
-    ++PeerConfirmations;
-    ReadsForAll = false;
-  }
-  const bool IsNewer =
-      Newer >= Options.WatchTimeout / 2 || Changes.List.AsOf > Entries.asOf();
-  if (Report.PassOn && IsNewer)
-    Env.Broadcast(Changes, ReadAt, Report.CompleteUntil);
-  if (Changes.List.AsOf == Entries.asOf())
-    return recordFreshness(Report.CompleteUntil);
-  Entries.apply(Changes.List, Env.Time.now());
-  if (Changes.List.Entries.empty())
-    return recordFreshness(Report.CompleteUntil);
-  publish();
-  recordFreshness(Report.CompleteUntil);
-  recordAge(ReadAt);
-}
-
 // A snapshot is a tenth of the size of a list. When all VMs start together, the
 // lists of all of them would keep the store's network link busy for a second.
 core::Awaitable<core::Result<core::EntryList>> DirectoryFeed::readAll() {
