--- a/tests/peers/server_statements_test.cpp
+++ b/tests/peers/server_statements_test.cpp
@@ -180,6 +180,10 @@
     }
   }
   cr_assert_gt(ByFallback, 0);
+  // With all slots of the other server in use.
+  core::SlotRequest Last = Cluster::request(300ms);
+  Last.Key = core::OrderKey{.High = 1, .Low = MaxGrants};
+  cr_assert_not(Requester.acquire(Last).has_value());
 }
 
 // Guards against a grant that is still used, after a wait for a connection,
