--- a/packages/operators/src/server.cpp
+++ b/packages/operators/src/server.cpp
@@ -133,11 +133,11 @@
                    [this, Link](const std::exception_ptr &Failure) {
                      // Only a failed allocation or a bug throws. It must end
                      // one connection, not the process.
-                     if (Failure) {
+                     if (Failure)
                        core::LogLine(core::LogLevel::Error,
                                      "operators.connection_failed");
+                     if (Failure)
                        Link->stop();
-                     }
                      const std::lock_guard Lock(Mutex);
                      Connections.erase(Link.get());
                    });
