Test that dispatchers know the priority of a workspace

Cause: the flag is set where a dispatcher gets its calls and was covered by no test of that place. Change: a call of a workspace with a priority takes the last slot of a server while another waits. The services of a test fleet can have a profile.

--- a/tests/peers/cluster.hpp
+++ b/tests/peers/cluster.hpp
@@ -103,7 +103,9 @@
 /// "tags", with two slots per server.
 class Cluster {
 public:
-  explicit Cluster(std::size_t Servers = 4, std::size_t Size = 3) {
+  explicit Cluster(
+      std::size_t Servers = 4, std::size_t Size = 3,
+      core::PolicyProfile Profile = core::ServiceConfig{}.Profile) {
     for (std::size_t At = 0; At < Size; ++At) {
       PeerOptions Options = fleetOptions(At);
       // Longer than the defaults, because the test machine may be busy.
@@ -114,7 +116,8 @@
       Vms.push_back(std::make_unique<Vm>(At, Claims, Options));
       const std::string Problem = Vms.back()->Node.start();
       cr_assert(Problem.empty(), "%s", Problem.c_str());
-      cr_assert(Vms.back()->Config.apply(snapshot(1, Servers)));
+      cr_assert(Vms.back()->Config.apply(
+          snapshot(1, Servers, core::ServiceKind::Lookup, Profile)));
     }
     std::vector<core::Member> AllMembers;
     AllMembers.reserve(Vms.size());
--- a/tests/peers/fleet.hpp
+++ b/tests/peers/fleet.hpp
@@ -98,10 +98,12 @@
 /// group.
 inline core::ConfigSource::Snapshot
 snapshot(core::Revision Revision, std::size_t Servers = 4,
-         core::ServiceKind Kind = core::ServiceKind::Lookup) {
+         core::ServiceKind Kind = core::ServiceKind::Lookup,
+         core::PolicyProfile Profile = core::ServiceConfig{}.Profile) {
   core::ServiceConfig Service;
   Service.Name = "tags";
   Service.Kind = Kind;
+  Service.Profile = Profile;
   Service.Rules = {{.Host = "", .PathPrefix = "/"}};
   Service.Zones = {{"z1", "r1"}};
   for (std::size_t At = 0; At < Servers; ++At)
--- a/tests/peers/quota_test.cpp
+++ b/tests/peers/quota_test.cpp
@@ -9,16 +9,21 @@
 const core::Workspace Club{
     .Name = "club", .Priority = {}, .Quota = {.MilliPerS = 100, .Burst = 10}};
 
+const core::Workspace Leading{.Name = "leading", .Priority = 1, .Quota = {}};
+
 /// @brief A fleet whose only service has many slots and whose configuration has
-/// one workspace.
+/// two workspaces.
 struct QuotaFleet : Cluster {
-  explicit QuotaFleet(std::size_t Servers = 20, std::size_t Size = 3,
-                      bool WaitForRank = true)
-      : Cluster(Servers, Size) {
-    const auto Services = snapshot(2, Servers)->entries();
+  explicit QuotaFleet(
+      std::size_t Servers = 20, std::size_t Size = 3, bool WaitForRank = true,
+      core::PolicyProfile Profile = core::ServiceConfig{}.Profile)
+      : Cluster(Servers, Size, Profile) {
+    const auto Services =
+        snapshot(2, Servers, core::ServiceKind::Lookup, Profile)->entries();
     const auto Routing = std::make_shared<core::RoutingTable>(
         1, std::vector<core::Route>{}, core::CallerLimits{},
-        core::WorkspaceTable({{.Item = Club, .Keys = {}}}));
+        core::WorkspaceTable(
+            {{.Item = Club, .Keys = {}}, {.Item = Leading, .Keys = {}}}));
     // A VM that has a revision passes its services on, without the workspaces.
     // A VM that got them this way refuses the same revision, so all get the
     // next one.
@@ -135,3 +140,34 @@
   cr_assert_eq(Fleet.third().Node.links().counters().QuotaRequests, 0);
   cr_assert_eq(Requester.Node.links().counters().QuotaRequests, 1);
 }
+
+// Guards against a dispatcher that takes the priority of a workspace for that
+// of a route: the call would leave the last slot of the server to the others.
+Test(WorkspacePriority, call_of_leading_workspace_takes_last_slot) {
+  QuotaFleet Fleet(1, 2, true, core::PolicyProfile::Objective);
+  const auto AcquireLater = [&](std::uint64_t Workspace,
+                                std::uint8_t Priority) {
+    core::SlotRequest Item = Cluster::request(20s);
+    Item.Objective = Item.Deadline;
+    Item.WorkClass = 1;
+    Item.Workspace = Workspace;
+    Item.Priority = Priority;
+    return Fleet.dispatcher().acquireLater(std::move(Item));
+  };
+  // The second call starts at a known pace, so its duration is learned.
+  for (int Call = 0; Call < 2; ++Call) {
+    const auto Ended = AcquireLater(Club.hash(), 5).get();
+    cr_assert(Ended.has_value());
+    Fleet.dispatcher().Node.broker().release(
+        *Ended, {.Outcome = core::CallOutcome::Completed,
+                 .Elapsed = 2s,
+                 .Load = core::LoadReport{}});
+  }
+  cr_assert(AcquireLater(Club.hash(), 5).get().has_value());
+  auto Waiting = AcquireLater(Club.hash(), 5);
+  cr_assert(Waiting.wait_for(50ms) == std::future_status::timeout);
+  auto First = AcquireLater(Leading.hash(), 1);
+  cr_assert(First.wait_for(5s) == std::future_status::ready);
+  cr_expect(First.get().has_value());
+  cr_expect(Waiting.wait_for(0ms) == std::future_status::timeout);
+}
