Remember lost VMs for five minutes when quotas are divided

Members that are silent for 30 s are forgotten, so that each side of a longer partition used the whole quota. KnownVms counts a VM that ceased to be a member without leaving for five more minutes.

--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -12,6 +12,7 @@
 class HealthTracker;
 class ServerTable;
 } // namespace internal
+class KnownVms;
 class LeastReportedLoad;
 class LocalBroker;
 class ObjectiveDispatcher;
--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -42,7 +42,7 @@
   std::set<std::string, std::less<>> Reporters;
   /// VMs taken for live, this one included.
   std::size_t Live = 1;
-  /// Live and suspected VMs.
+  /// Live VMs and those that may be cut off, see KnownVms.
   std::size_t Known = 1;
 
   friend bool operator==(const QuotaFleet &, const QuotaFleet &) = default;
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/member.hpp>
 #include <jujubecart/core/order_claims.hpp>
 #include <jujubecart/decision/decision.hpp>
+#include <jujubecart/decision/known_vms.hpp>
 #include <jujubecart/decision/pending_call.hpp>
 #include <jujubecart/decision/server_status.hpp>
 #include <jujubecart/decision/workspace_quotas.hpp>
@@ -211,6 +212,8 @@
 
   /// Locked after the mutex of a group.
   decision::WorkspaceQuotas Quotas;
+  /// VMs among which quotas are divided; guarded by RankMutex.
+  decision::KnownVms QuotaVms;
   /// VMs to which quota reports are sent; guarded by RankMutex.
   std::vector<core::Member> QuotaReceivers;
 
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -155,7 +155,9 @@
   const std::lock_guard RankLock(RankMutex);
   const GroupDirectory::Index Index = Env.Groups.current();
   const std::uint64_t Version = Env.Members.version();
-  if (Version == RankedMemberVersion && Index->Revision == RankedConfigRevision)
+  if (Version == RankedMemberVersion &&
+      Index->Revision == RankedConfigRevision &&
+      Env.Time.now() < QuotaVms.nextChange())
     return;
   RankedMemberVersion = Version;
   RankedConfigRevision = Index->Revision;
--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -61,11 +61,14 @@
   decision::QuotaFleet Fleet;
   Fleet.Reporters = std::move(Reporters);
   Fleet.Live = 0;
-  Fleet.Known = 0;
+  decision::KnownVms::Ids Running;
+  decision::KnownVms::Ids Leaving;
   for (const core::Member &Vm : Members) {
     Fleet.Live += Vm.State == core::MemberState::Live ? 1 : 0;
-    Fleet.Known += Vm.State != core::MemberState::Leaving ? 1 : 0;
+    (Vm.State == core::MemberState::Leaving ? Leaving : Running).insert(Vm.Id);
   }
+  QuotaVms.update(std::move(Running), Leaving, Env.Time.now());
+  Fleet.Known = QuotaVms.count();
   const std::string Self = Env.Members.self().Id;
   QuotaReceivers.clear();
   for (const core::Member &Vm : Members)
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -1,3 +1,4 @@
+#include <jujubecart/decision/known_vms.hpp>
 #include <jujubecart/decision/workspace_quotas.hpp>
 
 #include <algorithm>
@@ -70,7 +71,7 @@
   Fleet(std::uint64_t Seed, std::size_t Vms, std::size_t Large,
         std::size_t Groups)
       : Random(Seed), Large(Large), GroupCount(Groups), Side(Vms, 0),
-        Dead(Vms, false), CutAt(Vms, Start - 1h) {
+        Dead(Vms, false), CutAt(Vms, Start - 1h), Vms(Vms), Members(Vms) {
     for (std::size_t Vm = 0; Vm < Vms; ++Vm)
       Quotas.push_back(make(Vm));
     for (std::size_t Group = 0; Group < Groups; ++Group)
@@ -133,6 +134,8 @@
   void restart(std::size_t Vm) {
     Dead[Vm] = false;
     Quotas[Vm] = make(Vm);
+    Vms[Vm] = {};
+    Members[Vm].clear();
     updateViews();
   }
 
@@ -181,8 +184,24 @@
   [[nodiscard]] bool seesLive(std::size_t A, std::size_t B) const {
     return A == B || connected(A, B) || Now - CutAt[B] < SuspectAfter;
   }
-  [[nodiscard]] bool seesKnown(std::size_t A, std::size_t B) const {
-    return seesLive(A, B) || !Dead[B] || Now - CutAt[B] < RemoveAfter;
+  [[nodiscard]] bool isMember(std::size_t A, std::size_t B) const {
+    return seesLive(A, B) || Now - CutAt[B] < RemoveAfter;
+  }
+  // VMs that a VM takes for running.
+  [[nodiscard]] std::size_t known(std::size_t Vm) {
+    std::vector<bool> View(Quotas.size());
+    for (std::size_t Other = 0; Other < View.size(); ++Other)
+      View[Other] = isMember(Vm, Other);
+    // Most views are the same as before, and updates are slow.
+    if (View != Members[Vm]) {
+      decision::KnownVms::Ids Ids;
+      for (std::size_t Other = 0; Other < View.size(); ++Other)
+        if (View[Other])
+          Ids.insert(std::to_string(Other));
+      Vms[Vm].update(std::move(Ids), {}, Now);
+      Members[Vm] = std::move(View);
+    }
+    return Vms[Vm].count();
   }
 
   void updateViews() {
@@ -191,11 +210,9 @@
         continue;
       decision::QuotaFleet View;
       View.Live = 0;
-      View.Known = 0;
-      for (std::size_t Other = 0; Other < Quotas.size(); ++Other) {
+      for (std::size_t Other = 0; Other < Quotas.size(); ++Other)
         View.Live += seesLive(Vm, Other);
-        View.Known += seesKnown(Vm, Other);
-      }
+      View.Known = known(Vm);
       for (const auto &Rank : Rankings) {
         int Taken = 0;
         for (const std::size_t Other : Rank)
@@ -316,6 +333,9 @@
   std::vector<int> Side;
   std::vector<bool> Dead;
   std::vector<core::TimePoint> CutAt;
+  std::vector<decision::KnownVms> Vms;
+  // Members that each VM sees.
+  std::vector<std::vector<bool>> Members;
   std::vector<std::unique_ptr<decision::WorkspaceQuotas>> Quotas;
   std::map<std::size_t, std::set<std::string, std::less<>>> Reporters;
   std::vector<Message> Pending;
@@ -550,6 +570,22 @@
       0.25);
 }
 
+// Guards against two sides that each use the whole quota once their VMs have
+// forgotten each other.
+Test(WorkspaceQuotas, long_partition_under_hot_load_stays_within_quota) {
+  checkScenario(
+      "long partition",
+      [](Fleet &Sim) {
+        addUsual(Sim, 6, 46s);
+        Sim.run(14s);
+        Sim.partition([](std::size_t Vm) { return Vm % 20 < 7; });
+        Sim.run(RemoveAfter + 20s);
+        Sim.heal();
+        Sim.run(6s);
+      },
+      0.25);
+}
+
 // Guards against a partition that begins right before the load.
 Test(WorkspaceQuotas, hot_load_after_partition_stays_within_quota) {
   checkScenario(
