--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -660,6 +660,18 @@
       0.15);
 }
 
+// Guards against room that is lost because what others admitted is known late.
+Test(WorkspaceQuotas, late_reports_under_usual_load_refuse_little) {
+  checkScenario(
+      "late",
+      [](Fleet &Sim) {
+        Sim.MaxDelay = 1s;
+        addUsual(Sim, 1);
+        Sim.run(30s);
+      },
+      0.05, true);
+}
+
 // Guards against a lowered quota that binds only after what was admitted by the
 // old one is used up.
 Test(WorkspaceQuotas, lowered_quota_binds_within_one_window) {
@@ -703,6 +715,22 @@
   }
 }
 
+// Guards against a request that waited long and then lowers the count of others
+// although it has expired from it, and against one that doesn't.
+Test(WorkspaceQuotas, request_is_given_back_once_and_only_while_it_counts) {
+  for (const auto &[Waited, Reported] : {std::pair(1s, -1), std::pair(6s, 0)}) {
+    decision::WorkspaceQuotas Quotas(
+        "a", [](std::uint64_t) { return quotaOf(1, 2); }, Start);
+    Quotas.setFleet({.Reporters = {"a", "b"}, .Live = 2, .Known = 2}, Start);
+    cr_assert(Quotas.request(1, Start).Admitted);
+    cr_assert_eq(Quotas.takeReport(Start + 200ms)->front().Admitted, 1);
+    Quotas.giveBack(1, Start, Start + Waited);
+    const auto Items = Quotas.takeReport(Start + Waited + 200ms);
+    cr_assert(Items);
+    cr_assert_eq(Items->empty() ? 0 : Items->front().Admitted, Reported);
+  }
+}
+
 // Guards against callers that are told to return before there is room, or all
 // at the same time.
 Test(WorkspaceQuotas, refused_requests_are_told_different_times_with_room) {
