--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -666,10 +666,11 @@
       "late",
       [](Fleet &Sim) {
         Sim.MaxDelay = 1s;
-        addUsual(Sim, 1);
-        Sim.run(30s);
+        for (const double PerS : {1.0, 3.0, 10.0, 60.0})
+          Sim.add(PerS * 1.6, PerS * 1.6, later(PerS));
+        Sim.run(40s);
       },
-      0.05, true);
+      0.03, true);
 }
 
 // Guards against a lowered quota that binds only after what was admitted by the
