Keep a cold limit below a thousandth of a request per second

A service's warmup-per-s between 0 and 0.001 was read as 0 thousandths, which stands for no limit, so cold servers of the service would have got their usual load.

--- a/tests/platform/entry_codec_test.cpp
+++ b/tests/platform/entry_codec_test.cpp
@@ -355,6 +355,17 @@
   }
 }
 
+// Guards against cold servers without a limit, because a low one rounds to the
+// value that stands for none.
+Test(EntryCodec, lowest_cold_limit_is_a_limit) {
+  Fixture Setup;
+  const auto Decoded = Setup.Codec.decodeRouting(
+      replaced(Config, "\"protocol\":\"h1\"", "\"warmup-per-s\":0.0005"),
+      Setup.Report);
+  cr_assert(Decoded.has_value());
+  cr_assert_eq(Decoded->Services.find("orders")->second.ColdLimit.MilliPerS, 1);
+}
+
 // Guards against a limit of zero for the cold servers of a service that
 // states none.
 Test(EntryCodec, missing_or_invalid_cold_limit_is_no_limit) {
