Clarify names, comments and design notes of the new features

Cause: apiKeysCount read like a number of keys, StoreQuestion and CommonFailures::trust were private terms, some comments were hard to parse, and the counters of bytes between zones said that they leave out probes, although pace probes use the same pool. No behaviour changes.

--- a/apps/jujubecartd/daemon.hpp
+++ b/apps/jujubecartd/daemon.hpp
@@ -58,7 +58,8 @@
   void validateSettings() const;
   void startConfiguration();
   [[nodiscard]] const core::HttpProfile &profile() const noexcept;
-  /// @brief The record of Freshness; nullptr if API keys count at any age.
+  /// @brief Pointer to Freshness; nullptr if `directory.revoke` is not set, so
+  /// that API keys are accepted whatever their age.
   [[nodiscard]] store::FreshnessRecord *freshness() noexcept;
 
   const operators::Settings Settings;
--- a/apps/jujubecartd/daemon_metrics.hpp
+++ b/apps/jujubecartd/daemon_metrics.hpp
@@ -17,7 +17,7 @@
   const core::ConfigSource &Config;
   const core::EventRing &Events;
   const core::Clock &Time;
-  /// Nullptr if API keys count at any age.
+  /// Nullptr if API keys are accepted whatever their age.
   const core::ConfigFreshness *Freshness = nullptr;
 };
 
--- a/apps/jujubecartd/daemon_options.cpp
+++ b/apps/jujubecartd/daemon_options.cpp
@@ -19,9 +19,9 @@
 // callers before SIGKILL.
 constexpr std::uint32_t ShutdownReserveMs = 400;
 constexpr std::size_t MaxBufferedResponseBytes = 65536;
-// Part of the time for a revocation that is kept for what a VM cannot know: a
-// watch of the store may miss changes of the last second, and an answer without
-// changes may have been given a little before its time.
+// Subtracted from the time within which a removed API key must stop working: a
+// watch of the store may miss changes of the last second, and 600 ms are kept
+// for answers that the store gives before the end of the wait.
 constexpr std::chrono::milliseconds RevocationMargin{1600};
 // Must be shorter than the idle timeout of the backend servers.
 constexpr std::chrono::milliseconds DirectoryIdleTimeout{8000};
--- a/apps/jujubecartd/daemon_options.hpp
+++ b/apps/jujubecartd/daemon_options.hpp
@@ -37,6 +37,7 @@
 /// @brief Options of the links to other entry VMs.
 /// @param Incarnation Start time of the process in Unix milliseconds; it tells
 /// a restarted VM from its predecessor.
+/// @param Time Stated to the other VMs if they need it; must outlive the links.
 [[nodiscard]] peers::PeerOptions
 peerOptions(const operators::Settings &Settings, std::uint64_t Incarnation,
             const core::Clock &Time);
--- a/packages/backends/include/jujubecart/backends/connection_pool.hpp
+++ b/packages/backends/include/jujubecart/backends/connection_pool.hpp
@@ -29,7 +29,7 @@
   /// them or had sent unexpected bytes.
   std::uint64_t Stale = 0;
   /// Bytes of requests to and responses from servers in other availability
-  /// zones, without those of probes.
+  /// zones, including pace probes, which use this pool.
   std::uint64_t BytesToOtherZones = 0;
   std::uint64_t BytesFromOtherZones = 0;
 };
@@ -89,7 +89,7 @@
   /// once per second.
   void prune() noexcept;
 
-  /// @brief Counts the bytes of a call if the server is in another zone.
+  /// @brief Counts the bytes of an exchange if the server is in another zone.
   void recordBytes(const core::BackendServer &Server, std::uint64_t Sent,
                    std::uint64_t Received) noexcept;
 
--- a/packages/backends/src/exchange.cpp
+++ b/packages/backends/src/exchange.cpp
@@ -39,7 +39,8 @@
   return std::string(Text.data(), End) + "\r\n";
 }
 
-// Size of a head on the network, up to the spelling of its status line.
+// Approximate size of a head on the network; the length of the status line is
+// assumed.
 std::size_t headSize(const core::BackendExchange::Head &Item) {
   constexpr std::string_view StatusLine = "HTTP/1.1 200 OK\r\n\r\n";
   constexpr std::string_view Separators = ": \r\n";
--- a/packages/callers/include/jujubecart/callers/server.hpp
+++ b/packages/callers/include/jujubecart/callers/server.hpp
@@ -37,7 +37,8 @@
   /// that send such attempts.
   decision::RetryBudget &Retries;
   const core::HttpProfile &Profile = core::nativeHttpProfile();
-  /// How old the known API keys may be. Nullptr if they count at any age.
+  /// Up to which instant the known API keys are complete; nullptr if keys are
+  /// accepted whatever their age.
   const core::ConfigFreshness *Freshness = nullptr;
 };
 
--- a/packages/callers/include/jujubecart/callers/server_options.hpp
+++ b/packages/callers/include/jujubecart/callers/server_options.hpp
@@ -57,8 +57,9 @@
   /// MaxBufferedResponseBytes, before the caller gets the first byte, so that a
   /// response that ends early can be replaced by another attempt.
   bool BufferResponsesWithoutLength = false;
-  /// An API key counts only while the configuration is complete up to an
-  /// instant at most this long ago; see ServerDependencies::Freshness.
+  /// API keys are accepted only while the configuration is complete up to an
+  /// instant at most this long ago. Not used without
+  /// ServerDependencies::Freshness.
   std::chrono::milliseconds MaxKeyAge{0};
   /// How long idle connections can still send a request after stop() began.
   std::chrono::milliseconds StopIdleGrace{500};
--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -65,14 +65,15 @@
 }
 
 std::optional<Rejection> Call::admit() {
-  // Before the configuration, which may be replaced in between.
-  const bool KeysCount = apiKeysCount();
+  // Read before the configuration, which may be replaced by a later one in
+  // between; the other order could take outdated keys for fresh.
+  const bool KeysFresh = apiKeysAreFresh();
   Config = State.Dependencies.Config.current();
   if (Config->revision() == 0)
     return Rejection{.Status = 503,
                      .Reason = RejectReason::NotReady,
                      .Text = "no configuration available"};
-  if (const auto Problem = findService(KeysCount))
+  if (const auto Problem = findService(KeysFresh))
     return Problem;
   if (Request.Traits.Depth > State.Options.MaxCallDepth)
     return Rejection{.Text = "call depth above the limit"};
@@ -89,7 +90,7 @@
   return setDeadline();
 }
 
-std::optional<Rejection> Call::findService(bool KeysCount) {
+std::optional<Rejection> Call::findService(bool KeysFresh) {
   const Rejection NoRule{.Status = 404,
                          .Reason = RejectReason::NoRule,
                          .Text = "no rule matches host and path"};
@@ -102,7 +103,7 @@
   Route = Routing->find(Request.Host, Request.Target);
   if (Route == nullptr)
     return NoRule;
-  if (const auto Problem = findWorkspace(KeysCount))
+  if (const auto Problem = findWorkspace(KeysFresh))
     return Problem;
   MaxAttempts = Route->MaxAttempts;
   Service = Config->find(Route->service(
@@ -123,10 +124,10 @@
   return Workspace == nullptr ? std::string_view() : Workspace->Name;
 }
 
-// The caller has sent the request before now, so that a key which was removed
-// long before that is not in the configuration. It does not matter how long the
-// request waits afterwards.
-bool Call::apiKeysCount() const {
+// The caller sent the request before this check, so a key that was removed
+// longer than the allowed time before the sending is not in the configuration.
+// How long the request waits afterwards does not matter.
+bool Call::apiKeysAreFresh() const {
   const core::ConfigFreshness *Freshness = State.Dependencies.Freshness;
   if (Freshness == nullptr)
     return true;
@@ -135,15 +136,15 @@
                               State.Options.MaxKeyAge;
 }
 
-std::optional<Rejection> Call::findWorkspace(bool KeysCount) {
+std::optional<Rejection> Call::findWorkspace(bool KeysFresh) {
   if (!hasWorkspaces())
     return std::nullopt;
   // A key that is unknown here may have been added meanwhile.
-  if (!KeysCount && !Route->Public)
+  if (!KeysFresh && !Route->Public)
     return Rejection{.Status = 503,
                      .Reason = RejectReason::KeysOutdated,
                      .Text = "API keys cannot be verified at the moment"};
-  const std::string ApiKey = KeysCount ? Request.Traits.ApiKey : "";
+  const std::string ApiKey = KeysFresh ? Request.Traits.ApiKey : "";
   if (!ApiKey.empty())
     Workspace = Config->routing()->workspaces().find(ApiKey);
   if (Workspace != nullptr || Route->Public)
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -60,11 +60,14 @@
   /// Checks all that is known before the body is read: configuration, route,
   /// limits, order key and deadline.
   [[nodiscard]] std::optional<Rejection> admit();
-  [[nodiscard]] std::optional<Rejection> findService(bool KeysCount);
-  /// Whether the API keys that this VM knows are recent enough.
-  [[nodiscard]] bool apiKeysCount() const;
+  [[nodiscard]] std::optional<Rejection> findService(bool KeysFresh);
+  /// Whether the API keys that this VM knows are recent enough to be
+  /// accepted, see ServerOptions::MaxKeyAge.
+  [[nodiscard]] bool apiKeysAreFresh() const;
   /// Finds the workspace of the caller by its API key.
-  [[nodiscard]] std::optional<Rejection> findWorkspace(bool KeysCount);
+  /// @return 401 without a known key, 503 if the keys are not fresh; nothing on
+  /// a public route.
+  [[nodiscard]] std::optional<Rejection> findWorkspace(bool KeysFresh);
   [[nodiscard]] bool hasWorkspaces() const noexcept;
   [[nodiscard]] std::string_view workspaceName() const noexcept;
   [[nodiscard]] std::optional<Rejection> setDeadline();
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -27,7 +27,8 @@
           .QuietUntil = Report.QuietUntil};
 }
 
-// Number from 0 to 1 that is the same for each response to a request.
+// Number from 0 to 1, computed from the id of the request, by which callers
+// that are rejected at the same time return at different times.
 double spreadOf(core::RequestId Id) {
   return double(core::hash64(toString(Id))) /
          double(std::numeric_limits<std::uint64_t>::max());
@@ -112,7 +113,8 @@
       co_return co_await relay(Next);
     Next->release();
     if (!Next->Granted || (!Ready && !tryTakeRetry(*Next))) {
-      // Otherwise the hint of a dispatcher applies, which expects full servers.
+      // Replaces the hint of the dispatcher, which assumes that all slots are
+      // in use, if the server rejected the call with a free slot.
       if (Outcome == core::CallOutcome::Rejected && Route != nullptr)
         if (const auto At = decision::returnTime(rejectedCall(*Next, Objective),
                                                  State.Dependencies.Time.now(),
--- a/packages/core/include/jujubecart/core/workspace_table.hpp
+++ b/packages/core/include/jujubecart/core/workspace_table.hpp
@@ -50,7 +50,8 @@
     return Entries;
   }
 
-  /// @brief Finds the workspace that holds a key, in constant time.
+  /// @brief Finds the workspace that holds a key. The time it takes does not
+  /// show how much of a wrong key is right.
   /// @return The workspace, or nullptr if no workspace holds the key.
   [[nodiscard]] const Workspace *find(std::string_view Key) const;
 
--- a/packages/core/src/stream_end.cpp
+++ b/packages/core/src/stream_end.cpp
@@ -23,12 +23,12 @@
 
 } // namespace
 
-// The result of the read does not tell: the kernel reports a reset once, to
-// whichever operation comes first. If that was a write, the next read returns
-// an end of stream. The state of the connection still tells: it is CLOSE_WAIT
-// after the remote side's FIN, and CLOSE after a reset or a timeout, also if a
-// FIN came before. poll() reports CLOSE as a hang-up; it is asked as well,
-// because some systems leave the state in TCP_INFO at 0.
+// The result of the read is not enough: the kernel reports a reset once, to the
+// first operation after it. If that was a write, the next read returns an end
+// of stream. The state of the connection is CLOSE_WAIT after the remote side's
+// FIN, and CLOSE after a reset or a timeout, also if a FIN came before. poll()
+// reports CLOSE as a hang-up; it is used as well, because some systems leave
+// the state in TCP_INFO at 0.
 bool endedInOrder(boost::asio::ip::tcp::socket &Socket) noexcept {
   // Another coroutine may have closed the socket; poll() ignores an invalid
   // descriptor of -1.
--- a/packages/core/src/workspace_table.cpp
+++ b/packages/core/src/workspace_table.cpp
@@ -33,8 +33,8 @@
   }
 }
 
-// The time of the lookup depends on the digest only, from which nobody can tell
-// how much of a key was right.
+// The time of the lookup depends only on the digest, whose bytes say nothing
+// about how similar two keys are.
 const Workspace *WorkspaceTable::find(std::string_view Key) const {
   const auto Found = ByKey.find(digestOf(Key));
   return Found == ByKey.end() ? nullptr : &Entries[Found->second].Item;
--- a/packages/decision/include/jujubecart/decision/internal/failure_rate.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/failure_rate.hpp
@@ -21,16 +21,18 @@
 };
 
 /// @brief Shares of calls that the servers of a group reject with free slots.
-/// Tells servers that reject more than others from ones that all reject by
-/// chance, whose shares differ only because each is known from few calls.
+/// Distinguishes servers that reject more calls than others from servers that
+/// all reject with the same probability, whose measured shares differ because
+/// each is known from few calls.
 class CommonFailures {
 public:
   /// @brief Adds the share of one server.
   void add(double Rate) noexcept;
 
-  /// @brief Part of the difference between the servers that is not chance,
-  /// between 0 and 1; 1 for a few servers, or if only a minority rejects calls.
-  [[nodiscard]] double trust() const noexcept;
+  /// @brief Weight of a server's own share against the mean of all, from 0 if
+  /// the differences can be explained by chance to 1. It is 1 for fewer than
+  /// eight servers, and while at most half of them reject calls.
+  [[nodiscard]] double ownWeight() const noexcept;
 
   /// @brief Share of rejected calls to expect of a server.
   /// @param Rate Its own share.
--- a/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
@@ -15,7 +15,8 @@
 
 /// @brief Keeps the calls that a dispatcher sends to a backend server within
 /// the rate limit that the server states, and within the one that holds while
-/// it is cold; the lower one if both hold. Does nothing for a server without.
+/// it is cold; the lower one if both hold. Does nothing for a server without a
+/// limit.
 class ServerRateLimiter {
 public:
   /// @brief Applies what the server stated in a response.
@@ -59,6 +60,7 @@
   void take(core::TimePoint Now) noexcept;
 
 private:
+  /// @brief Whether the server is cold, or its limit still rises after that.
   [[nodiscard]] bool coldLimited(core::TimePoint Now) const noexcept;
   [[nodiscard]] double tokensAt(core::TimePoint Now) const noexcept;
 
--- a/packages/decision/include/jujubecart/decision/rejected_call.hpp
+++ b/packages/decision/include/jujubecart/decision/rejected_call.hpp
@@ -40,9 +40,9 @@
 /// @brief When the caller should return if no other attempt is made.
 /// @param Spread Random number from 0 to 1; callers that are rejected at the
 /// same time should not return at the same time.
-/// @return Nothing, so that another estimate applies, if the server did not
-/// have a free slot or stated a reason, or the objective has passed or is not
-/// set.
+/// @return Nothing if the server had no free slot or stated a reason, or if the
+/// objective has passed or is not set; the caller of this function then uses
+/// another estimate.
 [[nodiscard]] std::optional<core::TimePoint>
 returnTime(const RejectedCall &Call, core::TimePoint Now, double Spread);
 
--- a/packages/decision/include/jujubecart/decision/retry_budget.hpp
+++ b/packages/decision/include/jujubecart/decision/retry_budget.hpp
@@ -32,7 +32,8 @@
   /// @return Whether the retry may be made.
   [[nodiscard]] bool tryTake(std::string_view Service);
 
-  /// @brief Whether less than half of the retries that can be saved are left.
+  /// @brief Whether less than half of the retries that can be saved are left;
+  /// also true before the first attempt at a service.
   [[nodiscard]] bool nearlyUsed(std::string_view Service);
 
   /// @brief Changes RetryBudgetOptions::MaxSaved.
--- a/packages/decision/src/failure_rate.cpp
+++ b/packages/decision/src/failure_rate.cpp
@@ -13,11 +13,11 @@
 constexpr double CallWeight = 0.15;
 // Time constant of the decay.
 constexpr double DecayUs = 1e6;
-// With fewer servers, the one that rejects calls raises the mean of all so much
-// that it would not be told from the others.
+// With fewer servers, a single one that rejects calls raises the mean so much
+// that it cannot be distinguished from the others.
 constexpr double MinServers = 8;
-// Rate below which a server counts as one that rejects no calls: what is left
-// of one rejection after 2.7 s.
+// A server with a lower rate counts as one that rejects no calls. The rate
+// after one rejection falls below it in 2.7 s.
 constexpr double MinRate = 0.01;
 
 } // namespace
@@ -50,7 +50,7 @@
 // A moving average of independent results with probability p has the variance
 // p (1 - p) w / (2 - w). The decay of servers with few calls adds as much
 // again, so a difference counts from twice that variance on.
-double CommonFailures::trust() const noexcept {
+double CommonFailures::ownWeight() const noexcept {
   if (Count < MinServers || 2 * Rejecting <= Count)
     return 1;
   const double Mean = mean();
@@ -62,7 +62,7 @@
 }
 
 double CommonFailures::expected(double Rate) const noexcept {
-  return mean() + trust() * (Rate - mean());
+  return mean() + ownWeight() * (Rate - mean());
 }
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/src/rejected_call.cpp
+++ b/packages/decision/src/rejected_call.cpp
@@ -9,9 +9,9 @@
 
 using namespace std::chrono_literals;
 
-// Part of the time left until its objective for which a caller waits at most.
-// The servers have room, so nothing is gained by a longer wait.
-constexpr int LongestWaitShare = 16;
+// A caller waits at most for this fraction of the time left until its
+// objective. The servers have free slots, so a longer wait gains nothing.
+constexpr int LongestWaitDivisor = 16;
 constexpr std::chrono::microseconds MinLongestWait = 10ms;
 constexpr std::chrono::microseconds MaxLongestWait = 100ms;
 
@@ -36,7 +36,7 @@
   const auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
       Call.Objective - Now);
   const auto Longest =
-      std::clamp(Left / LongestWaitShare, MinLongestWait, MaxLongestWait);
+      std::clamp(Left / LongestWaitDivisor, MinLongestWait, MaxLongestWait);
   const core::TimePoint Return =
       Now + std::chrono::duration_cast<std::chrono::microseconds>(
                 Longest * (0.5 + std::clamp(Spread, 0.0, 1.0) / 2));
--- a/packages/peers/include/jujubecart/peers/gossip.hpp
+++ b/packages/peers/include/jujubecart/peers/gossip.hpp
@@ -29,6 +29,8 @@
   void onFrame(const LinkPtr &Source, const Frame &Item) override;
 
 private:
+  /// @brief Uptime to state in a message, in milliseconds; 0 if this VM states
+  /// none, see PeerOptions::StatedClock.
   [[nodiscard]] std::uint64_t sentAtMs() const noexcept;
   core::Awaitable<void> roundLoop();
   void runRound();
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -20,8 +20,8 @@
 // without calls: other VMs may send it calls shortly before it learns of its
 // rank.
 constexpr std::chrono::seconds MinIdleBeforeReset{2};
-// VMs of each group that take part in quotas: its dispatcher and the one that
-// replaces it first, which so knows the demand when it has to.
+// VMs of each group that send each other quota reports: its dispatcher and the
+// one that replaces it first, so that it knows the demand when it takes over.
 constexpr std::size_t QuotaReportersPerGroup = 2;
 
 } // namespace internal
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -13,9 +13,9 @@
 
 // Entries kept for peers that missed a broadcast.
 constexpr std::size_t MaxRecentEntries = 256;
-// The same after the store came back from a copy, until the next change: the
-// changes then contain all entries, and a VM that gets only a part of them has
-// to read the list itself.
+// Limit after the store came back from a copy, until the next change. The
+// changes then contain all entries, and a VM that gets only a part of them must
+// read the list itself.
 constexpr std::size_t MaxEraEntries = 8192;
 // Limit on the bytes of values in one message; peers read larger changes from
 // the store themselves.
--- a/packages/store/include/jujubecart/store/freshness.hpp
+++ b/packages/store/include/jujubecart/store/freshness.hpp
@@ -11,14 +11,15 @@
 
 namespace jujubecart::store {
 
-/// @brief A question to the store, and what its answer proves. The instants are
-/// on Clock::uptime(), so that the time in which this VM is suspended counts.
-class StoreQuestion {
+/// @brief Times of a read of the store, from which follows up to when its
+/// answer is complete. The instants are on Clock::uptime(), so that the time in
+/// which this VM is suspended counts.
+class StoreRead {
 public:
-  /// @param Time Read as the time of the question.
+  /// @param Time Gives the time of the request, which is now.
   /// @param WaitUntil On Clock::now(); the store holds its answer until then
-  /// unless there are changes. The present for a question without a wait.
-  StoreQuestion(const core::Clock &Time, core::TimePoint WaitUntil) noexcept;
+  /// unless there are changes. The present for a read without a wait.
+  StoreRead(const core::Clock &Time, core::TimePoint WaitUntil) noexcept;
 
   /// @brief Instant before which every accepted change is known with the
   /// answer; called when the answer has arrived.
@@ -28,7 +29,7 @@
 
 private:
   const core::Clock &Time;
-  std::chrono::milliseconds AskedAt;
+  std::chrono::milliseconds RequestedAt;
   core::TimePoint WaitUntil;
   std::chrono::milliseconds Wait;
 };
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -111,8 +111,8 @@
   LastConfirmed = ReadAt;
 }
 
-// That other VMs have an answer does not show how long ago the question was
-// asked, which is what callers with an API key depend on.
+// An answer that other VMs have does not show when it was requested, which
+// decides up to when the API keys are complete.
 bool DirectoryFeed::lacksFreshness() const {
   if (Env.Freshness == nullptr)
     return false;
@@ -252,7 +252,7 @@
                                             std::uint64_t ConfirmationsBefore) {
   core::LogLine(core::LogLevel::Warning, "store.history_lost")
       .field("after", Entries.asOf());
-  const std::chrono::milliseconds AskedAt = Env.Time.uptime();
+  const std::chrono::milliseconds RequestedAt = Env.Time.uptime();
   const auto All = co_await Env.Store.list(
       core::ReadMode::Latest, Env.Time.now() + Options.CallTimeout);
   if (!All) {
@@ -268,9 +268,9 @@
   MissedChanges = false;
   SnapshotOutdated = true;
   publish();
-  recordFreshness(AskedAt);
+  recordFreshness(RequestedAt);
   if (!CatchesUp)
-    co_await passOn(Changes, ConfirmationsBefore, AskedAt);
+    co_await passOn(Changes, ConfirmationsBefore, RequestedAt);
   co_return true;
 }
 
@@ -333,7 +333,7 @@
                                             Env.Time.now() < takeoverTime()));
   const std::uint64_t ConfirmationsBefore = PeerConfirmations;
   const core::TimePoint WaitUntil = watchEnd();
-  const StoreQuestion Question(Env.Time, WaitUntil);
+  const StoreRead Read(Env.Time, WaitUntil);
   auto Changed = co_await Env.Store.waitForChanges(After, WaitUntil);
   if (!Changed) {
     if (Changed.error() == core::Error::HistoryLost)
@@ -342,7 +342,7 @@
     co_return false;
   }
   const std::chrono::milliseconds CompleteUntil =
-      Question.completeUntil(!Changed->Entries.empty());
+      Read.completeUntil(!Changed->Entries.empty());
   recordSuccess();
   MissedChanges = false;
   *Changed = internal::withoutOther(std::move(*Changed), Env.Codec);
--- a/packages/store/src/freshness.cpp
+++ b/packages/store/src/freshness.cpp
@@ -6,19 +6,19 @@
 
 using std::chrono::milliseconds;
 
-StoreQuestion::StoreQuestion(const core::Clock &Time,
-                             core::TimePoint WaitUntil) noexcept
-    : Time(Time), AskedAt(Time.uptime()), WaitUntil(WaitUntil),
+StoreRead::StoreRead(const core::Clock &Time,
+                     core::TimePoint WaitUntil) noexcept
+    : Time(Time), RequestedAt(Time.uptime()), WaitUntil(WaitUntil),
       Wait(std::max(milliseconds(0),
                     std::chrono::floor<milliseconds>(WaitUntil - Time.now()))) {
 }
 
-// The store looks for changes at the end of the wait. An answer that came
-// before shows only that it has looked since the question; now() stops while
-// this VM is suspended, so that such an answer is never taken for a later one.
-milliseconds StoreQuestion::completeUntil(bool HasEntries) const noexcept {
+// The store looks for changes at the end of the wait. An earlier answer shows
+// only that it has looked since the request. now() stops while this VM is
+// suspended, so that an early answer is not taken for one at the end.
+milliseconds StoreRead::completeUntil(bool HasEntries) const noexcept {
   const bool Held = !HasEntries && Time.now() >= WaitUntil;
-  return Held ? AskedAt + Wait : AskedAt;
+  return Held ? RequestedAt + Wait : RequestedAt;
 }
 
 void FreshnessRecord::raise(milliseconds CompleteUntil) noexcept {
--- a/tests/store/freshness_test.cpp
+++ b/tests/store/freshness_test.cpp
@@ -25,25 +25,25 @@
 
 // Guards against an age that leaves out changes which the store accepted while
 // its answer was under way.
-Test(StoreQuestion, answer_proves_no_more_than_the_store_looked_at) {
+Test(StoreRead, answer_proves_no_more_than_the_store_looked_at) {
   TestClock Time;
-  const store::StoreQuestion Watch(Time, Time.now() + 700ms);
+  const store::StoreRead Watch(Time, Time.now() + 700ms);
   Time.Running += 400ms;
   cr_assert_eq(Watch.completeUntil(true), 107s);
   cr_assert_eq(Watch.completeUntil(false), 107s, "before its time");
   Time.Running += 500ms;
   cr_assert_eq(Watch.completeUntil(false), 107700ms);
   cr_assert_eq(Watch.completeUntil(true), 107s);
-  const store::StoreQuestion Read(Time, Time.now());
+  const store::StoreRead Read(Time, Time.now());
   Time.Running += 900ms;
   cr_assert_eq(Read.completeUntil(true), 107900ms);
 }
 
 // Guards against an answer that came early and is taken for one at the end of
 // the wait, because this VM was suspended.
-Test(StoreQuestion, time_in_suspension_is_no_wait_of_the_store) {
+Test(StoreRead, time_in_suspension_is_no_wait_of_the_store) {
   TestClock Time;
-  const store::StoreQuestion Watch(Time, Time.now() + 700ms);
+  const store::StoreRead Watch(Time, Time.now() + 700ms);
   Time.Running += 100ms;
   Time.Suspended += 10s;
   cr_assert_eq(Watch.completeUntil(false), 107s);
