--- a/packages/store/src/freshness.cpp
+++ b/packages/store/src/freshness.cpp
@@ -6,23 +6,23 @@
 
 using std::chrono::milliseconds;
 
-StoreQuestion::StoreQuestion(const core::Clock &Time,
-                             core::TimePoint WaitUntil) noexcept
-    : Time(Time), AskedAt(Time.uptime()), WaitUntil(WaitUntil),
+StoreRead::StoreRead(const core::Clock &Time,
+                     core::TimePoint WaitUntil) noexcept
+    : Time(Time), RequestedAt(Time.uptime()), WaitUntil(WaitUntil),
       Wait(std::max(milliseconds(0),
                     std::chrono::floor<milliseconds>(WaitUntil - Time.now()))) {
 }
 
-// The store looks for changes at the end of the wait. An answer that came
-// before shows only that it has looked since the question; now() stops while
-// this VM is suspended, so that such an answer is never taken for a later one.
+// The store looks for changes at the end of the wait. An earlier answer shows
+// only that it has looked since the request. now() stops while this VM is
+// suspended, so that an early answer is not taken for one at the end.
 // An empty answer that the store gave too early and that was under way until
-// the end of the wait can't be told from one that was held. What it is trusted
-// for is therefore limited to what the margin for revocations leaves for it.
-milliseconds StoreQuestion::completeUntil(bool HasEntries) const noexcept {
-  constexpr milliseconds MaxTrustedWait{600};
+// the end of the wait cannot be told from one at the end. It counts for at most
+// what the margin for revocations leaves for it.
+milliseconds StoreRead::completeUntil(bool HasEntries) const noexcept {
+  constexpr milliseconds MaxCountedWait{600};
   const bool Held = !HasEntries && Time.now() >= WaitUntil;
-  return Held ? AskedAt + std::min(Wait, MaxTrustedWait) : AskedAt;
+  return Held ? RequestedAt + std::min(Wait, MaxCountedWait) : RequestedAt;
 }
 
 void FreshnessRecord::raise(milliseconds CompleteUntil) noexcept {
