Explain where a request would go, without sending it

Cause: operators could see servers and VMs, but not which of them a given request would reach and why. Change: GET /explain and jujubectl explain; a dispatcher decides on a copy of its state (Dispatcher::preview), quotas and the choice of the group have const previews; no slot, quota, probe or counter is used.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -104,7 +104,8 @@
                                .Callers = Callers,
                                .Peers = Peers,
                                .Stopping = Stopping,
-                               .Incarnation = Incarnation}) {
+                               .Incarnation = Incarnation,
+                               .Freshness = freshness()}) {
   registerMetrics(Metrics, {.Callers = Callers,
                             .Pool = Pool,
                             .Peers = Peers,
--- a/apps/jujubecartd/daemon_api.cpp
+++ b/apps/jujubecartd/daemon_api.cpp
@@ -1,5 +1,7 @@
 #include "daemon_api.hpp"
 
+#include "explain_request.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <nlohmann/json.hpp>
@@ -178,6 +180,11 @@
                                       {"events", std::move(Events)}});
 }
 
+operators::Response DaemonApi::explain(const operators::ExplainQuery &Query) {
+  const KnownState Known = explainedState(Env, Query, notReadyReason());
+  return internal::jsonResponse(200, toJson(Known, daemon::explain(Known)));
+}
+
 operators::Response DaemonApi::metrics() {
   return {.ContentType = "text/plain; version=0.0.4",
           .Body = Env.Metrics.text()};
--- a/apps/jujubecartd/daemon_api.hpp
+++ b/apps/jujubecartd/daemon_api.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core.hpp>
+#include <jujubecart/core/config_freshness.hpp>
 #include <jujubecart/operators/api.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_node.hpp>
@@ -27,6 +28,8 @@
   peers::PeerNode &Peers;
   const std::atomic<bool> &Stopping;
   const std::uint64_t Incarnation;
+  /// Nullptr if API keys count at any age of the configuration.
+  const core::ConfigFreshness *Freshness = nullptr;
 };
 
 /// @brief Implements the operators' endpoints of one VM. Ticket requests block
@@ -40,6 +43,7 @@
   operators::Response services() override;
   operators::Response status() override;
   operators::Response timeline(const operators::TimelineQuery &Filter) override;
+  operators::Response explain(const operators::ExplainQuery &Query) override;
   operators::Response metrics() override;
   operators::Response readiness() override;
 
--- a/apps/jujubectl/commands.hpp
+++ b/apps/jujubectl/commands.hpp
@@ -34,6 +34,17 @@
   bool Json = false;
 };
 
+/// @brief Options of `explain`: the request.
+struct ExplainOptions {
+  std::string Host;
+  std::string Path = "/";
+  std::string Method = "GET";
+  std::string Workspace;
+  /// File with the API key; `-` for the standard input.
+  std::string KeyFile;
+  bool Json = false;
+};
+
 /// @brief Submits a ticket file and optionally waits until the ticket is in
 /// force.
 [[nodiscard]] ExitCode submitTicket(const ConnectionOptions &Target,
@@ -53,6 +64,11 @@
 [[nodiscard]] ExitCode showTimeline(const ConnectionOptions &Target,
                                     const TimelineOptions &Options);
 
+/// @brief Prints where a request would go now, and why; asks the VM at
+/// Target.Endpoint and the dispatchers that it names.
+[[nodiscard]] ExitCode explainRequest(const ConnectionOptions &Target,
+                                      const ExplainOptions &Options);
+
 /// @brief Renders a self-contained HTML page with one lane per VM.
 /// @param Events Events of all VMs in order, each with a `vm` member.
 [[nodiscard]] std::string timelinePage(const nlohmann::json &Events);
--- a/apps/jujubectl/main.cpp
+++ b/apps/jujubectl/main.cpp
@@ -45,6 +45,7 @@
     App.add_flag("--json", Json, "Print JSON instead of text");
     addTicket();
     addTimeline();
+    addExplain();
     CLI::App *Service = App.add_subcommand("service", "Services in force");
     Service->require_subcommand(1);
     Service->add_subcommand("list", "List services")->callback([this] {
@@ -103,6 +104,28 @@
     });
   }
 
+  void addExplain() {
+    CLI::App *Command = App.add_subcommand(
+        "explain", "Show where a request would go now, without sending it");
+    Command->add_option("host", Explain.Host, "Host of the request")
+        ->required();
+    Command->add_option("path", Explain.Path, "Path of the request")
+        ->capture_default_str();
+    Command->add_option("--method", Explain.Method, "HTTP method")
+        ->capture_default_str();
+    // The API key itself would show up in the list of processes.
+    auto *Workspace = Command->add_option("--workspace", Explain.Workspace,
+                                          "Workspace of the caller");
+    Command
+        ->add_option("--key-file", Explain.KeyFile,
+                     "File with the caller's API key, - for standard input")
+        ->excludes(Workspace);
+    Command->callback([this] {
+      Explain.Json = Json;
+      Code = explainRequest(Target, Explain);
+    });
+  }
+
   void addSettings() {
     CLI::App *Settings = App.add_subcommand("settings", "Settings files");
     Settings->require_subcommand(1);
@@ -117,6 +140,7 @@
   bool Json = false;
   SubmitOptions Submit;
   TimelineOptions Timeline;
+  ExplainOptions Explain;
   std::uint64_t Number = 0;
   std::string File;
   ExitCode Code = Success;
--- a/packages/core/include/jujubecart/core/workspace_table.hpp
+++ b/packages/core/include/jujubecart/core/workspace_table.hpp
@@ -54,6 +54,9 @@
   /// @return The workspace, or nullptr if no workspace holds the key.
   [[nodiscard]] const Workspace *find(std::string_view Key) const;
 
+  /// @brief Finds the workspace that holds the key with a digest.
+  [[nodiscard]] const Workspace *find(const ApiKeyDigest &Digest) const;
+
   /// @brief Finds a workspace by Workspace::hash().
   [[nodiscard]] const Workspace *findByHash(std::uint64_t Hash) const noexcept;
 
--- a/packages/core/src/workspace_table.cpp
+++ b/packages/core/src/workspace_table.cpp
@@ -36,7 +36,11 @@
 // The time of the lookup depends on the digest only, from which nobody can tell
 // how much of a key was right.
 const Workspace *WorkspaceTable::find(std::string_view Key) const {
-  const auto Found = ByKey.find(digestOf(Key));
+  return find(digestOf(Key));
+}
+
+const Workspace *WorkspaceTable::find(const ApiKeyDigest &Digest) const {
+  const auto Found = ByKey.find(Digest);
   return Found == ByKey.end() ? nullptr : &Entries[Found->second].Item;
 }
 
--- a/packages/decision/include/jujubecart/decision/dispatcher.hpp
+++ b/packages/decision/include/jujubecart/decision/dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/slot_broker.hpp>
+#include <jujubecart/decision/call_preview.hpp>
 #include <jujubecart/decision/decision.hpp>
 #include <jujubecart/decision/dispatch_group.hpp>
 #include <jujubecart/decision/dispatcher_options.hpp>
@@ -99,6 +100,12 @@
   [[nodiscard]] virtual std::vector<ServerStatus>
   status(core::TimePoint Now) const = 0;
 
+  /// @brief What enqueue would do with a call now, decided on a copy, so that
+  /// nothing changes here.
+  /// @param Call Its token is ignored.
+  [[nodiscard]] virtual CallPreview preview(PendingCall Call,
+                                            core::TimePoint Now) const = 0;
+
   /// @brief Number of calls that wait for a decision.
   [[nodiscard]] virtual std::size_t queued() const noexcept = 0;
 };
--- a/packages/decision/include/jujubecart/decision/group_choice.hpp
+++ b/packages/decision/include/jujubecart/decision/group_choice.hpp
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace jujubecart::decision {
 
@@ -41,6 +42,11 @@
   [[nodiscard]] std::size_t choose(std::span<const GroupCandidate> Candidates,
                                    core::TimePoint Now);
 
+  /// @brief Weights with which choose() draws one of the candidates.
+  [[nodiscard]] std::vector<double>
+  weights(std::span<const GroupCandidate> Candidates,
+          core::TimePoint Now) const;
+
 private:
   struct Report {
     double Price = 0;
--- a/packages/decision/include/jujubecart/decision/group_dispatcher.hpp
+++ b/packages/decision/include/jujubecart/decision/group_dispatcher.hpp
@@ -40,6 +40,8 @@
                    core::TimePoint Now, Decisions &Out) override;
   [[nodiscard]] std::vector<ServerStatus>
   status(core::TimePoint Now) const override;
+  [[nodiscard]] CallPreview preview(PendingCall Call,
+                                    core::TimePoint Now) const override;
   [[nodiscard]] std::size_t queued() const noexcept override;
 
   /// @brief Total number of servers that were compared to choose one for a
--- a/packages/decision/include/jujubecart/decision/objective_dispatcher.hpp
+++ b/packages/decision/include/jujubecart/decision/objective_dispatcher.hpp
@@ -41,6 +41,8 @@
                    core::TimePoint Now, Decisions &Out) override;
   [[nodiscard]] std::vector<ServerStatus>
   status(core::TimePoint Now) const override;
+  [[nodiscard]] CallPreview preview(PendingCall Call,
+                                    core::TimePoint Now) const override;
   [[nodiscard]] std::size_t queued() const noexcept override;
 
 private:
--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -59,6 +59,17 @@
   std::optional<std::chrono::milliseconds> ReportAge;
 };
 
+/// @brief What request() would decide, and the quota as this VM knows it.
+struct QuotaPreview {
+  core::WorkspaceQuota Quota;
+  QuotaDecision Decision;
+  /// Whether this VM hears what the others admit.
+  bool Shared = false;
+  /// Requests left now: of all VMs if Shared is set, otherwise of this VM.
+  /// Negative after more was used than there was; 0 without a limit.
+  double Left = 0;
+};
+
 /// @brief Keeps the requests of each workspace within its quota together with
 /// the same object on other VMs. Does no I/O. Thread-safe.
 ///
@@ -88,6 +99,10 @@
   [[nodiscard]] QuotaDecision request(std::uint64_t Workspace,
                                       core::TimePoint Now, bool Alone = false);
 
+  /// @brief What request() would decide now; counts nothing.
+  [[nodiscard]] QuotaPreview preview(std::uint64_t Workspace,
+                                     core::TimePoint Now) const;
+
   /// @brief Gives back an admitted request that got no slot.
   void giveBack(std::uint64_t Workspace, core::TimePoint Now);
 
@@ -140,6 +155,9 @@
   [[nodiscard]] bool reports() const;
   [[nodiscard]] double reachablePart(core::TimePoint Now) const;
   [[nodiscard]] Entry &entry(std::uint64_t Workspace, core::TimePoint Now);
+  /// @brief Sets the quota in force, and the first level of a new entry.
+  void applyQuota(Entry &Item, bool New, const core::WorkspaceQuota &Quota,
+                  core::TimePoint Now) const;
   [[nodiscard]] double capacity(const core::WorkspaceQuota &Quota,
                                 double Part) const;
   [[nodiscard]] double share(const Entry &Item, core::TimePoint Now) const;
@@ -151,7 +169,7 @@
   [[nodiscard]] std::chrono::milliseconds promise(Entry &Item, double PerS,
                                                   core::TimePoint Now) const;
   [[nodiscard]] QuotaDecision decide(Entry &Item, core::TimePoint Now,
-                                     bool Alone);
+                                     bool Alone) const;
   void recordDemand(core::TimePoint Now);
   /// @brief When a report is due, whether or not this VM reports; max if there
   /// was no demand lately.
--- a/packages/decision/src/group_choice.cpp
+++ b/packages/decision/src/group_choice.cpp
@@ -60,10 +60,9 @@
   return Found->second.Price;
 }
 
-std::size_t GroupChoice::choose(std::span<const GroupCandidate> Candidates,
-                                core::TimePoint Now) {
-  if (Candidates.size() == 1)
-    return 0;
+std::vector<double>
+GroupChoice::weights(std::span<const GroupCandidate> Candidates,
+                     core::TimePoint Now) const {
   const std::vector<std::uint64_t> Order = homeOrder(VmId, Candidates);
   const std::uint64_t Limit = homeLimit(Order);
   std::vector<double> Weights;
@@ -75,6 +74,14 @@
                       std::max(1 - Price, MinSpareShare) *
                       (Home ? HomeWeight : 1));
   }
+  return Weights;
+}
+
+std::size_t GroupChoice::choose(std::span<const GroupCandidate> Candidates,
+                                core::TimePoint Now) {
+  if (Candidates.size() == 1)
+    return 0;
+  const std::vector<double> Weights = weights(Candidates, Now);
   std::discrete_distribution<std::size_t> Chosen(Weights.begin(),
                                                  Weights.end());
   return Chosen(Random);
--- a/packages/decision/src/group_dispatcher.cpp
+++ b/packages/decision/src/group_dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <jujubecart/decision/internal/call_queue.hpp>
 #include <jujubecart/decision/internal/grant_table.hpp>
 #include <jujubecart/decision/internal/probe_schedule.hpp>
+#include <jujubecart/decision/internal/server_order.hpp>
 #include <jujubecart/decision/internal/server_table.hpp>
 #include <jujubecart/decision/internal/wait_estimate.hpp>
 
@@ -420,6 +421,36 @@
   return All;
 }
 
+// As Implementation::enqueue. The queue is not copied, since it refers to
+// itself; a call that would wait is not followed further.
+CallPreview GroupDispatcher::preview(PendingCall Call,
+                                     core::TimePoint Now) const {
+  internal::ServerTable Table = Self->Table;
+  Table.recordLimits(Call.Limits, Now);
+  CallPreview Out{.Waiting = queued()};
+  const auto Reject = [&](core::Error Reason, std::chrono::microseconds Wait) {
+    Out.Outcome =
+        Rejected{.Reason = Reason,
+                 .RetryAfter = std::chrono::ceil<std::chrono::milliseconds>(
+                     std::clamp<std::chrono::microseconds>(Wait, MinRetryAfter,
+                                                           MaxRetryAfter))};
+  };
+  Out.Servers = internal::serverOrder(Table, status(Now), Call, Now);
+  const auto Wait = Self->expectedWait(Call, Now);
+  if (Now >= Call.Deadline)
+    Reject(core::Error::DeadlineExceeded, 0us);
+  else if (!Self->anyServerFor(Call))
+    Reject(core::Error::Unavailable, 0us);
+  else if (queued() == 0 && !Out.Servers.empty() &&
+           Out.Servers.front().Verdict == ServerVerdict::Candidate)
+    Out.Outcome = Granted{
+        .Server = Table.at(*Table.find(Out.Servers.front().Status.Id)).Config};
+  else if (Wait > Self->Options.MaxExpectedWait ||
+           Now + Wait + Self->meanServiceTime() > Call.Deadline)
+    Reject(core::Error::Overloaded, Wait);
+  return Out;
+}
+
 std::size_t GroupDispatcher::queued() const noexcept {
   return Self->Queue.size();
 }
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -7,10 +7,12 @@
 #include <jujubecart/decision/internal/load_table.hpp>
 #include <jujubecart/decision/internal/objective_queue.hpp>
 #include <jujubecart/decision/internal/return_schedule.hpp>
+#include <jujubecart/decision/internal/server_order.hpp>
 
 #include <jujubecart/core/hash.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jujubecart::decision {
 
@@ -522,6 +524,41 @@
   return All;
 }
 
+// The pace of the probed servers is not known, so the usual one is assumed for
+// those that have reported one before.
+CallPreview ObjectiveDispatcher::preview(PendingCall Call,
+                                         core::TimePoint Now) const {
+  Implementation Copy = *Self;
+  Copy.PendingProbes.clear();
+  for (std::uint32_t Index = 0; Index < Copy.Table.size(); ++Index)
+    Copy.Table.at(Index).ProbePending = false;
+  internal::LoadTable Before = Copy.Table;
+  CallPreview Out{.Waiting = queued()};
+  // No user counts that far.
+  Call.Token = ~CallToken{0};
+  Decisions Made;
+  Copy.enqueue(Call, Now, Made);
+  while (!internal::decisionOn(Call.Token, Made) &&
+         !Copy.PendingProbes.empty()) {
+    for (const std::uint32_t Index :
+         std::exchange(Copy.PendingProbes, std::vector<std::uint32_t>())) {
+      Out.Probed.push_back(Copy.Table.at(Index).Config.Id);
+      ProbeResult Usual{.State = ProbeState::Ok};
+      if (Copy.Table.at(Index).Pace)
+        Usual.Load.emplace();
+      Copy.Table.recordProbe(Index, Usual, Now);
+      Before.recordProbe(Index, Usual, Now);
+    }
+    Copy.dispatch(Now, Made);
+  }
+  Out.Outcome = internal::decisionOn(Call.Token, Made);
+  Call.Objective = std::min(Call.Objective, Call.Deadline);
+  Before.recordLimits(Call.Limits, Now);
+  Out.Servers =
+      internal::serverOrder(std::move(Before), status(Now), Call, Now);
+  return Out;
+}
+
 std::size_t ObjectiveDispatcher::queued() const noexcept {
   return Self->OnTimeQueue.size() + Self->LateQueue.size();
 }
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -181,8 +181,14 @@
 WorkspaceQuotas::Entry &WorkspaceQuotas::entry(std::uint64_t Workspace,
                                                core::TimePoint Now) {
   const auto [Found, New] = Entries.try_emplace(Workspace);
-  Entry &Item = Found->second;
-  const core::WorkspaceQuota Quota = Source(Workspace);
+  applyQuota(Found->second, New, Source(Workspace), Now);
+  Found->second.LastUsed = Now;
+  return Found->second;
+}
+
+void WorkspaceQuotas::applyQuota(Entry &Item, bool New,
+                                 const core::WorkspaceQuota &Quota,
+                                 core::TimePoint Now) const {
   if (New) {
     Item.Quota = Quota;
     Item.At = Now;
@@ -202,8 +208,6 @@
     Item.Refill = 0;
     Item.PromisedUntil = Now;
   }
-  Item.LastUsed = Now;
-  return Item;
 }
 
 bool WorkspaceQuotas::admit(Entry &Item, double Share,
@@ -242,7 +246,7 @@
 }
 
 QuotaDecision WorkspaceQuotas::decide(Entry &Item, core::TimePoint Now,
-                                      bool Alone) {
+                                      bool Alone) const {
   QuotaDecision Out;
   Out.DemandPerS = static_cast<std::uint32_t>(Item.Demand.at(Now));
   if (LastHeard)
@@ -261,6 +265,22 @@
   return Out;
 }
 
+QuotaPreview WorkspaceQuotas::preview(std::uint64_t Workspace,
+                                      core::TimePoint Now) const {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Entries.find(Workspace);
+  const bool New = Found == Entries.end();
+  Entry Copy = New ? Entry() : Found->second;
+  applyQuota(Copy, New, Source(Workspace), Now);
+  QuotaPreview Out{.Quota = Copy.Quota, .Shared = reports()};
+  if (Copy.Quota.limited()) {
+    advance(Copy, Now);
+    Out.Left = Out.Shared ? Copy.Level : Copy.Refill;
+  }
+  Out.Decision = decide(Copy, Now, false);
+  return Out;
+}
+
 bool WorkspaceQuotas::decidesForOthers(std::uint64_t Workspace) const {
   const std::lock_guard Lock(Mutex);
   return reports() || !Source(Workspace).limited();
--- a/packages/operators/include/jujubecart/operators/api.hpp
+++ b/packages/operators/include/jujubecart/operators/api.hpp
@@ -1,6 +1,8 @@
 #ifndef JUJUBECART_OPERATORS_API_HPP
 #define JUJUBECART_OPERATORS_API_HPP
 
+#include <jujubecart/operators/explain_query.hpp>
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -55,6 +57,9 @@
   /// @brief Handles `GET /timeline`: events recorded on this VM.
   [[nodiscard]] virtual Response timeline(const TimelineQuery &Filter) = 0;
 
+  /// @brief Handles `GET /explain`: where a request would go now, and why.
+  [[nodiscard]] virtual Response explain(const ExplainQuery &Query) = 0;
+
   /// @brief Handles `GET /metrics` in the Prometheus text format.
   [[nodiscard]] virtual Response metrics() = 0;
 
--- a/packages/operators/src/server.cpp
+++ b/packages/operators/src/server.cpp
@@ -90,6 +90,8 @@
       return Endpoints.status();
     if (Url == "/timeline")
       return Endpoints.timeline(parseTimelineQuery(Request.qparams()));
+    if (Url == "/explain")
+      return explain(Request.qparams());
     if (Url == "/metrics")
       return Endpoints.metrics();
     if (Url == "/ready")
@@ -115,6 +117,12 @@
     return Endpoints.showTicket(Number);
   }
 
+  [[nodiscard]] Response explain(const std::string &Text) {
+    const ParsedExplainQuery Parsed = parseExplainQuery(Text);
+    return Parsed.Problem.empty() ? Endpoints.explain(Parsed.Query)
+                                  : errorResponse(400, Parsed.Problem);
+  }
+
   Api &Endpoints;
   std::string Body;
   bool Oversized = false;
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -123,6 +123,23 @@
   /// @brief Workspaces whose quotas this VM keeps.
   [[nodiscard]] std::size_t quotaWorkspaces() const { return Quotas.size(); }
 
+  /// @brief A call of another VM or of this one, as a dispatcher here gets it.
+  /// @param Vm Id of the VM that received the call; empty for this one.
+  [[nodiscard]] decision::PendingCall pendingCall(const core::SlotRequest &Slot,
+                                                  const std::string &Vm) const;
+
+  /// @brief What the dispatcher of a group on this VM would do with a call,
+  /// computed without changing it. Locks the group while its state is copied
+  /// and the decision made on the copy.
+  /// @return Also whether this VM has a dispatcher of the group; if not, a new
+  /// one decides.
+  [[nodiscard]] std::pair<bool, decision::CallPreview>
+  preview(const GroupPtr &Entry, decision::PendingCall Call) const;
+
+  /// @brief Whether a request of a workspace is within its quota now.
+  [[nodiscard]] decision::QuotaPreview
+  previewQuota(std::uint64_t Workspace) const;
+
   /// @brief Server states by group name, for the groups in which this VM ranks
   /// first or has calls.
   [[nodiscard]] std::map<std::string, std::vector<decision::ServerStatus>>
--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/slot_broker.hpp>
 #include <jujubecart/decision/group_choice.hpp>
 #include <jujubecart/decision/local_broker.hpp>
+#include <jujubecart/peers/dispatch_plan.hpp>
 #include <jujubecart/peers/dispatch_service.hpp>
 
 #include <deque>
@@ -38,6 +39,10 @@
   RemoteBroker &operator=(const RemoteBroker &) = delete;
   ~RemoteBroker() override;
 
+  /// @brief Dispatchers on other VMs that a request asks before this VM
+  /// decides.
+  static constexpr std::size_t MaxRemoteDispatchers = 3;
+
   /// @brief Starts the timer loop that ends calls whose dispatcher is
   /// unresponsive or whose deadline has passed.
   void start();
@@ -55,6 +60,12 @@
   void releaseClaim(const std::string &Service, core::OrderKey Key,
                     core::RequestId Request) noexcept override;
 
+  /// @brief Where a slot request would go, without sending it: the groups that
+  /// may be chosen, the most probable first. Empty for an unknown service or
+  /// group.
+  [[nodiscard]] std::vector<GroupPlan>
+  plan(const PlannedRequest &Request) const;
+
   void onFrame(const LinkPtr &Source, const Frame &Item) override;
   void onClose(const LinkPtr &Source) override;
 
@@ -84,6 +95,20 @@
   void releaseFailedOrder(const core::SlotRequest &Request,
                           std::error_code Error);
 
+  /// @brief Groups from which a request may get a server.
+  struct EligibleGroups {
+    std::vector<GroupPtr> Groups;
+    /// For each of them.
+    std::vector<decision::GroupCandidate> Candidates;
+  };
+  /// @brief Groups of a region with a server that is not excluded; those of
+  /// other regions if there is none.
+  [[nodiscard]] static EligibleGroups
+  eligibleGroups(const std::vector<GroupPtr> &All, const std::string &Region,
+                 const std::vector<std::string> &Excluded);
+  [[nodiscard]] GroupPlan planGroup(const GroupPtr &Entry,
+                                    const PlannedRequest &Request) const;
+  void planDispatchers(const GroupEntry &Entry, GroupPlan &Out) const;
   [[nodiscard]] GroupPtr chooseGroup(const core::SlotRequest &Request);
   [[nodiscard]] View memberView();
   [[nodiscard]] Ranking rankDispatchers(const GroupEntry &Entry);
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -274,31 +274,37 @@
   return Found;
 }
 
-// Selects a group of this region; one of another region only if no group here
-// has an eligible server.
-GroupPtr RemoteBroker::chooseGroup(const core::SlotRequest &Request) {
-  const GroupDirectory::Index Index = Env.Groups.current();
-  const auto Found = Index->ByService.find(Request.Service);
-  if (Found == Index->ByService.end())
-    return nullptr;
-  const std::string Region = memberView()->Region;
+RemoteBroker::EligibleGroups
+RemoteBroker::eligibleGroups(const std::vector<GroupPtr> &All,
+                             const std::string &Region,
+                             const std::vector<std::string> &Excluded) {
+  EligibleGroups Out;
   for (const bool SameRegion : {true, false}) {
-    std::vector<GroupPtr> Groups;
-    std::vector<decision::GroupCandidate> Candidates;
-    for (const GroupPtr &Entry : Found->second)
+    for (const GroupPtr &Entry : All)
       if ((Entry->Group.Region == Region) == SameRegion &&
-          internal::hasEligibleServer(*Entry, Request.Excluded)) {
-        Groups.push_back(Entry);
-        Candidates.push_back(
+          internal::hasEligibleServer(*Entry, Excluded)) {
+        Out.Groups.push_back(Entry);
+        Out.Candidates.push_back(
             {.Group = Entry->Hash, .Capacity = Entry->Capacity});
       }
-    if (Candidates.empty())
-      continue;
-    const std::lock_guard Lock(Mutex);
-    return Groups[Choice.choose(Candidates, Env.Time.now())];
+    if (!Out.Groups.empty())
+      break;
   }
+  return Out;
+}
+
+GroupPtr RemoteBroker::chooseGroup(const core::SlotRequest &Request) {
+  const GroupDirectory::Index Index = Env.Groups.current();
+  const auto Found = Index->ByService.find(Request.Service);
+  if (Found == Index->ByService.end())
+    return nullptr;
+  const EligibleGroups Eligible =
+      eligibleGroups(Found->second, memberView()->Region, Request.Excluded);
   // Every server is excluded or not active, so the dispatcher will refuse.
-  return Found->second.front();
+  if (Eligible.Groups.empty())
+    return Found->second.front();
+  const std::lock_guard Lock(Mutex);
+  return Eligible.Groups[Choice.choose(Eligible.Candidates, Env.Time.now())];
 }
 
 bool RemoteBroker::isSuspected(const std::string &Vm) {
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -12,8 +12,6 @@
 
 namespace internal {
 
-// Dispatchers on other VMs that a request asks before this VM decides.
-constexpr std::size_t MaxRemoteDispatchers = 3;
 // Limit on the orders whose claiming dispatcher is remembered.
 constexpr std::size_t MaxClaimDispatchers = 8192;
 
@@ -96,7 +94,7 @@
   const std::string Self = memberView()->Self;
   std::size_t AskedCount = 0;
   for (const std::string &Vm : *Ranked) {
-    if (Vm == Self || AskedCount == internal::MaxRemoteDispatchers)
+    if (Vm == Self || AskedCount == MaxRemoteDispatchers)
       break;
     if (isSuspected(Vm))
       continue;
--- a/tests/operators/fake_api.hpp
+++ b/tests/operators/fake_api.hpp
@@ -27,6 +27,9 @@
   timeline(const operators::TimelineQuery &Filter) override {
     return {.Body = std::to_string(Filter.Since)};
   }
+  operators::Response explain(const operators::ExplainQuery &Query) override {
+    return {.Body = operators::toQueryString(Query)};
+  }
   operators::Response metrics() override {
     return {.ContentType = "text/plain", .Body = "m 1\n"};
   }
--- a/tests/operators/server_test.cpp
+++ b/tests/operators/server_test.cpp
@@ -58,6 +58,47 @@
   cr_assert_eq(Fixture.fetch("/timeline?since=12&x=y").Body, "12");
 }
 
+// Guards against a query that is explained for another request than was asked
+// for, and against an error that does not tell which parameter is wrong.
+Test(OperatorServer, explain_query_is_passed_on_or_names_the_bad_parameter) {
+  const ServerFixture Fixture;
+  const operators::ExplainQuery Query{.Host = "shop.example",
+                                      .Path = "/a b?c=1&d=%2f",
+                                      .Method = "POST",
+                                      .Workspace = "",
+                                      .Key = core::digestOf("secret"),
+                                      .Group = "tags/alfold/0",
+                                      .Vm = "vm 1",
+                                      .Excluded = {"b1", "b&2"}};
+  const std::string Text = operators::toQueryString(Query);
+  cr_assert(operators::parseExplainQuery(Text).Query == Query);
+  cr_assert_eq(Fixture.fetch("/explain?" + Text).Body, Text);
+  cr_assert_eq(operators::parseExplainQuery("host=A.b:80&path=/").Query.Host,
+               "a.b");
+  const struct {
+    const char *Text;
+    const char *Parameter;
+  } Bad[] = {{"path=/", "host"},
+             {"host=a", "path"},
+             {"host=a%20b&path=/", "host"},
+             {"host=a&path=x", "path"},
+             {"host=a&path=/%0a", "path"},
+             {"host=a&path=/%2", "path"},
+             {"host=a&path=/&method=get", "method"},
+             {"host=a&host=b&path=/", "host"},
+             {"host=a&path=/&workspace=", "workspace"},
+             {"host=a&path=/&key_digest=12", "key_digest"},
+             {"host=a&path=/&key=secret", "key"}};
+  for (const auto &Each : Bad) {
+    const operators::Response Result =
+        Fixture.fetch("/explain?" + std::string(Each.Text));
+    cr_expect_eq(Result.Status, 400, "%s", Each.Text);
+    cr_expect(Result.Body.find("parameter \\\"" + std::string(Each.Parameter) +
+                               "\\\"") != std::string::npos,
+              "%s: %s", Each.Text, Result.Body.c_str());
+  }
+}
+
 // Guards against a failed connect that is reported as an unknown outcome,
 // although the request was certainly not sent.
 Test(OperatorClient, closed_port_is_unavailable) {
