--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -64,6 +64,53 @@
         self.assertIn("call.answered", text)
         self.assertIn("config.applied", text)
 
+    def explain(self, *arguments):
+        """Parsed output of `jujubectl explain`."""
+        code, text = self.fleet.ctl("--json", "explain", *arguments)
+        self.assertEqual(code, 0, text)
+        return json.loads(text)["explanation"]
+
+    def counters(self):
+        """Metrics that count requests, slots, connections or probes."""
+        text = http_call(self.vm.operators, "GET", "/metrics")[2].decode()
+        return re.findall(r"^jujubecart_(?:requests|attempts|dispatch|quota|backend_connect|"
+                          r"zone|retries|hedges)\S* \S+$", text, re.M)
+
+    def test_explain_tells_what_a_request_gets_and_sends_nothing(self):
+        """Guards against an explanation that differs from what the VM does, or
+        that sends, counts or holds something."""
+        self.assertEqual(self.explain("shop.example", "/tags/1")["rejected"]["status"], 503)
+        self.assertEqual(self.fleet.ctl("ticket", "submit", self.fleet.ticket(1), "--wait")[0], 0)
+        http_call(self.vm.callers, "GET", "/tags/1", {"X-Draw": "0" * 15 + "1"})
+        before = self.counters()
+        for _ in range(20):
+            found = self.explain("shop.example", "/tags/1")
+        self.assertEqual(self.counters(), before)
+        self.assertEqual(json.loads(http_call(self.vm.operators, "GET", "/status")[2])
+                         ["groups"][0]["servers"][0]["in_flight"], 0)
+        self.assertEqual((found["verdict"], found["dispatcher"], found["revision"]),
+                         ("sent", "vm0", 1))
+        self.assertIn(found["server"], ("b0", "b1"))
+        self.assertTrue(self.explain("shop.example", "/orders/1", "--method", "POST")
+                        ["needs_order_key"])
+        self.assertEqual(self.explain("shop.example", "/nothing")["rejected"]["status"],
+                         http_call(self.vm.callers, "GET", "/nothing")[0])
+        code, text = self.fleet.ctl("explain", "shop.example", "/tags/1")
+        self.assertEqual(code, 0, text)
+        self.assertRegex(text, r"verdict +sent to b[01]\n")
+        self.assertRegex(text, r"\n1 +b[01] +candidate +active +0/")
+
+    def test_explain_names_the_bad_parameter(self):
+        """Guards against a typing error that is explained as another request,
+        and against an API key that is missing without a word."""
+        for arguments, message in ((("shop.example", "tags"), 'parameter "path"'),
+                                   (("shop example", "/tags"), 'parameter "host"'),
+                                   (("shop.example", "/", "--method", "get"), 'parameter "method"'),
+                                   (("shop.example", "/", "--key-file", "/nothing"), "no API key")):
+            code, text = self.fleet.ctl("explain", *arguments)
+            self.assertEqual(code, 2, text)
+            self.assertIn(message, text)
+
     def test_bad_or_outdated_ticket_changes_nothing(self):
         """Guards against accepting an invalid or a beaten ticket: one based on
         a revision after which another ticket changed the same services."""
@@ -280,6 +327,30 @@
             status, headers, _ = self.order(vm, "key-1")
             self.assertEqual((status, headers.get("X-Outcome")), (409, "unknown"))
 
+    def test_explain_asks_the_dispatcher_that_another_vm_names(self):
+        """Guards against VMs that name different dispatchers, and against a
+        command that shows the guess of a VM as the dispatcher's decision."""
+        found = []
+        for number in range(3):
+            code, text = self.fleet.ctl("--json", "explain", "shop.example", "/tags/1", vm=number)
+            self.assertEqual(code, 0, text)
+            found.append(json.loads(text))
+        dispatchers = {each["explanation"]["dispatcher"] for each in found}
+        self.assertEqual(len(dispatchers), 1, found)
+        dispatcher = dispatchers.pop()
+        for number, each in enumerate(found):
+            asked = [item["vm"] for item in each["dispatchers"]]
+            self.assertEqual(asked, [] if f"vm{number}" == dispatcher else [dispatcher])
+            for item in each["dispatchers"]:
+                self.assertEqual(item["explanation"]["vm"], dispatcher)
+                self.assertEqual(item["explanation"]["verdict"], "sent")
+        killed = int(dispatcher[2:])
+        self.fleet.vms[killed].process.kill()
+        self.fleet.vms[killed].process.wait()
+        code, text = self.fleet.ctl("explain", "shop.example", "/tags/1", vm=(killed + 1) % 3)
+        self.assertEqual(code, 0, text)
+        self.assertIn(f"dispatcher {dispatcher} did not answer", text)
+
     def test_store_down_rejects_orders_as_not_run_and_serves_lookups(self):
         """Guards against an order that runs without a claim of its key in the
         store, and against lookups that fail without the store."""
