--- a/apps/jujubecartd/explanation.cpp
+++ b/apps/jujubecartd/explanation.cpp
@@ -209,23 +209,42 @@
     for (const std::string &Vm : Plan.Suspected)
       Line += "; " + Vm + " did not answer lately";
     add("group", Line);
-    if (!Here)
-      add("seen from",
-          Known.Vm + ", which is not the dispatcher and " +
-              (Plan.Known ? "knows only its own calls"
-                          : "knows no more of the servers than the "
-                            "configuration"));
-    explainPreview(Plan.Preview);
+    if (Here)
+      explainDecision(Plan.Preview);
+    else
+      explainGuess(Plan);
   }
 
-  void explainPreview(const CallPreview &Preview) {
+  // Another VM decides, which knows the calls in flight of all VMs.
+  void explainGuess(const peers::GroupPlan &Plan) {
+    Out.Result = Verdict::Asks;
+    Out.Refused.reset();
+    const std::string Basis = Plan.Known ? "the calls that it decided itself"
+                                         : "the configuration only";
+    add("by itself", text(Known.Vm, " knows ", Basis, " and would ",
+                          decisionText(Plan.Preview)));
+    add("asks", Out.Dispatcher);
+  }
+
+  [[nodiscard]] std::string decisionText(const CallPreview &Preview) const {
+    if (!Preview.Outcome)
+      return "let it wait";
+    if (const auto *Grant = std::get_if<decision::Granted>(&*Preview.Outcome))
+      return "send it to " + Grant->Server.Id;
+    const Refusal Cause =
+        refusalOf(std::get<decision::Rejected>(*Preview.Outcome),
+                  Known.Admitted.Route.has_value());
+    return text("reject it with ", Cause.Status, " ", Cause.Text);
+  }
+
+  void explainDecision(const CallPreview &Preview) {
     if (!Preview.Probed.empty())
       add("probes",
           text("asks ", Preview.Probed.size(),
                " servers for their pace first, from ", Preview.Probed.front()));
+    Out.Refused.reset();
     if (!Preview.Outcome) {
       Out.Result = Verdict::Waits;
-      Out.Refused.reset();
       add("waits", text("for a slot, with ", Preview.Waiting, " calls"));
       return;
     }
@@ -235,7 +254,6 @@
       return;
     }
     Out.Result = Verdict::Sent;
-    Out.Refused.reset();
     Out.Server = std::get<decision::Granted>(*Preview.Outcome).Server.Id;
     add("sent", "to " + Out.Server);
   }
@@ -309,6 +327,8 @@
   switch (Result) {
   case Verdict::Sent:
     return "sent";
+  case Verdict::Asks:
+    return "asks";
   case Verdict::Waits:
     return "waits";
   case Verdict::Rejected:
--- a/apps/jujubecartd/explanation.hpp
+++ b/apps/jujubecartd/explanation.hpp
@@ -103,6 +103,8 @@
 enum class Verdict : std::uint8_t {
   /// It would be sent to a backend server at once.
   Sent,
+  /// Another VM, the dispatcher, would be asked.
+  Asks,
   /// It would wait for a slot.
   Waits,
   Rejected,
--- a/apps/jujubectl/explain_command.cpp
+++ b/apps/jujubectl/explain_command.cpp
@@ -110,12 +110,20 @@
       Do(Group);
 }
 
+std::string verdictDetail(const json &Explained) {
+  if (Explained.contains("server"))
+    return " to " + cell(Explained, "server");
+  if (Explained.contains("rejected"))
+    return " with " + cell(Explained["rejected"], "status") + " " +
+           cell(Explained["rejected"], "text");
+  return Explained.value("verdict", "") == "asks"
+             ? " " + cell(Explained, "dispatcher")
+             : "";
+}
+
 void printReasons(const json &Explained) {
   std::vector<std::vector<std::string>> Rows{
-      {"verdict",
-       Explained.value("verdict", "") +
-           (Explained.contains("server") ? " to " + cell(Explained, "server")
-                                         : "")}};
+      {"verdict", Explained.value("verdict", "") + verdictDetail(Explained)}};
   for (const json &Reason : Explained.value("reasons", json::array()))
     Rows.push_back({Reason.value("subject", ""), Reason.value("text", "")});
   printAligned(Rows);
--- a/packages/decision/include/jujubecart/decision.hpp
+++ b/packages/decision/include/jujubecart/decision.hpp
@@ -1,6 +1,7 @@
 #ifndef JUJUBECART_DECISION_HPP
 #define JUJUBECART_DECISION_HPP
 
+#include <jujubecart/decision/call_preview.hpp>
 #include <jujubecart/decision/decision.hpp>
 #include <jujubecart/decision/dispatch_group.hpp>
 #include <jujubecart/decision/dispatcher_options.hpp>
--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -22,12 +22,14 @@
 class TokenBucket;
 class WorkspaceQuotas;
 
+struct CallPreview;
 struct DispatchGroup;
 struct DispatcherOptions;
 struct Granted;
 struct PendingCall;
 struct ProbeResult;
 struct Rejected;
+struct ServerPreview;
 struct ServerStatus;
 
 } // namespace jujubecart::decision
--- a/packages/operators/include/jujubecart/operators.hpp
+++ b/packages/operators/include/jujubecart/operators.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/operators/api.hpp>
 #include <jujubecart/operators/client.hpp>
+#include <jujubecart/operators/explain_query.hpp>
 #include <jujubecart/operators/server.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/operators/settings_reader.hpp>
--- a/packages/operators/include/jujubecart/operators/fwd.hpp
+++ b/packages/operators/include/jujubecart/operators/fwd.hpp
@@ -8,6 +8,7 @@
 class Server;
 class SettingsFile;
 
+struct ExplainQuery;
 struct Response;
 struct TimelineQuery;
 struct Settings;
--- a/packages/peers/include/jujubecart/peers.hpp
+++ b/packages/peers/include/jujubecart/peers.hpp
@@ -2,6 +2,7 @@
 #define JUJUBECART_PEERS_HPP
 
 #include <jujubecart/peers/config_sync.hpp>
+#include <jujubecart/peers/dispatch_plan.hpp>
 #include <jujubecart/peers/dispatch_service.hpp>
 #include <jujubecart/peers/frame_codec.hpp>
 #include <jujubecart/peers/fwd.hpp>
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -339,6 +339,8 @@
         self.assertEqual(len(dispatchers), 1, found)
         dispatcher = dispatchers.pop()
         for number, each in enumerate(found):
+            self.assertEqual(each["explanation"]["verdict"],
+                             "sent" if f"vm{number}" == dispatcher else "asks")
             asked = [item["vm"] for item in each["dispatchers"]]
             self.assertEqual(asked, [] if f"vm{number}" == dispatcher else [dispatcher])
             for item in each["dispatchers"]:
