Tell servers of evacuated zones from draining ones in explanations

Cause: their servers count as draining everywhere, so that the explanation could not tell why. Change: DirectoryFeed states the names of the evacuated zones.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -185,6 +185,7 @@
           .Freshness = freshness()},
       Peers.members().self(), Settings.Directory.Zones,
       store::DirectoryFeedOptions{});
+  Endpoints.setEvacuatedZones([this] { return Feed->evacuatedZoneNames(); });
   Metrics.gauge("jujubecart_evacuated_zones", "",
                 [this] { return static_cast<double>(Feed->evacuatedZones()); });
   Metrics.gauge("jujubecart_cold_servers", "", [this] {
--- a/apps/jujubecartd/daemon_api.cpp
+++ b/apps/jujubecartd/daemon_api.cpp
@@ -97,6 +97,12 @@
 
 } // namespace internal
 
+void DaemonApi::setEvacuatedZones(
+    std::function<std::vector<std::string>()> Source) {
+  const std::lock_guard Lock(ZonesMutex);
+  EvacuatedZones = std::move(Source);
+}
+
 operators::Response DaemonApi::submitTicket(const std::string &Text) {
   const store::TicketResult Result =
       boost::asio::co_spawn(
@@ -181,7 +187,14 @@
 }
 
 operators::Response DaemonApi::explain(const operators::ExplainQuery &Query) {
-  const KnownState Known = explainedState(Env, Query, notReadyReason());
+  KnownState Known = explainedState(Env, Query, notReadyReason());
+  std::function<std::vector<std::string>()> Zones;
+  {
+    const std::lock_guard Lock(ZonesMutex);
+    Zones = EvacuatedZones;
+  }
+  if (Zones)
+    Known.EvacuatedZones = Zones();
   return internal::jsonResponse(200, toJson(Known, daemon::explain(Known)));
 }
 
--- a/apps/jujubecartd/daemon_api.hpp
+++ b/apps/jujubecartd/daemon_api.hpp
@@ -11,6 +11,10 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
 
 namespace jujubecart::daemon {
 
@@ -38,6 +42,10 @@
 public:
   explicit DaemonApi(ApiEnvironment Env) : Env(Env) {}
 
+  /// @brief Sets the source of the names of evacuated zones, which must be
+  /// thread-safe and outlive this object. Without one there are none.
+  void setEvacuatedZones(std::function<std::vector<std::string>()> Source);
+
   operators::Response submitTicket(const std::string &Text) override;
   operators::Response showTicket(std::uint64_t Number) override;
   operators::Response services() override;
@@ -52,6 +60,9 @@
   [[nodiscard]] std::string notReadyReason() const;
 
   const ApiEnvironment Env;
+  /// Guards EvacuatedZones.
+  std::mutex ZonesMutex;
+  std::function<std::vector<std::string>()> EvacuatedZones;
 };
 
 } // namespace jujubecart::daemon
--- a/apps/jujubecartd/explanation.hpp
+++ b/apps/jujubecartd/explanation.hpp
@@ -88,6 +88,8 @@
   /// Set if the caller has a workspace.
   std::optional<decision::QuotaPreview> Quota;
   std::vector<ServicePlan> Services;
+  /// Their servers count as draining.
+  std::vector<std::string> EvacuatedZones;
   /// `IP:port` of the operators' endpoints of the known VMs, by id.
   std::map<std::string, std::string> Endpoints;
 };
--- a/apps/jujubecartd/explanation_json.cpp
+++ b/apps/jujubecartd/explanation_json.cpp
@@ -1,5 +1,6 @@
 #include "explanation.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace jujubecart::daemon {
@@ -45,7 +46,8 @@
   return Out;
 }
 
-json serverJson(const decision::ServerPreview &Server) {
+json serverJson(const decision::ServerPreview &Server,
+                const KnownState &Known) {
   json Out{{"id", Server.Status.Id},
            {"verdict", decision::toString(Server.Verdict)},
            {"state", decision::toString(Server.Status.Health)},
@@ -55,6 +57,9 @@
            {"zone", Server.Zone},
            {"other_zone", Server.OtherZone},
            {"cold", Server.Cold}};
+  Out["zone_evacuated"] =
+      std::find(Known.EvacuatedZones.begin(), Known.EvacuatedZones.end(),
+                Server.Zone) != Known.EvacuatedZones.end();
   if (Server.RatePerS)
     Out["rate_per_s"] = rounded(*Server.RatePerS);
   if (Server.PacePercent) {
@@ -78,7 +83,7 @@
 json groupJson(const peers::GroupPlan &Plan, const KnownState &Known) {
   json Servers = json::array();
   for (const decision::ServerPreview &Server : Plan.Preview.Servers)
-    Servers.push_back(serverJson(Server));
+    Servers.push_back(serverJson(Server, Known));
   json Out{{"group", Plan.Group},
            {"region", Plan.Region},
            {"share_percent", rounded(Plan.SharePercent)},
--- a/apps/jujubectl/explain_command.cpp
+++ b/apps/jujubectl/explain_command.cpp
@@ -63,6 +63,8 @@
   const auto Add = [&](const std::string &Fact) {
     Facts += (Facts.empty() ? "" : ", ") + Fact;
   };
+  if (Server.value("zone_evacuated", false))
+    Add("zone evacuated");
   if (Server.value("cold", false))
     Add("cold");
   if (Server.contains("rate_per_s"))
--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -86,6 +86,9 @@
     return Evacuations.size();
   }
 
+  /// @brief Names of the evacuated availability zones.
+  [[nodiscard]] std::vector<std::string> evacuatedZoneNames() const;
+
 private:
   struct ServerEntry {
     core::RegisteredServer Registered;
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <vector>
 
@@ -177,6 +178,9 @@
     return EvacuatedZones;
   }
 
+  /// @brief Names of these zones; may be called from any thread.
+  [[nodiscard]] std::vector<std::string> evacuatedZoneNames() const;
+
 private:
   [[nodiscard]] core::Awaitable<bool> load();
   [[nodiscard]] core::Awaitable<core::Result<core::EntryList>> readAll();
@@ -221,6 +225,9 @@
   std::vector<core::Member> LastMembers;
   std::atomic<bool> Stopped{false};
   std::atomic<std::size_t> EvacuatedZones{0};
+  /// Guards ZoneNames; no other lock is taken while it is held.
+  mutable std::mutex ZoneNamesMutex;
+  std::vector<std::string> ZoneNames;
   /// What load() reads first; each is tried if the one before fails.
   enum class Source : std::uint8_t { Snapshot, StaleList, LatestList };
   Source LoadFrom = Source::Snapshot;
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -336,6 +336,14 @@
       .field("revision", Changed);
 }
 
+std::vector<std::string> Directory::evacuatedZoneNames() const {
+  std::vector<std::string> Out;
+  Out.reserve(Evacuations.size());
+  for (const auto &[Key, Entry] : Evacuations)
+    Out.push_back(Entry.Zone);
+  return Out;
+}
+
 bool Directory::isEvacuated(std::string_view Zone) const {
   return !Zone.empty() && std::any_of(Evacuations.begin(), Evacuations.end(),
                                       [&](const auto &Item) {
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -412,8 +412,18 @@
         .field("revision", Entries.asOf());
 }
 
+std::vector<std::string> DirectoryFeed::evacuatedZoneNames() const {
+  const std::lock_guard Lock(ZoneNamesMutex);
+  return ZoneNames;
+}
+
 void DirectoryFeed::publish() {
   EvacuatedZones = Entries.evacuatedZones();
+  {
+    std::vector<std::string> Names = Entries.evacuatedZoneNames();
+    const std::lock_guard Lock(ZoneNamesMutex);
+    ZoneNames = std::move(Names);
+  }
   if (Entries.hasRouting()) {
     const auto Current = Env.Table.current();
     const auto Fresh = Entries.buildSnapshot(*Current);
--- a/tests/apps/explanation_test.cpp
+++ b/tests/apps/explanation_test.cpp
@@ -168,3 +168,17 @@
     cr_expect_eq(Body.contains("rejected"), Each.Status != 0);
   }
 }
+
+// Guards against a server of an evacuated zone that looks as if the operators
+// had set it to draining by itself.
+Test(Explanation, server_of_an_evacuated_zone_is_marked) {
+  KnownState Known = makeState({});
+  Known.EvacuatedZones = {"b"};
+  Known.Services.push_back({{.Name = "tags"}, {makeGroup("vm1", {})}});
+  for (const char *Zone : {"a", "b"})
+    Known.Services[0].Groups[0].Preview.Servers.push_back({.Zone = Zone});
+  const nlohmann::json Servers =
+      toJson(Known, explain(Known))["services"][0]["groups"][0]["servers"];
+  cr_assert_eq(Servers[0]["zone_evacuated"], false);
+  cr_assert_eq(Servers[1]["zone_evacuated"], true);
+}
--- a/tests/store/directory_test.cpp
+++ b/tests/store/directory_test.cpp
@@ -146,6 +146,7 @@
   cr_assert_eq(Test.servers().size(), 2);
   cr_assert_eq(activeServers(Test), 0);
   cr_assert_eq(Test.Known.evacuatedZones(), 1);
+  cr_assert_eq(Test.Known.evacuatedZoneNames().front(), "z1");
   Test.change(Fixture::deletion("e/z1", 11));
   cr_assert_eq(activeServers(Test), 2);
 }
