Let only the dispatcher's VM refuse a request for its quota in explanations

Cause: a VM that hears the reports of the others refused in the explanation what the dispatcher decides; a passed request was checked for its key again. Change: the quota refuses where the group is dispatched; jujubectl passes the workspace, not the key.

--- a/apps/jujubecartd/explain_request.cpp
+++ b/apps/jujubecartd/explain_request.cpp
@@ -55,8 +55,9 @@
                           const operators::ExplainQuery &Query,
                           std::string NotReady) {
   const callers::ServerOptions Options = callerOptions(Env.Settings);
-  // Before the configuration, which may be replaced in between.
-  const bool KeysCount = keysCount(Env, Options);
+  // Before the configuration, which may be replaced in between. The VM that
+  // received a request has verified its key.
+  const bool KeysCount = !Query.Vm.empty() || keysCount(Env, Options);
   const core::ConfigSource::Snapshot Config = Env.Config.current();
   KnownState Out{.Vm = Env.Settings.Vm.Id,
                  .Zone = Env.Settings.Vm.Zone,
--- a/apps/jujubecartd/explanation.cpp
+++ b/apps/jujubecartd/explanation.cpp
@@ -153,6 +153,12 @@
                          : text(Item.Name, ", priority of the route"));
   }
 
+  /// @brief Whether this VM dispatches the most probable group.
+  [[nodiscard]] bool decidesHere() const {
+    return !Known.Services.empty() && !Known.Services.front().Groups.empty() &&
+           Known.Services.front().Groups.front().dispatcher() == Known.Vm;
+  }
+
   /// @return Whether the request is refused.
   bool explainQuota() {
     if (!Known.Quota)
@@ -172,9 +178,11 @@
       Line +=
           text(", last report ", Quota.Decision.ReportAge->count(), " ms ago");
     if (!Quota.Shared)
-      Line += "; the dispatcher counts, no report reaches " + Known.Vm;
+      Line += "; no report reaches " + Known.Vm;
+    if (!decidesHere())
+      Line += "; the dispatcher decides";
     add("quota", Line);
-    if (Quota.Decision.Admitted || !Quota.Shared)
+    if (Quota.Decision.Admitted || !decidesHere())
       return false;
     return refuse(Refusal{.Status = 429,
                           .Text = "quota of the workspace exceeded",
--- a/apps/jujubectl/explain_command.cpp
+++ b/apps/jujubectl/explain_command.cpp
@@ -143,6 +143,8 @@
     if (Vm == Explained.value("vm", "") || Endpoint.empty())
       return;
     operators::ExplainQuery Passed = Query;
+    Passed.Key.reset();
+    Passed.Workspace = Explained.value("workspace", "");
     Passed.Group = Group.value("group", "");
     Passed.Vm = Explained.value("vm", "");
     Passed.Excluded = Group.value("excluded", std::vector<std::string>());
--- a/packages/decision/include/jujubecart/decision/internal/server_order.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_order.hpp
@@ -14,10 +14,10 @@
 /// @param Table A copy, which the search may change.
 /// @param Servers Status of the servers of the group.
 [[nodiscard]] std::vector<ServerPreview>
-serverOrder(LoadTable Table, std::vector<ServerStatus> Servers,
+serverOrder(LoadTable Table, const std::vector<ServerStatus> &Servers,
             const PendingCall &Call, core::TimePoint Now);
 [[nodiscard]] std::vector<ServerPreview>
-serverOrder(ServerTable Table, std::vector<ServerStatus> Servers,
+serverOrder(ServerTable Table, const std::vector<ServerStatus> &Servers,
             const PendingCall &Call, core::TimePoint Now);
 
 /// @brief Decision on a call among others; nothing if there is none.
--- a/packages/decision/src/server_order.cpp
+++ b/packages/decision/src/server_order.cpp
@@ -20,9 +20,9 @@
 
 // Both tables keep these facts under the same names.
 template <typename Server>
-ServerPreview describe(ServerStatus Status, const Server &Known,
+ServerPreview describe(const ServerStatus &Status, const Server &Known,
                        const PendingCall &Call, core::TimePoint Now) {
-  ServerPreview Out{.Status = std::move(Status), .Zone = Known.Config.Zone};
+  ServerPreview Out{.Status = Status, .Zone = Known.Config.Zone};
   Out.OtherZone = !Call.Zone.empty() && Call.Zone != Known.Config.Zone;
   Out.Cold = Known.Limiter.cold(Now);
   if (Known.Limiter.limited(Now))
@@ -86,13 +86,13 @@
 } // namespace
 
 std::vector<ServerPreview> serverOrder(LoadTable Table,
-                                       std::vector<ServerStatus> Servers,
+                                       const std::vector<ServerStatus> &Servers,
                                        const PendingCall &Call,
                                        core::TimePoint Now) {
   std::vector<ServerPreview> All;
-  for (ServerStatus &Status : Servers) {
+  for (const ServerStatus &Status : Servers) {
     const ServerLoad &Known = Table.at(*Table.find(Status.Id));
-    ServerPreview Item = describe(std::move(Status), Known, Call, Now);
+    ServerPreview Item = describe(Status, Known, Call, Now);
     Item.Verdict = verdictOn(Known, Known.slots(), Call, Now);
     if (Known.Pace) {
       Item.PacePercent = Known.Pace->Percent;
@@ -127,15 +127,14 @@
 }
 
 std::vector<ServerPreview> serverOrder(ServerTable Table,
-                                       std::vector<ServerStatus> Servers,
+                                       const std::vector<ServerStatus> &Servers,
                                        const PendingCall &Call,
                                        core::TimePoint Now) {
   std::vector<ServerPreview> All;
-  for (ServerStatus &Status : Servers) {
+  for (const ServerStatus &Status : Servers) {
     const ServerRecord &Known = Table.at(*Table.find(Status.Id));
-    const std::uint32_t Limit = Status.Limit;
-    ServerPreview Item = describe(std::move(Status), Known, Call, Now);
-    Item.Verdict = verdictOn(Known, Limit, Call, Now);
+    ServerPreview Item = describe(Status, Known, Call, Now);
+    Item.Verdict = verdictOn(Known, Status.Limit, Call, Now);
     All.push_back(std::move(Item));
   }
   using Found = std::pair<std::string, std::optional<PlacementEstimate>>;
