--- a/apps/jujubecartd/explanation.cpp
+++ b/apps/jujubecartd/explanation.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using decision::CallPreview;
-using decision::ServerVerdict;
 
 constexpr double MilliPerUnit = 1000;
 constexpr double Percent = 100;
