--- a/apps/jujubecartd/daemon_api.cpp
+++ b/apps/jujubecartd/daemon_api.cpp
@@ -1,5 +1,7 @@
 #include "daemon_api.hpp"
 
+#include "explain_request.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <chrono>
@@ -110,6 +112,12 @@
 
 } // namespace internal
 
+void DaemonApi::setEvacuatedZones(
+    std::function<std::vector<std::string>()> Source) {
+  const std::lock_guard Lock(ZonesMutex);
+  EvacuatedZones = std::move(Source);
+}
+
 operators::Response DaemonApi::submitTicket(const std::string &Text) {
   const store::TicketResult Result =
       internal::waitFor(
@@ -198,6 +206,18 @@
                                       {"events", std::move(Events)}});
 }
 
+operators::Response DaemonApi::explain(const operators::ExplainQuery &Query) {
+  KnownState Known = explainedState(Env, Query, notReadyReason());
+  std::function<std::vector<std::string>()> Zones;
+  {
+    const std::lock_guard Lock(ZonesMutex);
+    Zones = EvacuatedZones;
+  }
+  if (Zones)
+    Known.EvacuatedZones = Zones();
+  return internal::jsonResponse(200, toJson(Known, daemon::explain(Known)));
+}
+
 operators::Response DaemonApi::metrics() {
   return {.ContentType = "text/plain; version=0.0.4",
           .Body = Env.Metrics.text()};
--- a/apps/jujubecartd/daemon_api.hpp
+++ b/apps/jujubecartd/daemon_api.hpp
@@ -3,6 +3,7 @@
 
 #include <jujubecart/callers/server.hpp>
 #include <jujubecart/core.hpp>
+#include <jujubecart/core/config_freshness.hpp>
 #include <jujubecart/operators/api.hpp>
 #include <jujubecart/operators/settings.hpp>
 #include <jujubecart/peers/peer_node.hpp>
@@ -10,6 +11,10 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
 
 namespace jujubecart::daemon {
 
@@ -27,6 +32,8 @@
   peers::PeerNode &Peers;
   const std::atomic<bool> &Stopping;
   const std::uint64_t Incarnation;
+  /// Nullptr if API keys count at any age of the configuration.
+  const core::ConfigFreshness *Freshness = nullptr;
 };
 
 /// @brief Implements the operators' endpoints of one VM. Ticket requests block
@@ -35,11 +42,16 @@
 public:
   explicit DaemonApi(ApiEnvironment Env) : Env(Env) {}
 
+  /// @brief Sets the source of the names of evacuated zones, which must be
+  /// thread-safe and outlive this object. Without one there are none.
+  void setEvacuatedZones(std::function<std::vector<std::string>()> Source);
+
   operators::Response submitTicket(const std::string &Text) override;
   operators::Response showTicket(std::uint64_t Number) override;
   operators::Response services() override;
   operators::Response status() override;
   operators::Response timeline(const operators::TimelineQuery &Filter) override;
+  operators::Response explain(const operators::ExplainQuery &Query) override;
   operators::Response metrics() override;
   operators::Response readiness() override;
 
@@ -48,6 +60,9 @@
   [[nodiscard]] std::string notReadyReason() const;
 
   const ApiEnvironment Env;
+  /// Guards EvacuatedZones.
+  std::mutex ZonesMutex;
+  std::function<std::vector<std::string>()> EvacuatedZones;
 };
 
 } // namespace jujubecart::daemon
--- a/packages/decision/include/jujubecart/decision/fwd.hpp
+++ b/packages/decision/include/jujubecart/decision/fwd.hpp
@@ -25,6 +25,7 @@
 class TokenBucket;
 class WorkspaceQuotas;
 
+struct CallPreview;
 struct DispatchGroup;
 struct DispatcherOptions;
 struct Granted;
@@ -32,6 +33,7 @@
 struct ProbeResult;
 struct QuotaRule;
 struct Rejected;
+struct ServerPreview;
 struct ServerStatus;
 
 } // namespace jujubecart::decision
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -188,8 +188,14 @@
 WorkspaceQuotas::Entry &WorkspaceQuotas::entry(std::uint64_t Workspace,
                                                core::TimePoint Now) {
   const auto [Found, New] = Entries.try_emplace(Workspace, Rule.Window);
-  Entry &Item = Found->second;
-  const core::WorkspaceQuota Quota = Source(Workspace);
+  applyQuota(Found->second, New, Source(Workspace), Now);
+  Found->second.LastUsed = Now;
+  return Found->second;
+}
+
+void WorkspaceQuotas::applyQuota(Entry &Item, bool New,
+                                 const core::WorkspaceQuota &Quota,
+                                 core::TimePoint Now) const {
   if (New) {
     Item.Quota = Quota;
     Item.At = Now;
@@ -202,8 +208,6 @@
     Item.Refill = 0;
     Item.PromisedUntil = Now;
   }
-  Item.LastUsed = Now;
-  return Item;
 }
 
 bool WorkspaceQuotas::admit(Entry &Item, double Share,
@@ -249,7 +253,7 @@
 }
 
 QuotaDecision WorkspaceQuotas::decide(Entry &Item, core::TimePoint Now,
-                                      bool Alone) {
+                                      bool Alone) const {
   QuotaDecision Out;
   Out.DemandPerS = static_cast<std::uint32_t>(Item.Demand.at(Now));
   if (LastHeard)
--- a/packages/peers/src/broker_links.cpp
+++ b/packages/peers/src/broker_links.cpp
@@ -12,20 +12,6 @@
 
 namespace asio = boost::asio;
 
-namespace internal {
-
-bool hasEligibleServer(const GroupEntry &Entry,
-                       const std::vector<std::string> &Excluded) {
-  return std::any_of(Entry.Group.Servers.begin(), Entry.Group.Servers.end(),
-                     [&](const core::BackendServer &Server) {
-                       return Server.State == core::ServerState::Active &&
-                              std::find(Excluded.begin(), Excluded.end(),
-                                        Server.Id) == Excluded.end();
-                     });
-}
-
-} // namespace internal
-
 // Waits at most LinkWaitTimeout for a new link. A connection attempt that takes
 // longer continues in the background, so that later calls can use the link.
 core::Awaitable<LinkPtr> RemoteBroker::findOrConnect(std::string Vm,
@@ -274,33 +260,6 @@
   return Found;
 }
 
-// Selects a group of this region; one of another region only if no group here
-// has an eligible server.
-GroupPtr RemoteBroker::chooseGroup(const core::SlotRequest &Request) {
-  const GroupDirectory::Index Index = Env.Groups.current();
-  const auto Found = Index->ByService.find(Request.Service);
-  if (Found == Index->ByService.end())
-    return nullptr;
-  const std::string Region = memberView()->Region;
-  for (const bool SameRegion : {true, false}) {
-    std::vector<GroupPtr> Groups;
-    std::vector<decision::GroupCandidate> Candidates;
-    for (const GroupPtr &Entry : Found->second)
-      if ((Entry->Group.Region == Region) == SameRegion &&
-          internal::hasEligibleServer(*Entry, Request.Excluded)) {
-        Groups.push_back(Entry);
-        Candidates.push_back(
-            {.Group = Entry->Hash, .Capacity = Entry->Capacity});
-      }
-    if (Candidates.empty())
-      continue;
-    const std::lock_guard Lock(Mutex);
-    return Groups[Choice.choose(Candidates, Env.Time.now())];
-  }
-  // Every server is excluded or not active, so the dispatcher will refuse.
-  return Found->second.front();
-}
-
 bool RemoteBroker::isSuspected(const std::string &Vm) {
   const std::lock_guard Lock(Mutex);
   const auto Found = SuspectedUntil.find(Vm);
