Correct explanations after their review

- A VM asked for another one decided by its own rank and could name a third dispatcher; now it explains its own decision, as for a real request.
- A call in a preview lacked the priority of its workspace, which decides on the last slots.
- A configuration with an empty table of workspaces requires a key; the explanation let the request pass.
- A VM that hears no quota reports leaves requests of others to the next dispatcher; the explanation said 429 or sent.
- An id that is no UTF-8 ended with status 500; now it comes back replaced.
- The log of a failed operators' request had the query with the digest of an API key.

--- a/apps/jujubecartd/daemon_api.cpp
+++ b/apps/jujubecartd/daemon_api.cpp
@@ -20,7 +20,10 @@
 constexpr std::chrono::seconds TicketTimeout{5};
 
 Response jsonResponse(unsigned Status, const json &Body) {
-  return Response{.Status = Status, .Body = Body.dump() + "\n"};
+  // Ids of a query come back in the response and can be no UTF-8.
+  return Response{
+      .Status = Status,
+      .Body = Body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
 }
 
 unsigned httpStatus(TicketStatus Status) noexcept {
--- a/apps/jujubecartd/explain_request.cpp
+++ b/apps/jujubecartd/explain_request.cpp
@@ -61,6 +61,7 @@
   const core::ConfigSource::Snapshot Config = Env.Config.current();
   KnownState Out{.Vm = Env.Settings.Vm.Id,
                  .Zone = Env.Settings.Vm.Zone,
+                 .Receiver = Query.Vm == Env.Settings.Vm.Id ? "" : Query.Vm,
                  .Policy = Env.Settings.Policy,
                  .NotReady = std::move(NotReady),
                  .Admitted = admit(*Config, Query, KeysCount)};
@@ -77,7 +78,7 @@
       peers::PlannedRequest Request{
           .Slot = slotRequest(Out.Admitted, *Service, Options, Env.Time.now()),
           .Group = Query.Group,
-          .Vm = Query.Vm == Out.Vm ? "" : Query.Vm};
+          .Vm = Out.Receiver};
       Request.Slot.Excluded = Query.Excluded;
       Plan.Groups = Env.Peers.broker().plan(Request);
     }
--- a/apps/jujubecartd/explanation.cpp
+++ b/apps/jujubecartd/explanation.cpp
@@ -152,6 +152,14 @@
                          : text(Item.Name, ", priority of the route"));
   }
 
+  // A VM that hears no reports leaves the requests of other VMs to the next
+  // dispatcher.
+  bool refuseForOthers() {
+    return refuse(Refusal{.Text = "no report of other VMs reaches " + Known.Vm +
+                                  "; " + Known.Receiver +
+                                  " asks the next dispatcher"});
+  }
+
   /// @brief Whether this VM dispatches the most probable group.
   [[nodiscard]] bool decidesHere() const {
     return !Known.Services.empty() && !Known.Services.front().Groups.empty() &&
@@ -167,12 +175,15 @@
       add("quota", "no limit");
       return false;
     }
-    std::string Line =
-        text(rounded(Quota.Left), " requests left of ",
-             double(Quota.Quota.MilliPerS) / MilliPerUnit, "/s and a burst of ",
-             Quota.Quota.Burst, "; share of ", Known.Vm, " ",
-             Quota.Decision.ShareMilli / 10.0, "%, known demand ",
-             Quota.Decision.DemandPerS, "/s");
+    std::string Line = text(
+        rounded(Quota.Left), " requests left",
+        Quota.Shared ? text(" in a window of ",
+                            double(Quota.Window.count()) / MilliPerUnit, " s")
+                     : "",
+        " of ", double(Quota.Quota.MilliPerS) / MilliPerUnit,
+        "/s and a burst of ", Quota.Quota.Burst, "; share of ", Known.Vm, " ",
+        Quota.Decision.ShareMilli / 10.0, "%, known demand ",
+        Quota.Decision.DemandPerS, "/s");
     if (Quota.Decision.ReportAge)
       Line +=
           text(", last report ", Quota.Decision.ReportAge->count(), " ms ago");
@@ -181,6 +192,8 @@
     if (!decidesHere())
       Line += "; the dispatcher decides";
     add("quota", Line);
+    if (!Quota.Shared && !Known.Receiver.empty())
+      return refuseForOthers();
     if (Quota.Decision.Admitted || !decidesHere())
       return false;
     return refuse(Refusal{.Status = 429,
@@ -295,7 +308,7 @@
   if (Route == nullptr)
     return Refuse(404, "no rule matches host and path");
   Out.Route = *Route;
-  if (!Routing->workspaces().empty())
+  if (Routing->workspaces().keysRequired())
     Out.Refused = checkKey(Routing->workspaces(), Query, KeysCount, Out);
   double Weights = 0;
   for (const core::WeightedService &Item : Route->Services)
--- a/apps/jujubecartd/explanation.hpp
+++ b/apps/jujubecartd/explanation.hpp
@@ -80,6 +80,8 @@
 struct KnownState {
   std::string Vm;
   std::string Zone;
+  /// Id of the VM that received the request; empty if it is this one.
+  std::string Receiver;
   /// The `policy` of the settings; groups are planned only with `dispatcher`.
   std::string Policy = "dispatcher";
   /// Why the VM is not ready; empty if it is.
--- a/apps/jujubecartd/explanation_json.cpp
+++ b/apps/jujubecartd/explanation_json.cpp
@@ -38,6 +38,7 @@
   if (Quota.Quota.limited()) {
     Out["milli_per_s"] = Quota.Quota.MilliPerS;
     Out["burst"] = Quota.Quota.Burst;
+    Out["window_ms"] = Quota.Window.count();
     Out["left"] = rounded(Quota.Left);
     Out["share_permille"] = Quota.Decision.ShareMilli;
   }
--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -66,6 +66,8 @@
 struct QuotaPreview {
   core::WorkspaceQuota Quota;
   QuotaDecision Decision;
+  /// In which the quota holds.
+  std::chrono::milliseconds Window{0};
   /// Whether this VM hears what the others admit.
   bool Shared = false;
   /// Requests left in the window: of the VMs in reach if Shared is set,
--- a/packages/decision/src/workspace_quotas_preview.cpp
+++ b/packages/decision/src/workspace_quotas_preview.cpp
@@ -11,7 +11,8 @@
   const bool New = Found == Entries.end();
   Entry Copy = New ? Entry(Rule.Window) : Found->second;
   applyQuota(Copy, New, Source(Workspace), Now);
-  QuotaPreview Out{.Quota = Copy.Quota, .Shared = reports()};
+  QuotaPreview Out{
+      .Quota = Copy.Quota, .Window = Rule.Window, .Shared = reports()};
   if (Copy.Quota.limited()) {
     advance(Copy, Now);
     Out.Left = Out.Shared ? level(Copy, reachablePart(Now), Now) : Copy.Refill;
--- a/packages/operators/src/endpoints.cpp
+++ b/packages/operators/src/endpoints.cpp
@@ -80,8 +80,9 @@
   try {
     return callEndpoint(Endpoints, From);
   } catch (const std::exception &Failure) {
+    // The query can hold the digest of an API key.
     core::LogLine(core::LogLevel::Error, "operators.request_failed")
-        .field("url", From.Target)
+        .field("url", From.Target.substr(0, From.Target.find('?')))
         .field("error", Failure.what());
     return errorResponse(500, Failure.what());
   }
--- a/packages/peers/src/dispatch_plan.cpp
+++ b/packages/peers/src/dispatch_plan.cpp
@@ -21,7 +21,9 @@
                             .Zone = Self.Zone,
                             .Objective = Slot.Objective,
                             .WorkClass = Slot.WorkClass,
-                            .Workspace = Slot.Workspace};
+                            .Workspace = Slot.Workspace,
+                            .WorkspacePriority =
+                                hasOwnPriority(Slot.Workspace)};
   if (Vm.empty() || Vm == Self.Id)
     return Out;
   Out.Holder = Vm;
@@ -79,7 +81,11 @@
   GroupPlan Out{.Group = Entry->Group.Name,
                 .Region = Entry->Group.Region,
                 .Excluded = Request.Slot.Excluded};
-  planDispatchers(*Entry, Out);
+  // A dispatcher decides on what another VM asks, whatever it ranks itself.
+  if (Request.Vm.empty())
+    planDispatchers(*Entry, Out);
+  else
+    Out.Dispatchers.push_back(Env.Members.self().Id);
   decision::PendingCall Call =
       Env.Dispatch.pendingCall(Request.Slot, Request.Vm);
   {
--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -362,7 +362,13 @@
             for item in each["dispatchers"]:
                 self.assertEqual(item["explanation"]["vm"], dispatcher)
                 self.assertEqual(item["explanation"]["verdict"], "sent")
+        # A VM that is asked for another one decides, whatever it ranks itself.
         killed = int(dispatcher[2:])
+        vm = self.fleet.vms[(killed + 1) % 3]
+        group = found[killed]["explanation"]["services"][0]["groups"][0]["group"]
+        status, _, body = http_call(vm.operators, "GET", "/explain?host=shop.example&path=/tags/1"
+                                    f"&group={group}&vm={dispatcher}&excluded=%ff")
+        self.assertEqual((status, json.loads(body)["verdict"]), (200, "sent"), body)
         self.fleet.vms[killed].process.kill()
         self.fleet.vms[killed].process.wait()
         code, text = self.fleet.ctl("explain", "shop.example", "/tags/1", vm=(killed + 1) % 3)
--- a/tests/apps/explanation_test.cpp
+++ b/tests/apps/explanation_test.cpp
@@ -92,6 +92,13 @@
   cr_assert_eq(Found.Services.front().Name, "blue");
   cr_assert_eq(Found.Services.front().SharePercent, 75);
   cr_assert_eq(admit({}, WithKey, true).Refused->Status, 503);
+  // A table without workspaces knows no key, but requires one.
+  const core::ConfigSnapshot Locked(
+      8, makeConfig().entries(),
+      std::make_shared<core::RoutingTable>(
+          13, makeConfig().routing()->routes(), core::CallerLimits{},
+          core::WorkspaceTable(std::vector<core::WorkspaceTable::Entry>())));
+  cr_assert_eq(admit(Locked, WithKey, true).Refused->Status, 401);
 }
 
 // Guards against a verdict, a status or an order of reasons that do not follow
@@ -173,6 +180,12 @@
     cr_expect_eq(Body["verdict"], toString(Each.Result));
     cr_expect_eq(Body.contains("rejected"), Each.Status != 0);
   }
+  // Without reports a VM decides on no request of another VM.
+  KnownState ForOther = Base;
+  ForOther.Receiver = "vm2";
+  ForOther.Quota = UsedAlone;
+  ForOther.Services.push_back({{.Name = "tags"}, {makeGroup("vm1", Grant)}});
+  cr_assert_eq(explain(ForOther).Refused->Status, 503);
 }
 
 // Guards against a server of an evacuated zone that looks as if the operators
