Honour the early end of a cold start

ServerRateLimiter::setCold only ever raised the end, so a server that corrected a long warmup-left to 0 stayed limited until the old end, and LoadTable ignored what a cold server stated to a probe while ServerTable took a later end only. A changed end in the configuration now replaces one from the configuration, and an answer to a probe replaces any end, in both tables alike. The limit then rises from that moment.

--- a/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/server_rate_limiter.hpp
@@ -29,14 +29,18 @@
   /// @brief Sets the part of the limit that this dispatcher may use.
   void setShare(double NewShare, core::TimePoint Now) noexcept;
 
-  /// @brief Applies the limit of a cold server, and a later end of its cold
-  /// start than the known one. After the end the limit rises for a short time
-  /// before it is lifted.
+  /// @brief Applies the limit of a cold server, and the end of its cold start
+  /// if that differs from the one configured before. After the end the limit
+  /// rises for a short time before it is lifted.
   /// @param NewLimit MilliPerS is 0 if a cold server has no limit; then it
   /// counts as warm.
   void setCold(core::RateLimit NewLimit, core::TimePoint Until,
                core::TimePoint Now) noexcept;
 
+  /// @brief Applies the end of the cold start that the server stated in answer
+  /// to a probe, which may be earlier or later than the known one.
+  void recordCold(core::TimePoint Until, core::TimePoint Now) noexcept;
+
   /// @brief Whether the server is cold and has a limit for that time.
   [[nodiscard]] bool cold(core::TimePoint Now) const noexcept {
     return ColdLimit.MilliPerS != 0 && Now < ColdUntil;
@@ -63,6 +67,8 @@
   /// @brief Whether the server is cold, or its limit still rises after that.
   [[nodiscard]] bool coldLimited(core::TimePoint Now) const noexcept;
   [[nodiscard]] double tokensAt(core::TimePoint Now) const noexcept;
+  void moveColdEnd(core::TimePoint Until, core::TimePoint Now) noexcept;
+  void startColdLimit(bool WasLimited, core::TimePoint Now) noexcept;
 
   std::optional<core::RateLimit> Limit;
   double Share = 1;
@@ -75,6 +81,8 @@
   core::TimePoint LastCall;
   core::RateLimit ColdLimit;
   core::TimePoint ColdUntil = core::TimePoint::min();
+  /// The end that setCold() applied last.
+  core::TimePoint ConfiguredColdUntil = core::TimePoint::min();
 };
 
 } // namespace jujubecart::decision::internal
--- a/packages/decision/src/load_table_probes.cpp
+++ b/packages/decision/src/load_table_probes.cpp
@@ -84,9 +84,8 @@
     // until their calls reach their deadline, and the price keeps calls there.
     Server.Silent = true;
   }
-  if (Result.ColdUntil && Server.Config.ColdLimit.MilliPerS != 0 &&
-      !Server.Limiter.cold(Now)) {
-    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil, Now);
+  if (Result.ColdUntil) {
+    Server.Limiter.recordCold(*Result.ColdUntil, Now);
     updateTotals(Now);
   }
   if (Result.Load)
--- a/packages/decision/src/server_rate_limiter.cpp
+++ b/packages/decision/src/server_rate_limiter.cpp
@@ -61,14 +61,43 @@
                                 core::TimePoint Now) noexcept {
   const bool WasLimited = limited(Now);
   ColdLimit = NewLimit;
-  if (NewLimit.MilliPerS != 0)
-    ColdUntil = std::max(ColdUntil, Until);
-  // Dispatchers on many VMs may learn of the cold server at the same time. If
-  // each of them could send a call at once, it would get all of these calls.
-  if (!WasLimited && limited(Now)) {
-    Tokens = 0;
-    RefilledAt = Now;
+  // The configuration is applied again for reasons other than a cold start, and
+  // must not undo what the server stated to a probe meanwhile.
+  if (NewLimit.MilliPerS != 0 && Until != ConfiguredColdUntil) {
+    if (Until > ColdUntil || ColdUntil == ConfiguredColdUntil)
+      moveColdEnd(Until, Now);
+    ConfiguredColdUntil = Until;
   }
+  startColdLimit(WasLimited, Now);
+}
+
+void ServerRateLimiter::recordCold(core::TimePoint Until,
+                                   core::TimePoint Now) noexcept {
+  if (ColdLimit.MilliPerS == 0)
+    return;
+  const bool WasLimited = limited(Now);
+  moveColdEnd(Until, Now);
+  startColdLimit(WasLimited, Now);
+}
+
+// An end in the past is moved to now, so that the limit rises from now on. One
+// that has passed already stays where it is.
+void ServerRateLimiter::moveColdEnd(core::TimePoint Until,
+                                    core::TimePoint Now) noexcept {
+  if (Until > ColdUntil)
+    ColdUntil = Until;
+  else if (Now < ColdUntil)
+    ColdUntil = std::max(Until, Now);
+}
+
+// Dispatchers on many VMs may learn of the cold server at the same time. If
+// each of them could send a call at once, it would get all of these calls.
+void ServerRateLimiter::startColdLimit(bool WasLimited,
+                                       core::TimePoint Now) noexcept {
+  if (WasLimited || !limited(Now))
+    return;
+  Tokens = 0;
+  RefilledAt = Now;
 }
 
 bool ServerRateLimiter::coldLimited(core::TimePoint Now) const noexcept {
--- a/packages/decision/src/server_table.cpp
+++ b/packages/decision/src/server_table.cpp
@@ -194,7 +194,7 @@
   ServerRecord &Server = Servers[Index];
   Server.Health.onProbe(Result, Now);
   if (Result.ColdUntil)
-    Server.Limiter.setCold(Server.Config.ColdLimit, *Result.ColdUntil, Now);
+    Server.Limiter.recordCold(*Result.ColdUntil, Now);
   if (!Server.Health.ejected())
     updateEjection(Server, Result.State == ProbeState::Unreachable, false, Now);
   updateCounts(Now);
--- a/tests/decision/rate_limit_test.cpp
+++ b/tests/decision/rate_limit_test.cpp
@@ -183,6 +183,36 @@
   cr_assert_not(Limiter.limited(Start + 5s));
 }
 
+// Guards against a server that stays limited until an end that it has corrected
+// since, and against one that gets its full load at once after the correction.
+Test(ServerRateLimiter, corrected_end_of_a_cold_start_holds) {
+  struct {
+    const char *Name;
+    std::optional<core::TimePoint> Probed;
+    core::TimePoint Configured;
+    core::TimePoint End;
+  } const Cases[] = {
+      {"entry without cold time", {}, core::TimePoint::min(), Start + 1s},
+      {"entry with less", {}, Start + 4s, Start + 4s},
+      {"probe with none", Start + 1s, Start + 60s, Start + 1s},
+      {"probe with less", Start + 9s, Start + 60s, Start + 9s},
+      {"probe with more", Start + 90s, Start + 60s, Start + 90s},
+      {"older entry", Start + 90s, core::TimePoint::min(), Start + 90s},
+  };
+  for (const auto &Case : Cases) {
+    decision::internal::ServerRateLimiter Limiter;
+    Limiter.setCold({.MilliPerS = 4000}, Start + 60s, Start);
+    if (Case.Probed)
+      Limiter.recordCold(*Case.Probed, Start + 1s);
+    Limiter.setCold({.MilliPerS = 4000}, Case.Configured, Start + 1s);
+    if (Case.End > Start + 1s)
+      cr_expect(Limiter.cold(Case.End - 1ms), "%s", Case.Name);
+    cr_expect_not(Limiter.cold(Case.End), "%s", Case.Name);
+    cr_expect(Limiter.limited(Case.End + 1s), "%s", Case.Name);
+    cr_expect_not(Limiter.limited(Case.End + 2s), "%s", Case.Name);
+  }
+}
+
 // Guards against the higher of two limits.
 Test(ServerRateLimiter, lower_one_of_two_limits_holds) {
   decision::internal::ServerRateLimiter Limiter;
