Wake the loop of the reports when a quota report becomes due earlier

A request that uses half of the VM's share makes the next report due 50 ms after the last one, and the first one after a time without demand makes it due at all, but the loop that sends it slept for up to 100 ms. WorkspaceQuotas::request() now says when nextReport() moves to an earlier time, which happens about once a report, and DispatchService wakes the loop only then.

only_requests_that_advance_the_report_say_so checks the new field, which did not exist before, so it has no run without the change. The delay between VMs was not measured.

--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -60,6 +60,8 @@
   std::uint32_t DemandPerS = 0;
   /// Age of the newest report of another VM; empty if there is none.
   std::optional<std::chrono::milliseconds> ReportAge;
+  /// Whether nextReport() is earlier since this request.
+  bool AdvancesReport = false;
 };
 
 /// @brief Keeps the requests of each workspace within its quota together with
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -277,7 +277,8 @@
                                        core::TimePoint Now, bool Alone) {
   const std::lock_guard Lock(Mutex);
   Entry &Item = entry(Workspace, Now);
-  const QuotaDecision Out = decide(Item, Now, Alone);
+  QuotaDecision Out = decide(Item, Now, Alone);
+  const core::TimePoint Due = dueAt();
   ++Item.Demanded;
   const double Part = reachablePart(Now);
   if (Out.Admitted) {
@@ -292,6 +293,7 @@
                  2.0 * Item.Admitted >=
                      share(Item, Now) * (level(Item, Part, Now) +
                                          Item.Admitted + lent(Item.Quota)));
+  Out.AdvancesReport = reports() && dueAt() < Due;
   return Out;
 }
 
--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -29,6 +29,9 @@
                                                       bool Alone) {
   const decision::QuotaDecision Out = Quotas.request(Workspace, Now, Alone);
   ++Env.Links.counters().QuotaRequests;
+  // The loop may sleep beyond the time at which the report is due now.
+  if (Out.AdvancesReport)
+    wake();
   if (Out.Admitted)
     return Out;
   ++Env.Links.counters().QuotaRefusals;
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -781,6 +781,24 @@
   }
 }
 
+// Guards against a loop that sleeps until the regular report although an
+// earlier one is due, and against one that each request wakes.
+Test(WorkspaceQuotas, only_requests_that_advance_the_report_say_so) {
+  decision::WorkspaceQuotas Quotas(
+      "a", [](std::uint64_t) { return quotaOf(1, 10); }, Start);
+  Quotas.setFleet({.Reporters = {"a", "b"}, .Live = 2, .Known = 2}, Start);
+  int Advanced = 0;
+  for (int At = 0; At < 20; ++At) {
+    const core::TimePoint Due = Quotas.nextReport();
+    const bool Says = Quotas.request(1, Start + 10ms).AdvancesReport;
+    cr_expect_eq(Says, Quotas.nextReport() < Due, "request %d", At);
+    Advanced += Says;
+  }
+  // The first one of all begins the reports; a later one makes them urgent.
+  cr_expect_eq(Advanced, 2, "%d", Advanced);
+  cr_expect_eq(Quotas.nextReport(), Start + 50ms);
+}
+
 // Guards against a VM that uses the parts of reporters from which it never
 // heard, or of which it has not heard for long, and against a part that
 // shrinks because all were without demand.
