Keep quota reports to a VM without an open link for the next one

takeReport() clears what it takes, and a report to a VM without an open link was dropped after the link was dialled, so its receiver never counted that use: after a start, a takeover or a broken link, each reporter used its share of a window that it took for free. UnsentReports keeps the items for each receiver for 1 s and adds them to the next report to it. Older ones are dropped: a receiver that hears nothing for 300 ms already scales its own use up to the whole fleet.

--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -18,6 +18,10 @@
 
 namespace jujubecart::peers {
 
+namespace internal {
+class UnsentReports;
+} // namespace internal
+
 /// @brief Decision of a dispatcher on one call.
 struct DispatchResult {
   /// Server to which the call may be sent; empty if the call was refused.
@@ -218,6 +222,8 @@
   decision::KnownVms QuotaVms;
   /// VMs to which quota reports are sent; guarded by RankMutex.
   std::vector<core::Member> QuotaReceivers;
+  /// Used by runLoop() only.
+  const std::unique_ptr<internal::UnsentReports> Unsent;
 
   // Guards Groups and Clients. Held only for lookups; never held while the
   // mutex of a group is being locked.
--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_state.hpp"
+#include "unsent_reports.hpp"
 
 #include <jujubecart/core/log.hpp>
 
@@ -95,17 +96,24 @@
   auto Items = Quotas.takeReport(Now);
   if (!Items)
     return;
-  const QuotaReport Report{.Items = std::move(*Items)};
   std::vector<core::Member> Receivers;
   {
     const std::lock_guard Lock(RankMutex);
     Receivers = QuotaReceivers;
   }
+  std::set<std::string> Ids;
+  for (const core::Member &Vm : Receivers)
+    Ids.insert(Vm.Id);
+  Unsent->retain(Ids);
   for (const core::Member &Vm : Receivers) {
-    if (const LinkPtr Open = Env.Links.find(Vm.Id))
-      Open->send(Report);
-    else
+    const LinkPtr Open = Env.Links.find(Vm.Id);
+    if (!Open)
       Env.Links.connectInBackground(Vm.Id, Vm.Address);
+    if (Open &&
+        Open->send(QuotaReport{.Items = Unsent->merge(Vm.Id, *Items, Now)}))
+      Unsent->erase(Vm.Id);
+    else
+      Unsent->add(Vm.Id, *Items, Now);
   }
 }
 
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -1,5 +1,6 @@
 #include "dispatch_state.hpp"
 #include "timer.hpp"
+#include "unsent_reports.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -67,7 +68,8 @@
     : Executor(Executor), Env(Dependencies),
       Timer(internal::makeSerialTimer(Executor)),
       Quotas(Env.Members.self().Id, internal::quotaSource(Env.Config),
-             Env.Time.now(), Env.Quotas) {
+             Env.Time.now(), Env.Quotas),
+      Unsent(std::make_unique<internal::UnsentReports>()) {
   Env.Groups.subscribe([this](const auto &Index) { onGroupsChanged(Index); });
 }
 
--- a/tests/peers/quota_test.cpp
+++ b/tests/peers/quota_test.cpp
@@ -1,4 +1,5 @@
 #include "cluster.hpp"
+#include "unsent_reports.hpp"
 
 using namespace jujubecart;
 using namespace jujubecart::peers;
@@ -116,6 +117,47 @@
       [&] { return Fleet.second().Node.dispatch().quotaWorkspaces() == 1; }));
 }
 
+// Guards against use that no other VM ever counts because the link was not open
+// when it was reported.
+Test(Quota, use_is_reported_once_a_broken_link_is_open_again) {
+  for (int Round = 0; Round < 5; ++Round) {
+    QuotaFleet Fleet;
+    const std::string Second = idOf(Fleet.second());
+    LinkTable &Links = Fleet.dispatcher().Node.links();
+    // From then on, the first request of all is reported at once.
+    std::this_thread::sleep_for(250ms);
+    while (const LinkPtr Open = Links.find(Second))
+      Open->close("test");
+    cr_assert(Fleet.dispatcher().acquire(QuotaFleet::counted()).has_value());
+    cr_assert(eventually([&] {
+                return Fleet.second().Node.dispatch().quotaWorkspaces() == 1;
+              }),
+              "round %d", Round);
+  }
+}
+
+// Guards against reports to a VM out of reach that are lost, kept for so long
+// that they count twice, or sent twice.
+Test(Quota, unsent_reports_are_added_to_the_next_one) {
+  const core::TimePoint Start{1h};
+  using Items = peers::internal::UnsentReports::Items;
+  peers::internal::UnsentReports Unsent;
+  const Items Later{{.Workspace = 2, .Demanded = 1, .Admitted = 1}};
+  Unsent.add("b", {{.Workspace = 1, .Demanded = 9, .Admitted = 9}}, Start);
+  Unsent.add("b", {{.Workspace = 1, .Demanded = 3, .Admitted = 2}},
+             Start + 900ms);
+  Unsent.add("b", {{.Workspace = 1, .Demanded = 1, .Admitted = -1}},
+             Start + 1s);
+  const Items Expected{{.Workspace = 1, .Demanded = 4, .Admitted = 1},
+                       Later[0]};
+  cr_assert(Unsent.merge("b", Later, Start + 1100ms) == Expected);
+  cr_assert(Unsent.merge("c", Later, Start + 1100ms) == Later);
+  Unsent.retain({"b"});
+  cr_assert(Unsent.merge("b", Later, Start + 1100ms) == Expected);
+  Unsent.erase("b");
+  cr_assert(Unsent.merge("b", Later, Start + 1100ms) == Later);
+}
+
 // Guards against a dispatcher that refuses a request within the quota because
 // it has not noticed yet that it ranks first.
 Test(Quota, dispatcher_that_was_asked_before_it_updated_its_rank_grants) {
