Give the use of a quota back with a slot that was not used

A grant that the requester returned as Withheld was released like a used one, so the dispatcher kept the request counted, while its next slot request did not count: if that was refused, the request got no slot but stayed counted. An unused grant is now returned with Cancel (withdraw() at the own dispatcher), which gives the use back already, and the next slot request counts again, in RemoteBroker and in Call. A VM that decides alone gives back too, if the fallback has no server or the grant is not used; it decides by what it has saved up, so giveBack() restores that.

--- a/packages/callers/src/attempt.hpp
+++ b/packages/callers/src/attempt.hpp
@@ -55,6 +55,8 @@
   /// Position in the request body.
   BodyCursor Cursor;
   core::SlotGrant Grant;
+  /// Whether its slot request counted against the quota of the workspace.
+  bool CountsAgainstQuota = false;
   std::unique_ptr<core::BackendExchange> Exchange;
   std::error_code Failure;
   /// Buffer for the response body; holds its first bytes before relaying.
--- a/packages/callers/src/call_attempts.cpp
+++ b/packages/callers/src/call_attempts.cpp
@@ -112,6 +112,9 @@
     if (Ready && !keepAsFallback(Next))
       co_return co_await relay(Next);
     Next->release();
+    // The use of the quota is given back with a slot that was not used.
+    if (Next->CountsAgainstQuota && Outcome == core::CallOutcome::Withheld)
+      SlotRequested = false;
     if (!Next->Granted || (!Ready && !tryTakeRetry(*Next))) {
       // Replaces the hint of the dispatcher, which assumes that all slots are
       // in use, if the server rejected the call with a free slot.
@@ -165,6 +168,7 @@
   armTimeout();
   ClaimRequested = Key.has_value();
   core::SlotRequest Needed = slotRequest();
+  Current->CountsAgainstQuota = Needed.CountsAgainstQuota;
   SlotRequested = true;
   auto Grant = co_await State.Dependencies.Broker.acquire(std::move(Needed));
   if (!Grant) {
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -311,6 +311,9 @@
   // What has expired is no longer counted by the others either.
   if (Item.Use.remove(1 / reachablePart(Now), CountedAt) <= 0)
     return;
+  // A VM that doesn't report decides by what it has saved up.
+  if (!reports())
+    Item.Refill = std::min(1.0, Item.Refill + 1);
   --Item.Admitted;
   Unreported.insert(Workspace);
 }
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -22,6 +22,14 @@
 class UnsentReports;
 } // namespace internal
 
+/// @brief A request as it was counted against the quota of its workspace.
+struct QuotaUse {
+  std::uint64_t Workspace = 0;
+  core::TimePoint CountedAt;
+
+  friend auto operator<=>(const QuotaUse &, const QuotaUse &) = default;
+};
+
 /// @brief Decision of a dispatcher on one call.
 struct DispatchResult {
   /// Server to which the call may be sent; empty if the call was refused.
@@ -123,8 +131,11 @@
   /// @brief Counts a request that this VM decides without a dispatcher against
   /// the quota of its workspace.
   /// @return Whether it is within the quota.
-  [[nodiscard]] decision::QuotaDecision countAlone(std::uint64_t Workspace,
+  [[nodiscard]] decision::QuotaDecision countAlone(const QuotaUse &Use,
                                                    core::RequestId Request);
+  /// @brief Gives back a request that countAlone() admitted and that got no
+  /// slot.
+  void giveBackAlone(const QuotaUse &Use);
 
   /// @brief Workspaces whose quotas this VM keeps.
   [[nodiscard]] std::size_t quotaWorkspaces() const { return Quotas.size(); }
--- a/packages/peers/src/broker_fallback.cpp
+++ b/packages/peers/src/broker_fallback.cpp
@@ -5,9 +5,12 @@
 core::Result<core::SlotGrant> RemoteBroker::acquireFromFallback(
     const GroupEntry &Entry, const core::SlotRequest &Request,
     std::string_view Dispatcher, std::string_view Reason) {
+  std::optional<QuotaUse> AloneUse;
   if (Request.Workspace != 0 && Request.CountsAgainstQuota) {
+    AloneUse =
+        QuotaUse{.Workspace = Request.Workspace, .CountedAt = Env.Time.now()};
     const decision::QuotaDecision Quota =
-        Env.Dispatch.countAlone(Request.Workspace, Request.Request);
+        Env.Dispatch.countAlone(*AloneUse, Request.Request);
     if (!Quota.Admitted) {
       if (Request.Hint)
         Request.Hint->RetryAt = Env.Time.now() + Quota.RetryAfter;
@@ -28,8 +31,11 @@
     Unlimited.Excluded.push_back(std::move(Item.ServerId));
   excludeColdServers(Unlimited);
   auto Grant = Env.Fallback.acquireNow(Unlimited);
-  if (!Grant)
+  if (!Grant) {
+    if (AloneUse)
+      Env.Dispatch.giveBackAlone(*AloneUse);
     return Grant;
+  }
   const GroupDirectory::Index Index = Env.Groups.current();
   const std::uint64_t Server = core::hash64(Grant->Server.Id);
   HeldGrant Item{.Entry = Index->find(Entry.Hash),
@@ -37,7 +43,8 @@
                  .DispatcherLink = nullptr,
                  .Call = 0,
                  .Token = 0,
-                 .Local = *Grant};
+                 .Local = *Grant,
+                 .AloneUse = AloneUse};
   // The fallback selects among all servers of the service, so the server may
   // belong to another group.
   if (const auto Groups = Index->ByService.find(Request.Service);
--- a/packages/peers/src/broker_state.hpp
+++ b/packages/peers/src/broker_state.hpp
@@ -49,6 +49,8 @@
   decision::CallToken Token = 0;
   /// Set if the fallback broker granted it.
   std::optional<core::SlotGrant> Local;
+  /// Set if this VM counted the request without a dispatcher.
+  std::optional<QuotaUse> AloneUse;
   /// Link to a later dispatcher to which the call was reported in flight.
   LinkPtr AdoptedBy;
   /// Whether the call was reported to this VM's dispatcher.
--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -53,9 +53,14 @@
   return Out;
 }
 
-decision::QuotaDecision DispatchService::countAlone(std::uint64_t Workspace,
+decision::QuotaDecision DispatchService::countAlone(const QuotaUse &Use,
                                                     core::RequestId Request) {
-  return countRequest(Workspace, Request, Env.Time.now(), true);
+  return countRequest(Use.Workspace, Request, Use.CountedAt, true);
+}
+
+void DispatchService::giveBackAlone(const QuotaUse &Use) {
+  ++Env.Links.counters().QuotaReturns;
+  Quotas.giveBack(Use.Workspace, Use.CountedAt, Env.Time.now());
 }
 
 void DispatchService::giveBackQuota(const Call &Item) {
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -50,8 +50,6 @@
         .field("server", Granted->Server.Id)
         .field("dispatcher", Granted->Dispatcher);
     release(*Granted, {.Outcome = core::CallOutcome::Withheld});
-    // The dispatcher has counted it.
-    Request.CountsAgainstQuota = false;
     // A dispatcher that grants an excluded server would do so again.
     if (std::find(Request.Excluded.begin(), Request.Excluded.end(),
                   Granted->Server.Id) != Request.Excluded.end()) {
@@ -328,14 +326,24 @@
     Grants.erase(Found);
     Statements->record(Grant.Server, Report, Env.Time.now());
   }
+  const bool Withheld = Report.Outcome == core::CallOutcome::Withheld;
   if (Item.Local)
     Env.Fallback.release(*Item.Local, Report);
+  if (Item.AloneUse && Withheld)
+    Env.Dispatch.giveBackAlone(*Item.AloneUse);
   if (Item.DispatcherLink) {
     Item.DispatcherLink->adjustUseCount(-1);
-    Item.DispatcherLink->send(
-        Release{.Call = Item.Call, .Report = Report, .Group = 0, .Server = 0});
+    // The dispatcher counts a released grant as used, a cancelled one not.
+    if (Withheld)
+      Item.DispatcherLink->send(Cancel{.Call = Item.Call});
+    else
+      Item.DispatcherLink->send(Release{
+          .Call = Item.Call, .Report = Report, .Group = 0, .Server = 0});
   } else if (Item.Token != 0) {
-    Env.Dispatch.release(Item.Entry->Hash, Item.Token, Report);
+    if (Withheld)
+      Env.Dispatch.withdraw(Item.Entry->Hash, Item.Token);
+    else
+      Env.Dispatch.release(Item.Entry->Hash, Item.Token, Report);
   }
   if (Item.AdoptedBy) {
     Item.AdoptedBy->send(Release{.Call = 0,
--- a/tests/peers/quota_test.cpp
+++ b/tests/peers/quota_test.cpp
@@ -108,6 +108,19 @@
   }
 }
 
+// Guards against requests that use the quota although their slot was not used:
+// the next one of the same request would be refused for it.
+Test(Quota, requests_that_do_not_use_their_slot_do_not_count) {
+  QuotaFleet Fleet;
+  for (Vm *Requester : {&Fleet.dispatcher(), &Fleet.second()})
+    for (int At = 0; At < 20; ++At) {
+      const auto Result = Requester->acquire(QuotaFleet::counted());
+      cr_assert(Result.has_value(), "request %d", At);
+      Requester->Node.broker().release(
+          *Result, {.Outcome = core::CallOutcome::Withheld});
+    }
+}
+
 // Guards against a second dispatcher that knows nothing of what the first one
 // admitted.
 Test(Quota, use_is_reported_to_the_next_dispatcher) {
