--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -1,437 +1,6 @@
-#include <jujubecart/decision/known_vms.hpp>
-#include <jujubecart/decision/workspace_quotas.hpp>
+#include "quota_scenarios.hpp"
 
-#include <algorithm>
-#include <array>
-#include <criterion/criterion.h>
-#include <deque>
-#include <functional>
-#include <memory>
-#include <random>
-
-using namespace jujubecart;
-using namespace std::chrono_literals;
-
-namespace {
-
-using Millis = std::chrono::milliseconds;
-
-const core::TimePoint Start{1h};
-constexpr auto Step = 10ms;
-// The promise: in each window at most what the quota allows in it, a tenth and
-// 20 requests more.
-constexpr auto Window = 5s;
-// A VM that was cut off is suspected after 3 s and forgotten after 20 s.
-constexpr auto SuspectAfter = 3s;
-constexpr auto RemoveAfter = 20s;
-
-double owedInWindow(core::WorkspaceQuota Quota) {
-  return static_cast<double>(Quota.MilliPerS) / 1000 * 5 +
-         static_cast<double>(Quota.Burst);
-}
-
-double allowedInWindow(core::WorkspaceQuota Quota) {
-  return owedInWindow(Quota) * 1.1 + 20;
-}
-
-core::WorkspaceQuota quotaOf(double PerS, double Burst) {
-  return {.MilliPerS = static_cast<std::uint64_t>(PerS * 1000),
-          .Burst = static_cast<std::uint64_t>(Burst)};
-}
-
-/// @brief One workspace: its load, its quota, and what became of its requests.
-struct Load {
-  std::uint64_t Id = 0;
-  core::WorkspaceQuota Quota;
-  /// Requests per second at a time since the start.
-  std::function<double(Millis)> PerS;
-  /// Part of the fleet's groups whose service it uses.
-  std::size_t FirstGroup = 0;
-  std::size_t Groups = 0;
-
-  /// Whether requests come at even distances instead of at random.
-  bool Even = false;
-  double NextPart = 0;
-  /// Requests of the last window that an observer who sees all would admit.
-  std::deque<core::TimePoint> RecentOwed;
-  int Asked = 0;
-  int Owed = 0;
-  int OwedRefused = 0;
-  int Admitted = 0;
-  std::deque<core::TimePoint> Recent;
-  std::size_t Peak = 0;
-  double MaxExcess = -1e9;
-  core::TimePoint WorstAt;
-};
-
-/// @brief VMs that receive requests and decide on them, in simulated time. The
-/// first Large VMs dispatch the groups.
-class Fleet {
-public:
-  Fleet(std::uint64_t Seed, std::size_t Vms, std::size_t Large,
-        std::size_t Groups)
-      : Random(Seed), Large(Large), GroupCount(Groups), Side(Vms, 0),
-        Dead(Vms, false), CutAt(Vms, Start - 1h), Vms(Vms), Members(Vms) {
-    for (std::size_t Vm = 0; Vm < Vms; ++Vm)
-      Quotas.push_back(make(Vm));
-    for (std::size_t Group = 0; Group < Groups; ++Group)
-      Rankings.push_back(ranking(Group));
-    updateViews();
-  }
-
-  Load &add(double PerS, double Burst, std::function<double(Millis)> Demand,
-            std::size_t FirstGroup = 0, std::size_t Groups = 0) {
-    Load Item;
-    Item.Id = Loads.size() * 2 + 1;
-    Item.Quota = quotaOf(PerS, Burst);
-    Item.PerS = std::move(Demand);
-    Item.FirstGroup = FirstGroup;
-    Item.Groups = Groups == 0 ? GroupCount : Groups;
-    Loads.push_back(std::move(Item));
-    return Loads.back();
-  }
-
-  void run(Millis Time) {
-    const core::TimePoint End = Now + Time;
-    while (Now < End) {
-      Now += Step;
-      deliver();
-      if ((Now - Start) % 500ms == 0ms)
-        updateViews();
-      for (Load &Item : Loads) {
-        const int Arrivals = arrivals(
-            Item, Item.PerS(std::chrono::duration_cast<Millis>(Now - Start)));
-        for (int At = 0; At < Arrivals; ++At)
-          ask(Item);
-      }
-      for (std::size_t Vm = 0; Vm < Quotas.size(); ++Vm)
-        report(Vm);
-    }
-  }
-
-  /// @brief Cuts the VMs for which Left holds off from the others.
-  void partition(const std::function<bool(std::size_t)> &Left) {
-    for (std::size_t Vm = 0; Vm < Side.size(); ++Vm)
-      Side[Vm] = Left(Vm) ? 1 : 0;
-    CutAt.assign(Side.size(), Now);
-  }
-  /// @brief Cuts some VMs, dispatchers among them, off from all others.
-  void cutSingly(std::size_t Count) {
-    for (std::size_t At = 0; At < Count; ++At) {
-      const std::size_t Vm = At * 3 % Side.size();
-      Side[Vm] = static_cast<int>(Vm) + 2;
-    }
-    CutAt.assign(Side.size(), Now);
-  }
-  void heal() {
-    Side.assign(Side.size(), 0);
-    updateViews();
-  }
-  void kill(std::size_t Vm) {
-    Dead[Vm] = true;
-    CutAt[Vm] = Now;
-  }
-  void restart(std::size_t Vm) {
-    Dead[Vm] = false;
-    Quotas[Vm] = make(Vm);
-    Vms[Vm] = {};
-    Members[Vm].clear();
-    updateViews();
-  }
-
-  [[nodiscard]] std::size_t size() const { return Quotas.size(); }
-
-  /// Whether a VM that reaches no dispatcher decides without one.
-  bool LocalFallback = false;
-  double LossPart = 0;
-  Millis MaxDelay{20};
-  std::deque<Load> Loads;
-  core::TimePoint Now = Start;
-  std::size_t Messages = 0;
-  std::size_t ReportedItems = 0;
-
-private:
-  struct Message {
-    core::TimePoint At;
-    std::size_t From;
-    std::size_t To;
-    std::vector<decision::WorkspaceUse> Items;
-  };
-
-  std::unique_ptr<decision::WorkspaceQuotas> make(std::size_t Vm) {
-    return std::make_unique<decision::WorkspaceQuotas>(
-        std::to_string(Vm),
-        [this](std::uint64_t Workspace) { return Loads[Workspace / 2].Quota; },
-        Now);
-  }
-
-  // VMs in the order in which they dispatch a group.
-  [[nodiscard]] std::vector<std::size_t> ranking(std::size_t Group) const {
-    std::vector<std::size_t> Out(Quotas.size());
-    for (std::size_t At = 0; At < Out.size(); ++At)
-      Out[At] = At;
-    std::mt19937 Order(static_cast<unsigned>(Group + 77));
-    std::shuffle(Out.begin(), Out.begin() + static_cast<long>(Large), Order);
-    std::shuffle(Out.begin() + static_cast<long>(Large), Out.end(), Order);
-    return Out;
-  }
-
-  [[nodiscard]] bool connected(std::size_t A, std::size_t B) const {
-    return !Dead[A] && !Dead[B] && Side[A] == Side[B];
-  }
-
-  // Whether A takes B for live.
-  [[nodiscard]] bool seesLive(std::size_t A, std::size_t B) const {
-    return A == B || connected(A, B) || Now - CutAt[B] < SuspectAfter;
-  }
-  [[nodiscard]] bool isMember(std::size_t A, std::size_t B) const {
-    return seesLive(A, B) || Now - CutAt[B] < RemoveAfter;
-  }
-  // VMs that a VM takes for running.
-  [[nodiscard]] std::size_t known(std::size_t Vm) {
-    std::vector<bool> View(Quotas.size());
-    for (std::size_t Other = 0; Other < View.size(); ++Other)
-      View[Other] = isMember(Vm, Other);
-    // Most views are the same as before, and updates are slow.
-    if (View != Members[Vm]) {
-      decision::KnownVms::Ids Ids;
-      for (std::size_t Other = 0; Other < View.size(); ++Other)
-        if (View[Other])
-          Ids.insert(std::to_string(Other));
-      Vms[Vm].update(std::move(Ids), {}, Now);
-      Members[Vm] = std::move(View);
-    }
-    return Vms[Vm].count();
-  }
-
-  void updateViews() {
-    for (std::size_t Vm = 0; Vm < Quotas.size(); ++Vm) {
-      if (Dead[Vm])
-        continue;
-      decision::QuotaFleet View;
-      View.Live = 0;
-      for (std::size_t Other = 0; Other < Quotas.size(); ++Other)
-        View.Live += seesLive(Vm, Other);
-      View.Known = known(Vm);
-      for (const auto &Rank : Rankings) {
-        int Taken = 0;
-        for (const std::size_t Other : Rank)
-          if (seesLive(Vm, Other) && Taken < 2) {
-            View.Reporters.insert(std::to_string(Other));
-            ++Taken;
-          }
-      }
-      Reporters[Vm] = View.Reporters;
-      Quotas[Vm]->setFleet(std::move(View), Now);
-    }
-  }
-
-  // The first reachable VM in rank of the first three decides, else the VM
-  // itself.
-  [[nodiscard]] std::size_t dispatcher(std::size_t Vm, std::size_t Group) {
-    int Tried = 0;
-    for (const std::size_t Other : Rankings[Group]) {
-      if (!seesLive(Vm, Other))
-        continue;
-      if (Other == Vm || connected(Vm, Other))
-        return Other;
-      if (++Tried == 3)
-        break;
-    }
-    return Vm;
-  }
-
-  // Requests of one step.
-  [[nodiscard]] int arrivals(Load &Item, double PerS) {
-    const double Mean = PerS * std::chrono::duration<double>(Step).count();
-    if (!Item.Even)
-      return Mean > 0 ? std::poisson_distribution<int>(Mean)(Random) : 0;
-    Item.NextPart += Mean;
-    const int Out = static_cast<int>(Item.NextPart);
-    Item.NextPart -= Out;
-    return Out;
-  }
-
-  void ask(Load &Item) {
-    std::size_t Vm = Random() % Quotas.size();
-    while (Dead[Vm])
-      Vm = Random() % Quotas.size();
-    const std::size_t Group = Item.FirstGroup + Random() % Item.Groups;
-    const std::size_t Decider = dispatcher(Vm, Group);
-    const bool Alone =
-        LocalFallback && Decider == Vm && Rankings[Group].front() != Vm;
-    const auto Decision = Quotas[Decider]->request(Item.Id, Now, Alone);
-    ++Item.Asked;
-    while (!Item.RecentOwed.empty() && Item.RecentOwed.front() <= Now - Window)
-      Item.RecentOwed.pop_front();
-    const bool Owed = static_cast<double>(Item.RecentOwed.size()) + 1 <=
-                          owedInWindow(Item.Quota) ||
-                      !Item.Quota.limited();
-    if (Owed) {
-      ++Item.Owed;
-      Item.RecentOwed.push_back(Now);
-      if (!Decision.Admitted)
-        ++Item.OwedRefused;
-    }
-    if (!Decision.Admitted)
-      return;
-    ++Item.Admitted;
-    if (!Item.Quota.limited())
-      return;
-    Item.Recent.push_back(Now);
-    while (Item.Recent.front() < Now - Window)
-      Item.Recent.pop_front();
-    Item.Peak = std::max(Item.Peak, Item.Recent.size());
-    const double Excess =
-        static_cast<double>(Item.Recent.size()) - allowedInWindow(Item.Quota);
-    if (Now >= JudgedFrom && Excess > Item.MaxExcess) {
-      Item.MaxExcess = Excess;
-      Item.WorstAt = Now;
-    }
-  }
-
-  void report(std::size_t Vm) {
-    if (Dead[Vm])
-      return;
-    const auto Items = Quotas[Vm]->takeReport(Now);
-    if (!Items)
-      return;
-    for (const std::string &Name : Reporters[Vm]) {
-      const std::size_t Other = std::stoul(Name);
-      if (Other == Vm || !connected(Vm, Other) ||
-          std::uniform_real_distribution(0.0, 1.0)(Random) < LossPart)
-        continue;
-      ++Messages;
-      ReportedItems += Items->size();
-      Pending.push_back(
-          {.At = Now + 1ms + Millis(Random() % (MaxDelay.count() + 1)),
-           .From = Vm,
-           .To = Other,
-           .Items = *Items});
-    }
-  }
-
-  void deliver() {
-    std::vector<Message> Late;
-    for (Message &Item : Pending) {
-      if (Item.At > Now)
-        Late.push_back(std::move(Item));
-      else if (connected(Item.From, Item.To))
-        Quotas[Item.To]->recordReport(std::to_string(Item.From), Item.Items,
-                                      Now);
-    }
-    Pending = std::move(Late);
-  }
-
-public:
-  core::TimePoint JudgedFrom = Start;
-
-private:
-  std::mt19937_64 Random;
-  std::size_t Large;
-  std::size_t GroupCount;
-  std::vector<int> Side;
-  std::vector<bool> Dead;
-  std::vector<core::TimePoint> CutAt;
-  std::vector<decision::KnownVms> Vms;
-  // Members that each VM sees.
-  std::vector<std::vector<bool>> Members;
-  std::vector<std::unique_ptr<decision::WorkspaceQuotas>> Quotas;
-  std::map<std::size_t, std::set<std::string, std::less<>>> Reporters;
-  std::vector<Message> Pending;
-  std::vector<std::vector<std::size_t>> Rankings;
-};
-
-#ifdef __SANITIZE_ADDRESS__
-// The sanitizers slow the series down many times; the plain build runs all.
-constexpr std::uint64_t Seeds = 1;
-#else
-constexpr std::uint64_t Seeds = 8;
-#endif
-constexpr std::size_t VmCount = 60;
-constexpr std::size_t LargeCount = 18;
-constexpr std::size_t GroupCount = 15;
-
-auto steady(double PerS) {
-  return [PerS](Millis) { return PerS; };
-}
-
-// Load that begins 10 s after the VMs.
-auto later(double PerS) {
-  return [PerS](Millis At) { return At >= 10s ? PerS : 0; };
-}
-
-// Usual load before and after, Factor times as much for six seconds.
-auto hot(double PerS, double Factor, Millis From = 12s, Millis For = 6s) {
-  return [=](Millis At) {
-    return At >= From && At < From + For ? PerS * Factor : PerS;
-  };
-}
-
-/// @brief Runs a scenario with several seeds and checks both promises.
-void checkScenario(const char *Name,
-                   const std::function<void(Fleet &)> &Scenario, double MaxLost,
-                   bool ExactRequests = false) {
-  double Worst = -1e9;
-  std::uint64_t WorstSeed = 0;
-  std::vector<Load> Sums;
-  double Messages = 0;
-  double Time = 0;
-  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
-    Fleet Sim(Seed, VmCount, LargeCount, GroupCount);
-    Scenario(Sim);
-    Messages += static_cast<double>(Sim.Messages);
-    Time += std::chrono::duration<double>(Sim.Now - Start).count();
-    Sums.resize(Sim.Loads.size());
-    for (std::size_t At = 0; At < Sums.size(); ++At) {
-      const Load &Item = Sim.Loads[At];
-      Load &Sum = Sums[At];
-      Sum.Quota = Item.Quota;
-      Sum.Asked += Item.Asked;
-      Sum.Owed += Item.Owed;
-      Sum.OwedRefused += Item.OwedRefused;
-      Sum.Admitted += Item.Admitted;
-      if (Item.MaxExcess > Sum.MaxExcess)
-        Sum.WorstAt = Item.WorstAt;
-      Sum.MaxExcess = std::max(Sum.MaxExcess, Item.MaxExcess);
-      if (Item.MaxExcess > Worst) {
-        Worst = Item.MaxExcess;
-        WorstSeed = Seed;
-      }
-    }
-  }
-  double Lost = 0;
-  for (const Load &Sum : Sums) {
-    // Under more load than the quota, which of the requests are admitted does
-    // not matter.
-    const double Part =
-        ExactRequests
-            ? static_cast<double>(Sum.OwedRefused) / Sum.Owed
-            : std::max(0.0, 1 - static_cast<double>(Sum.Admitted) / Sum.Owed);
-    Lost = std::max(Lost, Part);
-    printf("%s: quota %.1f/s asked %d owed %d refused %d admitted %d lost %.3f "
-           "excess %.1f at %.2f s\n",
-           Name, static_cast<double>(Sum.Quota.MilliPerS) / 1000, Sum.Asked,
-           Sum.Owed, Sum.OwedRefused, Sum.Admitted, Part, Sum.MaxExcess,
-           std::chrono::duration<double>(Sum.WorstAt - Start).count());
-  }
-  printf("%s: %.0f reports/s\n", Name, Messages / Time);
-  cr_expect_leq(Worst, 0, "%s: %.1f above the quota with seed %lu", Name, Worst,
-                WorstSeed);
-  cr_expect_leq(Lost, MaxLost, "%s: %.3f lost", Name, Lost);
-}
-
-// Usual rates of small and large workspaces; the quota is 1.6 times the rate
-// with a burst of one second.
-void addUsual(Fleet &Sim, double Factor, Millis For = 6s) {
-  for (const double PerS : {1.0, 3.0, 10.0, 60.0})
-    Sim.add(PerS * 1.6, std::max(1.0, PerS * 1.6),
-            Factor == 1
-                ? std::function<double(Millis)>(steady(PerS))
-                : std::function<double(Millis)>(hot(PerS, Factor, 12s, For)));
-}
-
-} // namespace
+using namespace quota_fleet;
 
 // Guards against requests that are refused although the workspace stays below
 // its quota.
@@ -559,15 +128,7 @@
 Test(WorkspaceQuotas, partition_under_hot_load_stays_within_quota) {
   checkScenario(
       "hot partition",
-      [](Fleet &Sim) {
-        addUsual(Sim, 6, 20s);
-        Sim.run(14s);
-        Sim.partition([](std::size_t Vm) { return Vm % 20 < 7; });
-        Sim.run(12s);
-        Sim.heal();
-        Sim.run(8s);
-      },
-      0.25);
+      [](Fleet &Sim) { runCut(Sim, 6, 20s, 14s, cutThird, 12s, 8s); }, 0.25);
 }
 
 // Guards against two sides that each use the whole quota once their VMs have
@@ -576,12 +137,7 @@
   checkScenario(
       "long partition",
       [](Fleet &Sim) {
-        addUsual(Sim, 6, 46s);
-        Sim.run(14s);
-        Sim.partition([](std::size_t Vm) { return Vm % 20 < 7; });
-        Sim.run(RemoveAfter + 20s);
-        Sim.heal();
-        Sim.run(6s);
+        runCut(Sim, 6, 46s, 14s, cutThird, RemoveAfter + 20s, 6s);
       },
       0.25);
 }
@@ -590,44 +146,20 @@
 Test(WorkspaceQuotas, hot_load_after_partition_stays_within_quota) {
   checkScenario(
       "partition, hot",
-      [](Fleet &Sim) {
-        addUsual(Sim, 6, 10s);
-        Sim.run(11s);
-        Sim.partition([](std::size_t Vm) { return Vm % 20 < 7; });
-        Sim.run(14s);
-        Sim.heal();
-        Sim.run(8s);
-      },
-      0.25);
+      [](Fleet &Sim) { runCut(Sim, 6, 10s, 11s, cutThird, 14s, 8s); }, 0.25);
 }
 
 // Guards against quotas that are halved while some VMs are cut off.
 Test(WorkspaceQuotas, partition_under_usual_load_refuses_little) {
   checkScenario(
       "usual partition",
-      [](Fleet &Sim) {
-        addUsual(Sim, 1);
-        Sim.run(12s);
-        Sim.partition([](std::size_t Vm) { return Vm % 20 < 7; });
-        Sim.run(12s);
-        Sim.heal();
-        Sim.run(8s);
-      },
-      0.12);
+      [](Fleet &Sim) { runCut(Sim, 1, 6s, 12s, cutThird, 12s, 8s); }, 0.12);
 }
 
 // Guards against VMs that decide each for itself when no other is in reach.
 Test(WorkspaceQuotas, vms_cut_off_one_by_one_stay_within_quota) {
   checkScenario(
-      "single",
-      [](Fleet &Sim) {
-        addUsual(Sim, 6, 14s);
-        Sim.run(14s);
-        Sim.cutSingly(20);
-        Sim.run(10s);
-        Sim.heal();
-        Sim.run(6s);
-      },
+      "single", [](Fleet &Sim) { runCut(Sim, 6, 14s, 14s, cutSome, 10s, 6s); },
       0.45);
 }
 
@@ -637,12 +169,7 @@
       "fallback",
       [](Fleet &Sim) {
         Sim.LocalFallback = true;
-        addUsual(Sim, 6, 14s);
-        Sim.run(14s);
-        Sim.cutSingly(20);
-        Sim.run(10s);
-        Sim.heal();
-        Sim.run(6s);
+        runCut(Sim, 6, 14s, 14s, cutSome, 10s, 6s);
       },
       0.45);
 }
@@ -707,9 +234,8 @@
 Test(WorkspaceQuotas, request_without_slot_gives_its_token_back) {
   // The second VM gets no reports and decides alone.
   for (const char *Reporter : {"a", "b"}) {
-    decision::WorkspaceQuotas Quotas(
-        "a", [](std::uint64_t) { return quotaOf(1, 2); }, Start);
-    Quotas.setFleet({.Reporters = {Reporter}, .Live = 1, .Known = 1}, Start);
+    SingleVm Setup(1, 2, {Reporter});
+    decision::WorkspaceQuotas &Quotas = Setup.Quotas;
     core::TimePoint Now = Start + 10s;
     for (int At = 0; At < 100; ++At) {
       cr_assert(Quotas.request(1, Now).Admitted);
@@ -723,9 +249,8 @@
 // although it has expired from it, and against one that doesn't.
 Test(WorkspaceQuotas, request_is_given_back_once_and_only_while_it_counts) {
   for (const auto &[Waited, Reported] : {std::pair(1s, -1), std::pair(6s, 0)}) {
-    decision::WorkspaceQuotas Quotas(
-        "a", [](std::uint64_t) { return quotaOf(1, 2); }, Start);
-    Quotas.setFleet({.Reporters = {"a", "b"}, .Live = 2, .Known = 2}, Start);
+    SingleVm Setup(1, 2, {"a", "b"});
+    decision::WorkspaceQuotas &Quotas = Setup.Quotas;
     cr_assert(Quotas.request(1, Start).Admitted);
     cr_assert_eq(Quotas.takeReport(Start + 200ms)->front().Admitted, 1);
     Quotas.giveBack(1, Start, Start + Waited);
@@ -738,9 +263,8 @@
 // Guards against callers that are told to return before there is room, or all
 // at the same time.
 Test(WorkspaceQuotas, refused_requests_are_told_different_times_with_room) {
-  decision::WorkspaceQuotas Quotas(
-      "a", [](std::uint64_t) { return quotaOf(10, 5); }, Start);
-  Quotas.setFleet({.Reporters = {"a"}, .Live = 1, .Known = 1}, Start);
+  SingleVm Setup(10, 5, {"a"});
+  decision::WorkspaceQuotas &Quotas = Setup.Quotas;
   const core::TimePoint Now = Start + 10s;
   while (Quotas.request(1, Now).Admitted) {
   }
@@ -756,9 +280,8 @@
 // Guards against memory that grows with all workspaces that ever sent a
 // request.
 Test(WorkspaceQuotas, idle_workspaces_are_forgotten) {
-  decision::WorkspaceQuotas Quotas(
-      "a", [](std::uint64_t) { return quotaOf(1, 2); }, Start);
-  Quotas.setFleet({.Reporters = {"a"}, .Live = 1, .Known = 1}, Start);
+  SingleVm Setup(1, 2, {"a"});
+  decision::WorkspaceQuotas &Quotas = Setup.Quotas;
   for (std::uint64_t Workspace = 1; Workspace <= 10000; ++Workspace)
     (void)Quotas.request(Workspace, Start);
   cr_expect_eq(Quotas.size(), 10000);
@@ -770,9 +293,8 @@
 // never taken.
 Test(WorkspaceQuotas, next_report_is_later_than_the_last_one_was_taken) {
   for (auto Interval = 1ms; Interval <= 100ms; ++Interval) {
-    decision::WorkspaceQuotas Quotas(
-        "a", [](std::uint64_t) { return quotaOf(100, 50); }, Start);
-    Quotas.setFleet({.Reporters = {"a", "b"}, .Live = 2, .Known = 2}, Start);
+    SingleVm Setup(100, 50, {"a", "b"});
+    decision::WorkspaceQuotas &Quotas = Setup.Quotas;
     core::TimePoint Now = Start + 5ms;
     (void)Quotas.request(1, Now);
     for (; Now < Start + 12s; Now += Interval) {
@@ -787,9 +309,8 @@
 // Guards against a loop that sleeps until the regular report although an
 // earlier one is due, and against one that each request wakes.
 Test(WorkspaceQuotas, only_requests_that_advance_the_report_say_so) {
-  decision::WorkspaceQuotas Quotas(
-      "a", [](std::uint64_t) { return quotaOf(1, 10); }, Start);
-  Quotas.setFleet({.Reporters = {"a", "b"}, .Live = 2, .Known = 2}, Start);
+  SingleVm Setup(1, 10, {"a", "b"});
+  decision::WorkspaceQuotas &Quotas = Setup.Quotas;
   int Advanced = 0;
   for (int At = 0; At < 20; ++At) {
     const core::TimePoint Due = Quotas.nextReport();
@@ -806,11 +327,8 @@
 // heard, or of which it has not heard for long, and against a part that
 // shrinks because all were without demand.
 Test(WorkspaceQuotas, silent_reporters_count_until_they_are_replaced) {
-  decision::WorkspaceQuotas Quotas(
-      "a", [](std::uint64_t) { return quotaOf(100, 100); }, Start);
-  const decision::QuotaFleet Four{
-      .Reporters = {"a", "b", "c", "d"}, .Live = 4, .Known = 4};
-  Quotas.setFleet(Four, Start);
+  SingleVm Setup(100, 100, {"a", "b", "c", "d"});
+  decision::WorkspaceQuotas &Quotas = Setup.Quotas;
   // Requests admitted in 5 s from a time on.
   const auto AdmittedFrom = [&](core::TimePoint From) {
     int Admitted = 0;
@@ -836,12 +354,10 @@
 // none has heard of the others yet.
 Test(WorkspaceQuotas,
      vm_that_learns_of_others_keeps_only_its_part_of_the_burst) {
-  decision::WorkspaceQuotas Quotas(
-      "a", [](std::uint64_t) { return quotaOf(1, 100); }, Start);
-  Quotas.setFleet({.Reporters = {"a"}, .Live = 1, .Known = 1}, Start);
+  SingleVm Setup(1, 100, {"a"});
+  decision::WorkspaceQuotas &Quotas = Setup.Quotas;
   (void)Quotas.request(1, Start);
-  Quotas.setFleet({.Reporters = {"a", "b", "c", "d"}, .Live = 4, .Known = 4},
-                  Start + 1s);
+  Setup.setFleet({"a", "b", "c", "d"}, Start + 1s);
   int Admitted = 0;
   for (core::TimePoint Now = Start + 1s; Now < Start + 2s; Now += 2ms) {
     Admitted += Quotas.request(1, Now).Admitted;
