--- a/tests/decision/cold_servers_test.cpp
+++ b/tests/decision/cold_servers_test.cpp
@@ -68,6 +68,35 @@
     }
 }
 
+// Guards against a server that stays limited although it has stated, in its
+// entry or in answer to a probe, that it is warm earlier than it stated before.
+Test(RateLimit, server_that_corrects_its_cold_time_gets_its_share) {
+  for (const auto Profile : Profiles)
+    for (const bool Probed : {false, true}) {
+      RateLimitFixture Setup(Profile);
+      Setup.run(3s, 50);
+      makeCold(Setup, 1, 60s);
+      Setup.run(1s, 50);
+      if (Probed) {
+        decision::Decisions Out;
+        Setup.Dispatchers[0]->recordProbe("0",
+                                          {.State = decision::ProbeState::Ok,
+                                           .Load = {},
+                                           .ColdUntil = Setup.Now},
+                                          Setup.Now, Out);
+        Setup.record(0, Out);
+      } else {
+        makeCold(Setup, 1, 0ms);
+      }
+      Setup.run(3s, 50);
+      const core::TimePoint Warm = Setup.Now;
+      Setup.run(5s, 50);
+      // The limit allows 18.
+      cr_expect_geq(Setup.sentSince("0", Warm), 30, "probed: %d, %zu sent",
+                    Probed, Setup.sentSince("0", Warm));
+    }
+}
+
 // Guards against a group whose servers are all cold and that lets calls wait
 // until their deadline instead of rejecting them at once.
 Test(RateLimit, calls_beyond_what_cold_servers_bear_are_rejected_at_once) {
