--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -1,4 +1,5 @@
 #include "dispatch_state.hpp"
+#include "unsent_reports.hpp"
 
 #include <jujubecart/core/log.hpp>
 
@@ -29,6 +30,9 @@
                                                       bool Alone) {
   const decision::QuotaDecision Out = Quotas.request(Workspace, Now, Alone);
   ++Env.Links.counters().QuotaRequests;
+  // The loop may sleep beyond the time at which the report is due now.
+  if (Out.AdvancesReport)
+    wake();
   if (Out.Admitted)
     return Out;
   ++Env.Links.counters().QuotaRefusals;
@@ -49,9 +53,14 @@
   return Out;
 }
 
-decision::QuotaDecision DispatchService::countAlone(std::uint64_t Workspace,
+decision::QuotaDecision DispatchService::countAlone(const QuotaUse &Use,
                                                     core::RequestId Request) {
-  return countRequest(Workspace, Request, Env.Time.now(), true);
+  return countRequest(Use.Workspace, Request, Use.CountedAt, true);
+}
+
+void DispatchService::giveBackAlone(const QuotaUse &Use) {
+  ++Env.Links.counters().QuotaReturns;
+  Quotas.giveBack(Use.Workspace, Use.CountedAt, Env.Time.now());
 }
 
 void DispatchService::giveBackQuota(const Call &Item) {
@@ -92,17 +101,24 @@
   auto Items = Quotas.takeReport(Now);
   if (!Items)
     return;
-  const QuotaReport Report{.Items = std::move(*Items)};
   std::vector<core::Member> Receivers;
   {
     const std::lock_guard Lock(RankMutex);
     Receivers = QuotaReceivers;
   }
+  std::set<std::string> Ids;
+  for (const core::Member &Vm : Receivers)
+    Ids.insert(Vm.Id);
+  Unsent->retain(Ids);
   for (const core::Member &Vm : Receivers) {
-    if (const LinkPtr Open = Env.Links.find(Vm.Id))
-      Open->send(Report);
-    else
+    const LinkPtr Open = Env.Links.find(Vm.Id);
+    if (!Open)
       Env.Links.connectInBackground(Vm.Id, Vm.Address);
+    if (Open &&
+        Open->send(QuotaReport{.Items = Unsent->merge(Vm.Id, *Items, Now)}))
+      Unsent->erase(Vm.Id);
+    else
+      Unsent->add(Vm.Id, *Items, Now);
   }
 }
 
