Take no freshness from a watch answer of an ended era

Cause: when another VM reports a later era of the store while a watch is pending, the answer of the watch is of the earlier era. Its entries, perhaps the removal of an API key, are skipped, yet the answer raised the instant up to which the entries are complete and was passed on with it. Change: such an answer shows only that the store was reached. It does not count for freshness, ends no search for missed changes and is not passed on. Result: the new test failed before; directory tests of store_test pass.

--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -3,6 +3,7 @@
 #include "directory_entries.hpp"
 
 #include <jujubecart/core/log.hpp>
+#include <jujubecart/core/store_era.hpp>
 #include <jujubecart/store/directory_snapshot.hpp>
 
 #include <algorithm>
@@ -286,6 +287,11 @@
   const std::chrono::milliseconds CompleteUntil =
       Read.completeUntil(!Changed->Entries.empty());
   recordSuccess();
+  // Another VM reported a later era while the watch was pending. The entries of
+  // the answer, perhaps the removal of an API key, are not applied then, so it
+  // does not show that the known ones are complete.
+  if (core::eraOf(Changed->AsOf) < core::eraOf(Entries.asOf()))
+    co_return true;
   MissedChanges = false;
   *Changed = internal::withoutOther(std::move(*Changed), Env.Codec);
   const bool Unchanged = Changed->Entries.empty();
--- a/tests/store/directory_feed_fixture.hpp
+++ b/tests/store/directory_feed_fixture.hpp
@@ -104,8 +104,9 @@
 /// or shorter.
 struct FeedFixture {
   explicit FeedFixture(std::size_t Rank,
-                       std::chrono::milliseconds SnapshotInterval = 10s)
-      : Rank(Rank), SnapshotInterval(SnapshotInterval) {
+                       std::chrono::milliseconds SnapshotInterval = 10s,
+                       store::FreshnessRecord *Freshness = nullptr)
+      : Rank(Rank), SnapshotInterval(SnapshotInterval), Freshness(Freshness) {
     boost::asio::co_spawn(Io, Feed.run(), boost::asio::detached);
   }
 
@@ -154,6 +155,7 @@
   std::size_t Rank;
   bool Alone = false;
   std::chrono::milliseconds SnapshotInterval;
+  store::FreshnessRecord *Freshness;
   std::vector<std::string> Lost;
   std::vector<core::EntryChanges> Shared;
   store::DirectoryFeed Feed{
@@ -170,7 +172,8 @@
            [this](const core::EntryChanges &Changes, core::TimePoint /*ReadAt*/,
                   std::optional<std::chrono::milliseconds> /*CompleteUntil*/) {
              Shared.push_back(Changes);
-           }},
+           },
+       .Freshness = Freshness},
       {.Id = "vm1", .Address = "1.2.3.4:5"},
       {},
       options()};
--- a/tests/store/directory_reports_test.cpp
+++ b/tests/store/directory_reports_test.cpp
@@ -1,5 +1,7 @@
 #include "directory_feed_fixture.hpp"
 
+#include <jujubecart/core/store_era.hpp>
+
 using namespace jujubecart;
 using namespace std::chrono_literals;
 using tests::FeedFixture;
@@ -151,3 +153,24 @@
   }
   cr_assert_eq(Setup.servers(), 2);
 }
+
+// Guards against a removed API key that counts for longer, because an answer
+// whose entries are of an era that has ended shows that nothing is missing.
+Test(DirectoryFeed, answer_of_an_earlier_era_shows_no_freshness) {
+  store::FreshnessRecord Freshness;
+  FeedFixture Setup(0, 10s, &Freshness);
+  Setup.Alone = true;
+  Setup.start();
+  while (Setup.Store.Watches < 2)
+    Setup.run(1ms);
+  const auto Before = Freshness.completeUntil();
+  Setup.receive(makeChanges(2, core::makeRevision(1, 3),
+                            {{.Key = "s/a",
+                              .Value = "active",
+                              .Changed = core::makeRevision(1, 2)}}));
+  // The watch of the earlier era ends without an error.
+  while (Setup.Store.Watches < 3)
+    Setup.run(1ms);
+  cr_assert(Freshness.completeUntil() == Before);
+  cr_assert(Setup.Shared.empty());
+}
