Count and log a further cold start of a server

Cause: a report that differs from the last one read only in its sequence is no change, so a second cold start of the same length was ignored and the server got its full load. A server that became cold without a restart was not logged, because the cold time was left out of the comparison whatever it was before. Change: a cold time in a report with another sequence counts anew once the known one has ended. A line is written when a warm server becomes cold; reports that count down get none, as before.

--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -239,17 +239,24 @@
         .field("known", Known.Registered.Sequence);
     return;
   }
+  const core::TimePoint ColdBefore = Known.Registered.Server.ColdUntil;
+  // A further cold start may be as long as the one before, and a list lacks the
+  // reports in between.
+  const bool ColdAgain = Read->ColdMs != 0 && ColdBefore <= Now &&
+                         Read->Sequence != Known.Registered.Sequence;
   // Every report of the server process has another sequence, which alone is no
   // change.
   Known.Registered.Sequence = Read->Sequence;
-  Read->Server.ColdUntil = Known.Registered.Server.ColdUntil;
-  if (Known.Registered == *Read)
+  Read->Server.ColdUntil = ColdBefore;
+  if (Known.Registered == *Read && !ColdAgain)
     return;
   // A cold server counts down in its reports, which is no change to log.
   core::RegisteredServer Counted = *Read;
   Counted.ColdMs = Known.Registered.ColdMs;
-  const bool Logged = LogsServers && Counted != Known.Registered;
   Read->Server.ColdUntil = internal::coldUntil(Known.Registered, *Read, Now);
+  const bool BecomesCold = ColdBefore <= Now && Read->Server.ColdUntil > Now;
+  const bool Logged =
+      LogsServers && (BecomesCold || Counted != Known.Registered);
   Known.Registered = std::move(*Read);
   if (Logged)
     internal::logServerChange(
--- a/tests/store/directory_test.cpp
+++ b/tests/store/directory_test.cpp
@@ -1,51 +1,14 @@
-#include "plain_codec.hpp"
+#include "directory_fixture.hpp"
 
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <jujubecart/core/store_era.hpp>
-#include <jujubecart/store/directory.hpp>
 
 using namespace jujubecart;
 using namespace std::chrono_literals;
+using Fixture = tests::DirectoryFixture;
 using tests::PlainCodec;
-
-namespace {
-
-const core::TimePoint Start{1h};
-
-struct Fixture {
-  PlainCodec Codec;
-  store::Directory Known{Codec, {{"z1", "r1"}}};
-  core::ConfigSnapshot Empty;
-
-  Fixture() {
-    Known.replace(
-        {.Entries = {entry("config", "5", 1), entry("s/a", "active", 2),
-                     entry("s/b", "active", 3), entry("v/vm1", "x", 4)},
-         .AsOf = 4},
-        Start);
-  }
-
-  static core::StoredEntry entry(const std::string &Key,
-                                 const std::string &Value,
-                                 core::Revision Changed) {
-    return {.Key = Key, .Value = Value, .Changed = Changed};
-  }
-  static core::StoredEntry deletion(const std::string &Key,
-                                    core::Revision Changed) {
-    return {.Key = Key, .Value = std::nullopt, .Changed = Changed};
-  }
-  void change(core::StoredEntry Entry, core::TimePoint Now = Start) {
-    const core::Revision AsOf = Entry.Changed;
-    Known.apply({.Entries = {std::move(Entry)}, .AsOf = AsOf}, Now);
-  }
-  std::vector<core::BackendServer> servers() {
-    const auto Snapshot = Known.buildSnapshot(Empty);
-    return Snapshot->find("tags")->Servers;
-  }
-};
-
-} // namespace
+using tests::Start;
 
 // Guards against entries of a list that are missing in the snapshot or in the
 // VM list.
@@ -199,39 +162,6 @@
   cr_assert_eq(activeServers(Test), 0);
 }
 
-// Guards against a cold server that is taken for warm, and against one that
-// never gets warm.
-Test(Directory, server_is_cold_for_the_time_that_its_entry_states) {
-  Fixture Test;
-  Test.change(Fixture::entry("s/a", "active 1 3000", 10), Start + 1s);
-  cr_assert(Test.servers()[0].ColdUntil == Start + 4s);
-  cr_assert(Test.servers()[1].ColdUntil == core::TimePoint::min());
-  Test.change(Fixture::entry("s/a", "active 5 0", 11), Start + 5s);
-  cr_assert(Test.servers()[0].ColdUntil == core::TimePoint::min());
-}
-
-// Guards against a service that changes with each report of a cold server, and
-// against an end that moves although the server counts down.
-Test(Directory, reports_that_count_down_keep_the_end) {
-  Fixture Test;
-  Test.change(Fixture::entry("s/a", "active 1 3000", 10), Start);
-  Test.change(Fixture::entry("s/a", "active 2 2000", 11), Start + 1050ms);
-  cr_assert(Test.servers()[0].ColdUntil == Start + 3s);
-  Test.change(Fixture::entry("s/a", "active 3 3000", 12), Start + 2s);
-  cr_assert(Test.servers()[0].ColdUntil == Start + 5s);
-}
-
-// Guards against a cold time that starts anew with a report that says nothing
-// new.
-Test(Directory, report_with_another_sequence_is_no_change) {
-  Fixture Test;
-  Test.change(Fixture::entry("s/a", "active 1 3000", 10), Start);
-  const auto First = Test.Known.buildSnapshot(Test.Empty);
-  Test.change(Fixture::entry("s/a", "active 2 3000", 11), Start + 2s);
-  const auto Second = Test.Known.buildSnapshot(*First);
-  cr_assert(First->entries().at("tags") == Second->entries().at("tags"));
-}
-
 namespace {
 
 /// @brief A revision after the store of the fixture came back from a copy.
@@ -405,15 +335,3 @@
   cr_assert(Test.Known.removeExpired(Start + 12s));
   cr_assert_eq(Test.Known.evacuatedZones(), 0);
 }
-
-// Guards against a service without a limit for cold servers that changes when
-// its servers report that they are cold.
-Test(Directory, cold_time_does_not_count_without_a_limit) {
-  Fixture Test;
-  Test.Codec.ColdLimit = {};
-  Test.change(Fixture::entry("config", "6", 9));
-  const auto First = Test.Known.buildSnapshot(Test.Empty);
-  Test.change(Fixture::entry("s/a", "active 1 3000", 10));
-  const auto Second = Test.Known.buildSnapshot(*First);
-  cr_assert(First->entries().at("tags") == Second->entries().at("tags"));
-}
