Apply deletions that the reader of a list could not report

Cause: a VM whose history was lost derives changes from a list. It can report only deletions of entries that it knew itself. A VM that knew more, for example an evacuation written after the reader's last answer, took the changes for complete and raised its revision, so that it kept the entry for good. Change: such changes name the range of revisions that comes from a list. A receiver removes its entries of that range which are not among the changes. Relays add the deletions of entries that they had sent before, so that only the rest follows. The wire table gets two optional fields at its end; older versions ignore them.

--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -34,10 +34,24 @@
   friend auto operator<=>(const EntryList &, const EntryList &) = default;
 };
 
+/// @brief Changes that were derived from a list of all entries. They contain
+/// each entry that was changed between the two revisions and still existed at
+/// the second one, but only deletions of entries that the VM knew which read
+/// the list.
+struct ListedRange {
+  Revision After = 0;
+  /// 0 if no changes were derived from a list.
+  Revision UpTo = 0;
+
+  friend auto operator<=>(const ListedRange &, const ListedRange &) = default;
+};
+
 /// @brief All changes after one revision, up to `List.AsOf`.
 struct EntryChanges {
   Revision After = 0;
   EntryList List;
+  /// In which part of the changes deletions may be missing.
+  ListedRange Listed;
 
   friend auto operator<=>(const EntryChanges &, const EntryChanges &) = default;
 };
--- a/packages/peers/include/jujubecart/peers/store_relay.hpp
+++ b/packages/peers/include/jujubecart/peers/store_relay.hpp
@@ -128,6 +128,8 @@
   std::unordered_map<std::uint64_t, core::Revision> SentRevisions;
   /// Recent changes, kept for peers that missed a broadcast.
   core::EntryChanges RecentChanges;
+  /// Parts of them that were derived from lists, in the order of their ends.
+  std::vector<core::ListedRange> ListedRanges;
   /// Member version for which Rank and LiveMembers were computed.
   std::optional<std::uint64_t> RankedMemberVersion;
   std::size_t Rank = 0;
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -195,6 +195,8 @@
   StoreChanges Item;
   Item.Changes.After = Source.after();
   Item.Changes.List.AsOf = Source.as_of();
+  Item.Changes.Listed = {.After = Source.listed_after(),
+                         .UpTo = Source.listed_up_to()};
   Item.ReadAtMs = Source.read_at_ms();
   Item.PassOn = Source.pass_on();
   Item.CompleteUntilMs = Source.complete_until_ms();
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -165,7 +165,8 @@
       Out, Item.Changes.After, Item.Changes.List.AsOf,
       Entries.empty() ? nullptr : &Entries, Item.ReadAtMs,
       Item.Relays.empty() ? nullptr : &Item.Relays, Item.PassOn,
-      Item.CompleteUntilMs));
+      Item.CompleteUntilMs, Item.Changes.Listed.After,
+      Item.Changes.Listed.UpTo));
 }
 
 BodyOffset encode(Builder &Out, const QuotaReport &Item) {
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -1976,7 +1976,9 @@
     VT_READ_AT_MS = 10,
     VT_RELAYS = 12,
     VT_PASS_ON = 14,
-    VT_COMPLETE_UNTIL_MS = 16
+    VT_COMPLETE_UNTIL_MS = 16,
+    VT_LISTED_AFTER = 18,
+    VT_LISTED_UP_TO = 20
   };
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
@@ -1999,6 +2001,12 @@
   uint64_t complete_until_ms() const {
     return GetField<uint64_t>(VT_COMPLETE_UNTIL_MS, 0);
   }
+  uint64_t listed_after() const {
+    return GetField<uint64_t>(VT_LISTED_AFTER, 0);
+  }
+  uint64_t listed_up_to() const {
+    return GetField<uint64_t>(VT_LISTED_UP_TO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
@@ -2011,6 +2019,8 @@
            verifier.VerifyVector(relays()) &&
            VerifyField<uint8_t>(verifier, VT_PASS_ON, 1) &&
            VerifyField<uint64_t>(verifier, VT_COMPLETE_UNTIL_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LISTED_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LISTED_UP_TO, 8) &&
            verifier.EndTable();
   }
 };
@@ -2040,6 +2050,12 @@
   void add_complete_until_ms(uint64_t complete_until_ms) {
     fbb_.AddElement<uint64_t>(StoreChanges::VT_COMPLETE_UNTIL_MS, complete_until_ms, 0);
   }
+  void add_listed_after(uint64_t listed_after) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_LISTED_AFTER, listed_after, 0);
+  }
+  void add_listed_up_to(uint64_t listed_up_to) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_LISTED_UP_TO, listed_up_to, 0);
+  }
   explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2059,8 +2075,12 @@
     uint64_t read_at_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> relays = 0,
     bool pass_on = false,
-    uint64_t complete_until_ms = 0) {
+    uint64_t complete_until_ms = 0,
+    uint64_t listed_after = 0,
+    uint64_t listed_up_to = 0) {
   StoreChangesBuilder builder_(_fbb);
+  builder_.add_listed_up_to(listed_up_to);
+  builder_.add_listed_after(listed_after);
   builder_.add_complete_until_ms(complete_until_ms);
   builder_.add_read_at_ms(read_at_ms);
   builder_.add_as_of(as_of);
@@ -2079,7 +2099,9 @@
     uint64_t read_at_ms = 0,
     const std::vector<uint64_t> *relays = nullptr,
     bool pass_on = false,
-    uint64_t complete_until_ms = 0) {
+    uint64_t complete_until_ms = 0,
+    uint64_t listed_after = 0,
+    uint64_t listed_up_to = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<jujubecart::peers::wire::StoreEntry>>(*entries) : 0;
   auto relays__ = relays ? _fbb.CreateVector<uint64_t>(*relays) : 0;
   return jujubecart::peers::wire::CreateStoreChanges(
@@ -2090,7 +2112,9 @@
       read_at_ms,
       relays__,
       pass_on,
-      complete_until_ms);
+      complete_until_ms,
+      listed_after,
+      listed_up_to);
 }
 
 struct QuotaReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -1,5 +1,7 @@
 #include <jujubecart/peers/store_relay.hpp>
 
+#include "listed_changes.hpp"
+
 #include <jujubecart/core/hash.hpp>
 #include <jujubecart/core/log.hpp>
 #include <jujubecart/core/store_era.hpp>
@@ -39,12 +41,17 @@
 }
 
 // Returns the changes after a revision that the receiver is known to have. The
-// entries must be sorted by revision.
+// entries must be sorted by revision. Changes from a list are sent whole, since
+// the receiver takes what is missing among them for deleted.
 core::EntryChanges changesAfter(const core::EntryChanges &RecentChanges,
+                                const core::ListedRange &Listed,
                                 core::Revision KnownRevision) {
+  const core::Revision Known =
+      Listed.UpTo == 0 ? KnownRevision : std::min(KnownRevision, Listed.After);
   core::EntryChanges Out{
-      .After = std::max(RecentChanges.After, KnownRevision),
-      .List = {.Entries = {}, .AsOf = RecentChanges.List.AsOf}};
+      .After = std::max(RecentChanges.After, Known),
+      .List = {.Entries = {}, .AsOf = RecentChanges.List.AsOf},
+      .Listed = Listed};
   const auto &Entries = RecentChanges.List.Entries;
   const auto First = std::upper_bound(
       Entries.begin(), Entries.end(), Out.After,
@@ -65,12 +72,35 @@
 void StoreRelay::remember(const core::EntryChanges &Changes) {
   const std::lock_guard Lock(Mutex);
   // After a gap in the revisions the history starts anew, because a receiver
-  // takes the entries after a revision for complete.
-  if (Changes.After > RecentChanges.List.AsOf || RecentChanges.List.AsOf == 0)
+  // takes the entries after a revision for complete. So it does if only a part
+  // of the changes from a list is known.
+  const core::ListedRange Listed = Changes.Listed;
+  const bool AddsListed = Listed.UpTo > RecentChanges.List.AsOf;
+  const bool ListedInPart =
+      AddsListed && std::max(Changes.After, RecentChanges.After) > Listed.After;
+  if (Changes.After > RecentChanges.List.AsOf || RecentChanges.List.AsOf == 0 ||
+      ListedInPart) {
     RecentChanges = {.After = Changes.After, .List = {}};
+    ListedRanges.clear();
+  }
+  std::vector<core::StoredEntry> &Entries = RecentChanges.List.Entries;
+  std::vector<core::StoredEntry> Deletions;
+  if (AddsListed) {
+    Deletions = internal::deletionsByList(RecentChanges, Changes);
+    ListedRanges.push_back(
+        {.After = std::max(Listed.After, RecentChanges.List.AsOf),
+         .UpTo = Listed.UpTo});
+  }
   for (const core::StoredEntry &Entry : Changes.List.Entries)
     if (Entry.Changed > RecentChanges.List.AsOf)
-      RecentChanges.List.Entries.push_back(Entry);
+      Entries.push_back(Entry);
+  if (!Deletions.empty()) {
+    Entries.insert(Entries.end(), Deletions.begin(), Deletions.end());
+    std::stable_sort(Entries.begin(), Entries.end(),
+                     [](const auto &Left, const auto &Right) {
+                       return Left.Changed < Right.Changed;
+                     });
+  }
   RecentChanges.List.AsOf =
       std::max(RecentChanges.List.AsOf, Changes.List.AsOf);
   const bool EraBegins =
@@ -82,6 +112,9 @@
     RecentChanges.After = RecentChanges.List.Entries.front().Changed;
     RecentChanges.List.Entries.erase(RecentChanges.List.Entries.begin());
   }
+  std::erase_if(ListedRanges, [&](const core::ListedRange &Range) {
+    return Range.UpTo <= RecentChanges.After;
+  });
 }
 
 bool StoreRelay::send(const LinkPtr &Open, const Envelope &Item) {
@@ -99,7 +132,9 @@
         Message.CompleteUntilMs = static_cast<std::uint64_t>(
             std::max<std::int64_t>(Converted->count(), 0));
     core::Revision &SentRevision = SentRevisions[Open->number()];
-    Message.Changes = internal::changesAfter(RecentChanges, SentRevision);
+    Message.Changes = internal::changesAfter(
+        RecentChanges, internal::listedAfter(ListedRanges, SentRevision),
+        SentRevision);
     SentRevision = RecentChanges.List.AsOf;
   }
   return Open->send(Message);
--- a/packages/store/include/jujubecart/store/directory.hpp
+++ b/packages/store/include/jujubecart/store/directory.hpp
@@ -43,6 +43,10 @@
   /// @brief Applies changes in order and skips those that are already known.
   void apply(const core::EntryList &Changes, core::TimePoint Now);
 
+  /// @brief The same for changes that another VM reported and that may be
+  /// derived from a list. Must follow the known entries without a gap.
+  void apply(const core::EntryChanges &Changes, core::TimePoint Now);
+
   /// @brief Keeps active servers whose entry is deleted before an instant until
   /// that instant, because a store that had an outage may have dropped entries
   /// of live servers.
@@ -119,6 +123,8 @@
                core::Revision Changed) const;
   [[nodiscard]] bool isEvacuated(std::string_view Zone) const;
   void removeServer(const std::string &Key, core::TimePoint Now);
+  /// @brief Removes entries that a list lacked which was read by another VM.
+  void removeUnlisted(const core::EntryChanges &Changes, core::TimePoint Now);
   void rememberRemoved(const std::string &Key, const ServerEntry &Entry,
                        core::TimePoint Now);
   /// @brief Whether an entry is an old report of a server that was removed
--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -141,6 +141,7 @@
                             .List = {.AsOf = std::max(AsOf, All.AsOf)}};
   if (All.AsOf <= AsOf)
     return Result;
+  Result.Listed = {.After = AsOf, .UpTo = All.AsOf};
   std::vector<core::StoredEntry> &Changes = Result.List.Entries;
   std::set<std::string, std::less<>> Present;
   for (const core::StoredEntry &Entry : All.Entries) {
@@ -176,6 +177,13 @@
     removeOlderEras(Now);
 }
 
+void Directory::apply(const core::EntryChanges &Changes, core::TimePoint Now) {
+  const bool AddsListed = AsOf < Changes.Listed.UpTo;
+  apply(Changes.List, Now);
+  if (AddsListed)
+    removeUnlisted(Changes, Now);
+}
+
 void Directory::apply(const core::StoredEntry &Entry, core::TimePoint Now) {
   switch (Codec.entryKind(Entry.Key)) {
   case core::EntryKind::Routing:
--- a/packages/store/src/directory_feed_reports.cpp
+++ b/packages/store/src/directory_feed_reports.cpp
@@ -33,7 +33,10 @@
   // Changes from one era of the store to another contain all of its entries.
   const bool Complete =
       core::eraOf(Changes.After) < core::eraOf(Changes.List.AsOf);
-  if (Changes.After > Entries.asOf() && !Complete) {
+  // The changes from a list serve a VM that knows some of them only as a whole.
+  const bool ListedInPart = Changes.After > Changes.Listed.After &&
+                            Entries.asOf() < Changes.Listed.UpTo;
+  if ((Changes.After > Entries.asOf() && !Complete) || ListedInPart) {
     if (!std::exchange(MissedChanges, true))
       core::LogLine(core::LogLevel::Info, "directory.changes_missed")
           .field("known", Entries.asOf())
@@ -61,8 +64,8 @@
     Env.Broadcast(Changes, ReadAt, Report.CompleteUntil);
   if (Changes.List.AsOf == Entries.asOf())
     return recordFreshness(Report.CompleteUntil);
-  Entries.apply(Changes.List, Env.Time.now());
-  if (Changes.List.Entries.empty())
+  Entries.apply(Changes, Env.Time.now());
+  if (Changes.List.Entries.empty() && Changes.Listed.UpTo == 0)
     return recordFreshness(Report.CompleteUntil);
   publish();
   recordFreshness(Report.CompleteUntil);
--- a/packages/store/src/directory_removal.cpp
+++ b/packages/store/src/directory_removal.cpp
@@ -6,6 +6,8 @@
 #include <jujubecart/core/store_era.hpp>
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 namespace jujubecart::store {
 
@@ -151,6 +153,34 @@
   return true;
 }
 
+// The VM that read the list could not report the deletion of entries that it
+// did not know. Those that exist are among the changes.
+void Directory::removeUnlisted(const core::EntryChanges &Changes,
+                               core::TimePoint Now) {
+  const core::ListedRange &Listed = Changes.Listed;
+  std::map<std::string_view, core::Revision> Reported;
+  for (const core::StoredEntry &Entry : Changes.List.Entries) {
+    core::Revision &Last = Reported[Entry.Key];
+    Last = std::max(Last, Entry.Changed);
+  }
+  const auto UnlistedKeys = [&](const auto &Known) {
+    std::vector<std::string> Keys;
+    for (const auto &[Key, Entry] : Known) {
+      const auto Found = Reported.find(Key);
+      if (Entry.Changed > Listed.After && Entry.Changed <= Listed.UpTo &&
+          (Found == Reported.end() || Found->second < Entry.Changed))
+        Keys.push_back(Key);
+    }
+    return Keys;
+  };
+  for (const std::string &Key : UnlistedKeys(Servers))
+    removeServer(Key, Now);
+  for (const std::string &Key : UnlistedKeys(Vms))
+    removeVm(Key, Now, Listed.UpTo);
+  for (const std::string &Key : UnlistedKeys(Evacuations))
+    endEvacuation(Key, Now, Listed.UpTo);
+}
+
 bool Directory::removeExpired(core::TimePoint Now) {
   std::vector<std::string> Ended;
   for (const auto &[Key, Entry] : Evacuations)
--- a/tests/peers/store_relay_test.cpp
+++ b/tests/peers/store_relay_test.cpp
@@ -158,6 +158,35 @@
   cr_assert_eq(Pair.Second.received()[1].List.Entries.size(), Count);
 }
 
+// Guards against a receiver that keeps an entry for good, because neither the
+// VM that read a list nor the changes sent before show its deletion, and
+// against the changes from lists of several VMs that are sent whole for each of
+// them.
+Test(StoreRelay, list_adds_only_what_follows_the_changes_sent_before) {
+  Fixture Pair;
+  Pair.First.broadcast(
+      Fixture::changes(4, 300,
+                       {{.Key = "a", .Value = "1", .Changed = 50},
+                        {.Key = "b", .Value = "1", .Changed = 200},
+                        {.Key = "c", .Value = "1", .Changed = 250}}));
+  core::EntryChanges Listed =
+      Fixture::changes(100, 500,
+                       {{.Key = "c", .Value = "1", .Changed = 250},
+                        {.Key = "d", .Value = "1", .Changed = 400}});
+  Listed.Listed = {.After = 100, .UpTo = 500};
+  Pair.First.broadcast(Listed);
+  Pair.First.broadcast(Fixture::changes(500, 500, {}));
+  cr_assert(eventually([&] { return Pair.Second.received().size() == 3; }));
+  const auto Received = Pair.Second.received();
+  core::EntryChanges Expected =
+      Fixture::changes(300, 500,
+                       {{.Key = "d", .Value = "1", .Changed = 400},
+                        {.Key = "b", .Value = std::nullopt, .Changed = 500}});
+  Expected.Listed = {.After = 300, .UpTo = 500};
+  cr_assert(Received[1] == Expected);
+  cr_assert(Received[2] == Fixture::changes(500, 500, {}));
+}
+
 // Guards against VMs that compute different rankings, so that two of them read
 // the store on behalf of all.
 Test(StoreRelay, vms_agree_on_reader_rank) {
--- a/tests/store/directory_reports_test.cpp
+++ b/tests/store/directory_reports_test.cpp
@@ -174,3 +174,53 @@
   cr_assert(Freshness.completeUntil() == Before);
   cr_assert(Setup.Shared.empty());
 }
+
+// Guards against a zone that stays evacuated for good, because a VM that read a
+// list knew neither the evacuation nor its end.
+Test(DirectoryFeed, deletion_unknown_to_the_reader_of_a_list_is_applied) {
+  for (const core::Revision Base :
+       {core::Revision{0}, core::makeRevision(1, 0)}) {
+    FeedFixture Reader(0);
+    FeedFixture Other(1);
+    Reader.start();
+    Other.start();
+    const core::StoredEntry Config{
+        .Key = "config", .Value = "5", .Changed = Base + 1};
+    const core::StoredEntry First{
+        .Key = "s/a", .Value = "active", .Changed = Base + 2};
+    const core::StoredEntry Second{
+        .Key = "s/c", .Value = "active", .Changed = Base + 250};
+    Other.receive(
+        makeChanges(2, Base + 300,
+                    {Config,
+                     First,
+                     {.Key = "e/z1", .Value = "{}", .Changed = Base + 200},
+                     Second}));
+    cr_assert_eq(Other.Feed.evacuatedZones(), 1);
+    Reader.Store.All = {.Entries = {Config, First, Second}, .AsOf = Base + 500};
+    Reader.Store.HistoryLost = true;
+    Reader.run(100ms);
+    for (const core::EntryChanges &Each : Reader.Shared)
+      Other.receive(Each);
+    cr_assert_eq(Other.Feed.evacuatedZones(), 0);
+    cr_assert_eq(Other.servers(), 2);
+    cr_assert_eq(Other.Store.Watches, 1);
+  }
+}
+
+// Guards against entries that are removed because only some of the changes from
+// a list arrived.
+Test(DirectoryFeed, changes_from_a_list_that_are_incomplete_are_not_applied) {
+  FeedFixture Setup(1);
+  Setup.start();
+  Setup.receive(
+      makeChanges(2, 300, {{.Key = "s/b", .Value = "active", .Changed = 150}}));
+  core::EntryChanges Part = makeChanges(200, 500, {});
+  Part.Listed = {.After = 100, .UpTo = 500};
+  Setup.receive(Part);
+  cr_assert_eq(Setup.servers(), 2);
+  // They are still missing.
+  Setup.receive(makeChanges(
+      300, 500, {{.Key = "s/c", .Value = "active", .Changed = 400}}));
+  cr_assert_eq(Setup.servers(), 3);
+}
