--- a/packages/store/src/directory.cpp
+++ b/packages/store/src/directory.cpp
@@ -141,6 +141,7 @@
                             .List = {.AsOf = std::max(AsOf, All.AsOf)}};
   if (All.AsOf <= AsOf)
     return Result;
+  Result.Listed = {.After = AsOf, .UpTo = All.AsOf};
   std::vector<core::StoredEntry> &Changes = Result.List.Entries;
   std::set<std::string, std::less<>> Present;
   for (const core::StoredEntry &Entry : All.Entries) {
@@ -176,6 +177,13 @@
     removeOlderEras(Now);
 }
 
+void Directory::apply(const core::EntryChanges &Changes, core::TimePoint Now) {
+  const bool AddsListed = AsOf < Changes.Listed.UpTo;
+  apply(Changes.List, Now);
+  if (AddsListed)
+    removeUnlisted(Changes, Now);
+}
+
 void Directory::apply(const core::StoredEntry &Entry, core::TimePoint Now) {
   switch (Codec.entryKind(Entry.Key)) {
   case core::EntryKind::Routing:
@@ -239,17 +247,24 @@
         .field("known", Known.Registered.Sequence);
     return;
   }
+  const core::TimePoint ColdBefore = Known.Registered.Server.ColdUntil;
+  // A further cold start may be as long as the one before, and a list lacks the
+  // reports in between.
+  const bool ColdAgain = Read->ColdMs != 0 && ColdBefore <= Now &&
+                         Read->Sequence != Known.Registered.Sequence;
   // Every report of the server process has another sequence, which alone is no
   // change.
   Known.Registered.Sequence = Read->Sequence;
-  Read->Server.ColdUntil = Known.Registered.Server.ColdUntil;
-  if (Known.Registered == *Read)
+  Read->Server.ColdUntil = ColdBefore;
+  if (Known.Registered == *Read && !ColdAgain)
     return;
   // A cold server counts down in its reports, which is no change to log.
   core::RegisteredServer Counted = *Read;
   Counted.ColdMs = Known.Registered.ColdMs;
-  const bool Logged = LogsServers && Counted != Known.Registered;
   Read->Server.ColdUntil = internal::coldUntil(Known.Registered, *Read, Now);
+  const bool BecomesCold = ColdBefore <= Now && Read->Server.ColdUntil > Now;
+  const bool Logged =
+      LogsServers && (BecomesCold || Counted != Known.Registered);
   Known.Registered = std::move(*Read);
   if (Logged)
     internal::logServerChange(
