--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -281,7 +281,8 @@
                                        core::TimePoint Now, bool Alone) {
   const std::lock_guard Lock(Mutex);
   Entry &Item = entry(Workspace, Now);
-  const QuotaDecision Out = decide(Item, Now, Alone);
+  QuotaDecision Out = decide(Item, Now, Alone);
+  const core::TimePoint Due = dueAt();
   ++Item.Demanded;
   const double Part = reachablePart(Now);
   if (Out.Admitted) {
@@ -296,6 +297,7 @@
                  2.0 * Item.Admitted >=
                      share(Item, Now) * (level(Item, Part, Now) +
                                          Item.Admitted + lent(Item.Quota)));
+  Out.AdvancesReport = reports() && dueAt() < Due;
   return Out;
 }
 
@@ -313,6 +315,9 @@
   // What has expired is no longer counted by the others either.
   if (Item.Use.remove(1 / reachablePart(Now), CountedAt) <= 0)
     return;
+  // A VM that doesn't report decides by what it has saved up.
+  if (!reports())
+    Item.Refill = std::min(1.0, Item.Refill + 1);
   --Item.Admitted;
   Unreported.insert(Workspace);
 }
