--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -272,11 +272,6 @@
   return Out;
 }
 
-bool WorkspaceQuotas::decidesForOthers(std::uint64_t Workspace) const {
-  const std::lock_guard Lock(Mutex);
-  return reports() || !Source(Workspace).limited();
-}
-
 QuotaDecision WorkspaceQuotas::request(std::uint64_t Workspace,
                                        core::TimePoint Now, bool Alone) {
   const std::lock_guard Lock(Mutex);
@@ -394,9 +389,4 @@
   });
 }
 
-std::size_t WorkspaceQuotas::size() const {
-  const std::lock_guard Lock(Mutex);
-  return Entries.size();
-}
-
 } // namespace jujubecart::decision
--- a/packages/decision/src/workspace_quotas_preview.cpp
+++ b/packages/decision/src/workspace_quotas_preview.cpp
@@ -2,7 +2,7 @@
 
 namespace jujubecart::decision {
 
-// A copy decides, so that this workspace is not remembered and no room is
+// A copy decides, so that the workspace is not remembered and no room is
 // promised.
 QuotaPreview WorkspaceQuotas::preview(std::uint64_t Workspace,
                                       core::TimePoint Now) const {
@@ -21,4 +21,14 @@
   return Out;
 }
 
+bool WorkspaceQuotas::decidesForOthers(std::uint64_t Workspace) const {
+  const std::lock_guard Lock(Mutex);
+  return reports() || !Source(Workspace).limited();
+}
+
+std::size_t WorkspaceQuotas::size() const {
+  const std::lock_guard Lock(Mutex);
+  return Entries.size();
+}
+
 } // namespace jujubecart::decision
