Know the peer's clock as soon as a link can be used

Cause: the link table shows a new link before StoreRelay::onOpen() runs, so that changes sent at that moment did not say up to when they are complete. StoreRelay.relays_pass_on_up_to_when_changes_are_complete failed in 4 of 60 runs beside builds. Change: sending records the clock of the link's first frame if onOpen() has not. A bound that is taken later is lower, so the instant is never too late.

--- a/packages/peers/src/store_relay.cpp
+++ b/packages/peers/src/store_relay.cpp
@@ -126,9 +126,14 @@
       .PassOn = Item.PassOn};
   {
     const std::lock_guard Lock(Mutex);
+    const auto [Clock, New] = Clocks.try_emplace(Open->number());
+    // The link table shows a new link to other threads before onOpen() runs.
+    if (New && Open->peer().SentAtMs != 0)
+      Clock->second.record(std::chrono::milliseconds(Open->peer().SentAtMs),
+                           Time.uptime());
     if (Item.CompleteUntil)
       if (const auto Converted =
-              Clocks[Open->number()].toPeer(*Item.CompleteUntil, Time.uptime()))
+              Clock->second.toPeer(*Item.CompleteUntil, Time.uptime()))
         Message.CompleteUntilMs = static_cast<std::uint64_t>(
             std::max<std::int64_t>(Converted->count(), 0));
     core::Revision &SentRevision = SentRevisions[Open->number()];
