Let calls of workspaces with a small share take last slots

Cause: a call that probably meets its objective leaves the last slots of servers to the calls behind it and waits for a better slot, also if those are of a workspace that got far more. So a hot workspace takes slots of quiet ones within the same priority. Change: a call also takes last slots while a call of a workspace waits that got more than twice the service time of its own. Without workspaces nothing changes; with workspaces it does, also without any priority of theirs.

--- a/packages/decision/include/jujubecart/decision/internal/objective_dispatcher_implementation.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/objective_dispatcher_implementation.hpp
@@ -69,6 +69,9 @@
     bool Saturate = false;
     /// Whether a call gets only servers of its own zone.
     bool OwnZone = false;
+    /// Service time in microseconds that the workspace of a waiting call got
+    /// at most; 0 without workspaces.
+    double LargestShareUs = 0;
   };
 
   /// @brief Tries to grant a call of the on-time queue.
--- a/packages/decision/include/jujubecart/decision/internal/objective_queue.hpp
+++ b/packages/decision/include/jujubecart/decision/internal/objective_queue.hpp
@@ -52,6 +52,11 @@
                                  const FairShares &Shares,
                                  core::TimePoint Now) const;
 
+  /// @brief Largest service time that the workspace of a waiting call got in
+  /// about the last second, in microseconds.
+  [[nodiscard]] double largestShareUs(const FairShares &Shares,
+                                      core::TimePoint Now) const;
+
 private:
   /// Sort key: priority, arrival time and, as a tie-breaker, the token.
   using SortKey = std::tuple<std::uint8_t, core::TimePoint, CallToken>;
--- a/packages/decision/src/objective_dispatcher_grants.cpp
+++ b/packages/decision/src/objective_dispatcher_grants.cpp
@@ -20,6 +20,9 @@
 // within the preferred limit of the server.
 constexpr double WaitDiscount = 0.9;
 constexpr double UnsaturatedAllowance = 0.1;
+// A call takes last slots if the workspace of a waiting call got so many times
+// the service time of its own workspace.
+constexpr double MinShareRatio = 2;
 
 } // namespace
 
@@ -75,6 +78,8 @@
                                                          core::TimePoint Now,
                                                          Decisions &Out) {
   const std::vector<CallToken> Tokens = OnTimeQueue.tokens(Shares, Now);
+  if (Allowed.Saturate && Shares.active())
+    Allowed.LargestShareUs = OnTimeQueue.largestShareUs(Shares, Now);
   const std::size_t Count =
       std::min(Tokens.size(),
                Allowed.Saturate ? MaxSaturatingCandidates : MaxCandidates);
@@ -96,7 +101,11 @@
                                                       core::TimePoint Now,
                                                       Decisions &Out) {
   const PendingCall &Call = OnTimeQueue.at(Token);
-  if (Allowed.Saturate && !OnTimeQueue.outranksAny(Call, Shares, Now) &&
+  const bool HasSmallShare =
+      Allowed.LargestShareUs >
+      MinShareRatio * Shares.serviceUs(Call.Workspace, Now);
+  if (Allowed.Saturate && !HasSmallShare &&
+      !OnTimeQueue.outranksAny(Call, Shares, Now) &&
       Table.onTimeProbabilityAfterWait(Call, Position, Now) >=
           SafeOnTimeProbability)
     return false;
--- a/packages/decision/src/objective_queue.cpp
+++ b/packages/decision/src/objective_queue.cpp
@@ -1,6 +1,7 @@
 #include <jujubecart/decision/internal/objective_queue.hpp>
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace jujubecart::decision::internal {
 
@@ -41,6 +42,16 @@
   return Lowest > Call.Priority || Shares.starved(Call.Workspace, Now);
 }
 
+double ObjectiveQueue::largestShareUs(const FairShares &Shares,
+                                      core::TimePoint Now) const {
+  std::unordered_set<std::uint64_t> Workspaces;
+  double Largest = 0;
+  for (const auto &[Token, Item] : Calls)
+    if (Workspaces.insert(Item.Call.Workspace).second)
+      Largest = std::max(Largest, Shares.serviceUs(Item.Call.Workspace, Now));
+  return Largest;
+}
+
 std::vector<CallToken> ObjectiveQueue::tokens() const {
   std::vector<CallToken> Tokens;
   Tokens.reserve(Order.size());
--- a/tests/decision/fair_shares_test.cpp
+++ b/tests/decision/fair_shares_test.cpp
@@ -8,7 +8,7 @@
   FairShares Load{quiet()};
   Load.Classes.push_back(callsOf(20, 20, 10));
   const auto Counts = Load.run();
-  assertQuietServed(Counts, 0.85);
+  assertQuietServed(Counts, 0.95);
   Load.assertNoneStarved(Counts);
 }
 
@@ -29,7 +29,7 @@
   Load.Classes.push_back(callsOf(20, 10, 10));
   Load.Classes.push_back(callsOf(21, 30, 10));
   const auto Counts = Load.run();
-  assertQuietServed(Counts, 0.85);
+  assertQuietServed(Counts, 0.95);
   cr_expect_geq(Counts[10].Served, Counts[11].Served * 0.7);
   Load.assertNoneStarved(Counts);
 }
@@ -63,7 +63,7 @@
   Load.Classes.back().Objective = 2000ms;
   Load.Classes.back().Deadline = 4000ms;
   const auto Counts = Load.run();
-  assertQuietServed(Counts, 0.8);
+  assertQuietServed(Counts, 0.95);
   Load.assertNoneStarved(Counts);
 }
 
