--- a/apps/jujubecartd/daemon_api.cpp
+++ b/apps/jujubecartd/daemon_api.cpp
@@ -1,5 +1,7 @@
 #include "daemon_api.hpp"
 
+#include "explain_request.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <chrono>
@@ -18,7 +20,10 @@
 constexpr std::chrono::seconds TicketTimeout{5};
 
 Response jsonResponse(unsigned Status, const json &Body) {
-  return Response{.Status = Status, .Body = Body.dump() + "\n"};
+  // Ids of a query come back in the response and can be no UTF-8.
+  return Response{
+      .Status = Status,
+      .Body = Body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
 }
 
 unsigned httpStatus(TicketStatus Status) noexcept {
@@ -110,6 +115,12 @@
 
 } // namespace internal
 
+void DaemonApi::setEvacuatedZones(
+    std::function<std::vector<std::string>()> Source) {
+  const std::lock_guard Lock(ZonesMutex);
+  EvacuatedZones = std::move(Source);
+}
+
 operators::Response DaemonApi::submitTicket(const std::string &Text) {
   const store::TicketResult Result =
       internal::waitFor(
@@ -198,6 +209,18 @@
                                       {"events", std::move(Events)}});
 }
 
+operators::Response DaemonApi::explain(const operators::ExplainQuery &Query) {
+  KnownState Known = explainedState(Env, Query, notReadyReason());
+  std::function<std::vector<std::string>()> Zones;
+  {
+    const std::lock_guard Lock(ZonesMutex);
+    Zones = EvacuatedZones;
+  }
+  if (Zones)
+    Known.EvacuatedZones = Zones();
+  return internal::jsonResponse(200, toJson(Known, daemon::explain(Known)));
+}
+
 operators::Response DaemonApi::metrics() {
   return {.ContentType = "text/plain; version=0.0.4",
           .Body = Env.Metrics.text()};
--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -64,6 +64,20 @@
   bool AdvancesReport = false;
 };
 
+/// @brief What request() would decide, and the quota as this VM knows it.
+struct QuotaPreview {
+  core::WorkspaceQuota Quota;
+  QuotaDecision Decision;
+  /// In which the quota holds.
+  std::chrono::milliseconds Window{0};
+  /// Whether this VM hears what the others admit.
+  bool Shared = false;
+  /// Requests left in the window: of the VMs in reach if Shared is set,
+  /// otherwise of this VM. Negative after more was used than there was; 0
+  /// without a limit.
+  double Left = 0;
+};
+
 /// @brief Keeps the requests of each workspace within its quota together with
 /// the same object on other VMs. Does no I/O. Thread-safe.
 ///
@@ -94,6 +108,10 @@
   [[nodiscard]] QuotaDecision request(std::uint64_t Workspace,
                                       core::TimePoint Now, bool Alone = false);
 
+  /// @brief What request() would decide now; counts nothing.
+  [[nodiscard]] QuotaPreview preview(std::uint64_t Workspace,
+                                     core::TimePoint Now) const;
+
   /// @brief Gives back an admitted request that got no slot.
   /// @param CountedAt When request() counted it.
   void giveBack(std::uint64_t Workspace, core::TimePoint CountedAt,
@@ -146,6 +164,9 @@
   [[nodiscard]] bool reports() const;
   [[nodiscard]] double reachablePart(core::TimePoint Now) const;
   [[nodiscard]] Entry &entry(std::uint64_t Workspace, core::TimePoint Now);
+  /// @brief Sets the quota in force, and the first refill of a new entry.
+  void applyQuota(Entry &Item, bool New, const core::WorkspaceQuota &Quota,
+                  core::TimePoint Now) const;
   [[nodiscard]] double perWindow(const core::WorkspaceQuota &Quota) const;
   [[nodiscard]] double lent(const core::WorkspaceQuota &Quota) const;
   [[nodiscard]] double level(const Entry &Item, double Part,
@@ -158,7 +179,7 @@
   [[nodiscard]] std::chrono::milliseconds promise(Entry &Item, double Share,
                                                   core::TimePoint Now) const;
   [[nodiscard]] QuotaDecision decide(Entry &Item, core::TimePoint Now,
-                                     bool Alone);
+                                     bool Alone) const;
   void recordDemand(core::TimePoint Now);
   /// @brief When a report is due, whether or not this VM reports; max if there
   /// was no demand lately.
--- a/packages/operators/src/endpoints.cpp
+++ b/packages/operators/src/endpoints.cpp
@@ -32,6 +32,12 @@
   return Endpoints.showTicket(Number);
 }
 
+Response explain(Api &Endpoints, std::string_view Text) {
+  const ParsedExplainQuery Parsed = parseExplainQuery(Text);
+  return Parsed.Problem.empty() ? Endpoints.explain(Parsed.Query)
+                                : errorResponse(400, Parsed.Problem);
+}
+
 Response callEndpoint(Api &Endpoints, const Request &From) {
   const std::string_view Target = From.Target;
   const std::size_t PathSize = std::min(Target.find('?'), Target.size());
@@ -50,6 +56,8 @@
     return Endpoints.status();
   if (Path == "/timeline")
     return Endpoints.timeline(parseTimelineQuery(Query));
+  if (Path == "/explain")
+    return explain(Endpoints, Query);
   if (Path == "/metrics")
     return Endpoints.metrics();
   if (Path == "/ready")
@@ -72,8 +80,9 @@
   try {
     return callEndpoint(Endpoints, From);
   } catch (const std::exception &Failure) {
+    // The query can hold the digest of an API key.
     core::LogLine(core::LogLevel::Error, "operators.request_failed")
-        .field("url", From.Target)
+        .field("url", From.Target.substr(0, From.Target.find('?')))
         .field("error", Failure.what());
     return errorResponse(500, Failure.what());
   }
--- a/packages/store/src/directory_services.cpp
+++ b/packages/store/src/directory_services.cpp
@@ -4,6 +4,14 @@
 
 namespace jujubecart::store {
 
+std::vector<std::string> Directory::evacuatedZoneNames() const {
+  std::vector<std::string> Out;
+  Out.reserve(Evacuations.size());
+  for (const auto &[Key, Entry] : Evacuations)
+    Out.push_back(Entry.Zone);
+  return Out;
+}
+
 bool Directory::isEvacuated(std::string_view Zone) const {
   return !Zone.empty() && std::any_of(Evacuations.begin(), Evacuations.end(),
                                       [&](const auto &Item) {
