Wait for pending probes in previews

Pending probes are taken for answered with the usual pace and named, as new ones are. The test took the last of several decisions for that on its call; it looks the call up now.

--- a/packages/decision/include/jujubecart/decision/call_preview.hpp
+++ b/packages/decision/include/jujubecart/decision/call_preview.hpp
@@ -81,8 +81,8 @@
   std::optional<Decision> Outcome;
   /// Calls that wait already.
   std::size_t Waiting = 0;
-  /// Ids of servers whose pace would be asked first. The order assumes that
-  /// they report the usual pace.
+  /// Ids of servers whose pace is asked first, or was asked just now. The order
+  /// assumes that they report the usual pace.
   std::vector<std::string> Probed;
   /// Candidates in the order in which repeats of the call would try them, then
   /// the other servers of the group.
--- a/packages/decision/src/objective_dispatcher.cpp
+++ b/packages/decision/src/objective_dispatcher.cpp
@@ -120,24 +120,24 @@
   return All;
 }
 
-// The pace of the probed servers is not known, so the usual one is assumed for
-// those that have reported one before.
+// The pace of the servers whose probes are awaited is not known, so the usual
+// one is assumed for those that have reported one before.
 CallPreview ObjectiveDispatcher::preview(PendingCall Call,
                                          core::TimePoint Now) const {
   Implementation Copy = *Self;
-  Copy.PendingProbes.clear();
-  for (std::uint32_t Index = 0; Index < Copy.Table.size(); ++Index)
-    Copy.Table.at(Index).ProbePending = false;
   internal::LoadTable Before = Copy.Table;
   CallPreview Out{.Waiting = queued()};
   // No user counts that far.
   Call.Token = ~CallToken{0};
   Decisions Made;
   Copy.enqueue(Call, Now, Made);
-  while (!internal::decisionOn(Call.Token, Made) &&
-         !Copy.PendingProbes.empty()) {
-    for (const std::uint32_t Index :
-         std::exchange(Copy.PendingProbes, std::vector<std::uint32_t>())) {
+  for (bool Answered = true;
+       Answered && !internal::decisionOn(Call.Token, Made);) {
+    Answered = false;
+    for (std::uint32_t Index = 0; Index < Copy.Table.size(); ++Index) {
+      if (!Copy.Table.at(Index).ProbePending)
+        continue;
+      Answered = true;
       Out.Probed.push_back(Copy.Table.at(Index).Config.Id);
       ProbeResult Usual{.State = ProbeState::Ok};
       if (Copy.Table.at(Index).Pace)
--- a/tests/decision/call_preview_test.cpp
+++ b/tests/decision/call_preview_test.cpp
@@ -28,6 +28,14 @@
   return "rejected " + std::to_string(int(std::get<Rejected>(*Item).Reason));
 }
 
+/// @brief Decision on a call among others, if any.
+std::optional<Decision> decisionOn(CallToken Token, const Decisions &All) {
+  for (const Decision &Each : All)
+    if (std::visit([&](const auto &Item) { return Item.Token == Token; }, Each))
+      return Each;
+  return std::nullopt;
+}
+
 /// @brief A dispatcher under load, with servers that reject some calls.
 struct Driver {
   std::unique_ptr<Dispatcher> Target;
@@ -86,11 +94,7 @@
     Out.clear();
     Target->enqueue(nextCall(Token), Now, Out);
     record(Out);
-    for (const Decision &Each : Out)
-      if (std::visit([&](const auto &Item) { return Item.Token == Token; },
-                     Each))
-        return Each;
-    return std::nullopt;
+    return decisionOn(Token, Out);
   }
 };
 
@@ -140,9 +144,8 @@
         continue;
       Decisions Out;
       Load.Target->enqueue(Call, Load.Now, Out);
-      std::optional<Decision> Got;
-      if (!Out.empty())
-        Got = Out.back();
+      // The arrival can decide on waiting calls, too.
+      const std::optional<Decision> Got = decisionOn(Call.Token, Out);
       cr_assert_eq(describe(Got), describe(Expected.Outcome));
       if (std::holds_alternative<Granted>(*Expected.Outcome))
         cr_assert_eq(describe(Got),
