Admit a workspace above its quota evenly over the window

Change: while more is demanded than the quota and nine tenths of the window are used, only a part of the slack may be used at once; it comes back evenly.

--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -145,10 +145,13 @@
     core::WorkspaceQuota Quota;
     /// Requests admitted in the last window, scaled up to the whole fleet.
     SlidingUse Use;
+    /// Requests that the whole fleet may admit at once; they come back evenly
+    /// over the window.
+    double AtOnce = 0;
     /// This VM's part of what has expired, as far as it has not used it, in
     /// requests.
     double Refill = 0;
-    /// When Use and Refill were computed.
+    /// When Use, AtOnce and Refill were computed.
     core::TimePoint At;
     /// Reported demand of all VMs and of this one.
     DecayedRate Demand{DemandMemory};
@@ -167,8 +170,14 @@
   /// @brief Sets the quota in force, and the first refill of a new entry.
   void applyQuota(Entry &Item, bool New, const core::WorkspaceQuota &Quota,
                   core::TimePoint Now) const;
+  [[nodiscard]] static double perS(const core::WorkspaceQuota &Quota);
   [[nodiscard]] double perWindow(const core::WorkspaceQuota &Quota) const;
+  /// @brief Whether more is demanded than the quota.
+  [[nodiscard]] bool exceeded(const Entry &Item, core::TimePoint Now) const;
+  [[nodiscard]] double maxAtOnce(const Entry &Item, core::TimePoint Now) const;
   [[nodiscard]] double lent(const core::WorkspaceQuota &Quota) const;
+  /// @brief Requests that the whole fleet may still admit in this window.
+  [[nodiscard]] double room(const Entry &Item, core::TimePoint Now) const;
   [[nodiscard]] double level(const Entry &Item, double Part,
                              core::TimePoint Now) const;
   [[nodiscard]] double unknownUse(const Entry &Item, core::TimePoint Now) const;
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -22,19 +22,10 @@
 // A VM that reached a smaller part of the fleet does not know enough of what
 // was used.
 constexpr double KnownPart = 0.5;
-// Requests beyond the quota. Reports are late and what they say expires late,
-// so that the VMs see less room than there is.
-constexpr double ExtraRequests = 4;
 // Demand in parts of the quota that is divided evenly in addition to the known
 // demand, because new demand may begin at any dispatcher.
 constexpr double EvenDemandPart = 0.5;
 constexpr double EvenDemandPerS = 1;
-// These parts of the excess and the slack of the agreement are lent to VMs
-// beyond what is left, so that few requests are refused for being unevenly
-// spread. With half of the slack, token buckets refused 4.4% instead of 3.1% of
-// the requests below a limit of 1.6/s.
-constexpr double LentExcess = 0.25;
-constexpr double LentSlack = 0.7;
 // Time in which requests that were admitted too many are saved.
 constexpr Seconds DebtTime{1};
 // A VM may admit one request between two reports, however small its share,
@@ -54,10 +45,6 @@
 // First requests of a VM that no report reaches, in seconds of its share.
 constexpr double AloneBurstS = 5;
 
-double perS(const core::WorkspaceQuota &Quota) {
-  return static_cast<double>(Quota.MilliPerS) / MilliPerUnit;
-}
-
 // Part of the known VMs that are live.
 double livePart(const QuotaFleet &Fleet) {
   return static_cast<double>(std::max<std::size_t>(Fleet.Live, 1)) /
@@ -93,45 +80,6 @@
     JoinedAt = Now;
 }
 
-// Requests in a window without excess and slack.
-double WorkspaceQuotas::perWindow(const core::WorkspaceQuota &Quota) const {
-  return perS(Quota) * Seconds(Rule.Window).count() +
-         static_cast<double>(Quota.Burst);
-}
-
-// Requests that are lent beyond those that are left.
-double WorkspaceQuotas::lent(const core::WorkspaceQuota &Quota) const {
-  return LentExcess * Rule.Excess * perWindow(Quota) + LentSlack * Rule.Slack;
-}
-
-// Requests that the VMs in reach may still admit. Use is scaled up by the part
-// of the fleet that was in reach when it was counted, so that a side of a
-// partition answers for its part of the use before, and takes the other side's
-// use for as much as its own after.
-double WorkspaceQuotas::level(const Entry &Item, double Part,
-                              core::TimePoint Now) const {
-  return Part * (perWindow(Item.Quota) + ExtraRequests - Item.Use.total() -
-                 unknownUse(Item, Now));
-}
-
-// Use before this VM joined the others that it does not know: all that was not
-// this VM's even share. It expires at the rate of the quota, since the burst
-// may have been used last; not at all for a window if there is demand for more
-// than the quota.
-double WorkspaceQuotas::unknownUse(const Entry &Item,
-                                   core::TimePoint Now) const {
-  if (!reports() || Now - JoinedAt >= Rule.Window)
-    return 0;
-  const double PerWindow = perWindow(Item.Quota) + ExtraRequests;
-  const bool Scarce =
-      Item.Demand.at(Now) * Seconds(Rule.Window).count() > PerWindow;
-  const double Expired =
-      Scarce ? 0 : perS(Item.Quota) * Seconds(Now - JoinedAt).count();
-  const auto Count = static_cast<double>(Fleet.Reporters.size());
-  return std::max(0.0, PerWindow * (1 - 1 / Count) - Expired -
-                           Item.Use.totalBefore(JoinedAt));
-}
-
 // The parts of the VMs on all sides of a partition add up to at most one, so
 // that no side needs to know what the others do.
 double WorkspaceQuotas::reachablePart(core::TimePoint Now) const {
@@ -166,6 +114,8 @@
   const double Elapsed = std::max(0.0, Seconds(Now - Item.At).count());
   Item.At = std::max(Item.At, Now);
   const double Expired = Item.Use.expire(Now);
+  const double PerS = perWindow(Item.Quota) / Seconds(Rule.Window).count();
+  Item.AtOnce = std::min(Item.AtOnce + PerS * Elapsed, maxAtOnce(Item, Now));
   const double Share = share(Item, Now);
   if (!reports()) {
     Item.Refill =
@@ -173,8 +123,7 @@
     return;
   }
   const double Part = reachablePart(Now);
-  const double Rate =
-      perWindow(Item.Quota) / Seconds(Rule.Window).count() * Part;
+  const double Rate = PerS * Part;
   const double Saving =
       Rate > 0
           ? std::clamp(1 + level(Item, Part, Now) / (Rate * DebtTime.count()),
@@ -199,12 +148,14 @@
   if (New) {
     Item.Quota = Quota;
     Item.At = Now;
+    Item.AtOnce = maxAtOnce(Item, Now);
     if (!reports())
       Item.Refill = std::min(1.0, AloneBurstS * perS(Quota) * share(Item, Now));
   } else if (Quota != Item.Quota) {
     // What was used counts against the new quota.
     advance(Item, Now);
     Item.Quota = Quota;
+    Item.AtOnce = maxAtOnce(Item, Now);
     Item.Refill = 0;
     Item.PromisedUntil = Now;
   }
@@ -239,7 +190,7 @@
   const Seconds MaxWait = Rule.Window * MaxRetryWindows;
   const Seconds Step = std::min(
       MaxWait, Seconds(Rule.Window) / (Share * Part * perWindow(Item.Quota)));
-  const double Missing = reports() ? (1 - level(Item, Part, Now)) / Part : 0;
+  const double Missing = reports() ? 1 / Part - room(Item, Now) : 0;
   const core::TimePoint Room = Item.Use.expiresAt(Missing);
   const Seconds Wait =
       std::max(Seconds(std::max(Item.PromisedUntil, Room) - Now), Seconds(0)) +
@@ -282,6 +233,7 @@
   const double Part = reachablePart(Now);
   if (Out.Admitted) {
     Item.Use.add(1 / Part, Now);
+    Item.AtOnce -= 1 / Part;
     ++Item.Admitted;
   }
   Unreported.insert(Workspace);
@@ -308,8 +260,10 @@
   Entry &Item = entry(Workspace, Now);
   advance(Item, Now);
   // What has expired is no longer counted by the others either.
-  if (Item.Use.remove(1 / reachablePart(Now), CountedAt) <= 0)
+  const double Removed = Item.Use.remove(1 / reachablePart(Now), CountedAt);
+  if (Removed <= 0)
     return;
+  Item.AtOnce += Removed;
   // A VM that doesn't report decides by what it has saved up.
   if (!reports())
     Item.Refill = std::min(1.0, Item.Refill + 1);
@@ -332,6 +286,7 @@
     Entry &Item = entry(Use.Workspace, Now);
     advance(Item, Now);
     const double Amount = Use.Admitted / reachablePart(Now);
+    Item.AtOnce -= Amount;
     if (Amount >= 0)
       Item.Use.add(Amount, Now);
     else
--- a/tests/decision/workspace_quotas_test.cpp
+++ b/tests/decision/workspace_quotas_test.cpp
@@ -350,6 +350,26 @@
   cr_expect_geq(Burst, 150, "%d admitted", Burst);
 }
 
+// Guards against a workspace that uses a whole window at once, again and again,
+// and gets nothing for seconds in between.
+Test(WorkspaceQuotas, demand_above_the_quota_is_admitted_evenly) {
+  SingleVm Setup(40, 50, {"a"});
+  decision::WorkspaceQuotas &Quotas = Setup.Quotas;
+  int Admitted = 0;
+  for (core::TimePoint Now = Start; Now < Start + 30s; Now += 5ms) {
+    Admitted += Quotas.request(1, Now).Admitted;
+    (void)Quotas.takeReport(Now);
+    if ((Now + 5ms - Start) % 1s != 0s)
+      continue;
+    // The first two windows begin with what was free before.
+    if (Now >= Start + 10s) {
+      cr_expect_geq(Admitted, 25, "%d admitted in a second", Admitted);
+      cr_expect_leq(Admitted, 75, "%d admitted in a second", Admitted);
+    }
+    Admitted = 0;
+  }
+}
+
 // Guards against VMs that start together and each take the whole burst, because
 // none has heard of the others yet.
 Test(WorkspaceQuotas,
