Cancel an unused grant only if its request counted against a quota

Cause: a grant that was returned unused was cancelled instead of released on every deployment, also on those without workspaces, whose messages should not change. Change: the requesting VM remembers which grants counted.

--- a/packages/peers/include/jujubecart/peers/remote_broker.hpp
+++ b/packages/peers/include/jujubecart/peers/remote_broker.hpp
@@ -129,6 +129,8 @@
   statedLimits(const GroupEntry &Entry);
   [[nodiscard]] core::SlotGrant recordGrant(HeldGrant Item,
                                             core::SlotGrant Grant);
+  /// @brief Remembers that the request of a grant counted against a quota.
+  void markCounted(std::uint64_t GrantId);
   void onGrant(const LinkPtr &Source, const Grant &Item);
   void recordPrice(CallId Call, std::uint32_t SlotPricePercent);
   void complete(CallId Call, AcquireResult Result);
--- a/packages/peers/src/broker_state.hpp
+++ b/packages/peers/src/broker_state.hpp
@@ -49,6 +49,8 @@
   decision::CallToken Token = 0;
   /// Set if the fallback broker granted it.
   std::optional<core::SlotGrant> Local;
+  /// Whether its request counted against the quota of a workspace.
+  bool Counted = false;
   /// Set if this VM counted the request without a dispatcher.
   std::optional<QuotaUse> AloneUse;
   /// Link to a later dispatcher to which the call was reported in flight.
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -41,6 +41,8 @@
 RemoteBroker::acquire(core::SlotRequest Request) {
   while (true) {
     core::Result<core::SlotGrant> Granted = co_await acquireOnce(Request);
+    if (Granted && Request.Workspace != 0 && Request.CountsAgainstQuota)
+      markCounted(Granted->Id);
     if (!Granted || permits(*Granted))
       co_return Granted;
     core::LogLine(core::LogLevel::Info, "grant.returned")
@@ -309,6 +311,12 @@
   return Grant;
 }
 
+void RemoteBroker::markCounted(std::uint64_t GrantId) {
+  const std::lock_guard Lock(Mutex);
+  if (const auto Found = Grants.find(GrantId); Found != Grants.end())
+    Found->second.Counted = true;
+}
+
 void RemoteBroker::release(const core::SlotGrant &Grant,
                            const core::CallReport &Stated) noexcept {
   core::CallReport Report = Stated;
@@ -332,13 +340,13 @@
   if (Item.DispatcherLink) {
     Item.DispatcherLink->adjustUseCount(-1);
     // The dispatcher counts a released grant as used, a cancelled one not.
-    if (Withheld)
+    if (Withheld && Item.Counted)
       Item.DispatcherLink->send(Cancel{.Call = Item.Call});
     else
       Item.DispatcherLink->send(Release{
           .Call = Item.Call, .Report = Report, .Group = 0, .Server = 0});
   } else if (Item.Token != 0) {
-    if (Withheld)
+    if (Withheld && Item.Counted)
       Env.Dispatch.withdraw(Item.Entry->Hash, Item.Token);
     else
       Env.Dispatch.release(Item.Entry->Hash, Item.Token, Report);
