--- a/apps/jujubecartd/explanation_json.cpp
+++ b/apps/jujubecartd/explanation_json.cpp
@@ -22,7 +22,7 @@
   return {{"name", Route.Name},
           {"host", Route.Host},
           {"path_prefix", Route.PathPrefix},
-          {"public", Route.Public},
+          {"key_optional", Route.Public},
           {"idempotent", Route.Idempotent},
           {"priority", Route.Priority},
           {"max_attempts", Route.MaxAttempts},
@@ -37,7 +37,7 @@
            {"demand_per_s", Quota.Decision.DemandPerS}};
   if (Quota.Quota.limited()) {
     Out["milli_per_s"] = Quota.Quota.MilliPerS;
-    Out["burst"] = Quota.Quota.Burst;
+    Out["burst_requests"] = Quota.Quota.Burst;
     Out["window_ms"] = Quota.Window.count();
     Out["left"] = rounded(Quota.Left);
     Out["share_permille"] = Quota.Decision.ShareMilli;
