--- a/tests/decision/health_test.cpp
+++ b/tests/decision/health_test.cpp
@@ -55,7 +55,7 @@
   GroupDispatcher Dispatcher;
   CallToken Next = 1;
 
-  explicit Driver(std::size_t Servers, DispatcherOptions Options = {})
+  explicit Driver(std::size_t Servers, const DispatcherOptions &Options = {})
       : Dispatcher(groupOf(Servers), Options, Now) {}
 
   std::optional<Granted> call() {
--- a/tests/decision/overload_test.cpp
+++ b/tests/decision/overload_test.cpp
@@ -17,7 +17,7 @@
   Decisions Out;
   CallToken NextToken = 1;
 
-  explicit BusyServer(DispatcherOptions Options = {.Margin = 0})
+  explicit BusyServer(const DispatcherOptions &Options = {.Margin = 0})
       : Dispatcher({"tags/a/0", "tags", "a", {{.Id = "s0"}}}, Options, Now) {
     call(0);
   }
