Compute the next probe of silent servers without an overflow

Cause: a server that was never probed has the earliest time point as its last probe. The difference from now overflowed, so that such a server was taken for one that was probed just now and got no probe while bytes have a price. Found by the undefined-behaviour sanitizer in decision_test. Change: compare the end of the interval instead.

--- a/packages/decision/src/load_table_probes.cpp
+++ b/packages/decision/src/load_table_probes.cpp
@@ -45,10 +45,10 @@
                                       (1 - overdueShare(Server, Now)) -
                                   Transfer;
       if (HighestScore <= Found->Score &&
-          Now - Server.LastProbe < SilentProbeInterval)
+          Now < Server.LastProbe + SilentProbeInterval)
         continue;
     }
-    if (Server.ProbePending && Now - Server.LastProbe < ProbeWait)
+    if (Server.ProbePending && Now < Server.LastProbe + ProbeWait)
       return true;
     const bool PaceKnown = Server.Pace && Server.Pace->fresh(Now);
     const bool RecentlyProbed = Now < Server.LastProbe + 2 * ProbeWait;
