--- a/tests/apps/fleet.py
+++ b/tests/apps/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import socket
 import subprocess
 import tempfile
@@ -13,11 +14,24 @@
 STOP_TIMEOUT_S = 30
 
 
+# Linux uses 32768 to 60999 for outgoing connections.
+PORT_RANGE = (12000, 31999)
+
+
 def free_port():
-    """A TCP port that was free a moment ago; another process may take it."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A TCP port that was free a moment ago; another process may take it.
+
+    It is below the ports that the kernel gives to outgoing connections, so
+    that none of these takes it while a process is restarted.
+    """
+    while True:
+        port = random.randint(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
