--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,6 +1,7 @@
-"""The configuration raises the limits while consumers keep connections."""
+"""A machine stands still for a moment while the configuration changes."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -8,84 +9,92 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
-from case import CouldNotRun, main  # noqa: E402
-from consumer import Connection  # noqa: E402
+from case import main  # noqa: E402
+from consumer import request_once  # noqa: E402
 from fleet import config, route, service  # noqa: E402
 from upstream import Upstream  # noqa: E402
 
-ZONES = {"lalitpur": "kathmandu", "bhaktapur": "kathmandu"}
-CONTACT_S, CONFIG_APPLY_S = 3.0, 2.0
-CONNECTIONS = 24
-ALLOWED, ALLOWED_SHARE = 5, 1 / 500
-IDLE_TIMEOUT_S = 15.0
-LIMITS = {"max-header-bytes": 4096, "max-body-bytes": 65536,
-          "header-timeout": "3000ms", "idle-timeout": "15000ms"}
-RAISED = dict(LIMITS, **{"max-header-bytes": 16384,
-                         "max-body-bytes": 262144})
+ZONES = {"jm-south-a": "jm-south", "jm-south-b": "jm-south"}
+ROUTES = 1400           # the dose of `big_config`
+FREEZE_S = 4.0          # `node_freeze`, 5 s by default
+STORM_GAP_S, STORM_S = 0.06, 1.5  # the dose of `config_storm`
+LINKS_MBPS = (200, 200, 10)
+CONTACT_S, CONFIG_APPLY_S = 3.0, 2.5
+WATCHED_S = 20.0
+HOST, PATH = "shop.example", "/moved/1"
 
 
-def version(number, limits):
-    return config(number, {"r1": route("maps.example", "/print/", "orders",
-                                       kind="unsafe")},
-                  {"orders": service()}, limits=limits)
+def version(number, moved_to):
+    routes = {"r-moved": route(HOST, "/moved/", moved_to)}
+    for index in range(ROUTES):
+        routes[f"r-{index:07x}"] = route(f"h{index:04d}.example",
+                                         f"/pre{index:04d}/ny95/", "roster")
+    return config(number, routes, {"roster": service(),
+                                   "clubvault": service()})
 
 
-async def order(case, link, size, cookie=""):
-    fields = [("Cookie", cookie)] if cookie else []
-    answer = await link.request("POST", "maps.example", "/print/1",
-                                b"x" * size, fields=fields)
-    case.detail(f"{link.address} {size} bytes, {answer}")
-    return answer.status
-
-
-async def send_all(case, links):
-    """Sends one request on each connection, all within the raised limits."""
-    denied = 0
-    for number, link in enumerate(links):
-        if number % 2:
-            status = await order(case, link, 100000)
-        else:
-            status = await order(case, link, 1000, "c" * 8000)
-        denied += status in (413, 431)
-    return denied
-
-
-async def open_all(case):
-    links = [Connection(case.machines[number % 3].front)
-             for number in range(CONNECTIONS)]
-    for link in links:
-        await link.open()
-    return links
+async def ask(case, machine):
+    """Sends a request; returns when it was sent and which service ran it."""
+    answer = await request_once(machine.front, "GET", HOST, PATH)
+    runs = case.runs_of(answer.identity)
+    served = runs[-1][0] if runs else "nobody"
+    case.detail(f"{machine.name} {answer} run by {served}")
+    return answer.sent_at, served
 
 
 async def play(case):
     store = case.store
     await case.start_upstreams(
-        [Upstream(store, f"i-{number:08x}", "orders", "lalitpur", slots=3,
-                  work_s=0.05) for number in range(6)])
-    # Without the disruption, the higher limits hold from the beginning.
-    store.put_json("op/config", version(5, LIMITS if case.trouble else RAISED))
+        [Upstream(store, f"i-{number:08x}",
+                  "roster" if number < 4 else "clubvault", "jm-south-a",
+                  slots=3, work_s=0.05) for number in range(8)])
+    store.put_json("op/config", version(5, "roster"))
+    case.note(f"configuration of {len(store.items['op/config']['value'])} "
+              f"bytes with {ROUTES} routes")
     await case.start_machines(3, ZONES)
-    await asyncio.sleep(CONTACT_S)
-    kept = await open_all(case)
-    for link in kept:
-        if await order(case, link, 1000) != 200:
-            raise CouldNotRun("a first request was not served")
-    used_at = time.monotonic()
-    case.note(f"{CONNECTIONS} connections are open and have had an answer")
+    for machine, mbps in zip(case.machines, LINKS_MBPS):
+        store.link_mbps[machine.ip] = mbps
+    await asyncio.sleep(4)
+    frozen = case.machines[2]
+    if case.trouble:
+        frozen.signal(signal.SIGSTOP)
+        case.note(f"{frozen.name} stands still for {FREEZE_S} s")
+    stopped_at = time.monotonic()
+    await asyncio.sleep(0.4)
+    changes = int(STORM_S / STORM_GAP_S)
+    for change in range(changes):
+        moved_to = "clubvault" if change == changes - 1 else "roster"
+        store.put_json("op/config", version(6 + 2 * change, moved_to))
+        await asyncio.sleep(STORM_GAP_S)
+    confirmed_at = time.monotonic()
+    case.note(f"{changes} versions are confirmed: /moved/ goes to {moved_to}")
+    await asyncio.sleep(stopped_at + FREEZE_S - time.monotonic())
     if case.trouble:
-        store.put_json("op/config", version(7, RAISED))
-        case.note("version 7, with higher limits, is confirmed")
-    await asyncio.sleep(CONTACT_S + CONFIG_APPLY_S)
-    idle_s = time.monotonic() - used_at
-    if idle_s > 0.8 * IDLE_TIMEOUT_S:
-        raise CouldNotRun("the connections were idle for too long")
-    denied = await send_all(case, kept)
-    case.note(f"kept connections, idle for {idle_s:.1f} s: {denied} of "
-              f"{CONNECTIONS} requests ended with 413 or 431")
-    fresh = await send_all(case, await open_all(case))
-    case.note(f"new connections, same requests: {fresh} of {CONNECTIONS}")
-    return denied > ALLOWED + 3 * CONNECTIONS * ALLOWED_SHARE
+        frozen.signal(signal.SIGCONT)
+        case.note(f"{frozen.name} runs on")
+    bound_from = max(confirmed_at + CONFIG_APPLY_S,
+                     stopped_at + FREEZE_S + CONTACT_S)
+    await asyncio.sleep(bound_from + 0.5 - time.monotonic())
+    return await watch(case, frozen)
+
+
+async def watch(case, frozen):
+    """Asks all machines, which are in touch now."""
+    case.note("all machines are in touch")
+    stale, last = {}, 0.0
+    until = time.monotonic() + WATCHED_S
+    while time.monotonic() < until:
+        for machine in case.machines:
+            sent_at, served = await ask(case, machine)
+            if served == "roster":
+                stale[machine.name] = stale.get(machine.name, 0) + 1
+                last = sent_at
+        await asyncio.sleep(0.2)
+    case.note(f"requests run by the old service: {stale or 'none'}")
+    if stale:
+        case.note(f"the last of them {last - until + WATCHED_S:.1f} s after "
+                  f"{frozen.name} was in touch again")
+    return bool(stale)
 
 
 main(FOLDER, play)
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,5 +1,4 @@
-"""An API key is taken away; a machine is added just after the store has come
-back from a copy that is older than that."""
+"""The configuration raises the limits while consumers keep connections."""
 
 import asyncio
 import sys
@@ -10,83 +9,83 @@
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
 from case import CouldNotRun, main  # noqa: E402
-from consumer import request_once  # noqa: E402
+from consumer import Connection  # noqa: E402
 from fleet import config, route, service  # noqa: E402
 from upstream import Upstream  # noqa: E402
 
-ZONES = {"jm-south-a": "jm-south", "jm-south-b": "jm-south"}
-REVOKE_S = 5.0
-COPY_AGE_S = 6.5   # "a copy some seconds old"
-AWAY_S = 0.5       # "away for a moment"
-REWRITE_S = 2.0    # until the operator has written its configuration again
-KEPT, TAKEN = "key-that-stays", "key-that-is-taken"
+ZONES = {"lalitpur": "kathmandu", "bhaktapur": "kathmandu"}
+CONTACT_S, CONFIG_APPLY_S = 3.0, 2.0
+CONNECTIONS = 24
+ALLOWED, ALLOWED_SHARE = 5, 1 / 500
+IDLE_TIMEOUT_S = 15.0
+LIMITS = {"max-header-bytes": 4096, "max-body-bytes": 65536,
+          "header-timeout": "3000ms", "idle-timeout": "15000ms"}
+RAISED = dict(LIMITS, **{"max-header-bytes": 16384,
+                         "max-body-bytes": 262144})
 
 
-def version(number, keys):
-    club = {"api-keys": keys, "priority": 1, "rate-per-s": 0, "burst": 0}
-    return config(number, {"r1": route("club.example", "/dues/", "tillbook",
+def version(number, limits):
+    return config(number, {"r1": route("maps.example", "/print/", "orders",
                                        kind="unsafe")},
-                  {"tillbook": service()}, tenants={"club": club})
+                  {"orders": service()}, limits=limits)
 
 
-async def ask(case, machine, key):
-    """Sends a request; returns its status and how often it ran."""
-    answer = await request_once(machine.front, "POST", "club.example",
-                                "/dues/1", b"12.50",
-                                fields=[("Authorization", f"Token {key}")])
-    runs = len(case.runs_of(answer.identity))
-    case.detail(f"{machine.name} {key} {answer} runs={runs}")
-    return answer.status, runs
+async def order(case, link, size, cookie=""):
+    fields = [("Cookie", cookie)] if cookie else []
+    answer = await link.request("POST", "maps.example", "/print/1",
+                                b"x" * size, fields=fields)
+    case.detail(f"{link.address} {size} bytes, {answer}")
+    return answer.status
+
+
+async def send_all(case, links):
+    """Sends one request on each connection, all within the raised limits."""
+    denied = 0
+    for number, link in enumerate(links):
+        if number % 2:
+            status = await order(case, link, 100000)
+        else:
+            status = await order(case, link, 1000, "c" * 8000)
+        denied += status in (413, 431)
+    return denied
+
+
+async def open_all(case):
+    links = [Connection(case.machines[number % 3].front)
+             for number in range(CONNECTIONS)]
+    for link in links:
+        await link.open()
+    return links
 
 
 async def play(case):
     store = case.store
     await case.start_upstreams(
-        [Upstream(store, f"i-{number:08x}", "tillbook", "jm-south-a",
-                  slots=3, work_s=0.05) for number in range(4)])
-    store.put_json("op/config", version(5, [KEPT, TAKEN]))
-    await case.start_machines(3, ZONES, tenants=True)
-    await asyncio.sleep(4)
-    for machine in case.machines:
-        if await ask(case, machine, TAKEN) != (200, 1):
-            raise CouldNotRun("the key doesn't work at first")
-    copy = store.copy_state()
-    copied_at = time.monotonic()
-    await asyncio.sleep(0.3)
-    store.put_json("op/config", version(7, [KEPT]))
-    confirmed_at = time.monotonic()
-    case.note(f"version 7, without {TAKEN}, is confirmed")
-    await asyncio.sleep(copied_at + COPY_AGE_S - AWAY_S - time.monotonic())
-    if case.trouble:
-        store.away = True
-        case.note("the store is away")
-    await asyncio.sleep(AWAY_S)
+        [Upstream(store, f"i-{number:08x}", "orders", "lalitpur", slots=3,
+                  work_s=0.05) for number in range(6)])
+    # Without the disruption, the higher limits hold from the beginning.
+    store.put_json("op/config", version(5, LIMITS if case.trouble else RAISED))
+    await case.start_machines(3, ZONES)
+    await asyncio.sleep(CONTACT_S)
+    kept = await open_all(case)
+    for link in kept:
+        if await order(case, link, 1000) != 200:
+            raise CouldNotRun("a first request was not served")
+    used_at = time.monotonic()
+    case.note(f"{CONNECTIONS} connections are open and have had an answer")
     if case.trouble:
-        newest = store.items["op/config"]["value"]
-        store.return_from_copy(copy)
-        store.away = False
-        case.note(f"the store is back from a copy {COPY_AGE_S} s old")
-        for upstream in case.upstreams:
-            upstream.report()
-        asyncio.get_running_loop().call_later(
-            REWRITE_S, store.write, [("op/config", newest)])
-    await case.start_machines(1, ZONES, tenants=True)
-    return await watch(case, confirmed_at)
-
-
-async def watch(case, confirmed_at):
-    ran = {}
-    until = time.monotonic() + REWRITE_S + 2
-    while time.monotonic() < until:
-        for machine in case.machines:
-            sent_after = time.monotonic() - confirmed_at
-            _, runs = await ask(case, machine, TAKEN)
-            if runs and sent_after > REVOKE_S:
-                ran.setdefault(machine.name, []).append(round(sent_after, 1))
-        await asyncio.sleep(0.1)
-    case.note(f"requests with {TAKEN} that ran, seconds after the "
-              f"confirmation: {ran or 'none'}")
-    return bool(ran)
+        store.put_json("op/config", version(7, RAISED))
+        case.note("version 7, with higher limits, is confirmed")
+    await asyncio.sleep(CONTACT_S + CONFIG_APPLY_S)
+    idle_s = time.monotonic() - used_at
+    if idle_s > 0.8 * IDLE_TIMEOUT_S:
+        raise CouldNotRun("the connections were idle for too long")
+    denied = await send_all(case, kept)
+    case.note(f"kept connections, idle for {idle_s:.1f} s: {denied} of "
+              f"{CONNECTIONS} requests ended with 413 or 431")
+    fresh = await send_all(case, await open_all(case))
+    case.note(f"new connections, same requests: {fresh} of {CONNECTIONS}")
+    return denied > ALLOWED + 3 * CONNECTIONS * ALLOWED_SHARE
 
 
 main(FOLDER, play)
