Review: case 7 with a slow link, and one address of the store per machine

Cause: all calls to the stand-in of the store came from one address, so that the link of a single machine was not slowed. Change: each machine has its own address of the store; three changes instead of a storm in case 7.

--- a/review/7/run.py
+++ b/review/7/run.py
@@ -17,7 +17,7 @@
 ZONES = {"jm-south-a": "jm-south", "jm-south-b": "jm-south"}
 ROUTES = 1400           # the dose of `big_config`
 FREEZE_S = 4.0          # `node_freeze`, 5 s by default
-STORM_GAP_S, STORM_S = 0.06, 1.5  # the dose of `config_storm`
+CHANGES, CHANGE_GAP_S = 3, 0.8
 LINKS_MBPS = (200, 200, 10)
 CONTACT_S, CONFIG_APPLY_S = 3.0, 2.5
 WATCHED_S = 20.0
@@ -53,7 +53,7 @@
               f"bytes with {ROUTES} routes")
     await case.start_machines(3, ZONES)
     for machine, mbps in zip(case.machines, LINKS_MBPS):
-        store.link_mbps[machine.ip] = mbps
+        store.link_mbps[machine.store_host] = mbps
     await asyncio.sleep(4)
     frozen = case.machines[2]
     if case.trouble:
@@ -61,13 +61,13 @@
         case.note(f"{frozen.name} stands still for {FREEZE_S} s")
     stopped_at = time.monotonic()
     await asyncio.sleep(0.4)
-    changes = int(STORM_S / STORM_GAP_S)
-    for change in range(changes):
-        moved_to = "clubvault" if change == changes - 1 else "roster"
-        store.put_json("op/config", version(6 + 2 * change, moved_to))
-        await asyncio.sleep(STORM_GAP_S)
+    for change in range(1, CHANGES + 1):
+        moved_to = "clubvault" if change == CHANGES else "roster"
+        store.put_json("op/config", version(5 + change, moved_to))
+        case.note(f"version {5 + change} is confirmed: /moved/ goes to "
+                  f"{moved_to}")
+        await asyncio.sleep(CHANGE_GAP_S)
     confirmed_at = time.monotonic()
-    case.note(f"{changes} versions are confirmed: /moved/ goes to {moved_to}")
     await asyncio.sleep(stopped_at + FREEZE_S - time.monotonic())
     if case.trouble:
         frozen.signal(signal.SIGCONT)
--- a/review/common-2/case.py
+++ b/review/common-2/case.py
@@ -51,9 +51,10 @@
         added = []
         for _ in range(count):
             number = len(self.machines)
+            store = await self.store.listen(f"127.0.{100 + number}.1")
             machine = Machine(Path(self._folder.name), number,
-                              names[number % len(names)], self.store.address,
-                              zones, tenants)
+                              names[number % len(names)], store, zones,
+                              tenants)
             self.machines.append(machine)
             added.append(machine)
             machine.start()
@@ -80,7 +81,6 @@
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         case = Case(folder)
         try:
-            await case.store.start()
             broken = await play(case)
             case.note("the rule was BROKEN" if broken else "the rule held")
             return BROKEN if broken else HELD
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -32,6 +32,8 @@
     """One machine with its process."""
 
     def __init__(self, folder, number, zone, store, zones, tenants=False):
+        """Writes the settings; store is the address of the store for it."""
+        self.store_host = store.rsplit(":", 1)[0]
         self.name = f"front-{zone}-{number}"
         self.ip = f"127.0.{10 + number}.1"
         self.front, self.ready, self.peers = (
--- a/review/common-2/store.py
+++ b/review/common-2/store.py
@@ -28,22 +28,25 @@
         self._times = []
         self.away = False
         self.refused_peers = {}
-        # Bandwidth of the links of single machines, by their address.
+        # Bandwidth of the links of single machines, by their address here.
         self.link_mbps = {}
         self._links = {}
+        self._servers = []
         self.calls = []
         self._changed = asyncio.Event()
-        self._server = None
-        self.address = ""
 
-    async def start(self, host="127.0.0.1"):
-        self._server = await asyncio.start_server(self._serve, host, 0,
-                                                  limit=1 << 23)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{host}:{port}"
+    async def listen(self, host):
+        """Opens an address of the store; each machine has one of its own, by
+        which its calls are known. Returns the address with its port."""
+        server = await asyncio.start_server(self._serve, host, 0,
+                                            limit=1 << 23)
+        self._servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        return f"{host}:{port}"
 
     def close(self):
-        self._server.close()
+        for server in self._servers:
+            server.close()
 
     # Writes by the operator and the upstreams, and those of the system.
 
@@ -95,7 +98,7 @@
     # The wire.
 
     async def _serve(self, reader, writer):
-        peer = writer.get_extra_info("peername")[0]
+        peer = writer.get_extra_info("sockname")[0]
         try:
             while True:
                 head = await read_head(reader)
