--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,9 +24,16 @@
 
 
 def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """A port below those that the system gives to outgoing connections, which
+    could take one between this test and its use."""
+    while True:
+        port = random.randrange(10000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+                return port
+            except OSError:
+                pass
 
 
 class Machine:
--- a/review/common-2/store.py
+++ b/review/common-2/store.py
@@ -26,7 +26,7 @@
         self.events = []
         self.oldest_event = 10
         self._times = []
-        self.away = False
+        self.away = self.deaf = False
         self.refused_peers = {}
         # Bandwidth of the links of single machines, by their address here.
         self.link_mbps = {}
@@ -66,6 +66,17 @@
         self._wake()
         return self.revision
 
+    async def compact(self, change, deaf_s=1.0):
+        """Watches hear nothing while a change is made; then the history is
+        dropped and they are cut (`platform_compact`)."""
+        self.deaf = True
+        change()
+        await asyncio.sleep(deaf_s)
+        self.events, self._times = [], []
+        self.oldest_event = self.revision
+        self.deaf = False
+        self._wake()
+
     def _forget_history(self):
         horizon = time.monotonic() - HISTORY_S
         while self._times and self._times[0][0] < horizon:
@@ -186,6 +197,11 @@
                 return None
             if after < self.oldest_event or after > self.revision:
                 return 410, {}
+            if self.deaf:
+                if loop.time() >= until:
+                    return 200, {"events": [], "as-of": after}
+                await asyncio.sleep(0.02)
+                continue
             events = [self._event(*event) for event in self.events
                       if event[0] > after and event[1].startswith(prefix)]
             left = until - loop.time()
