Limit reads of the store by the lack of progress

Cause: each read of the store had a limit on its whole time, 2 ms and a margin of 500 ms for a watch of a VM that is behind. The changes did not arrive in that time, what had arrived was thrown away, and each further try asked for as much or more. The logs of the VM show changes_missed and then store.lost with "deadline exceeded" every half second.

Change: the deadline of a response is postponed by half a second whenever another 32 KB of it have arrived. Small answers, and answers that trickle or stop, end at the deadline as before, so that no store can hold the VM that reads for all.

--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -91,6 +91,9 @@
 public:
   virtual ~EntryStore() = default;
 
+  // A read whose answer is large for the link may end after the stated time, as
+  // long as its bytes arrive steadily.
+
   /// @brief Reads all entries, page by page.
   /// @return The entries; AsOf is the lowest revision of the pages, so changes
   /// after it must be read too, although some are already included.
--- a/packages/core/include/jujubecart/core/whole_response.hpp
+++ b/packages/core/include/jujubecart/core/whole_response.hpp
@@ -39,6 +39,15 @@
   bool Reusable = false;
 };
 
+/// @brief Is told of the bytes of a response as they arrive, and may postpone
+/// the deadline of the stream between two reads.
+class ReceiveObserver {
+public:
+  virtual ~ReceiveObserver() = default;
+
+  virtual void onReceived(std::size_t Bytes) = 0;
+};
+
 namespace internal {
 
 inline bool endedInOrder(boost::beast::tcp_stream &From) noexcept {
@@ -59,7 +68,8 @@
 /// @brief Reads until the buffer holds a message head, and validates it.
 template <typename Stream>
 [[nodiscard]] Awaitable<boost::system::error_code>
-receiveResponseHead(Stream &From, boost::beast::flat_buffer &Buffer) {
+receiveResponseHead(Stream &From, boost::beast::flat_buffer &Buffer,
+                    ReceiveObserver *Observer) {
   constexpr std::size_t ReadSize = 4096;
   namespace errc = boost::system::errc;
   std::size_t SearchedSize = 0;
@@ -81,7 +91,27 @@
     Buffer.commit(Count);
     if (Code)
       co_return Code;
+    if (Observer != nullptr)
+      Observer->onReceived(Count);
+  }
+}
+
+/// @brief Reads the rest of a message into its parser.
+template <typename Stream, typename Parser>
+[[nodiscard]] Awaitable<boost::system::error_code>
+receiveRest(Stream &From, boost::beast::flat_buffer &Buffer, Parser &Into,
+            ReceiveObserver *Observer) {
+  Into.eager(true);
+  while (!Into.is_done()) {
+    const std::size_t Before = Buffer.size();
+    const auto [Code, Parsed] = co_await boost::beast::http::async_read_some(
+        From, Buffer, Into, boost::asio::as_tuple(boost::asio::use_awaitable));
+    if (Code)
+      co_return Code;
+    if (Observer != nullptr && Parsed + Buffer.size() > Before)
+      Observer->onReceived(Parsed + Buffer.size() - Before);
   }
+  co_return boost::system::error_code();
 }
 
 } // namespace internal
@@ -90,12 +120,14 @@
 /// @param From `tcp::socket`, `tcp_stream` or a TLS stream.
 /// @param Buffer Bytes received before; keeps those behind the response.
 /// @param MaxBodyBytes Largest body, in bytes.
-/// @return The response, or an error if it is invalid, incomplete or too large,
-/// or if it cannot be known that it is complete.
+/// @param Observer May be null.
+/// @return The response, or an error if it is invalid, incomplete or too large
+/// (http::error::body_limit), or if it cannot be known that it is complete.
 template <typename Stream>
 [[nodiscard]] Awaitable<boost::system::result<WholeResponse>>
 readWholeResponse(Stream &From, boost::beast::flat_buffer &Buffer,
-                  std::uint64_t MaxBodyBytes) {
+                  std::uint64_t MaxBodyBytes,
+                  ReceiveObserver *Observer = nullptr) {
   namespace http = boost::beast::http;
   // A server sends one or two before a response; without a limit, a faulty one
   // would keep the reader busy for ever.
@@ -104,15 +136,13 @@
   constexpr unsigned SwitchingProtocols = 101;
   for (int Count = 0; Count <= MaxInterimResponses; ++Count) {
     if (const auto Failed =
-            co_await internal::receiveResponseHead(From, Buffer))
+            co_await internal::receiveResponseHead(From, Buffer, Observer))
       co_return Failed;
     http::response_parser<http::string_body> Parser;
     Parser.body_limit(MaxBodyBytes);
-    const auto [Code, Size] = co_await http::async_read(
-        From, Buffer, Parser,
-        boost::asio::as_tuple(boost::asio::use_awaitable));
-    if (Code)
-      co_return Code;
+    if (const auto Failed =
+            co_await internal::receiveRest(From, Buffer, Parser, Observer))
+      co_return Failed;
     const unsigned Status = Parser.get().result_int();
     // An upgrade is never requested.
     if (Status == SwitchingProtocols)
--- a/packages/store/include/jujubecart/store/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -67,11 +67,14 @@
 
   /// @brief Sends a request at most once. Tries further endpoints only if no
   /// connection could be established.
+  /// @param Deadline Of the whole exchange; a large response may arrive later
+  /// for as long as its bytes arrive steadily.
   [[nodiscard]] core::Awaitable<StoreExchange>
   sendOnce(StoreRequest Message, core::TimePoint Deadline);
 
   /// @brief Sends an idempotent request, and again on other endpoints if the
   /// connection fails before the response.
+  /// @param Deadline As for sendOnce().
   [[nodiscard]] core::Awaitable<StoreExchange>
   sendIdempotent(StoreRequest Message, core::TimePoint Deadline);
 
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -29,6 +29,36 @@
 
 constexpr std::size_t MaxIdleConnections = 16;
 
+// A response may take longer than its deadline while at least so much of it
+// arrives in each interval. A large value takes a second on a link of 10
+// Mbit/s; a store that sends less than half a megabit a second counts as stuck,
+// so that it cannot hold the VM that reads for all.
+constexpr std::size_t MinProgressBytes = std::size_t{32} * 1024;
+constexpr std::chrono::milliseconds ProgressInterval{500};
+
+// Postpones the deadline of a connection while a response arrives fast enough.
+class ProgressDeadline final : public core::ReceiveObserver {
+public:
+  ProgressDeadline(beast::tcp_stream &Stream, core::TimePoint Deadline)
+      : Stream(Stream), Deadline(Deadline) {}
+
+  void onReceived(std::size_t Bytes) override {
+    Received += Bytes;
+    if (Received < MinProgressBytes)
+      return;
+    Received = 0;
+    Deadline =
+        std::max(Deadline, std::chrono::steady_clock::now() + ProgressInterval);
+    Stream.expires_at(Deadline);
+  }
+
+private:
+  beast::tcp_stream &Stream;
+  core::TimePoint Deadline;
+  /// Bytes since the deadline was last set.
+  std::size_t Received = 0;
+};
+
 // An idle connection must have nothing to read. End of file means that the
 // store has closed it; unexpected bytes could be taken for the next response.
 bool isReusable(StoreConnection &Connection) {
@@ -135,8 +165,9 @@
   Outcome.TimedOut = WriteCode == beast::error::timeout;
   if (WriteCode)
     co_return Outcome;
+  ProgressDeadline Progress(Connection->Stream, Deadline);
   auto Response = co_await core::readWholeResponse(
-      Connection->Stream, Connection->Buffer, MaxBodyBytes);
+      Connection->Stream, Connection->Buffer, MaxBodyBytes, &Progress);
   if (!Response) {
     Outcome.TimedOut = Response.error() == beast::error::timeout;
     co_return Outcome;
