Count an answer of the store as read when it began to arrive

A VM that reads a large answer for seconds told the others that it had read the store at the moment of the last byte. They took their entries for confirmed until then and put off their own reads by as much, and so did the VM itself.

Change: EntryList states when the answer began to arrive; DirectoryFeed confirms the entries up to then and passes that instant on. A later confirmation by another VM is kept.

Tests: SlowStore.answer_states_when_it_began_to_arrive and DirectoryFeed.answer_that_arrived_slowly_was_read_when_it_was_given; both need the new field, so they do not compile on the code of before.

--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -30,6 +30,8 @@
 struct EntryList {
   std::vector<StoredEntry> Entries;
   Revision AsOf = 0;
+  /// When the store's answer began to arrive; the epoch if that is not known.
+  TimePoint AnsweredAt{};
 
   friend auto operator<=>(const EntryList &, const EntryList &) = default;
 };
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -193,7 +193,8 @@
   /// @brief Broadcasts an answer of the store unless another VM has done so.
   /// @param ConfirmationsBefore PeerConfirmations before the store was called.
   [[nodiscard]] core::Awaitable<void>
-  passOn(core::EntryChanges Changes, std::uint64_t ConfirmationsBefore,
+  passOn(core::EntryChanges Changes, core::TimePoint ReadAt,
+         std::uint64_t ConfirmationsBefore,
          std::chrono::milliseconds CompleteUntil);
   [[nodiscard]] core::Awaitable<void> backOff(core::TimePoint Started);
   [[nodiscard]] core::Awaitable<bool> ensureRegistered();
@@ -213,7 +214,10 @@
   /// @brief Records up to when the published entries are complete.
   void recordFreshness(std::optional<std::chrono::milliseconds> CompleteUntil);
   void recordConfirmation(core::TimePoint ReadAt);
-  void recordSuccess();
+  /// @brief Notes an answer of the store.
+  /// @param List Its entries.
+  /// @return When the store gave it.
+  core::TimePoint recordSuccess(const core::EntryList &List);
   void recordFailure(std::string_view Call, const std::error_code &Error);
   void publish();
 
--- a/packages/store/include/jujubecart/store/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -51,6 +51,8 @@
   bool Sent = false;
   /// Whether the exchange failed because the deadline passed.
   bool TimedOut = false;
+  /// When the first bytes of the response arrived; the epoch if none did.
+  core::TimePoint BegunAt{};
   /// HTTP status; 0 if no complete response arrived.
   unsigned Status = 0;
   std::string Body;
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -106,7 +106,8 @@
 void DirectoryFeed::recordConfirmation(core::TimePoint ReadAt) {
   if (ReadAt - LastConfirmed >= Options.MinLossyOutage)
     Entries.deferDeletions(Env.Time.now() + Options.ReregistrationTime);
-  LastConfirmed = ReadAt;
+  // Another VM may have reported a later answer meanwhile.
+  LastConfirmed = std::max(LastConfirmed, ReadAt);
 }
 
 // An answer that other VMs have does not show when it was requested, which
@@ -160,7 +161,7 @@
     if (!Complete)
       co_return false;
   }
-  recordSuccess();
+  recordSuccess(*All);
   Loaded = true;
   publish();
   if (Complete)
@@ -202,7 +203,7 @@
     recordFailure("list", All.error());
     co_return false;
   }
-  recordSuccess();
+  const core::TimePoint ReadAt = recordSuccess(*All);
   const core::EntryChanges Changes = Entries.changesTo(*All);
   // A list that is older than what another VM has reported meanwhile shows
   // nothing, and is read again if the changes since are lost as well.
@@ -213,7 +214,7 @@
   publish();
   recordFreshness(RequestedAt);
   if (!CatchesUp)
-    co_await passOn(Changes, ConfirmationsBefore, RequestedAt);
+    co_await passOn(Changes, ReadAt, ConfirmationsBefore, RequestedAt);
   co_return true;
 }
 
@@ -222,7 +223,7 @@
 // broadcast at once; the others wait for a random time and leave it to one that
 // was faster. From then on this VM reads until it hears from another one.
 core::Awaitable<void>
-DirectoryFeed::passOn(core::EntryChanges Changes,
+DirectoryFeed::passOn(core::EntryChanges Changes, core::TimePoint ReadAt,
                       std::uint64_t ConfirmationsBefore,
                       std::chrono::milliseconds CompleteUntil) {
   const std::size_t Rank = Env.ReaderRank();
@@ -237,7 +238,7 @@
         .field("rank", Rank)
         .field("revision", Entries.asOf());
   }
-  Env.Broadcast(Changes, LastSuccess,
+  Env.Broadcast(Changes, ReadAt,
                 Env.Freshness == nullptr ? std::nullopt
                                          : std::optional(CompleteUntil));
 }
@@ -286,7 +287,7 @@
   }
   const std::chrono::milliseconds CompleteUntil =
       Read.completeUntil(!Changed->Entries.empty());
-  recordSuccess();
+  const core::TimePoint ReadAt = recordSuccess(*Changed);
   // Another VM reported a later era while the watch was pending. The entries of
   // the answer, perhaps the removal of an API key, are not applied then, so it
   // does not show that the known ones are complete.
@@ -303,7 +304,8 @@
   recordFreshness(CompleteUntil);
   core::EntryChanges Answer{.After = After, .List = std::move(*Changed)};
   if (!CatchesUp)
-    co_await passOn(std::move(Answer), ConfirmationsBefore, CompleteUntil);
+    co_await passOn(std::move(Answer), ReadAt, ConfirmationsBefore,
+                    CompleteUntil);
   if (!Unchanged || Removed)
     co_await Env.Sleeper.sleepUntil(Env.Time.now() + Options.BatchDelay);
   co_return true;
@@ -337,17 +339,22 @@
                                    static_cast<std::uint64_t>(Max.count() + 1));
 }
 
-void DirectoryFeed::recordSuccess() {
+// A large answer arrives long after the store gave it. If it counted as read on
+// its arrival, the others would put off their own reads by as much.
+core::TimePoint DirectoryFeed::recordSuccess(const core::EntryList &List) {
   const core::TimePoint Now = Env.Time.now();
+  const core::TimePoint ReadAt =
+      List.AnsweredAt == core::TimePoint{} ? Now : List.AnsweredAt;
   if (Failures > 0) {
     const auto Outage = std::chrono::duration_cast<std::chrono::milliseconds>(
         Now - LastSuccess);
     core::LogLine(core::LogLevel::Info, "store.regained")
         .field("away_ms", Outage.count());
   }
-  recordConfirmation(Now);
+  recordConfirmation(ReadAt);
   Failures = 0;
   LastSuccess = Now;
+  return ReadAt;
 }
 
 void DirectoryFeed::recordFailure(std::string_view Call,
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -42,7 +42,12 @@
   ProgressDeadline(beast::tcp_stream &Stream, core::TimePoint Deadline)
       : Stream(Stream), Deadline(Deadline) {}
 
+  /// @brief When the first bytes arrived; the epoch before.
+  [[nodiscard]] core::TimePoint begunAt() const noexcept { return BegunAt; }
+
   void onReceived(std::size_t Bytes) override {
+    if (BegunAt == core::TimePoint{})
+      BegunAt = std::chrono::steady_clock::now();
     Received += Bytes;
     if (Received < MinProgressBytes)
       return;
@@ -55,6 +60,7 @@
 private:
   beast::tcp_stream &Stream;
   core::TimePoint Deadline;
+  core::TimePoint BegunAt;
   /// Bytes since the deadline was last set.
   std::size_t Received = 0;
 };
@@ -168,6 +174,7 @@
   ProgressDeadline Progress(Connection->Stream, Deadline);
   auto Response = co_await core::readWholeResponse(
       Connection->Stream, Connection->Buffer, MaxBodyBytes, &Progress);
+  Outcome.BegunAt = Progress.begunAt();
   if (!Response) {
     Outcome.TimedOut = Response.error() == beast::error::timeout;
     co_return Outcome;
@@ -190,6 +197,7 @@
     co_return StoreExchange{.Sent = false,
                             .TimedOut =
                                 std::chrono::steady_clock::now() >= Deadline,
+                            .BegunAt = {},
                             .Status = 0,
                             .Body = {},
                             .Head = {}};
--- a/tests/platform/slow_store_test.cpp
+++ b/tests/platform/slow_store_test.cpp
@@ -111,3 +111,18 @@
   cr_assert_lt(std::chrono::steady_clock::now() - Begin, 1500ms);
   Setup.Client.reset();
 }
+
+// Guards against an answer that counts as given when its last byte arrives: the
+// other VMs would take the entries for confirmed until then.
+Test(SlowStore, answer_states_when_it_began_to_arrive) {
+  Fixture Setup(
+      [](const auto &) { return overSlowLink(changesBody(LargeValue)); });
+  const auto Begin = std::chrono::steady_clock::now();
+  const auto Changed = Setup.changes();
+  const auto End = std::chrono::steady_clock::now();
+  Setup.Client.reset();
+  cr_assert(Changed.has_value());
+  cr_assert_gt(End - Begin, 900ms);
+  cr_assert_geq(Changed->AnsweredAt, Begin);
+  cr_assert_lt(Changed->AnsweredAt - Begin, 400ms);
+}
--- a/tests/store/directory_feed_fixture.hpp
+++ b/tests/store/directory_feed_fixture.hpp
@@ -158,6 +158,8 @@
   store::FreshnessRecord *Freshness;
   std::vector<std::string> Lost;
   std::vector<core::EntryChanges> Shared;
+  /// When each of them was read, as the others are told.
+  std::vector<core::TimePoint> SharedReadAt;
   store::DirectoryFeed Feed{
       {.Store = Store,
        .Codec = Codec,
@@ -169,9 +171,10 @@
        .Alone = [this] { return Alone; },
        .LostVms = [this] { return Lost; },
        .Broadcast =
-           [this](const core::EntryChanges &Changes, core::TimePoint /*ReadAt*/,
+           [this](const core::EntryChanges &Changes, core::TimePoint ReadAt,
                   std::optional<std::chrono::milliseconds> /*CompleteUntil*/) {
              Shared.push_back(Changes);
+             SharedReadAt.push_back(ReadAt);
            },
        .Freshness = Freshness},
       {.Id = "vm1", .Address = "1.2.3.4:5"},
--- a/tests/store/directory_reports_test.cpp
+++ b/tests/store/directory_reports_test.cpp
@@ -224,3 +224,20 @@
       300, 500, {{.Key = "s/c", .Value = "active", .Changed = 400}}));
   cr_assert_eq(Setup.servers(), 3);
 }
+
+// Guards against VMs that put off their own reads because an answer that was
+// under way for long counts as read when it arrived.
+Test(DirectoryFeed, answer_that_arrived_slowly_was_read_when_it_was_given) {
+  FeedFixture Setup(0);
+  Setup.start();
+  const core::TimePoint Given = Setup.Time.now() - 100ms;
+  Setup.Store.Next.push_back(
+      {.Entries = {{.Key = "s/b", .Value = "active", .Changed = 3}},
+       .AsOf = 3,
+       .AnsweredAt = Given});
+  Setup.run(100ms);
+  cr_assert_eq(Setup.servers(), 2);
+  for (std::size_t At = 0; At < Setup.Shared.size(); ++At)
+    if (!Setup.Shared[At].List.Entries.empty())
+      cr_assert(Setup.SharedReadAt[At] == Given);
+}
