Let a restarted dispatcher learn what workspaces have used

Cause: what was used in the last window was known to a process only. A VM that began to report took all but its even share for used, so with two reporters half of the window was given out again. Nobody told it, although the other reporter knew.

Change: a VM that begins to report, comes back from a partition or stood still for a second asks the other reporters for the use of the window (QuotaReport::WantsHistory, QuotaHistoryMessage) and adds what is missing in its own count. Until one that knows has answered, at most a second, a request that it would refuse is decided by the next dispatcher. If all dispatchers ended together, a VM that was registered before takes the whole window for used. Log event quota.history, metric jujubecart_quota_histories_total.

The fixture of the peers' quota tests waits until the dispatchers have told each other that nothing was used; no check was changed.

--- a/apps/jujubecartd/daemon.cpp
+++ b/apps/jujubecartd/daemon.cpp
@@ -182,6 +182,7 @@
                 Peers.storeRelay().broadcast(Changes, ReadAt, CompleteUntil);
               },
           .Ages = &Metrics.summary("jujubecart_directory_age_ms", ""),
+          .OnRestart = [this] { Peers.dispatch().noteRestart(); },
           .Freshness = freshness()},
       Peers.members().self(), Settings.Directory.Zones,
       store::DirectoryFeedOptions{});
--- a/apps/jujubecartd/daemon_metrics.cpp
+++ b/apps/jujubecartd/daemon_metrics.cpp
@@ -101,6 +101,7 @@
   AddCounter("jujubecart_quota_requests_total", Counters.QuotaRequests);
   AddCounter("jujubecart_quota_refusals_total", Counters.QuotaRefusals);
   AddCounter("jujubecart_quota_returns_total", Counters.QuotaReturns);
+  AddCounter("jujubecart_quota_histories_total", Counters.QuotaHistories);
   Registry.gauge("jujubecart_quota_workspaces", "", [&Peers] {
     return static_cast<double>(Peers.dispatch().quotaWorkspaces());
   });
--- a/packages/decision/include/jujubecart/decision/sliding_use.hpp
+++ b/packages/decision/include/jujubecart/decision/sliding_use.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace jujubecart::decision {
@@ -27,6 +28,18 @@
   /// @brief Takes back an amount of unknown time, the newest use first.
   void removeNewest(double Amount);
 
+  /// @brief Adds what another observer of the same use counted beyond it.
+  /// @param Told Newest first; each amount with the instant of its last use.
+  /// @param Unseen Newest use counted here that the observer cannot know of.
+  /// @return What was added.
+  double raise(const std::vector<std::pair<core::TimePoint, double>> &Told,
+               double Unseen);
+
+  /// @brief What was used, newest first; each amount with the instant of its
+  /// last use, at most Now.
+  [[nodiscard]] std::vector<std::pair<core::TimePoint, double>>
+  history(core::TimePoint Now) const;
+
   /// @brief Forgets what has expired.
   /// @return The amount that was forgotten.
   double expire(core::TimePoint Now);
--- a/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
+++ b/packages/decision/include/jujubecart/decision/workspace_quotas.hpp
@@ -4,6 +4,7 @@
 #include <jujubecart/core/clock.hpp>
 #include <jujubecart/core/workspace.hpp>
 #include <jujubecart/decision/decayed_rate.hpp>
+#include <jujubecart/decision/quota_history.hpp>
 #include <jujubecart/decision/quota_rule.hpp>
 #include <jujubecart/decision/sliding_use.hpp>
 
@@ -62,6 +63,9 @@
   std::optional<std::chrono::milliseconds> ReportAge;
   /// Whether nextReport() is earlier since this request.
   bool AdvancesReport = false;
+  /// Whether the request is refused only because this VM has not heard yet what
+  /// was used before; another reporter should decide.
+  bool AwaitsHistory = false;
 };
 
 /// @brief What request() would decide, and the quota as this VM knows it.
@@ -98,6 +102,10 @@
   /// @brief Replaces the VMs among which quotas are divided.
   void setFleet(QuotaFleet Fleet, core::TimePoint Now);
 
+  /// @brief Notes that an earlier process of this VM was part of the fleet. As
+  /// long as no VM says what was used, all of the last window counts as used.
+  void noteRestart();
+
   /// @brief Whether this VM may decide on requests of other VMs: it knows what
   /// the others admit, or the workspace has no limit.
   [[nodiscard]] bool decidesForOthers(std::uint64_t Workspace) const;
@@ -122,6 +130,17 @@
                     const std::vector<WorkspaceUse> &Items,
                     core::TimePoint Now);
 
+  /// @brief Takes the reporters that are to be asked for their history now.
+  [[nodiscard]] std::vector<std::string>
+  takeHistoryRequests(core::TimePoint Now);
+
+  /// @brief What this VM knows of the last window, for a reporter that asks.
+  [[nodiscard]] QuotaHistory history(core::TimePoint Now);
+
+  /// @brief Adds what another reporter knows of the last window.
+  void recordHistory(std::string_view Sender, const QuotaHistory &Told,
+                     core::TimePoint Now);
+
   /// @brief Takes the report that is due, for all other reporters.
   /// @return Nothing if none is due. An empty report says only that this VM is
   /// in reach.
@@ -165,6 +184,11 @@
   };
 
   [[nodiscard]] bool reports() const;
+  /// @brief Begins to find out what was used before.
+  void join(core::TimePoint Now);
+  /// @brief Whether what was used in the last window is known.
+  [[nodiscard]] bool knowsWindow(core::TimePoint Now) const;
+  [[nodiscard]] bool awaitsHistory(core::TimePoint Now) const;
   [[nodiscard]] double reachablePart(core::TimePoint Now) const;
   [[nodiscard]] Entry &entry(std::uint64_t Workspace, core::TimePoint Now);
   /// @brief Sets the quota in force, and the first refill of a new entry.
@@ -203,6 +227,15 @@
   QuotaFleet Fleet;
   /// When this VM began to receive the reports of most others.
   core::TimePoint JoinedAt;
+  /// Whether a reporter that knew it has said what was used before JoinedAt.
+  bool HistoryKnown = false;
+  /// Whether an earlier process of this VM may have admitted requests.
+  bool Restarted = false;
+  /// Reporters that have not said yet what was used before, and when each was
+  /// asked.
+  std::map<std::string, core::TimePoint, std::less<>> Awaited;
+  /// When takeReport() was last called.
+  core::TimePoint TickedAt;
   /// When each other reporter was last heard or became a reporter.
   std::map<std::string, core::TimePoint, std::less<>> HeardAt;
   std::optional<core::TimePoint> LastHeard;
--- a/packages/decision/src/sliding_use.cpp
+++ b/packages/decision/src/sliding_use.cpp
@@ -56,6 +56,36 @@
   }
 }
 
+// The two observers count the same use at slightly different times. Comparing
+// what each has counted since an instant adds only what is missing here.
+double
+SlidingUse::raise(const std::vector<std::pair<core::TimePoint, double>> &Told,
+                  double Unseen) {
+  double Added = 0;
+  double ToldSince = Unseen;
+  for (const auto &[UsedAt, Amount] : Told) {
+    ToldSince += Amount;
+    const double Missing = ToldSince - (Total - totalBefore(UsedAt));
+    if (Missing <= 0)
+      continue;
+    add(Missing, UsedAt);
+    Added += Missing;
+  }
+  return Added;
+}
+
+std::vector<std::pair<core::TimePoint, double>>
+SlidingUse::history(core::TimePoint Now) const {
+  std::vector<std::pair<core::TimePoint, double>> Out;
+  Out.reserve(Slots.size());
+  for (auto At = Slots.rbegin(); At != Slots.rend(); ++At)
+    Out.emplace_back(
+        std::min(Now, core::TimePoint((At->Number + 1) * SlotLength) -
+                          core::TimePoint::duration(1)),
+        At->Amount);
+  return Out;
+}
+
 double SlidingUse::expire(core::TimePoint Now) {
   double Expired = 0;
   auto End = Slots.begin();
--- a/packages/decision/src/workspace_quotas.cpp
+++ b/packages/decision/src/workspace_quotas.cpp
@@ -19,6 +19,9 @@
 // Reports of a VM arrive at least every 200 ms. Without one for this time the
 // VM is taken for cut off, and its part of the quotas stays unused here.
 constexpr auto UnheardAfter = 300ms;
+// A VM that stood still for this time may lack reports: its peers keep those
+// that they could not send for so long.
+constexpr auto MaxStandstill = 1s;
 // A VM that reached a smaller part of the fleet does not know enough of what
 // was used.
 constexpr double KnownPart = 0.5;
@@ -57,8 +60,8 @@
 WorkspaceQuotas::WorkspaceQuotas(std::string Self, QuotaSource Source,
                                  core::TimePoint Now, QuotaRule Rule)
     : Self(std::move(Self)), Source(std::move(Source)), Rule(Rule),
-      JoinedAt(Now), ReportedAt(Now), ActiveAt(Now - ReportsAfterDemand),
-      ForgottenAt(Now) {}
+      JoinedAt(Now), TickedAt(Now), ReportedAt(Now),
+      ActiveAt(Now - ReportsAfterDemand), ForgottenAt(Now) {}
 
 bool WorkspaceQuotas::reports() const { return Fleet.Reporters.contains(Self); }
 
@@ -68,16 +71,22 @@
   const double PartBefore = livePart(Fleet);
   // A VM that has just become a reporter has the time of one to report.
   for (const std::string &Vm : NewFleet.Reporters)
-    if (Vm != Self && !Fleet.Reporters.contains(Vm))
+    if (Vm != Self && !Fleet.Reporters.contains(Vm)) {
       HeardAt.insert_or_assign(Vm, Now);
+      if (!knowsWindow(Now))
+        Awaited.try_emplace(Vm, core::TimePoint::min());
+    }
   Fleet = std::move(NewFleet);
   std::erase_if(HeardAt, [&](const auto &Item) {
     return !Fleet.Reporters.contains(Item.first);
   });
+  std::erase_if(Awaited, [&](const auto &Item) {
+    return !Fleet.Reporters.contains(Item.first);
+  });
   // What most of the others used before is not known.
   const bool Rejoined = PartBefore < KnownPart && livePart(Fleet) > PartBefore;
   if (reports() && (!Before || Rejoined))
-    JoinedAt = Now;
+    join(Now);
 }
 
 // The parts of the VMs on all sides of a partition add up to at most one, so
@@ -218,7 +227,8 @@
   // A VM that reports divides with the others, which do not know what it
   // decides without a dispatcher.
   Out.Admitted = !(Alone && reports()) && admit(Item, Share, Now);
-  if (!Out.Admitted)
+  Out.AwaitsHistory = !Out.Admitted && !Alone && awaitsHistory(Now);
+  if (!Out.Admitted && !Out.AwaitsHistory)
     Out.RetryAfter = promise(Item, Share, Now);
   return Out;
 }
@@ -311,6 +321,10 @@
   const std::lock_guard Lock(Mutex);
   if (Now - ForgottenAt >= ForgetInterval)
     forgetIdle(Now);
+  // This process stood still, and may not have been sent what was used.
+  if (reports() && Now - TickedAt >= MaxStandstill)
+    join(Now);
+  TickedAt = Now;
   if (Now < dueAt())
     return std::nullopt;
   std::vector<WorkspaceUse> Items;
--- a/packages/decision/src/workspace_quotas_room.cpp
+++ b/packages/decision/src/workspace_quotas_room.cpp
@@ -72,20 +72,21 @@
   return Part * std::min(room(Item, Now), Item.AtOnce);
 }
 
-// Use before this VM joined the others that it does not know: all that was not
-// this VM's even share. It expires at the rate of the quota, since the burst
-// may have been used last; not at all for a window if there is demand for more
-// than the quota.
+// Use before this VM joined the others that no VM has told it: all that was not
+// this VM's even share, or all if an earlier process of it may have used that.
+// It expires at the rate of the quota, since the burst may have been used last;
+// not at all for a window if there is demand for more than the quota.
 double WorkspaceQuotas::unknownUse(const Entry &Item,
                                    core::TimePoint Now) const {
-  if (!reports() || Now - JoinedAt >= Rule.Window)
+  if (!reports() || knowsWindow(Now))
     return 0;
   const double PerWindow = perWindow(Item.Quota) + ExtraRequests;
   const double Expired =
       exceeded(Item, Now) ? 0
                           : perS(Item.Quota) * Seconds(Now - JoinedAt).count();
-  const auto Count = static_cast<double>(Fleet.Reporters.size());
-  return std::max(0.0, PerWindow * (1 - 1 / Count) - Expired -
+  const double OwnPart =
+      Restarted ? 0 : 1 / static_cast<double>(Fleet.Reporters.size());
+  return std::max(0.0, PerWindow * (1 - OwnPart) - Expired -
                            Item.Use.totalBefore(JoinedAt));
 }
 
--- a/packages/peers/include/jujubecart/peers/dispatch_service.hpp
+++ b/packages/peers/include/jujubecart/peers/dispatch_service.hpp
@@ -137,6 +137,10 @@
   /// slot.
   void giveBackAlone(const QuotaUse &Use);
 
+  /// @brief Notes that an earlier process of this VM was part of the fleet, so
+  /// that it may have admitted requests.
+  void noteRestart() { Quotas.noteRestart(); }
+
   /// @brief Workspaces whose quotas this VM keeps.
   [[nodiscard]] std::size_t quotaWorkspaces() const { return Quotas.size(); }
 
@@ -218,9 +222,11 @@
   /// Called once for a call, when it is removed.
   void giveBackQuota(const Call &Item);
   void onQuotaReport(const LinkPtr &Source, const QuotaReport &Item);
+  void onQuotaHistory(const LinkPtr &Source, const QuotaHistoryMessage &Item);
   void updateQuotaFleet(std::set<std::string, std::less<>> Reporters,
                         const std::vector<core::Member> &Members);
   void sendQuotaReport(core::TimePoint Now);
+  void askForQuotaHistory(core::TimePoint Now);
 
   core::Awaitable<void> runLoop();
   /// @return When the next tick is due.
--- a/packages/peers/include/jujubecart/peers/message.hpp
+++ b/packages/peers/include/jujubecart/peers/message.hpp
@@ -230,6 +230,14 @@
 /// other VMs that dispatch groups.
 struct QuotaReport {
   std::vector<decision::WorkspaceUse> Items;
+  /// Whether the receiver is asked for a QuotaHistoryMessage.
+  bool WantsHistory = false;
+};
+
+/// @brief What the sender knows of the requests of the last window; answers a
+/// QuotaReport that asks for it.
+struct QuotaHistoryMessage {
+  decision::QuotaHistory History;
 };
 
 /// @brief Any message. The first alternative stands for a type that this
@@ -237,7 +245,8 @@
 using Message =
     std::variant<std::monostate, Hello, Acquire, Queued, Grant, Refuse, Release,
                  Cancel, GossipMessage, ConfigRequest, ConfigDelta, Bye,
-                 InFlight, ClaimRelease, StoreChanges, QuotaReport>;
+                 InFlight, ClaimRelease, StoreChanges, QuotaReport,
+                 QuotaHistoryMessage>;
 
 /// @brief Number of message types, the unknown type included.
 inline constexpr std::size_t MessageTypeCount = std::variant_size_v<Message>;
--- a/packages/peers/include/jujubecart/peers/peer_counters.hpp
+++ b/packages/peers/include/jujubecart/peers/peer_counters.hpp
@@ -48,6 +48,8 @@
   std::atomic<std::uint64_t> QuotaRefusals{0};
   /// Admitted requests that got no slot and did not use the quota.
   std::atomic<std::uint64_t> QuotaReturns{0};
+  /// Answers of other VMs about what workspaces used in the last window.
+  std::atomic<std::uint64_t> QuotaHistories{0};
 
   /// @brief Whether the number of messages of a type grows with the calls.
   [[nodiscard]] static bool isPerCall(std::size_t Type) noexcept;
--- a/packages/peers/src/dispatch_frames.cpp
+++ b/packages/peers/src/dispatch_frames.cpp
@@ -42,6 +42,8 @@
                  ClaimMessage->Request);
   else if (const auto *ReportMessage = std::get_if<QuotaReport>(&Item.Body))
     onQuotaReport(Source, *ReportMessage);
+  else if (const auto *Told = std::get_if<QuotaHistoryMessage>(&Item.Body))
+    onQuotaHistory(Source, *Told);
 }
 
 void DispatchService::onAcquire(const LinkPtr &Source, const Acquire &Item) {
--- a/packages/peers/src/dispatch_loop.cpp
+++ b/packages/peers/src/dispatch_loop.cpp
@@ -52,6 +52,7 @@
     const core::TimePoint Now = Env.Time.now();
     const core::TimePoint Due = tickGroups(Now);
     sendQuotaReport(Now);
+    askForQuotaHistory(Now);
     const core::TimePoint MaxDue =
         std::min(Now + internal::MaxIdleSleep, Quotas.nextReport());
     if (sendHeartbeats(Now)) {
--- a/packages/peers/src/dispatch_quotas.cpp
+++ b/packages/peers/src/dispatch_quotas.cpp
@@ -3,6 +3,8 @@
 
 #include <jujubecart/core/log.hpp>
 
+#include <algorithm>
+
 namespace jujubecart::peers {
 
 // Another VM may learn of this VM's rank before this VM does.
@@ -33,7 +35,7 @@
   // The loop may sleep beyond the time at which the report is due now.
   if (Out.AdvancesReport)
     wake();
-  if (Out.Admitted)
+  if (Out.Admitted || Out.AwaitsHistory)
     return Out;
   ++Env.Links.counters().QuotaRefusals;
   const core::ConfigSource::Snapshot Current = Env.Config.current();
@@ -73,6 +75,35 @@
 void DispatchService::onQuotaReport(const LinkPtr &Source,
                                     const QuotaReport &Item) {
   Quotas.recordReport(Source->peer().Sender, Item.Items, Env.Time.now());
+  if (Item.WantsHistory)
+    Source->send(
+        QuotaHistoryMessage{.History = Quotas.history(Env.Time.now())});
+}
+
+void DispatchService::onQuotaHistory(const LinkPtr &Source,
+                                     const QuotaHistoryMessage &Item) {
+  Quotas.recordHistory(Source->peer().Sender, Item.History, Env.Time.now());
+  ++Env.Links.counters().QuotaHistories;
+  core::LogLine(core::LogLevel::Info, "quota.history")
+      .field("peer", Source->peer().Sender)
+      .field("complete", Item.History.Complete ? 1 : 0)
+      .field("uses", Item.History.Uses.size());
+}
+
+// A VM that has just become a reporter asks the others what was used before.
+void DispatchService::askForQuotaHistory(core::TimePoint Now) {
+  const std::vector<std::string> Asked = Quotas.takeHistoryRequests(Now);
+  if (Asked.empty())
+    return;
+  const std::vector<core::Member> Members = Env.Members.members();
+  for (const core::Member &Vm : Members) {
+    if (std::find(Asked.begin(), Asked.end(), Vm.Id) == Asked.end())
+      continue;
+    if (const LinkPtr Open = Env.Links.find(Vm.Id))
+      Open->send(QuotaReport{.Items = {}, .WantsHistory = true});
+    else
+      Env.Links.connectInBackground(Vm.Id, Vm.Address);
+  }
 }
 
 void DispatchService::updateQuotaFleet(
--- a/packages/peers/src/dispatch_service.cpp
+++ b/packages/peers/src/dispatch_service.cpp
@@ -132,12 +132,13 @@
   const bool Counts = Item.Workspace != 0 && Facts.CountsAgainstQuota;
   // A VM that no report reaches has less than a token. The requester then asks
   // another dispatcher, and last its own.
-  const bool Ready =
-      !Counts || !Item.Requester || countsForOthers(Item.Workspace);
+  bool Ready = !Counts || !Item.Requester || countsForOthers(Item.Workspace);
   if (Counts && Ready) {
     Item.CountedAt = Env.Time.now();
     Quota = countRequest(Item.Workspace, Request, Item.CountedAt, false);
     Item.UsesQuota = Quota.Admitted;
+    // Another dispatcher knows whether the request is within the quota.
+    Ready = !Quota.AwaitsHistory;
   }
   if (Item.Requester)
     ++Item.Requester->WaitingCalls;
--- a/packages/peers/src/frame_decoder.cpp
+++ b/packages/peers/src/frame_decoder.cpp
@@ -215,6 +215,18 @@
       Item.Items.push_back({.Workspace = Use->workspace(),
                             .Demanded = Use->demanded(),
                             .Admitted = Use->admitted()});
+  Item.WantsHistory = Source.wants_history();
+  return Item;
+}
+
+DecodedBody decode(const wire::QuotaHistory &Source) {
+  QuotaHistoryMessage Item;
+  Item.History.Complete = Source.complete();
+  if (Source.uses() != nullptr)
+    for (const wire::PastUse *Use : *Source.uses())
+      Item.History.Uses.push_back({.Workspace = Use->workspace(),
+                                   .AgeMs = Use->age_ms(),
+                                   .MilliRequests = Use->milli_requests()});
   return Item;
 }
 
@@ -258,6 +270,8 @@
     return decodeTable(Source.body_as_StoreChanges());
   case wire::Body::QuotaReport:
     return decodeTable(Source.body_as_QuotaReport());
+  case wire::Body::QuotaHistory:
+    return decodeTable(Source.body_as_QuotaHistory());
   case wire::Body::NONE:
     break;
   }
--- a/packages/peers/src/frame_encoder.cpp
+++ b/packages/peers/src/frame_encoder.cpp
@@ -174,8 +174,17 @@
   Items.reserve(Item.Items.size());
   for (const decision::WorkspaceUse &Use : Item.Items)
     Items.emplace_back(Use.Workspace, Use.Demanded, Use.Admitted);
-  return makeBody<wire::Body::QuotaReport>(
-      wire::CreateQuotaReportDirect(Out, Items.empty() ? nullptr : &Items));
+  return makeBody<wire::Body::QuotaReport>(wire::CreateQuotaReportDirect(
+      Out, Items.empty() ? nullptr : &Items, Item.WantsHistory));
+}
+
+BodyOffset encode(Builder &Out, const QuotaHistoryMessage &Item) {
+  std::vector<wire::PastUse> Uses;
+  Uses.reserve(Item.History.Uses.size());
+  for (const decision::PastUse &Use : Item.History.Uses)
+    Uses.emplace_back(Use.Workspace, Use.AgeMs, Use.MilliRequests);
+  return makeBody<wire::Body::QuotaHistory>(wire::CreateQuotaHistoryDirect(
+      Out, Item.History.Complete, Uses.empty() ? nullptr : &Uses));
 }
 
 } // namespace
--- a/packages/peers/src/message.cpp
+++ b/packages/peers/src/message.cpp
@@ -6,10 +6,11 @@
 
 std::string_view messageName(std::size_t Type) noexcept {
   static constexpr std::array<std::string_view, MessageTypeCount> Names{
-      "unknown",   "hello",          "acquire",       "queued",
-      "grant",     "refuse",         "release",       "cancel",
-      "gossip",    "config_request", "config_delta",  "bye",
-      "in_flight", "claim_release",  "store_changes", "quota_report"};
+      "unknown",      "hello",          "acquire",       "queued",
+      "grant",        "refuse",         "release",       "cancel",
+      "gossip",       "config_request", "config_delta",  "bye",
+      "in_flight",    "claim_release",  "store_changes", "quota_report",
+      "quota_history"};
   return Type < Names.size() ? Names[Type] : Names[0];
 }
 
--- a/packages/peers/src/peer_generated.h
+++ b/packages/peers/src/peer_generated.h
@@ -82,6 +82,11 @@
 struct QuotaReport;
 struct QuotaReportBuilder;
 
+struct PastUse;
+
+struct QuotaHistory;
+struct QuotaHistoryBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -102,11 +107,12 @@
   ClaimRelease = 13,
   StoreChanges = 14,
   QuotaReport = 15,
+  QuotaHistory = 16,
   MIN = NONE,
-  MAX = QuotaReport
+  MAX = QuotaHistory
 };
 
-inline const Body (&EnumValuesBody())[16] {
+inline const Body (&EnumValuesBody())[17] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -123,13 +129,14 @@
     Body::InFlight,
     Body::ClaimRelease,
     Body::StoreChanges,
-    Body::QuotaReport
+    Body::QuotaReport,
+    Body::QuotaHistory
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[17] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "Acquire",
@@ -146,13 +153,14 @@
     "ClaimRelease",
     "StoreChanges",
     "QuotaReport",
+    "QuotaHistory",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuotaReport)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::QuotaHistory)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -221,6 +229,10 @@
   static const Body enum_value = Body::QuotaReport;
 };
 
+template<> struct BodyTraits<jujubecart::peers::wire::QuotaHistory> {
+  static const Body enum_value = Body::QuotaHistory;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -333,6 +345,35 @@
 };
 FLATBUFFERS_STRUCT_END(WorkspaceUse, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PastUse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t workspace_;
+  uint32_t age_ms_;
+  uint32_t milli_requests_;
+
+ public:
+  PastUse()
+      : workspace_(0),
+        age_ms_(0),
+        milli_requests_(0) {
+  }
+  PastUse(uint64_t _workspace, uint32_t _age_ms, uint32_t _milli_requests)
+      : workspace_(flatbuffers::EndianScalar(_workspace)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        milli_requests_(flatbuffers::EndianScalar(_milli_requests)) {
+  }
+  uint64_t workspace() const {
+    return flatbuffers::EndianScalar(workspace_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint32_t milli_requests() const {
+    return flatbuffers::EndianScalar(milli_requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PastUse, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2120,15 +2161,20 @@
 struct QuotaReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef QuotaReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ITEMS = 4
+    VT_ITEMS = 4,
+    VT_WANTS_HISTORY = 6
   };
   const flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *> *items() const {
     return GetPointer<const flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *> *>(VT_ITEMS);
   }
+  bool wants_history() const {
+    return GetField<uint8_t>(VT_WANTS_HISTORY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_HISTORY, 1) &&
            verifier.EndTable();
   }
 };
@@ -2140,6 +2186,9 @@
   void add_items(flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *>> items) {
     fbb_.AddOffset(QuotaReport::VT_ITEMS, items);
   }
+  void add_wants_history(bool wants_history) {
+    fbb_.AddElement<uint8_t>(QuotaReport::VT_WANTS_HISTORY, static_cast<uint8_t>(wants_history), 0);
+  }
   explicit QuotaReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2153,19 +2202,86 @@
 
 inline flatbuffers::Offset<QuotaReport> CreateQuotaReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *>> items = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::WorkspaceUse *>> items = 0,
+    bool wants_history = false) {
   QuotaReportBuilder builder_(_fbb);
   builder_.add_items(items);
+  builder_.add_wants_history(wants_history);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<QuotaReport> CreateQuotaReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<jujubecart::peers::wire::WorkspaceUse> *items = nullptr) {
+    const std::vector<jujubecart::peers::wire::WorkspaceUse> *items = nullptr,
+    bool wants_history = false) {
   auto items__ = items ? _fbb.CreateVectorOfStructs<jujubecart::peers::wire::WorkspaceUse>(*items) : 0;
   return jujubecart::peers::wire::CreateQuotaReport(
       _fbb,
-      items__);
+      items__,
+      wants_history);
+}
+
+struct QuotaHistory FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaHistoryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COMPLETE = 4,
+    VT_USES = 6
+  };
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
+  const flatbuffers::Vector<const jujubecart::peers::wire::PastUse *> *uses() const {
+    return GetPointer<const flatbuffers::Vector<const jujubecart::peers::wire::PastUse *> *>(VT_USES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyOffset(verifier, VT_USES) &&
+           verifier.VerifyVector(uses()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaHistoryBuilder {
+  typedef QuotaHistory Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(QuotaHistory::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
+  void add_uses(flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::PastUse *>> uses) {
+    fbb_.AddOffset(QuotaHistory::VT_USES, uses);
+  }
+  explicit QuotaHistoryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaHistory> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaHistory>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaHistory> CreateQuotaHistory(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool complete = false,
+    flatbuffers::Offset<flatbuffers::Vector<const jujubecart::peers::wire::PastUse *>> uses = 0) {
+  QuotaHistoryBuilder builder_(_fbb);
+  builder_.add_uses(uses);
+  builder_.add_complete(complete);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaHistory> CreateQuotaHistoryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool complete = false,
+    const std::vector<jujubecart::peers::wire::PastUse> *uses = nullptr) {
+  auto uses__ = uses ? _fbb.CreateVectorOfStructs<jujubecart::peers::wire::PastUse>(*uses) : 0;
+  return jujubecart::peers::wire::CreateQuotaHistory(
+      _fbb,
+      complete,
+      uses__);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2238,6 +2354,9 @@
   const jujubecart::peers::wire::QuotaReport *body_as_QuotaReport() const {
     return body_type() == jujubecart::peers::wire::Body::QuotaReport ? static_cast<const jujubecart::peers::wire::QuotaReport *>(body()) : nullptr;
   }
+  const jujubecart::peers::wire::QuotaHistory *body_as_QuotaHistory() const {
+    return body_type() == jujubecart::peers::wire::Body::QuotaHistory ? static_cast<const jujubecart::peers::wire::QuotaHistory *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -2310,6 +2429,10 @@
   return body_as_QuotaReport();
 }
 
+template<> inline const jujubecart::peers::wire::QuotaHistory *Envelope::body_as<jujubecart::peers::wire::QuotaHistory>() const {
+  return body_as_QuotaHistory();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2421,6 +2544,10 @@
       auto ptr = reinterpret_cast<const jujubecart::peers::wire::QuotaReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::QuotaHistory: {
+      auto ptr = reinterpret_cast<const jujubecart::peers::wire::QuotaHistory *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/packages/peers/src/remote_broker.cpp
+++ b/packages/peers/src/remote_broker.cpp
@@ -122,6 +122,13 @@
   if (!Ranked->empty() && Ranked->front() != Self)
     excludeColdServers(Request);
   AcquireResult Result = co_await askLocalDispatcher(Entry, Request);
+  // This VM ranks first and has not heard yet what the workspace has used; its
+  // successor knows.
+  const auto Next = std::find(Ranked->begin(), Ranked->end(), Self);
+  if (Result.Outcome == Kind::Refused &&
+      Result.Reason == core::Error::NotReady && Next == Ranked->begin() &&
+      Ranked->size() > 1)
+    Result = co_await askDispatcher(Entry, *std::next(Next), Request);
   if (Result.Outcome == Kind::Granted)
     co_return std::move(Result.Grant);
   co_return toError(Request, Result);
--- a/packages/store/include/jujubecart/store/directory_feed.hpp
+++ b/packages/store/include/jujubecart/store/directory_feed.hpp
@@ -141,6 +141,9 @@
     /// Gets the age in milliseconds of each change when it is applied; may be
     /// null.
     core::Summary *Ages = nullptr;
+    /// Called once if the first list shows that an earlier process of this VM
+    /// was registered; may be null.
+    std::function<void()> OnRestart = nullptr;
     /// Gets the instant up to which the published entries are complete; null if
     /// nobody needs it, in which case the other VMs are not told it either.
     FreshnessRecord *Freshness = nullptr;
--- a/packages/store/src/directory_feed.cpp
+++ b/packages/store/src/directory_feed.cpp
@@ -155,7 +155,9 @@
     co_return false;
   }
   bool Complete = Entries.replace(*All, Env.Time.now());
-  Listed = true;
+  if (!std::exchange(Listed, true) && Entries.isRegistered(Self) &&
+      Env.OnRestart)
+    Env.OnRestart();
   if (LoadFrom != Source::LatestList) {
     Complete = co_await catchUp();
     if (!Complete)
--- a/tests/decision/quota_fleet.hpp
+++ b/tests/decision/quota_fleet.hpp
@@ -11,9 +11,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace quota_fleet {
@@ -141,6 +143,7 @@
   void restart(std::size_t Vm) {
     Dead[Vm] = false;
     Quotas[Vm] = make(Vm);
+    Quotas[Vm]->noteRestart();
     Vms[Vm] = {};
     Members[Vm].clear();
     updateViews();
@@ -159,10 +162,12 @@
 
 private:
   struct Message {
-    core::TimePoint At;
+    core::TimePoint At = {};
     std::size_t From;
     std::size_t To;
     std::vector<decision::WorkspaceUse> Items;
+    bool WantsHistory = false;
+    std::optional<decision::QuotaHistory> Told = {};
   };
 
   std::unique_ptr<decision::WorkspaceQuotas> make(std::size_t Vm) {
@@ -235,10 +240,11 @@
 
   // The first reachable VM in rank of the first three decides, else the VM
   // itself.
-  [[nodiscard]] std::size_t dispatcher(std::size_t Vm, std::size_t Group) {
+  [[nodiscard]] std::size_t dispatcher(std::size_t Vm, std::size_t Group,
+                                       std::size_t Skipped) {
     int Tried = 0;
     for (const std::size_t Other : Rankings[Group]) {
-      if (!seesLive(Vm, Other))
+      if (!seesLive(Vm, Other) || Other == Skipped)
         continue;
       if (Other == Vm || connected(Vm, Other))
         return Other;
@@ -260,14 +266,21 @@
   }
 
   void ask(Load &Item) {
+    if (std::find(Dead.begin(), Dead.end(), false) == Dead.end())
+      return;
     std::size_t Vm = Random() % Quotas.size();
     while (Dead[Vm])
       Vm = Random() % Quotas.size();
     const std::size_t Group = Item.FirstGroup + Random() % Item.Groups;
-    const std::size_t Decider = dispatcher(Vm, Group);
+    std::size_t Decider = dispatcher(Vm, Group, SIZE_MAX);
     const bool Alone =
         LocalFallback && Decider == Vm && Rankings[Group].front() != Vm;
-    const auto Decision = Quotas[Decider]->request(Item.Id, Now, Alone);
+    auto Decision = Quotas[Decider]->request(Item.Id, Now, Alone);
+    // One that is about to hear what was used leaves it to the next.
+    if (Decision.AwaitsHistory) {
+      Decider = dispatcher(Vm, Group, Decider);
+      Decision = Quotas[Decider]->request(Item.Id, Now, Alone);
+    }
     ++Item.Asked;
     while (!Item.RecentOwed.empty() && Item.RecentOwed.front() <= Now - Window)
       Item.RecentOwed.pop_front();
@@ -300,6 +313,8 @@
   void report(std::size_t Vm) {
     if (Dead[Vm])
       return;
+    for (const std::string &Name : Quotas[Vm]->takeHistoryRequests(Now))
+      post({.From = Vm, .To = std::stoul(Name), .WantsHistory = true});
     const auto Items = Quotas[Vm]->takeReport(Now);
     if (!Items)
       return;
@@ -318,16 +333,30 @@
     }
   }
 
+  // Questions for the history and their answers take the longest time, so that
+  // they do not change the times of the reports.
+  void post(Message Item) {
+    Item.At = Now + 1ms + MaxDelay;
+    Pending.push_back(std::move(Item));
+  }
+
   void deliver() {
-    std::vector<Message> Late;
-    for (Message &Item : Pending) {
-      if (Item.At > Now)
-        Late.push_back(std::move(Item));
-      else if (connected(Item.From, Item.To))
-        Quotas[Item.To]->recordReport(std::to_string(Item.From), Item.Items,
-                                      Now);
-    }
-    Pending = std::move(Late);
+    std::vector<Message> Due;
+    for (Message &Item : std::exchange(Pending, {}))
+      (Item.At > Now ? Pending : Due).push_back(std::move(Item));
+    for (const Message &Item : Due)
+      if (connected(Item.From, Item.To))
+        receive(Item);
+  }
+
+  void receive(const Message &Item) {
+    decision::WorkspaceQuotas &Receiver = *Quotas[Item.To];
+    const std::string Sender = std::to_string(Item.From);
+    if (Item.Told)
+      return Receiver.recordHistory(Sender, *Item.Told, Now);
+    Receiver.recordReport(Sender, Item.Items, Now);
+    if (Item.WantsHistory)
+      post({.From = Item.To, .To = Item.From, .Told = Receiver.history(Now)});
   }
 
 public:
--- a/tests/decision/sliding_use_test.cpp
+++ b/tests/decision/sliding_use_test.cpp
@@ -59,3 +59,20 @@
   cr_assert_eq(Use.expiresAt(2.5), Start + 7100ms);
   cr_assert_eq(Use.expiresAt(9), Start + 7100ms);
 }
+
+// Guards against use that is counted twice because another observer counted it
+// a moment earlier, and against use of which only the other one knows.
+Test(SlidingUse, use_told_by_another_observer_is_counted_once) {
+  decision::SlidingUse Own(5s);
+  decision::SlidingUse Other(5s);
+  Own.add(10, Start + 200ms);
+  Other.add(10, Start);
+  cr_assert_eq(Own.raise(Other.history(Start + 1s), 0), 0);
+  Other.add(5, Start + 500ms);
+  cr_assert_eq(Own.raise(Other.history(Start + 1s), 0), 5);
+  cr_assert_eq(Own.total(), 15);
+  // The other observer cannot have seen the newest two.
+  Own.add(2, Start + 900ms);
+  Other.add(4, Start + 800ms);
+  cr_assert_eq(Own.raise(Other.history(Start + 1s), 2), 4);
+}
--- a/tests/peers/frame_codec_test.cpp
+++ b/tests/peers/frame_codec_test.cpp
@@ -137,9 +137,18 @@
   Frame Item;
   const QuotaReport Report{
       .Items = {{.Workspace = 0x1122334455667789, .Demanded = 7, .Admitted = 3},
-                {.Workspace = 1, .Demanded = 0, .Admitted = -2}}};
+                {.Workspace = 1, .Demanded = 0, .Admitted = -2}},
+      .WantsHistory = true};
   cr_assert(decode(Codec, encoded(1, Report), Item) == DecodeStatus::Ready);
   cr_assert(std::get<QuotaReport>(Item.Body).Items == Report.Items);
+  cr_assert(std::get<QuotaReport>(Item.Body).WantsHistory);
+  const QuotaHistoryMessage Told{
+      .History = {.Complete = true,
+                  .Uses = {{.Workspace = 0x1122334455667789,
+                            .AgeMs = 4900,
+                            .MilliRequests = 1500}}}};
+  cr_assert(decode(Codec, encoded(2, Told), Item) == DecodeStatus::Ready);
+  cr_assert(std::get<QuotaHistoryMessage>(Item.Body).History == Told.History);
 }
 
 // Guards against a dispatcher whose link is closed because it refuses a request
--- a/tests/peers/quota_test.cpp
+++ b/tests/peers/quota_test.cpp
@@ -36,6 +36,14 @@
     cr_assert(!WaitForRank || eventually([&] {
       return !dispatcher().Node.dispatch().status().empty();
     }));
+    // A dispatcher that has not heard yet what was used before leaves refusals
+    // to the next one.
+    cr_assert(!WaitForRank || eventually([&] {
+      for (std::size_t At = 0; At < 2; ++At)
+        if (Ranked[At]->Node.links().counters().QuotaHistories == 0)
+          return false;
+      return true;
+    }));
   }
 
   /// @return Whether no VM had the revision of the snapshot already.
