Apply changed limits of callers to open connections

Cause: the reader of a connection kept a copy of the limits of the moment at which the connection was accepted. Lowered limits did not hold on open connections either, and a raised idle or head timeout did not hold for a wait that had begun.

Change: HttpReader asks a source for the limits at the beginning of each message and once more before it refuses one, so that a request passes if the limits at its beginning or those at the refusal allow it. Chunks are checked when their size is known, as before. When the timer of a waiting connection or of a half-read head fires, the timeout in force is looked up again.

--- a/packages/callers/src/call.cpp
+++ b/packages/callers/src/call.cpp
@@ -21,10 +21,12 @@
 
 core::Awaitable<bool> Call::run() {
   const core::Clock &Time = State.Dependencies.Time;
-  Link.setTimeoutAt(Time.now() + State.headTimeout());
+  HeadBegan = Time.now();
+  Link.setTimeoutAt(HeadBegan + State.headTimeout());
   Link.setInFlight(
       CallerLink::InFlightRequest{.Id = Request.Id, .Service = {}});
   const core::HeadError Error = co_await Link.reader().readHead(Link.socket());
+  ReadsHead = false;
   if (Error != core::HeadError::None)
     co_return co_await rejectHead(Error);
   ++State.Counters.Received;
@@ -283,6 +285,10 @@
 void Call::onTimeout() {
   switch (CurrentPhase) {
   case Phase::Reading:
+    // A configuration may have raised the timeout of heads meanwhile.
+    if (const core::TimePoint Until = HeadBegan + State.headTimeout();
+        ReadsHead && State.Dependencies.Time.now() < Until)
+      return Link.setTimeoutAt(Until);
     CancelledBy = CancelReason::TimedOut;
     Link.cancelRead();
     return;
--- a/packages/callers/src/call.hpp
+++ b/packages/callers/src/call.hpp
@@ -162,6 +162,9 @@
   ParsedRequest Request;
   RequestBody Body;
   Phase CurrentPhase = Phase::Reading;
+  /// When the head began to be read, and whether it still is.
+  core::TimePoint HeadBegan;
+  bool ReadsHead = true;
   CancelReason CancelledBy = CancelReason::None;
   /// Configuration in force when the request arrived; owns Service, Route and
   /// Workspace.
--- a/packages/callers/src/caller_link.cpp
+++ b/packages/callers/src/caller_link.cpp
@@ -33,9 +33,8 @@
 } // namespace
 
 CallerLink::CallerLink(std::shared_ptr<ServerState> State, tcp::socket Caller)
-    : State(std::move(State)), Socket(std::move(Caller)),
-      Reader(this->State->httpLimits()), Timer(Socket.get_executor()),
-      CloseCheck(Socket.get_executor()),
+    : State(std::move(State)), Socket(std::move(Caller)), Reader(*this->State),
+      Timer(Socket.get_executor()), CloseCheck(Socket.get_executor()),
       CallerAddressHash(hashCallerAddress(Socket)) {
   ++this->State->Counters.OpenConnections;
 }
@@ -64,7 +63,8 @@
 core::Awaitable<bool> CallerLink::serveOne() {
   Idle = true;
   TimedOut = false;
-  setTimeoutAt(State->Dependencies.Time.now() + State->idleTimeout());
+  IdleSince = State->Dependencies.Time.now();
+  setTimeoutAt(IdleSince + State->idleTimeout());
   const bool HasData = co_await Reader.waitForData(Socket);
   Idle = false;
   if (!HasData)
@@ -153,6 +153,10 @@
     Listener->onTimeout();
     return;
   }
+  // A configuration may have raised the idle timeout meanwhile.
+  if (const core::TimePoint Until = IdleSince + State->idleTimeout();
+      Idle && State->Dependencies.Time.now() < Until)
+    return setTimeoutAt(Until);
   TimedOut = true;
   cancelRead();
 }
--- a/packages/callers/src/caller_link.hpp
+++ b/packages/callers/src/caller_link.hpp
@@ -137,6 +137,8 @@
   bool TimedOut = false;
   /// Whether the connection waits for its next request.
   bool Idle = false;
+  /// Since when it has waited.
+  core::TimePoint IdleSince;
   /// Whether cutOff() was called.
   bool CutOff = false;
   /// Guards InFlight.
--- a/packages/callers/src/server_state.hpp
+++ b/packages/callers/src/server_state.hpp
@@ -51,7 +51,7 @@
 };
 
 /// @brief State shared by the connections of a server.
-struct ServerState {
+struct ServerState final : core::HttpLimitSource {
   ServerState(boost::asio::any_io_executor Executor, ServerOptions Options,
               ServerDependencies Dependencies)
       : Executor(std::move(Executor)), Options(Options),
@@ -84,7 +84,7 @@
             .IdleTimeoutMs =
                 static_cast<std::uint32_t>(Options.IdleTimeout.count())};
   }
-  [[nodiscard]] core::HttpLimits httpLimits() const {
+  [[nodiscard]] core::HttpLimits httpLimits() const override {
     const core::CallerLimits Current = limits();
     return {.MaxHeadBytes = Current.HeaderBytes,
             .MaxBodyBytes = Current.BodyBytes};
--- a/packages/core/include/jujubecart/core/http_reader.hpp
+++ b/packages/core/include/jujubecart/core/http_reader.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <span>
@@ -24,6 +25,14 @@
   std::uint64_t MaxBodyBytes = std::numeric_limits<std::uint64_t>::max();
 };
 
+/// @brief Gives the limits in force at the moment.
+class HttpLimitSource {
+public:
+  virtual ~HttpLimitSource() = default;
+
+  [[nodiscard]] virtual HttpLimits httpLimits() const = 0;
+};
+
 /// @brief Result of reading a message head.
 enum class HeadError : std::uint8_t {
   None,
@@ -46,6 +55,13 @@
 
   explicit HttpReader(HttpLimits Limits);
 
+  /// @brief Creates a reader whose limits may change. A message is within the
+  /// limits if those at its beginning or later ones allow it.
+  /// @param Source Must outlive the reader.
+  explicit HttpReader(const HttpLimitSource &Source);
+  HttpReader(const HttpReader &) = delete;
+  HttpReader &operator=(const HttpReader &) = delete;
+
   /// @brief Waits until at least one byte of the next message is buffered.
   /// @return False if the connection ended or failed.
   [[nodiscard]] Awaitable<bool> waitForData(boost::asio::ip::tcp::socket &From);
@@ -103,12 +119,26 @@
   /// @brief Validates and parses the first Size bytes of the buffer.
   [[nodiscard]] HeadError parseHead(std::size_t Size, bool NoBody);
   [[nodiscard]] bool finishAtEndOfStream(boost::asio::ip::tcp::socket &From);
+  void setLimits(HttpLimits Current);
+  /// @brief Raises the limits of the current message to those in force now.
+  void raiseLimits();
+  [[nodiscard]] bool exceedsHead(std::size_t Bytes);
+  [[nodiscard]] bool exceedsBody(std::uint64_t Bytes);
+  void watchChunks();
 
   HttpLimits Limits;
+  /// Null if the limits never change.
+  const HttpLimitSource *Source = nullptr;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Current;
   std::string_view MalformedReason;
   bool LimitExceeded = false;
+  /// Sizes of the chunks of the current body that have begun, in bytes.
+  std::uint64_t ChunkBytes = 0;
+  /// Checks a chunk when its size is known.
+  std::function<void(std::uint64_t, std::string_view,
+                     boost::system::error_code &)>
+      OnChunk;
   /// Whether the last read returned an end of stream, orderly or not.
   bool EndOfStream = false;
 };
--- a/packages/core/src/http_reader.cpp
+++ b/packages/core/src/http_reader.cpp
@@ -26,6 +26,43 @@
 HttpReader<IsRequest>::HttpReader(HttpLimits Limits)
     : Limits(Limits), Buffer(Limits.MaxHeadBytes + internal::ReadSize) {}
 
+template <bool IsRequest>
+HttpReader<IsRequest>::HttpReader(const HttpLimitSource &Source)
+    : HttpReader(Source.httpLimits()) {
+  this->Source = &Source;
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::setLimits(HttpLimits Current) {
+  Limits = Current;
+  // Bytes of the next messages may already be there.
+  Buffer.max_size(
+      std::max(Limits.MaxHeadBytes + internal::ReadSize, Buffer.size()));
+}
+
+template <bool IsRequest> void HttpReader<IsRequest>::raiseLimits() {
+  if (Source == nullptr)
+    return;
+  const HttpLimits Current = Source->httpLimits();
+  setLimits(
+      {.MaxHeadBytes = std::max(Limits.MaxHeadBytes, Current.MaxHeadBytes),
+       .MaxBodyBytes = std::max(Limits.MaxBodyBytes, Current.MaxBodyBytes)});
+}
+
+template <bool IsRequest>
+bool HttpReader<IsRequest>::exceedsHead(std::size_t Bytes) {
+  if (Bytes > Limits.MaxHeadBytes)
+    raiseLimits();
+  return Bytes > Limits.MaxHeadBytes;
+}
+
+template <bool IsRequest>
+bool HttpReader<IsRequest>::exceedsBody(std::uint64_t Bytes) {
+  if (Bytes > Limits.MaxBodyBytes)
+    raiseLimits();
+  return Bytes > Limits.MaxBodyBytes;
+}
+
 template <bool IsRequest>
 Awaitable<bool> HttpReader<IsRequest>::fill(boost::asio::ip::tcp::socket &From,
                                             std::size_t Size) {
@@ -52,6 +89,8 @@
 HttpReader<IsRequest>::readHead(boost::asio::ip::tcp::socket &From,
                                 bool NoBody) {
   Current.reset();
+  if (Source != nullptr)
+    setLimits(Source->httpLimits());
   std::size_t SearchedSize = 0;
   while (true) {
     // RFC 9112, 2.2: servers should ignore an empty line before the request
@@ -64,7 +103,8 @@
         Received.find("\r\n\r\n", SearchedSize > 3 ? SearchedSize - 3 : 0);
     if (End != std::string_view::npos)
       co_return parseHead(End + 4, NoBody);
-    if (Received.size() >= Limits.MaxHeadBytes)
+    // A head of this size has at least one more byte.
+    if (exceedsHead(Received.size() + 1))
       co_return HeadError::TooLarge;
     // Without this check, a head that ends with bare line feeds would be
     // rejected only by the timeout.
@@ -80,7 +120,7 @@
 
 template <bool IsRequest>
 HeadError HttpReader<IsRequest>::parseHead(std::size_t Size, bool NoBody) {
-  if (Size > Limits.MaxHeadBytes)
+  if (exceedsHead(Size))
     return HeadError::TooLarge;
   const std::string_view Head = internal::text(Buffer).substr(0, Size);
   const char *Problem =
@@ -93,6 +133,7 @@
   Current->header_limit(static_cast<std::uint32_t>(Limits.MaxHeadBytes));
   Current->body_limit(boost::none);
   LimitExceeded = false;
+  ChunkBytes = 0;
   if constexpr (!IsRequest)
     Current->skip(NoBody);
   boost::system::error_code Code;
@@ -108,12 +149,30 @@
     return HeadError::Malformed;
   }
   const auto Length = Current->content_length();
-  LimitExceeded = Length && *Length > Limits.MaxBodyBytes;
-  if (!LimitExceeded)
+  LimitExceeded = Length && exceedsBody(*Length);
+  if constexpr (IsRequest)
+    watchChunks();
+  else if (!LimitExceeded)
     Current->body_limit(Limits.MaxBodyBytes);
   return HeadError::None;
 }
 
+// Not left to the limit of the parser, which cannot be raised within a body.
+template <bool IsRequest> void HttpReader<IsRequest>::watchChunks() {
+  if (!Current->chunked())
+    return;
+  if (!OnChunk)
+    OnChunk = [this](std::uint64_t Size, std::string_view /*Extensions*/,
+                     boost::system::error_code &Code) {
+      // The sum of two sizes must not overflow.
+      ChunkBytes += std::min(Size, std::numeric_limits<std::uint64_t>::max() -
+                                       ChunkBytes);
+      if (exceedsBody(ChunkBytes))
+        Code = internal::http::error::body_limit;
+    };
+  Current->on_chunk_header(OnChunk);
+}
+
 // Ends a body that is delimited by the end of the connection. It is complete
 // only if that was an orderly close.
 template <bool IsRequest>
