List changes that are too large to be read

Two more of the class: an answer of more than 8 MB (several versions of a large value) was refused whatever the link, and the next try asked for the same again; and a list began anew after a page that failed.

--- a/packages/core/include/jujubecart/core/entry_store.hpp
+++ b/packages/core/include/jujubecart/core/entry_store.hpp
@@ -110,7 +110,8 @@
   /// @brief Waits for changes after a revision.
   /// @param Until Time at which the wait ends without a change.
   /// @return The changes in revision order, or HistoryLost if the store no
-  /// longer has all of them, Unavailable or DeadlineExceeded.
+  /// longer has all of them or they are too large, Unavailable or
+  /// DeadlineExceeded.
   [[nodiscard]] virtual Awaitable<Result<EntryList>>
   waitForChanges(Revision After, TimePoint Until) = 0;
 
--- a/packages/store/include/jujubecart/store/store_connections.hpp
+++ b/packages/store/include/jujubecart/store/store_connections.hpp
@@ -51,6 +51,8 @@
   bool Sent = false;
   /// Whether the exchange failed because the deadline passed.
   bool TimedOut = false;
+  /// Whether the response has a larger body than the request allows.
+  bool TooLarge = false;
   /// When the first bytes of the response arrived; the epoch if none did.
   core::TimePoint BegunAt{};
   /// HTTP status; 0 if no complete response arrived.
@@ -64,6 +66,9 @@
 /// several threads.
 class StoreConnections {
 public:
+  /// A value has up to 1 MB; JSON escaping can make it up to six times as long.
+  static constexpr std::uint64_t DefaultMaxBodyBytes = std::uint64_t{8} << 20;
+
   StoreConnections(boost::asio::any_io_executor Executor,
                    std::vector<boost::asio::ip::tcp::endpoint> Endpoints);
 
@@ -72,13 +77,16 @@
   /// @param Deadline Of the whole exchange; a large response may arrive later
   /// for as long as its bytes arrive steadily.
   [[nodiscard]] core::Awaitable<StoreExchange>
-  sendOnce(StoreRequest Message, core::TimePoint Deadline);
+  sendOnce(StoreRequest Message, core::TimePoint Deadline,
+           std::uint64_t MaxBodyBytes = DefaultMaxBodyBytes);
 
   /// @brief Sends an idempotent request, and again on other endpoints if the
   /// connection fails before the response.
   /// @param Deadline As for sendOnce().
+  /// @param MaxBodyBytes Largest body of the response.
   [[nodiscard]] core::Awaitable<StoreExchange>
-  sendIdempotent(StoreRequest Message, core::TimePoint Deadline);
+  sendIdempotent(StoreRequest Message, core::TimePoint Deadline,
+                 std::uint64_t MaxBodyBytes = DefaultMaxBodyBytes);
 
 private:
   const boost::asio::any_io_executor Executor;
@@ -102,7 +110,7 @@
             core::TimePoint Deadline);
   [[nodiscard]] core::Awaitable<StoreExchange>
   exchange(std::shared_ptr<StoreConnection> Connection, StoreRequest Message,
-           core::TimePoint Deadline);
+           core::TimePoint Deadline, std::uint64_t MaxBodyBytes);
 };
 
 } // namespace jujubecart::store
--- a/packages/store/src/store_connections.cpp
+++ b/packages/store/src/store_connections.cpp
@@ -21,9 +21,6 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
-// Values have up to 1 MB; JSON escaping can make them up to six times as long.
-constexpr std::uint64_t MaxBodyBytes = 8ULL << 20U;
-
 // Short, so that an endpoint that drops packets leaves time for the next one.
 constexpr std::chrono::milliseconds ConnectTimeout{500};
 
@@ -161,7 +158,8 @@
 
 core::Awaitable<StoreExchange>
 StoreConnections::exchange(std::shared_ptr<StoreConnection> Connection,
-                           StoreRequest Message, core::TimePoint Deadline) {
+                           StoreRequest Message, core::TimePoint Deadline,
+                           std::uint64_t MaxBodyBytes) {
   co_await asio::this_coro::throw_if_cancelled(false);
   StoreExchange Outcome;
   Connection->Stream.expires_at(Deadline);
@@ -177,6 +175,7 @@
   Outcome.BegunAt = Progress.begunAt();
   if (!Response) {
     Outcome.TimedOut = Response.error() == beast::error::timeout;
+    Outcome.TooLarge = Response.error() == http::error::body_limit;
     co_return Outcome;
   }
   Outcome.Status = Response->Status;
@@ -189,7 +188,8 @@
 }
 
 core::Awaitable<StoreExchange>
-StoreConnections::sendOnce(StoreRequest Message, core::TimePoint Deadline) {
+StoreConnections::sendOnce(StoreRequest Message, core::TimePoint Deadline,
+                           std::uint64_t MaxBodyBytes) {
   auto Connection = takeIdle();
   if (!Connection)
     Connection = co_await connect(Deadline);
@@ -197,27 +197,30 @@
     co_return StoreExchange{.Sent = false,
                             .TimedOut =
                                 std::chrono::steady_clock::now() >= Deadline,
+                            .TooLarge = false,
                             .BegunAt = {},
                             .Status = 0,
                             .Body = {},
                             .Head = {}};
   auto ConnectionExecutor = Connection->Stream.get_executor();
-  co_return co_await asio::co_spawn(
-      ConnectionExecutor,
-      exchange(std::move(Connection), std::move(Message), Deadline),
-      asio::use_awaitable);
+  co_return co_await asio::co_spawn(ConnectionExecutor,
+                                    exchange(std::move(Connection),
+                                             std::move(Message), Deadline,
+                                             MaxBodyBytes),
+                                    asio::use_awaitable);
 }
 
 core::Awaitable<StoreExchange>
-StoreConnections::sendIdempotent(StoreRequest Message,
-                                 core::TimePoint Deadline) {
+StoreConnections::sendIdempotent(StoreRequest Message, core::TimePoint Deadline,
+                                 std::uint64_t MaxBodyBytes) {
   StoreExchange Outcome;
   // One attempt more than endpoints, because the first one may use an idle
   // connection that the store has just closed.
   for (std::size_t Attempt = 0; Attempt <= Endpoints.size(); ++Attempt) {
     const std::size_t Endpoint = preferred();
-    Outcome = co_await sendOnce(Message, Deadline);
-    if (Outcome.Status != 0 || Outcome.TimedOut || !Outcome.Sent)
+    Outcome = co_await sendOnce(Message, Deadline, MaxBodyBytes);
+    if (Outcome.Status != 0 || Outcome.TimedOut || Outcome.TooLarge ||
+        !Outcome.Sent)
       co_return Outcome;
     if (Attempt > 0)
       skipEndpoint(Endpoint);
--- a/tests/platform/slow_store_test.cpp
+++ b/tests/platform/slow_store_test.cpp
@@ -112,6 +112,69 @@
   Setup.Client.reset();
 }
 
+// Guards against an answer that is refused whatever the link: a VM that stood
+// still is sent every version of a large value. A list has only the newest.
+Test(SlowStore, changes_that_are_too_large_are_to_be_listed) {
+  Fixture Setup([](const auto &) {
+    return PacedAnswer{.Bytes = tests::httpAnswer(changesBody(LargeValue, 30)),
+                       .PieceBytes = SIZE_MAX,
+                       .Pause = 0ms};
+  });
+  cr_assert_eq(Setup.changes().error(), Error::HistoryLost);
+  Setup.Client.reset();
+}
+
+// Guards against a value of the largest size that does not fit into an answer
+// after its encoding.
+Test(SlowStore, value_of_the_largest_size_is_read) {
+  constexpr std::size_t EncodedMegabyte = 1398104;
+  Fixture Setup([](const auto &) {
+    return PacedAnswer{.Bytes = tests::httpAnswer(changesBody(EncodedMegabyte)),
+                       .PieceBytes = SIZE_MAX,
+                       .Pause = 0ms};
+  });
+  const auto Changed = Setup.changes();
+  Setup.Client.reset();
+  cr_assert(Changed.has_value());
+  cr_assert_eq(Changed->Entries.at(0).Value->size(), EncodedMegabyte / 4 * 3);
+}
+
+// Guards against a list that begins anew after each page that fails, and never
+// ends on a poor link; and against one that repeats a failing page without end.
+Test(SlowStore, list_goes_on_from_the_page_that_failed) {
+  for (const int Failures : {1, 2}) {
+    std::vector<std::string> Targets;
+    int Left = Failures;
+    Fixture Setup([&](const std::string &Head) {
+      const bool First = Head.find("after=") == std::string::npos;
+      Targets.push_back(Head.substr(0, Head.find(' ', 4)));
+      PacedAnswer Page{
+          .Bytes = tests::httpAnswer(
+              First ? R"({"items":[{"key":"a","value":"eA==","revision":3}],
+                         "has-more":true,"as-of":10})"
+                    : R"({"items":[{"key":"b","value":"eA==","revision":12}],
+                         "has-more":false,"as-of":14})"),
+          .PieceBytes = SIZE_MAX,
+          .Pause = 0ms};
+      if (!First && Left-- > 0)
+        Page.StopsAfter = 10;
+      return Page;
+    });
+    const auto Listed = Setup.list();
+    Setup.Client.reset();
+    if (Failures == 1) {
+      cr_assert(Listed.has_value());
+      cr_assert_eq(Listed->Entries.size(), 2);
+      cr_assert_eq(Listed->AsOf, 10);
+    } else {
+      cr_assert_eq(Listed.error(), Error::DeadlineExceeded);
+    }
+    cr_assert_eq(Targets.size(), 3);
+    cr_assert_neq(Targets[1].find("after=a"), std::string::npos);
+    cr_assert_eq(Targets[1], Targets[2]);
+  }
+}
+
 // Guards against an answer that counts as given when its last byte arrives: the
 // other VMs would take the entries for confirmed until then.
 Test(SlowStore, answer_states_when_it_began_to_arrive) {
