--- a/tests/platform/slow_store_test.cpp
+++ b/tests/platform/slow_store_test.cpp
@@ -49,8 +49,10 @@
 
 // A link with 320 KB a second.
 PacedAnswer overSlowLink(const std::string &Body) {
-  return {
-      .Bytes = tests::httpAnswer(Body), .PieceBytes = 16 * 1024, .Pause = 50ms};
+  constexpr std::size_t PieceBytes = 16384;
+  return {.Bytes = tests::httpAnswer(Body),
+          .PieceBytes = PieceBytes,
+          .Pause = 50ms};
 }
 
 constexpr std::size_t LargeValue = 400000;
