Wait in the test of explanations until the VM lists its groups

Cause (traced by the review): /status lists a group once the loop that ranks them has run, up to 0.1 s after the configuration is in force; the test asked earlier.

--- a/tests/apps/end_to_end_test.py
+++ b/tests/apps/end_to_end_test.py
@@ -77,18 +77,23 @@
         return re.findall(r"^jujubecart_(?:requests|attempts|dispatch|quota|backend_connect|"
                           r"zone|retries|hedges)\S* \S+$", text, re.M)
 
+    def groups(self):
+        """Groups that /status lists."""
+        return json.loads(http_call(self.vm.operators, "GET", "/status")[2])["groups"]
+
     def test_explain_tells_what_a_request_gets_and_sends_nothing(self):
         """Guards against an explanation that differs from what the VM does, or
         that sends, counts or holds something."""
         self.assertEqual(self.explain("shop.example", "/tags/1")["rejected"]["status"], 503)
         self.assertEqual(self.fleet.ctl("ticket", "submit", self.fleet.ticket(1), "--wait")[0], 0)
         http_call(self.vm.callers, "GET", "/tags/1", {"X-Draw": "0" * 15 + "1"})
+        # The VM ranks itself for its groups within 0.1 s, and lists them then.
+        wait_until(self.groups, "the VM lists its groups")
         before = self.counters()
         for _ in range(20):
             found = self.explain("shop.example", "/tags/1")
         self.assertEqual(self.counters(), before)
-        self.assertEqual(json.loads(http_call(self.vm.operators, "GET", "/status")[2])
-                         ["groups"][0]["servers"][0]["in_flight"], 0)
+        self.assertEqual(self.groups()[0]["servers"][0]["in_flight"], 0)
         self.assertEqual((found["verdict"], found["dispatcher"], found["revision"]),
                          ("sent", "vm0", 1))
         self.assertIn(found["server"], ("b0", "b1"))
