--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -252,6 +252,7 @@
         self.work = work
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.checked_in = 0.0
         self.state = "ready"
         self.leaving_field = False
         self.running = 0
@@ -279,6 +280,7 @@
 
     async def heartbeat(self, store, interval=1.5):
         while True:
+            self.checked_in = now()
             self.report(store)
             await asyncio.sleep(interval)
 
@@ -323,16 +325,20 @@
             self.connections.discard(writer)
             writer.close()
 
-    async def answer(self, method, path, fields, body, writer):
-        ident = fields.get("request-id", "")
-        expected = fields.get("expected-instance")
+    def said(self, ident):
+        """Fields of every answer to a request."""
         extra = [("Request-Id", ident), ("Upstream-Load", self.load())]
         if self.leaving_field:
             extra.append(("Server-Leaving", "1"))
+        return extra
+
+    async def answer(self, method, path, fields, body, writer):
+        ident = fields.get("request-id", "")
+        expected = fields.get("expected-instance")
         if expected and expected != self.id:
             self.record.add(f"upstream {self.id} turned {ident} away: expected {expected}")
-            writer.write(response(421, "Misdirected Request", b"",
-                                  extra + [("Instance-Id", self.id)]))
+            writer.write(response(421, "Misdirected Request", b"", self.said(ident)
+                                  + [("Instance-Id", self.id)]))
             await writer.drain()
             return
         self.running += 1
@@ -344,7 +350,7 @@
         finally:
             self.running -= 1
         writer.write(response(200, "OK", b"body of " + ident.encode(),
-                              extra + [("Response-Signature", "3e1b.07.5a2.600.0." + ident[:8])]))
+                              self.said(ident) + [("Response-Signature", "3e1b.07.5a2.600.0." + ident[:8])]))
         await writer.drain()
 
 
@@ -457,7 +463,7 @@
         self.answers = {}
 
     async def request(self, entry, path, method="GET", host="shop.example", deadline=2000,
-                      key=None, body=None):
+                      key=None, body=None, on_sent=None):
         self.count += 1
         ident = f"{self.count:08x}{os.getpid() & 0xffffffff:08x}"
         message = (f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {ident}\r\n"
@@ -468,6 +474,8 @@
             message += f"Content-Length: {len(body)}\r\n"
         self.sent[ident] = now()
         self.keys[ident] = key
+        if on_sent:
+            on_sent(ident)
         self.record.add(f"consumer sends {ident} {method} {path} to {entry.name}"
                         + (f" with key {key}" if key else ""))
         try:
