--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -40,14 +41,17 @@
 
 
 def free_ports(address, count):
-    sockets, ports = [], []
-    for _ in range(count):
-        item = socket.socket()
-        item.bind((address, 0))
-        ports.append(item.getsockname()[1])
-        sockets.append(item)
-    for item in sockets:
-        item.close()
+    """Free ports below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(18000, 30000)
+        with socket.socket() as item:
+            try:
+                item.bind((address, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
